--- /dev/null
+++ b/core/cassiaid/id.go
@@ -0,0 +1,54 @@
+package cassiaid
+
+import "encoding/hex"
+
+// VMName names one VM of the system.
+type VMName string
+
+// Zone names an availability zone.
+type Zone string
+
+// TeamName names a team, the customer that owns a subtree of settings.
+type TeamName string
+
+// FrontName names a query front within its team.
+type FrontName string
+
+// TargetName names a target, a back end that serves one replica of a shard.
+type TargetName string
+
+// Snapshot is the version of an index; a larger one is newer.
+type Snapshot uint64
+
+// Epoch counts the repartitionings of a front's shard map.
+type Epoch uint64
+
+// ShardIndex is the position of a shard in its front's list of shards.
+type ShardIndex uint32
+
+// AttemptID identifies one try of one shard on one target; it is random and never used twice.
+type AttemptID uint64
+
+// Fingerprint identifies the content of a request whoever sends it.
+type Fingerprint uint64
+
+// Generation counts the accepted edits of the whole settings tree.
+type Generation uint64
+
+// Revision counts the accepted edits of one subtree of settings.
+type Revision uint64
+
+// QueryID identifies one run of one caller's request.
+type QueryID [16]byte
+
+// String returns the identifier in hexadecimal digits.
+func (q QueryID) String() string { return hex.EncodeToString(q[:]) }
+
+// FrontKey names a front across teams.
+type FrontKey struct {
+	Team  TeamName
+	Front FrontName
+}
+
+// String returns the team and the front joined by a slash.
+func (k FrontKey) String() string { return string(k.Team) + "/" + string(k.Front) }
--- /dev/null
+++ b/core/cassiaplan/view.go
@@ -0,0 +1,51 @@
+package cassiaplan
+
+import (
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// Clock tells the time.
+type Clock interface{ Now() time.Time }
+
+// Request is one caller's request, checked and ready to plan.
+type Request struct {
+	ID    cassiaid.QueryID
+	Front *cassiaschema.Front
+	// Shards lists the shards to ask: all of them, or one for a keyed front.
+	Shards   []cassiaid.ShardIndex
+	Deadline time.Time
+}
+
+// TargetView is what this VM knows of a target.
+type TargetView struct {
+	// Held lists the snapshots that the target can serve; nil when not known.
+	Held  []cassiaid.Snapshot
+	Epoch cassiaid.Epoch
+	// Usable is false for a target that leaves, is ejected or cannot be reached.
+	Usable bool
+	// Typical and Slow are the target's median and 95th percentile latency, zero when not known.
+	Typical, Slow time.Duration
+	// Load is the number of attempts of this VM in flight on the target.
+	Load int
+}
+
+// View answers a query's questions about targets, owners and budgets.
+type View interface {
+	// Target returns what is known of a target.
+	Target(target cassiaid.TargetName) TargetView
+	// Owners returns the VMs that may be asked for a shard's targets in a zone, the best first.
+	Owners(front cassiaid.FrontKey, shard cassiaid.ShardIndex, zone cassiaid.Zone) []cassiaid.VMName
+	// LocalZone returns the zone of this VM.
+	LocalZone() cassiaid.Zone
+	// HedgeAfter returns how long to wait for a shard of the front before a hedge is worth its load.
+	HedgeAfter(front cassiaid.FrontKey) time.Duration
+	// TakeHedge takes one hedge from the front's budget, or returns false.
+	TakeHedge(front cassiaid.FrontKey) bool
+	// TakeRetry takes one retry from the front's budget, or returns false.
+	TakeRetry(front cassiaid.FrontKey) bool
+	// Front returns the front's settings in force now, which may be newer than the request's.
+	Front(front cassiaid.FrontKey) *cassiaschema.Front
+}
