--- /dev/null
+++ b/cmd/cassiasaddle/serve.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"cassiasaddle/io/cassialog"
+	"cassiasaddle/io/cassiaserver"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run one VM until SIGTERM, then finish what runs and exit",
+		Description: "Reads addresses, availability zone, platform address and key files from the configuration;\n" +
+			"all other settings come from the shared tree.\n" +
+			"Exit status: 0 after a planned stop, 1 when the VM could not start or failed.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "the VM's configuration `FILE`", Required: true},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return serve(ctx, c.String("config"))
+		},
+	}
+}
+
+func serve(ctx context.Context, path string) error {
+	config, err := cassiaserver.ReadConfig(path)
+	if err != nil {
+		return err
+	}
+	logger, err := cassialog.New(os.Stderr, config.LogLevel)
+	if err != nil {
+		return eris.Wrapf(err, "%s: logLevel", path)
+	}
+	logger = log.With(logger, "vm", config.Name, "availabilityZone", config.AvailabilityZone)
+	level.Info(logger).Log("msg", "starting", "version", version)
+	if err := cassiaserver.Run(ctx, config, cassiaserver.WithLogger(logger)); err != nil {
+		return err
+	}
+	level.Info(logger).Log("msg", "stopped")
+	return nil
+}
--- /dev/null
+++ b/io/cassiaentry/entry.go
@@ -0,0 +1,232 @@
+package cassiaentry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaroute"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiahttp"
+	"cassiasaddle/io/cassiaowner"
+)
+
+// Counters of the entry, beside those that the planner raises.
+const (
+	countBatches cassiaplan.Counter = "batchesSent"
+	countReplies cassiaplan.Counter = "batchRepliesReceived"
+)
+
+// retryAfterLeaving is when a caller refused by a leaving VM may ask again; the balancer then picks another VM.
+const retryAfterLeaving = time.Second
+
+// Peers carries frames to other VMs.
+type Peers interface {
+	Send(ctx context.Context, vm cassiaid.VMName, lane uint64, frame *cassiaschema.PeerFrame) error
+	Exchange(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error)
+}
+
+// Owner is the owner side of this VM.
+type Owner interface {
+	HandleBatch(request *cassiaschema.ShardBatch, reply cassiaowner.Reply)
+	Cancel(request *cassiaschema.CancelAttempts)
+	Knowledge(ctx context.Context, request *cassiaschema.KnowledgeRequest) *cassiaschema.KnowledgeReply
+}
+
+// Fronts gives the settings in force.
+type Fronts interface {
+	// Front returns a front, nil when there is none.
+	Front(key cassiaid.FrontKey) *cassiaschema.Front
+	// Ready is false until the VM has settings.
+	Ready() bool
+}
+
+// Quarantine tells which requests are refused because they crash targets.
+type Quarantine interface {
+	// Remaining returns how long a fingerprint stays refused, 0 when it is not.
+	Remaining(fingerprint cassiaid.Fingerprint) time.Duration
+}
+
+// Config holds what an Entry needs.
+type Config struct {
+	Self       cassiaid.VMName
+	Routes     *Routes
+	Peers      Peers
+	Owner      Owner
+	Fronts     Fronts
+	Quarantine Quarantine
+	Clock      cassiaplan.Clock
+	Logger     log.Logger
+	Scope      tally.Scope
+}
+
+// Entry answers callers' questions.
+type Entry struct {
+	config  Config
+	group   errgroup.Group
+	context context.Context
+	cancel_ context.CancelFunc
+
+	mutex   sync.Mutex
+	runs    map[cassiaid.QueryID]*run
+	leaving bool
+	quiet   chan struct{}
+	silence silence
+}
+
+// New returns an entry that answers until Close.
+func New(config Config) *Entry {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Entry{
+		config: config, context: ctx, cancel_: cancel,
+		runs:  make(map[cassiaid.QueryID]*run),
+		quiet: make(chan struct{}),
+	}
+}
+
+// Front returns a front's settings in force, or a refusal.
+func (e *Entry) Front(key cassiaid.FrontKey) (*cassiaschema.Front, *cassiaplan.Refusal) {
+	if !e.config.Fronts.Ready() {
+		return nil, &cassiaplan.Refusal{
+			Kind: cassiaplan.RefusalNotReady, Ran: cassiaplan.RanNo, RetryAfter: retryAfterLeaving,
+			Message: "this VM has no settings yet; ask another VM or ask again",
+		}
+	}
+	front := e.front(key)
+	if front == nil {
+		return nil, &cassiaplan.Refusal{
+			Kind: cassiaplan.RefusalNotFound, Ran: cassiaplan.RanNo,
+			Message: fmt.Sprintf("front %s is not in the settings; correct the path or apply the front's settings", key),
+		}
+	}
+	return front, nil
+}
+
+func (e *Entry) front(key cassiaid.FrontKey) *cassiaschema.Front { return e.config.Fronts.Front(key) }
+
+// Ask answers one question.
+func (e *Entry) Ask(ctx context.Context, question *cassiahttp.Question) ([]byte, *cassiaplan.Refusal) {
+	r, refusal := e.begin(question)
+	if refusal != nil {
+		return nil, refusal
+	}
+	defer e.end(r)
+	finish := r.wait(ctx)
+	if finish.Refusal != nil {
+		return nil, finish.Refusal
+	}
+	answer, err := cassiahttp.EncodeAnswer(question.RequestID, r.answeredFront(finish.Answer), finish.Answer)
+	if err != nil {
+		return nil, &cassiaplan.Refusal{
+			Kind: cassiaplan.RefusalNotReady, Ran: cassiaplan.RanYes,
+			Message: "a target's rows are not valid JSON: " + err.Error(),
+		}
+	}
+	return answer, nil
+}
+
+// begin registers a run, unless the question is refused at once.
+func (e *Entry) begin(question *cassiahttp.Question) (*run, *cassiaplan.Refusal) {
+	r := &run{
+		entry: e, id: cassiaid.QueryID(uuid.New()), question: question,
+		fingerprint: fingerprintOf(question),
+		messages:    newMailbox[cassiaplan.Message](),
+		sent:        make(map[cassiaid.AttemptID]sentAttempt),
+		asked:       make(map[cassiaid.ShardIndex]bool),
+	}
+	if remaining := e.config.Quarantine.Remaining(r.fingerprint); remaining > 0 {
+		return nil, &cassiaplan.Refusal{
+			Kind: cassiaplan.RefusalQuarantined, Ran: cassiaplan.RanNo, RetryAfter: remaining,
+			Message: "this request crashed targets before; change it, or ask again after the quarantine",
+		}
+	}
+	request := cassiaplan.Request{
+		ID: r.id, Key: question.Key, Front: question.Front, ShardKey: question.ShardKey, Deadline: question.Deadline,
+	}
+	e.config.Routes.With(func(t *cassiaroute.Table) {
+		r.query = cassiaplan.NewQuery(request, t, e.config.Clock, randomSource{})
+	})
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.leaving {
+		return nil, &cassiaplan.Refusal{
+			Kind: cassiaplan.RefusalNotRun, Ran: cassiaplan.RanNo, RetryAfter: retryAfterLeaving,
+			Message: "this VM is stopping; ask again to reach another VM",
+		}
+	}
+	e.runs[r.id] = r
+	return r, nil
+}
+
+func (e *Entry) end(r *run) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.runs, r.id)
+	e.signalQuiet()
+}
+
+func (e *Entry) signalQuiet() {
+	if e.leaving && len(e.runs) == 0 {
+		select {
+		case <-e.quiet:
+		default:
+			close(e.quiet)
+		}
+	}
+}
+
+// randomSource draws from the process-wide generator, which is safe for concurrent use.
+type randomSource struct{}
+
+// Uint64 returns a random number.
+func (randomSource) Uint64() uint64 { return rand.Uint64() }
+
+// fingerprintOf identifies a request's content within its front.
+func fingerprintOf(question *cassiahttp.Question) cassiaid.Fingerprint {
+	digest := xxhash.New()
+	for _, part := range []string{string(question.Key.Team), "/", string(question.Key.Front), "/", question.ShardKey, "/"} {
+		digest.WriteString(part) //nolint:errcheck // a hash never fails to write
+	}
+	digest.Write(question.Body) //nolint:errcheck // a hash never fails to write
+	return cassiaid.Fingerprint(digest.Sum64())
+}
+
+func callerGone() *cassiaplan.Refusal {
+	return &cassiaplan.Refusal{
+		Kind: cassiaplan.RefusalOutcomeUnknown, Ran: cassiaplan.RanUnknown,
+		Message: "the caller went away before its answer; ask again",
+	}
+}
+
+func (e *Entry) count(counter cassiaplan.Counter) { e.config.Scope.Counter(string(counter)).Inc(1) }
+
+// Leave refuses new questions and waits until those that run have ended or ctx is done.
+func (e *Entry) Leave(ctx context.Context) error {
+	e.mutex.Lock()
+	e.leaving = true
+	e.signalQuiet()
+	e.mutex.Unlock()
+	select {
+	case <-e.quiet:
+		return nil
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "questions were still running when the time to stop was over")
+	}
+}
+
+// Close ends what Leave left.
+func (e *Entry) Close() error {
+	e.cancel_()
+	return e.group.Wait()
+}
--- /dev/null
+++ b/io/cassiaentry/run.go
@@ -0,0 +1,222 @@
+package cassiaentry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaroute"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiahttp"
+	"cassiasaddle/io/cassiapeer"
+)
+
+// run carries one question's planner from Begin to Finish.
+type run struct {
+	entry       *Entry
+	id          cassiaid.QueryID
+	question    *cassiahttp.Question
+	fingerprint cassiaid.Fingerprint
+	query       *cassiaplan.Query
+	messages    *mailbox[cassiaplan.Message]
+	timer       *time.Timer
+	// sent holds the attempts in flight; asked the shards that had an attempt before.
+	sent   map[cassiaid.AttemptID]sentAttempt
+	asked  map[cassiaid.ShardIndex]bool
+	finish *cassiaplan.Finish
+}
+
+// sentAttempt is an attempt in flight.
+type sentAttempt struct {
+	owner  cassiaid.VMName
+	target cassiaid.TargetName
+	at     time.Time
+}
+
+// wait runs the planner until it finishes.
+func (r *run) wait(ctx context.Context) *cassiaplan.Finish {
+	r.timer = time.NewTimer(time.Hour)
+	defer r.timer.Stop()
+	r.step(cassiaplan.Begin{})
+	for r.finish == nil {
+		select {
+		case <-r.messages.signal:
+			for _, m := range r.messages.takeAll() {
+				r.step(m)
+			}
+		case <-r.timer.C:
+			r.step(cassiaplan.TimerFired{})
+		case <-ctx.Done():
+			r.step(cassiaplan.CallerGone{})
+			if r.finish == nil {
+				r.finish = &cassiaplan.Finish{Refusal: callerGone()}
+			}
+		}
+	}
+	r.endAttempts()
+	return r.finish
+}
+
+// step passes one message to the planner and performs its effects.
+func (r *run) step(m cassiaplan.Message) {
+	switch m := m.(type) {
+	case cassiaplan.Results:
+		r.noteResults(m)
+	case cassiaplan.OwnerLost:
+		r.noteEnded(m.Attempts)
+	}
+	var effects []cassiaplan.Effect
+	r.entry.config.Routes.With(func(*cassiaroute.Table) { effects = r.query.Update(m) })
+	for _, e := range effects {
+		r.perform(e)
+	}
+}
+
+func (r *run) perform(e cassiaplan.Effect) {
+	switch e := e.(type) {
+	case cassiaplan.SendBatch:
+		r.sendBatch(e)
+	case cassiaplan.AskKnowledge:
+		r.askKnowledge(e)
+	case cassiaplan.Cancel:
+		r.noteEnded(e.Attempts)
+		r.entry.cancel(r.id, e)
+	case cassiaplan.SetTimer:
+		r.timer.Reset(e.At.Sub(r.entry.config.Clock.Now()))
+	case cassiaplan.Count:
+		r.entry.count(e.Counter)
+	case cassiaplan.Finish:
+		r.finish = &e
+	}
+}
+
+// noteResults tells the routing table how attempts of this run went.
+func (r *run) noteResults(m cassiaplan.Results) {
+	now := r.entry.config.Clock.Now()
+	updates := make([]cassiaroute.Message, 0, 2*len(m.Results))
+	for _, result := range m.Results {
+		id := cassiaid.AttemptID(result.AttemptId)
+		sent, ok := r.sent[id]
+		seen := cassiaroute.ResultSeen{Front: r.question.Key, Result: result}
+		if ok {
+			delete(r.sent, id)
+			seen.Took = now.Sub(sent.at)
+			updates = append(updates, cassiaroute.AttemptEnded{Target: sent.target})
+		}
+		updates = append(updates, seen)
+	}
+	r.entry.config.Routes.Update(updates...)
+}
+
+// noteEnded tells the routing table that attempts are no longer in flight.
+func (r *run) noteEnded(ids []cassiaid.AttemptID) {
+	var updates []cassiaroute.Message
+	for _, id := range ids {
+		if sent, ok := r.sent[id]; ok {
+			delete(r.sent, id)
+			updates = append(updates, cassiaroute.AttemptEnded{Target: sent.target})
+		}
+	}
+	r.entry.config.Routes.Update(updates...)
+}
+
+func (r *run) endAttempts() {
+	ids := make([]cassiaid.AttemptID, 0, len(r.sent))
+	for id := range r.sent {
+		ids = append(ids, id)
+	}
+	r.noteEnded(ids)
+}
+
+// sendBatch sends one message to an owner and notes its attempts as in flight.
+func (r *run) sendBatch(e cassiaplan.SendBatch) {
+	now := r.entry.config.Clock.Now()
+	remaining := e.Deadline.Sub(now)
+	ids := make([]cassiaid.AttemptID, 0, len(e.Attempts))
+	for _, a := range e.Attempts {
+		ids = append(ids, a.ID)
+	}
+	lost := cassiaplan.OwnerLost{Owner: e.Owner, Attempts: ids}
+	if remaining <= 0 {
+		r.messages.put(lost)
+		return
+	}
+	r.noteSent(e, now)
+	batch := r.batch(e, remaining)
+	r.entry.count(countBatches)
+	if e.Owner == r.entry.config.Self {
+		r.entry.local(batch)
+		return
+	}
+	r.entry.group.Go(func() error {
+		// Checked again here: the VM may have been paused since the batch was made.
+		batch.Remaining = durationpb.New(e.Deadline.Sub(r.entry.config.Clock.Now()))
+		if batch.Remaining.AsDuration() <= 0 {
+			r.messages.put(lost)
+			return nil
+		}
+		if err := r.entry.send(r.id, e.Owner, batch); err != nil {
+			lost.Sent = !errors.Is(err, cassiapeer.ErrNotSent)
+			r.messages.put(lost)
+		}
+		return nil
+	})
+}
+
+func (r *run) noteSent(e cassiaplan.SendBatch, now time.Time) {
+	updates := make([]cassiaroute.Message, 0, len(e.Attempts))
+	for _, a := range e.Attempts {
+		r.sent[a.ID] = sentAttempt{owner: e.Owner, target: a.Target, at: now}
+		updates = append(updates, cassiaroute.AttemptSent{Front: r.question.Key, Target: a.Target, Extra: r.asked[a.Shard]})
+		r.asked[a.Shard] = true
+	}
+	r.entry.config.Routes.Update(updates...)
+}
+
+func (r *run) batch(e cassiaplan.SendBatch, remaining time.Duration) *cassiaschema.ShardBatch {
+	front := r.question.Front
+	batch := &cassiaschema.ShardBatch{
+		QueryId: r.id[:], Team: string(r.question.Key.Team), Front: string(r.question.Key.Front),
+		Kind: front.Kind, Priority: front.Priority,
+		ShardMapEpoch: uint64(e.Epoch), Snapshot: uint64(e.Snapshot),
+		Remaining: durationpb.New(remaining), FlushAfter: durationpb.New(e.FlushAfter),
+		Fingerprint: uint64(r.fingerprint), IdempotencyKey: r.question.IdempotencyKey, Body: r.question.Body,
+		Attempts: make([]*cassiaschema.ShardAttempt, 0, len(e.Attempts)),
+	}
+	for _, a := range e.Attempts {
+		batch.Attempts = append(batch.Attempts, &cassiaschema.ShardAttempt{
+			AttemptId: uint64(a.ID), Shard: uint32(a.Shard), ShardName: r.shardName(a.Shard), Target: string(a.Target), Hedge: a.Hedge,
+		})
+	}
+	return batch
+}
+
+// shardName returns a shard's name by the settings in force, which a restart may have changed since the question came.
+func (r *run) shardName(shard cassiaid.ShardIndex) string {
+	front := r.entry.front(r.question.Key)
+	if int(shard) >= len(front.GetShards()) {
+		front = r.question.Front
+	}
+	return front.Shards[shard].Name
+}
+
+func (r *run) askKnowledge(e cassiaplan.AskKnowledge) {
+	request := &cassiaschema.KnowledgeRequest{Team: string(r.question.Key.Team), Front: string(r.question.Key.Front)}
+	for _, t := range e.Targets {
+		request.Targets = append(request.Targets, string(t))
+	}
+	r.entry.group.Go(func() error {
+		ctx, cancel := context.WithDeadline(r.entry.context, r.question.Deadline)
+		defer cancel()
+		reply, err := r.entry.knowledge(ctx, e.Owner, request)
+		if err == nil {
+			r.entry.config.Routes.Update(cassiaroute.KnowledgeSeen{Targets: reply.Targets})
+		}
+		r.messages.put(cassiaplan.Knowledge{Owner: e.Owner, Targets: reply.GetTargets(), Lost: err != nil})
+		return nil
+	})
+}
--- /dev/null
+++ b/io/cassiahttp/handler.go
@@ -0,0 +1,211 @@
+package cassiahttp
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+	"github.com/kataras/iris/v12"
+	"github.com/uber-go/tally/v4"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// Headers of the callers' protocol.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestTimeout = "Request-Timeout-Ms"
+	HeaderShardKey       = "Shard-Key"
+	HeaderRequestID      = "Request-Id"
+)
+
+const (
+	defaultMaxBodyBytes = 64 << 10
+	maxRequestIDBytes   = 128
+	// defaultDeadline bounds a query when its front sets no deadline.
+	defaultDeadline = 350 * time.Millisecond
+)
+
+// Question is one caller's request after the checks on its form.
+type Question struct {
+	RequestID      string
+	Key            cassiaid.FrontKey
+	Front          *cassiaschema.Front
+	Body           []byte
+	ShardKey       string
+	IdempotencyKey string
+	Deadline       time.Time
+}
+
+// Asker answers questions; its errors are refusals.
+type Asker interface {
+	// Front returns a front's settings in force, or a refusal: notFound or notReady.
+	Front(key cassiaid.FrontKey) (*cassiaschema.Front, *cassiaplan.Refusal)
+	// Ask returns the encoded answer to one question, or why there is none.
+	Ask(ctx context.Context, question *Question) ([]byte, *cassiaplan.Refusal)
+}
+
+// Handler is the callers' HTTP interface.
+type Handler struct {
+	asker  Asker
+	logger log.Logger
+	scope  tally.Scope
+}
+
+// New returns the handler of all callers' paths.
+func New(asker Asker, logger log.Logger, scope tally.Scope) (http.Handler, error) {
+	h := &Handler{asker: asker, logger: logger, scope: scope}
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Post("/v1/teams/{team}/fronts/{front}/query", h.query)
+	app.OnErrorCode(iris.StatusNotFound, h.unknownPath)
+	app.OnErrorCode(iris.StatusMethodNotAllowed, h.unknownPath)
+	app.Configure(iris.WithoutBodyConsumptionOnUnmarshal, iris.WithOptimizations)
+	if err := app.Build(); err != nil {
+		return nil, err
+	}
+	return app, nil
+}
+
+func (h *Handler) unknownPath(c iris.Context) {
+	if c.ResponseWriter().Written() > 0 {
+		return
+	}
+	h.refuse(c, "", nil, &cassiaplan.Refusal{
+		Kind: cassiaplan.RefusalNotFound, Ran: cassiaplan.RanNo,
+		Message: "no such path; POST to /v1/teams/{team}/fronts/{front}/query",
+	})
+}
+
+func (h *Handler) query(c iris.Context) {
+	start := time.Now()
+	question, refusal := h.read(c, start)
+	var answer []byte
+	if refusal == nil {
+		answer, refusal = h.asker.Ask(c.Request().Context(), question)
+	}
+	if refusal != nil {
+		h.refuse(c, question.RequestID, question.Front, refusal)
+	} else {
+		h.write(c, http.StatusOK, question.RequestID, answer)
+	}
+	h.scope.Timer("queryTime").Record(time.Since(start))
+	level.Debug(h.logger).Log("msg", "query", "requestId", question.RequestID, "front", question.Key, "refusal", refusal, "took", time.Since(start))
+}
+
+// read checks a request's form; the question is never nil.
+func (h *Handler) read(c iris.Context, now time.Time) (*Question, *cassiaplan.Refusal) {
+	request := c.Request()
+	q := &Question{
+		RequestID:      request.Header.Get(HeaderRequestID),
+		Key:            cassiaid.FrontKey{Team: cassiaid.TeamName(c.Params().Get("team")), Front: cassiaid.FrontName(c.Params().Get("front"))},
+		ShardKey:       request.Header.Get(HeaderShardKey),
+		IdempotencyKey: request.Header.Get(HeaderIdempotencyKey),
+	}
+	if q.RequestID == "" || len(q.RequestID) > maxRequestIDBytes {
+		q.RequestID = uuid.NewString()
+	}
+	front, refusal := h.asker.Front(q.Key)
+	if refusal != nil {
+		return q, refusal
+	}
+	q.Front = front
+	if refusal := q.readDeadline(request.Header.Get(HeaderRequestTimeout), now); refusal != nil {
+		return q, refusal
+	}
+	if refusal := q.readBody(request); refusal != nil {
+		return q, refusal
+	}
+	return q, q.checkHeaders()
+}
+
+func frontDeadline(front *cassiaschema.Front) time.Duration {
+	if front.Deadline == nil {
+		return defaultDeadline
+	}
+	return front.Deadline.AsDuration()
+}
+
+func (q *Question) readDeadline(header string, now time.Time) *cassiaplan.Refusal {
+	allowed := frontDeadline(q.Front)
+	if header != "" {
+		milliseconds, err := strconv.ParseInt(header, 10, 64)
+		if err != nil || milliseconds <= 0 {
+			return badRequest("%s is %q; give a whole number of milliseconds above 0", HeaderRequestTimeout, header)
+		}
+		asked := time.Duration(min(milliseconds, allowed.Milliseconds())) * time.Millisecond
+		allowed = min(allowed, asked)
+	}
+	q.Deadline = now.Add(allowed)
+	return nil
+}
+
+func (q *Question) readBody(request *http.Request) *cassiaplan.Refusal {
+	limit := int64(q.Front.MaxBodyBytes)
+	if limit == 0 {
+		limit = defaultMaxBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &cassiaplan.Refusal{
+			Kind: cassiaplan.RefusalTooLarge, Ran: cassiaplan.RanNo,
+			Message: fmt.Sprintf("the body is over %d bytes; send a smaller one or raise the front's maxBodyBytes", limit),
+		}
+	}
+	if err != nil {
+		return badRequest("the body could not be read: %v; send it again", err)
+	}
+	if !json.Valid(body) {
+		return badRequest("the body is not valid JSON; correct it")
+	}
+	q.Body = body
+	return nil
+}
+
+func (q *Question) checkHeaders() *cassiaplan.Refusal {
+	if q.Front.Fanout == cassiaschema.Fanout_oneShardByKey && q.ShardKey == "" {
+		return badRequest("front %s looks up one shard; give its key in the header %s", q.Key, HeaderShardKey)
+	}
+	if q.Front.Kind == cassiaschema.RequestKind_nonIdempotent && q.IdempotencyKey == "" {
+		return badRequest("front %s takes non-idempotent requests; give a UUIDv7 in the header %s and keep it for repeats", q.Key, HeaderIdempotencyKey)
+	}
+	return nil
+}
+
+func badRequest(format string, arguments ...any) *cassiaplan.Refusal {
+	return &cassiaplan.Refusal{Kind: cassiaplan.RefusalBadRequest, Ran: cassiaplan.RanNo, Message: fmt.Sprintf(format, arguments...)}
+}
+
+func (h *Handler) refuse(c iris.Context, requestID string, front *cassiaschema.Front, refusal *cassiaplan.Refusal) {
+	h.scope.Tagged(map[string]string{"kind": string(refusal.Kind)}).Counter("refusals").Inc(1)
+	body, err := encodeRefusal(requestID, front, refusal)
+	if err != nil {
+		level.Error(h.logger).Log("msg", "refusal could not be encoded", "requestId", requestID, "err", err)
+	}
+	if refusal.RetryAfter > 0 {
+		c.ResponseWriter().Header().Set("Retry-After", strconv.FormatInt(retryAfterSeconds(refusal.RetryAfter), 10))
+	}
+	h.write(c, statusOf(refusal.Kind), requestID, body)
+}
+
+func (h *Handler) write(c iris.Context, status int, requestID string, body []byte) {
+	header := c.ResponseWriter().Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderRequestID, requestID)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	c.StatusCode(status)
+	if _, err := c.Write(body); err != nil {
+		level.Debug(h.logger).Log("msg", "caller went away", "requestId", requestID, "err", err)
+	}
+}
--- /dev/null
+++ b/io/cassiaowner/batch.go
@@ -0,0 +1,91 @@
+package cassiaowner
+
+import (
+	"sync"
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// minFlushInterval bounds how often one batch may send results.
+const minFlushInterval = 2 * time.Millisecond
+
+// Reply takes the results of a batch, a part of them at a time.
+type Reply func(reply *cassiaschema.ShardBatchReply)
+
+// batch collects the results of one ShardBatch. It sends them when all are there, or what is there after flushAfter and
+// then after doubled times, so that one slow target holds nothing back for long and costs few messages.
+type batch struct {
+	request  *cassiaschema.ShardBatch
+	query    cassiaid.QueryID
+	deadline time.Time
+	reply    Reply
+	ended    func()
+
+	mutex       sync.Mutex
+	ready       []*cassiaschema.ShardResult
+	outstanding int
+	interval    time.Duration
+	timer       *time.Timer
+}
+
+func newBatch(request *cassiaschema.ShardBatch, deadline time.Time, reply Reply, ended func()) *batch {
+	b := &batch{
+		request: request, deadline: deadline, reply: reply, ended: ended,
+		outstanding: len(request.Attempts),
+		interval:    max(request.FlushAfter.AsDuration(), minFlushInterval),
+	}
+	copy(b.query[:], request.QueryId)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.timer = time.AfterFunc(b.interval, b.flushTimer)
+	return b
+}
+
+// add takes the final result of one attempt.
+func (b *batch) add(result *cassiaschema.ShardResult) {
+	b.mutex.Lock()
+	b.ready = append(b.ready, result)
+	b.outstanding--
+	done := b.outstanding == 0
+	var results []*cassiaschema.ShardResult
+	if done {
+		b.timer.Stop()
+		results = b.take()
+	}
+	b.mutex.Unlock()
+	b.send(results)
+	if done {
+		b.ended()
+	}
+}
+
+func (b *batch) flushTimer() {
+	b.mutex.Lock()
+	results := b.take()
+	first := b.interval == max(b.request.FlushAfter.AsDuration(), minFlushInterval)
+	b.interval *= 2
+	if b.outstanding > 0 {
+		b.timer.Reset(b.interval)
+	}
+	b.mutex.Unlock()
+	if first && len(results) == 0 {
+		// An empty reply tells the entry that this VM is alive though its targets are late.
+		b.reply(&cassiaschema.ShardBatchReply{QueryId: b.request.QueryId})
+		return
+	}
+	b.send(results)
+}
+
+func (b *batch) take() []*cassiaschema.ShardResult {
+	results := b.ready
+	b.ready = nil
+	return results
+}
+
+func (b *batch) send(results []*cassiaschema.ShardResult) {
+	if len(results) > 0 {
+		b.reply(&cassiaschema.ShardBatchReply{QueryId: b.request.QueryId, Results: results})
+	}
+}
--- /dev/null
+++ b/io/cassiaowner/health.go
@@ -0,0 +1,76 @@
+package cassiaowner
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// maxHealthCalls bounds the health calls in flight.
+const maxHealthCalls = 32
+
+// watchHealth asks each owned target for its state, so that a target without traffic is known too.
+func (o *Owner) watchHealth() {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		o.checkHealth()
+		select {
+		case <-o.context.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (o *Owner) checkHealth() {
+	owned := o.config.Rules.Owned()
+	keep := make(map[targetKey]bool, len(owned))
+	var group errgroup.Group
+	group.SetLimit(maxHealthCalls)
+	for _, t := range owned {
+		keep[targetKey{front: t.Front, name: t.Name}] = true
+		group.Go(func() error { o.target(t).checkHealth(o.context); return nil })
+	}
+	group.Wait() //nolint:errcheck // the calls return no error
+	o.dropIdle(keep)
+}
+
+// dropIdle forgets targets that are neither owned nor used any more, and gives their connections back.
+func (o *Owner) dropIdle(keep map[targetKey]bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for key, t := range o.targets {
+		if !keep[key] && t.idleSince(o.config.Clock.Now().Add(-idleTargetTime)) {
+			t.retire()
+			delete(o.targets, key)
+		}
+	}
+}
+
+// Knowledge answers a request for what targets hold, asking those whose state is not known yet.
+func (o *Owner) Knowledge(ctx context.Context, request *cassiaschema.KnowledgeRequest) *cassiaschema.KnowledgeReply {
+	front := cassiaid.FrontKey{Team: cassiaid.TeamName(request.Team), Front: cassiaid.FrontName(request.Front)}
+	wanted := make(map[cassiaid.TargetName]bool, len(request.Targets))
+	for _, name := range request.Targets {
+		wanted[cassiaid.TargetName(name)] = true
+	}
+	var targets []*target
+	for _, owned := range o.config.Rules.Owned() {
+		if owned.Front == front && wanted[owned.Name] {
+			targets = append(targets, o.target(owned))
+		}
+	}
+	reply := &cassiaschema.KnowledgeReply{Targets: make([]*cassiaschema.TargetKnowledge, len(targets))}
+	var group errgroup.Group
+	group.SetLimit(maxHealthCalls)
+	for i, t := range targets {
+		group.Go(func() error { reply.Targets[i] = t.knowledgeNow(ctx); return nil })
+	}
+	group.Wait() //nolint:errcheck // the calls return no error
+	return reply
+}
--- /dev/null
+++ b/io/cassiaowner/owner.go
@@ -0,0 +1,241 @@
+package cassiaowner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	// hopMargin is kept back from a batch's remaining time for the way of its results to the entry.
+	hopMargin = 2 * time.Millisecond
+	// healthInterval is how often an owned target's health is asked for.
+	healthInterval = time.Second
+	// idleTargetTime is after how long without use a target that is no longer owned is forgotten.
+	idleTargetTime = time.Minute
+)
+
+// OwnedTarget is a target that this VM holds connections to.
+type OwnedTarget struct {
+	Front   cassiaid.FrontKey
+	Name    cassiaid.TargetName
+	Address string
+	// Connections is this VM's part of the target's connection cap.
+	Connections int
+	// MaxConcurrency bounds the attempts in flight; 0 leaves it to the connections.
+	MaxConcurrency int
+}
+
+// Rules tells which targets this VM owns; it follows settings and membership.
+type Rules interface {
+	// Owned lists the targets this VM is to hold connections to, as primary or standby.
+	Owned() []OwnedTarget
+	// Accepts returns the target if this VM may serve it, allowing for members' views that differ by one change.
+	Accepts(front cassiaid.FrontKey, shard cassiaid.ShardIndex, target cassiaid.TargetName) (OwnedTarget, bool)
+	// Leaving tells whether the target is known to leave.
+	Leaving(target cassiaid.TargetName) bool
+	// Quarantined tells whether requests with the fingerprint are refused.
+	Quarantined(fingerprint cassiaid.Fingerprint) bool
+}
+
+// Observer learns first-hand what targets do.
+type Observer interface {
+	// TargetSeen reports a target's state from its health endpoint.
+	TargetSeen(front cassiaid.FrontKey, knowledge *cassiaschema.TargetKnowledge)
+	// ResultSeen reports the outcome of an attempt.
+	ResultSeen(front cassiaid.FrontKey, fingerprint cassiaid.Fingerprint, result *cassiaschema.ShardResult)
+}
+
+// Config holds what an Owner needs.
+type Config struct {
+	Rules    Rules
+	Observer Observer
+	Clock    cassiaplan.Clock
+	Logger   log.Logger
+	Scope    tally.Scope
+}
+
+// Owner serves shard batches on this VM's targets.
+type Owner struct {
+	config  Config
+	group   errgroup.Group
+	context context.Context
+	cancel  context.CancelFunc
+
+	mutex    sync.Mutex
+	targets  map[targetKey]*target
+	leaving  bool
+	batches  int
+	quiet    chan struct{}
+	attempts map[cassiaid.AttemptID]*attempt
+}
+
+// targetKey tells apart the shares that several fronts have in one target.
+type targetKey struct {
+	front cassiaid.FrontKey
+	name  cassiaid.TargetName
+}
+
+// New returns an owner that serves until Close.
+func New(config Config) *Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &Owner{
+		config: config, context: ctx, cancel: cancel,
+		targets:  make(map[targetKey]*target),
+		attempts: make(map[cassiaid.AttemptID]*attempt),
+		quiet:    make(chan struct{}),
+	}
+	o.group.Go(func() error { o.watchHealth(); return nil })
+	return o
+}
+
+// HandleBatch starts or refuses each attempt of a batch; reply is called with every result exactly once.
+func (o *Owner) HandleBatch(request *cassiaschema.ShardBatch, reply Reply) {
+	if len(request.Attempts) == 0 {
+		return
+	}
+	now := o.config.Clock.Now()
+	deadline := now.Add(request.Remaining.AsDuration() - hopMargin)
+	front := cassiaid.FrontKey{Team: cassiaid.TeamName(request.Team), Front: cassiaid.FrontName(request.Front)}
+	b := newBatch(request, deadline, reply, o.batchEnded)
+	leaving := o.batchBegun()
+	o.config.Scope.Counter("ownerBatches").Inc(1)
+	o.config.Scope.Counter("ownerAttempts").Inc(int64(len(request.Attempts)))
+	for _, wanted := range request.Attempts {
+		a := &attempt{batch: b, wanted: wanted, front: front, began: now}
+		t, refusal := o.place(a, leaving)
+		if t == nil {
+			o.refuse(a, refusal)
+			continue
+		}
+		o.remember(a)
+		t.offer(a)
+	}
+}
+
+// place finds the target of an attempt, or why it can't be served here.
+func (o *Owner) place(a *attempt, leaving bool) (*target, cassiaschema.ShardOutcome) {
+	if leaving {
+		return nil, cassiaschema.ShardOutcome_vmLeaving
+	}
+	if o.config.Rules.Quarantined(cassiaid.Fingerprint(a.batch.request.Fingerprint)) {
+		return nil, cassiaschema.ShardOutcome_quarantined
+	}
+	name := cassiaid.TargetName(a.wanted.Target)
+	owned, ok := o.config.Rules.Accepts(a.front, cassiaid.ShardIndex(a.wanted.Shard), name)
+	if !ok {
+		return nil, cassiaschema.ShardOutcome_notOwner
+	}
+	if o.config.Rules.Leaving(name) {
+		return nil, cassiaschema.ShardOutcome_draining
+	}
+	return o.target(owned), 0
+}
+
+// refuse ends an attempt that never reached a target.
+func (o *Owner) refuse(a *attempt, outcome cassiaschema.ShardOutcome) {
+	o.countRefusal(outcome)
+	a.batch.add(a.notStarted(outcome))
+}
+
+func (o *Owner) countRefusal(outcome cassiaschema.ShardOutcome) {
+	o.config.Scope.Tagged(map[string]string{"reason": outcome.String()}).Counter("ownerRefusals").Inc(1)
+}
+
+// target returns the state of an owned target, making it on first use and anew when its share changed.
+func (o *Owner) target(owned OwnedTarget) *target {
+	key := targetKey{front: owned.Front, name: owned.Name}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	t := o.targets[key]
+	if t != nil && t.owned == owned {
+		return t
+	}
+	if t != nil {
+		t.retire()
+	}
+	t = newTarget(o, owned)
+	o.targets[key] = t
+	return t
+}
+
+// Cancel stops attempts that are no longer wanted.
+func (o *Owner) Cancel(request *cassiaschema.CancelAttempts) {
+	for _, id := range request.AttemptIds {
+		o.mutex.Lock()
+		a := o.attempts[cassiaid.AttemptID(id)]
+		o.mutex.Unlock()
+		if a != nil {
+			a.target.cancel(a)
+		}
+	}
+}
+
+func (o *Owner) remember(a *attempt) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.attempts[a.id()] = a
+}
+
+func (o *Owner) forget(a *attempt) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	delete(o.attempts, a.id())
+}
+
+func (o *Owner) batchBegun() (leaving bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.batches++
+	return o.leaving
+}
+
+func (o *Owner) batchEnded() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.batches--
+	o.signalQuiet()
+}
+
+func (o *Owner) signalQuiet() {
+	if o.leaving && o.batches == 0 {
+		select {
+		case <-o.quiet:
+		default:
+			close(o.quiet)
+		}
+	}
+}
+
+// Leave refuses new batches and waits until those that run have ended or ctx is done.
+func (o *Owner) Leave(ctx context.Context) error {
+	o.mutex.Lock()
+	o.leaving = true
+	o.signalQuiet()
+	o.mutex.Unlock()
+	select {
+	case <-o.quiet:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close stops all work; call Leave first to cut nothing off.
+func (o *Owner) Close() error {
+	o.cancel()
+	o.mutex.Lock()
+	for _, t := range o.targets {
+		t.retire()
+	}
+	o.mutex.Unlock()
+	return o.group.Wait()
+}
--- /dev/null
+++ b/io/cassiaowner/target.go
@@ -0,0 +1,206 @@
+package cassiaowner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassialimit"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiatarget"
+)
+
+// target holds this VM's connections to one target and the limiter that decides what starts when.
+type target struct {
+	owner  *Owner
+	owned  OwnedTarget
+	client *cassiatarget.Client
+
+	mutex     sync.Mutex
+	limiter   *cassialimit.Limiter
+	waiting   map[cassiaid.AttemptID]*attempt
+	running   map[cassiaid.AttemptID]*attempt
+	timer     *time.Timer
+	lastUsed  time.Time
+	knowledge *cassiaschema.TargetKnowledge
+}
+
+func newTarget(o *Owner, owned OwnedTarget) *target {
+	t := &target{
+		owner: o, owned: owned,
+		client:    cassiatarget.New(owned.Name, owned.Address, owned.Connections),
+		limiter:   cassialimit.New(concurrencyOf(owned)),
+		waiting:   make(map[cassiaid.AttemptID]*attempt),
+		running:   make(map[cassiaid.AttemptID]*attempt),
+		lastUsed:  o.config.Clock.Now(),
+		knowledge: &cassiaschema.TargetKnowledge{Target: string(owned.Name)},
+	}
+	t.timer = time.AfterFunc(time.Hour, t.wake)
+	t.timer.Stop()
+	return t
+}
+
+// concurrencyOf returns the most attempts in flight; one connection is kept free for cancellations where there are two.
+func concurrencyOf(owned OwnedTarget) int {
+	most := max(1, owned.Connections-1)
+	if owned.MaxConcurrency > 0 {
+		most = min(most, owned.MaxConcurrency)
+	}
+	return most
+}
+
+func (t *target) offer(a *attempt) {
+	t.mutex.Lock()
+	a.target = t
+	t.waiting[a.id()] = a
+	t.lastUsed = t.owner.config.Clock.Now()
+	refused := t.update(cassialimit.Offer{
+		ID: a.id(), Deadline: a.batch.deadline, Priority: a.batch.request.Priority,
+	})
+	t.mutex.Unlock()
+	t.finish(refused)
+}
+
+// refusal is an attempt that ended without reaching the target.
+type refusal struct {
+	attempt *attempt
+	outcome cassiaschema.ShardOutcome
+}
+
+// update passes a message to the limiter and performs its effects; the caller holds the mutex and finishes the refusals.
+func (t *target) update(message cassialimit.Message) []refusal {
+	var refused []refusal
+	for _, e := range t.limiter.Update(t.owner.config.Clock.Now(), message) {
+		switch e := e.(type) {
+		case cassialimit.Start:
+			t.start(e.ID)
+		case cassialimit.Refuse:
+			a := t.waiting[e.ID]
+			delete(t.waiting, e.ID)
+			refused = append(refused, refusal{attempt: a, outcome: e.Reason})
+		case cassialimit.WakeAt:
+			t.timer.Reset(e.Time.Sub(t.owner.config.Clock.Now()))
+		}
+	}
+	return refused
+}
+
+func (t *target) finish(refused []refusal) {
+	for _, r := range refused {
+		t.owner.forget(r.attempt)
+		t.owner.refuse(r.attempt, r.outcome)
+	}
+}
+
+// start moves an attempt from waiting to running; the caller holds the mutex.
+func (t *target) start(id cassiaid.AttemptID) {
+	a := t.waiting[id]
+	delete(t.waiting, id)
+	t.running[id] = a
+	ctx, cancel := context.WithCancel(t.owner.context)
+	a.cancel = cancel
+	t.owner.group.Go(func() error { t.run(ctx, a); return nil })
+}
+
+func (t *target) run(ctx context.Context, a *attempt) {
+	started := t.owner.config.Clock.Now()
+	result := t.client.Run(ctx, a.call())
+	a.cancel()
+	a.ran(result, started)
+	t.owner.forget(a)
+	t.learn(result)
+	fingerprint := cassiaid.Fingerprint(a.batch.request.Fingerprint)
+	t.owner.config.Observer.ResultSeen(t.owned.Front, fingerprint, result)
+	t.mutex.Lock()
+	delete(t.running, a.id())
+	refused := t.update(cassialimit.Done{ID: a.id(), Outcome: result.Outcome, Elapsed: result.Elapsed.AsDuration()})
+	t.mutex.Unlock()
+	t.finish(refused)
+	a.batch.add(result)
+}
+
+// cancel ends an attempt that is no longer wanted, wherever it is.
+func (t *target) cancel(a *attempt) {
+	t.mutex.Lock()
+	if running := t.running[a.id()]; running != nil {
+		running.cancel()
+		t.mutex.Unlock()
+		return
+	}
+	refused := t.update(cassialimit.Cancel{ID: a.id()})
+	t.mutex.Unlock()
+	t.finish(refused)
+}
+
+func (t *target) wake() {
+	t.mutex.Lock()
+	refused := t.update(cassialimit.Tick{})
+	t.mutex.Unlock()
+	t.finish(refused)
+}
+
+// learn keeps what a reply says of the target.
+func (t *target) learn(result *cassiaschema.ShardResult) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(result.HeldSnapshots) > 0 {
+		t.knowledge.HeldSnapshots = result.HeldSnapshots
+		t.knowledge.ShardMapEpoch = result.ShardMapEpoch
+		t.knowledge.Reachable = true
+	}
+	if result.Draining {
+		t.knowledge.Draining = true
+	}
+	if result.TargetLost || result.Outcome == cassiaschema.ShardOutcome_unreachable {
+		t.knowledge.Reachable = false
+	}
+}
+
+// checkHealth asks the target for its state and passes it on.
+func (t *target) checkHealth(ctx context.Context) {
+	health, err := t.client.Health(ctx)
+	t.mutex.Lock()
+	t.knowledge.Reachable = err == nil
+	if err == nil {
+		t.knowledge.HeldSnapshots = t.knowledge.HeldSnapshots[:0:0]
+		for _, s := range health.HeldSnapshots {
+			t.knowledge.HeldSnapshots = append(t.knowledge.HeldSnapshots, uint64(s))
+		}
+		t.knowledge.ShardMapEpoch = uint64(health.ShardMapEpoch)
+		t.knowledge.Draining = health.Draining()
+	}
+	known := t.copyKnowledge()
+	t.mutex.Unlock()
+	t.owner.config.Observer.TargetSeen(t.owned.Front, known)
+}
+
+// knowledgeNow returns what is known of the target, asking it first when nothing is.
+func (t *target) knowledgeNow(ctx context.Context) *cassiaschema.TargetKnowledge {
+	t.mutex.Lock()
+	known := len(t.knowledge.HeldSnapshots) > 0
+	t.mutex.Unlock()
+	if !known {
+		t.checkHealth(ctx)
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.copyKnowledge()
+}
+
+// copyKnowledge returns a copy that others may keep; the caller holds the mutex.
+func (t *target) copyKnowledge() *cassiaschema.TargetKnowledge {
+	return &cassiaschema.TargetKnowledge{
+		Target: t.knowledge.Target, HeldSnapshots: t.knowledge.HeldSnapshots,
+		ShardMapEpoch: t.knowledge.ShardMapEpoch, Draining: t.knowledge.Draining, Reachable: t.knowledge.Reachable,
+	}
+}
+
+func (t *target) idleSince(earliest time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.waiting) == 0 && len(t.running) == 0 && t.lastUsed.Before(earliest)
+}
+
+// retire gives the idle connections back; attempts that wait or run go on.
+func (t *target) retire() { t.client.Close() }
--- /dev/null
+++ b/io/cassiapeer/node.go
@@ -0,0 +1,332 @@
+package cassiapeer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	protocolName = "cassiasaddle/1"
+	// idleTimeout closes connections without traffic; there is no keep-alive, idle connections are dialled again.
+	idleTimeout      = 30 * time.Second
+	handshakeTimeout = 2 * time.Second
+	streamsPerPeer   = 4
+	maxStreams       = 64
+)
+
+// ErrNoAddress tells that the address of a VM is not known.
+var ErrNoAddress = eris.New("the VM's address is not known; wait until membership has it")
+
+// ErrNotSent tells that a frame never left this VM.
+var ErrNotSent = eris.New("the frame was not sent; send it to another VM")
+
+// Replier sends a frame back to the VM that a frame came from.
+type Replier func(frame *cassiaschema.PeerFrame) error
+
+// Handler takes what arrives from other VMs. Its methods must not block.
+type Handler interface {
+	// HandleFrame takes a frame that is not the reply to an Exchange.
+	HandleFrame(from cassiaid.VMName, frame *cassiaschema.PeerFrame, reply Replier)
+	// PeerLost tells that the connection to a VM ended.
+	PeerLost(peer cassiaid.VMName)
+}
+
+// Resolver finds the UDP address of a VM.
+type Resolver interface {
+	PeerAddress(vm cassiaid.VMName) (string, bool)
+}
+
+// Config holds what a Node needs.
+type Config struct {
+	Self     cassiaid.VMName
+	Address  string
+	TLS      *tls.Config
+	Resolver Resolver
+	Handler  Handler
+	Logger   log.Logger
+	Scope    tally.Scope
+}
+
+// Node is this VM's end of all peer connections.
+type Node struct {
+	config    Config
+	transport *quic.Transport
+	group     *errgroup.Group
+	context   context.Context
+	cancel    context.CancelFunc
+	exchange  atomic.Uint64
+
+	mutex   sync.Mutex
+	peers   map[cassiaid.VMName]*peer
+	dials   map[cassiaid.VMName]*dial
+	pending map[uint64]chan *cassiaschema.PeerFrame
+
+	framesSent, framesReceived, refused, lost tally.Counter
+}
+
+type dial struct {
+	done chan struct{}
+	peer *peer
+	err  error
+}
+
+// Listen opens the node's UDP socket and accepts peers until Close.
+func Listen(config Config) (*Node, error) {
+	address, err := net.ResolveUDPAddr("udp", config.Address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "peerAddress %q is not an IP and a port; correct the VM's configuration", config.Address)
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "peerAddress %q can't be opened; free it or configure another", config.Address)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	n := &Node{
+		config: config, transport: &quic.Transport{Conn: socket}, group: group, context: ctx, cancel: cancel,
+		peers:   make(map[cassiaid.VMName]*peer),
+		dials:   make(map[cassiaid.VMName]*dial),
+		pending: make(map[uint64]chan *cassiaschema.PeerFrame),
+
+		framesSent:     config.Scope.Counter("peerFramesSent"),
+		framesReceived: config.Scope.Counter("peerFramesReceived"),
+		refused:        config.Scope.Counter("peerRefused"),
+		lost:           config.Scope.Counter("peerLost"),
+	}
+	listener, err := n.transport.Listen(withProtocol(config.TLS), quicConfig())
+	if err != nil {
+		cancel()
+		return nil, errors.Join(eris.Wrap(err, "peer listener failed"), socket.Close())
+	}
+	group.Go(func() error { return n.accept(listener) })
+	return n, nil
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  handshakeTimeout,
+		MaxIdleTimeout:        idleTimeout,
+		MaxIncomingStreams:    maxStreams,
+		MaxIncomingUniStreams: -1,
+	}
+}
+
+func withProtocol(config *tls.Config) *tls.Config {
+	config = config.Clone()
+	config.NextProtos = []string{protocolName}
+	if inner := config.GetConfigForClient; inner != nil {
+		config.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+			chosen, err := inner(hello)
+			if chosen == nil || err != nil {
+				return chosen, err
+			}
+			chosen = chosen.Clone()
+			chosen.NextProtos = []string{protocolName}
+			return chosen, nil
+		}
+	}
+	return config
+}
+
+func (n *Node) accept(listener *quic.Listener) error {
+	for {
+		connection, err := listener.Accept(n.context)
+		if n.context.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return eris.Wrap(err, "peer listener stopped")
+		}
+		name, ok := peerName(connection)
+		if !ok {
+			n.refused.Inc(1)
+			connection.CloseWithError(1, "certificate names no VM") //nolint:errcheck // the peer is refused either way
+			continue
+		}
+		n.adopt(name, connection)
+	}
+}
+
+// peerName returns the VM name that the peer's verified certificate carries.
+func peerName(connection *quic.Conn) (cassiaid.VMName, bool) {
+	certificates := connection.ConnectionState().TLS.PeerCertificates
+	if len(certificates) == 0 || len(certificates[0].DNSNames) == 0 {
+		return "", false
+	}
+	return cassiaid.VMName(certificates[0].DNSNames[0]), true
+}
+
+// adopt starts serving a connection and remembers it as the newest way to the VM.
+func (n *Node) adopt(name cassiaid.VMName, connection *quic.Conn) *peer {
+	p := newPeer(n, name, connection)
+	n.mutex.Lock()
+	n.peers[name] = p
+	n.mutex.Unlock()
+	n.group.Go(func() error { p.serve(); return nil })
+	n.group.Go(func() error { n.watch(p); return nil })
+	return p
+}
+
+// watch waits for the end of a connection and tells the handler.
+func (n *Node) watch(p *peer) {
+	<-p.connection.Context().Done()
+	n.mutex.Lock()
+	if n.peers[p.name] == p {
+		delete(n.peers, p.name)
+	}
+	n.mutex.Unlock()
+	if n.context.Err() != nil {
+		return
+	}
+	n.lost.Inc(1)
+	level.Debug(n.config.Logger).Log("msg", "peer connection ended", "peer", p.name, "cause", context.Cause(p.connection.Context()))
+	n.config.Handler.PeerLost(p.name)
+}
+
+// peerFor returns a live connection to a VM, dialling one when there is none.
+func (n *Node) peerFor(ctx context.Context, vm cassiaid.VMName) (*peer, error) {
+	n.mutex.Lock()
+	if p := n.peers[vm]; p != nil {
+		n.mutex.Unlock()
+		return p, nil
+	}
+	d := n.dials[vm]
+	if d == nil {
+		d = &dial{done: make(chan struct{})}
+		n.dials[vm] = d
+		n.group.Go(func() error { n.dial(vm, d); return nil })
+	}
+	n.mutex.Unlock()
+	select {
+	case <-d.done:
+		return d.peer, d.err
+	case <-ctx.Done():
+		return nil, errors.Join(ErrNotSent, ctx.Err())
+	}
+}
+
+func (n *Node) dial(vm cassiaid.VMName, d *dial) {
+	defer func() {
+		n.mutex.Lock()
+		delete(n.dials, vm)
+		n.mutex.Unlock()
+		close(d.done)
+	}()
+	address, ok := n.config.Resolver.PeerAddress(vm)
+	if !ok {
+		d.err = errors.Join(ErrNotSent, ErrNoAddress)
+		return
+	}
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		d.err = errors.Join(ErrNotSent, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.context, handshakeTimeout)
+	defer cancel()
+	config := withProtocol(n.config.TLS)
+	config.ServerName = string(vm)
+	connection, err := n.transport.Dial(ctx, udp, config, quicConfig())
+	if err != nil {
+		d.err = errors.Join(ErrNotSent, err)
+		return
+	}
+	d.peer = n.adopt(vm, connection)
+}
+
+// Send sends a frame; frames with the same lane arrive in order. A nil error means that the frame may have arrived.
+func (n *Node) Send(ctx context.Context, vm cassiaid.VMName, lane uint64, frame *cassiaschema.PeerFrame) error {
+	p, err := n.peerFor(ctx, vm)
+	if err != nil {
+		return err
+	}
+	return p.send(ctx, lane, frame)
+}
+
+// Exchange sends a request and waits for its reply.
+func (n *Node) Exchange(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error) {
+	frame.ExchangeId = n.exchange.Add(1)
+	reply := make(chan *cassiaschema.PeerFrame, 1)
+	n.mutex.Lock()
+	n.pending[frame.ExchangeId] = reply
+	n.mutex.Unlock()
+	defer func() {
+		n.mutex.Lock()
+		delete(n.pending, frame.ExchangeId)
+		n.mutex.Unlock()
+	}()
+	p, err := n.peerFor(ctx, vm)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.send(ctx, frame.ExchangeId, frame); err != nil {
+		return nil, err
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-p.connection.Context().Done():
+		return nil, eris.Errorf("the connection to %s ended before its reply; ask again or ask another VM", vm)
+	case <-ctx.Done():
+		return nil, eris.Wrapf(ctx.Err(), "%s did not reply in time; ask again or ask another VM", vm)
+	}
+}
+
+// received passes a frame on to the exchange that waits for it or to the handler.
+func (n *Node) received(p *peer, frame *cassiaschema.PeerFrame, isReply bool, reply Replier) {
+	n.framesReceived.Inc(1)
+	if isReply && frame.ExchangeId != 0 {
+		n.mutex.Lock()
+		waiting := n.pending[frame.ExchangeId]
+		n.mutex.Unlock()
+		if waiting != nil {
+			select {
+			case waiting <- frame:
+			default:
+			}
+		}
+		return
+	}
+	n.config.Handler.HandleFrame(p.name, frame, reply)
+}
+
+// Drop closes the connection to a VM that no longer answers, so that the next frame dials anew.
+func (n *Node) Drop(vm cassiaid.VMName) {
+	n.mutex.Lock()
+	p := n.peers[vm]
+	n.mutex.Unlock()
+	if p != nil {
+		p.connection.CloseWithError(2, "no reply") //nolint:errcheck // the connection is given up
+	}
+}
+
+// Close ends all connections and waits for the node's goroutines.
+func (n *Node) Close() error {
+	n.cancel()
+	n.mutex.Lock()
+	peers := make([]*peer, 0, len(n.peers))
+	for _, p := range n.peers {
+		peers = append(peers, p)
+	}
+	n.mutex.Unlock()
+	for _, p := range peers {
+		p.connection.CloseWithError(0, "VM stops") //nolint:errcheck // nothing is left to do for this peer
+	}
+	err := n.transport.Close()
+	return errors.Join(err, n.transport.Conn.Close(), n.group.Wait())
+}
--- /dev/null
+++ b/io/cassiapeer/peer.go
@@ -0,0 +1,138 @@
+package cassiapeer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	// maxFrameBytes bounds a frame: a batch body, an answer part or the settings tree.
+	maxFrameBytes = 96 << 20
+	// writeTimeout bounds one write; a peer that takes no bytes for so long counts as lost.
+	writeTimeout = 2 * time.Second
+)
+
+// peer is one connection with a VM.
+type peer struct {
+	node       *Node
+	name       cassiaid.VMName
+	connection *quic.Conn
+	lanes      [streamsPerPeer]lane
+}
+
+// lane is one long stream for frames that this VM starts.
+type lane struct {
+	mutex  sync.Mutex
+	stream *frameStream
+}
+
+func newPeer(n *Node, name cassiaid.VMName, connection *quic.Conn) *peer {
+	return &peer{node: n, name: name, connection: connection}
+}
+
+// serve reads the streams that the other VM opens.
+func (p *peer) serve() {
+	for {
+		stream, err := p.connection.AcceptStream(p.node.context)
+		if err != nil {
+			return
+		}
+		s := &frameStream{connection: p.connection, stream: stream}
+		p.node.group.Go(func() error { p.read(s, false); return nil })
+	}
+}
+
+// read passes on frames until the stream ends; replies come back on streams that this VM opened.
+func (p *peer) read(s *frameStream, isReply bool) {
+	reader := bufio.NewReader(s.stream)
+	options := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
+	for {
+		frame := &cassiaschema.PeerFrame{}
+		if err := options.UnmarshalFrom(reader, frame); err != nil {
+			if !errors.Is(err, io.EOF) {
+				s.stream.CancelRead(1)
+			}
+			return
+		}
+		exchange := frame.ExchangeId
+		p.node.received(p, frame, isReply, func(reply *cassiaschema.PeerFrame) error {
+			reply.ExchangeId = exchange
+			p.node.framesSent.Inc(1)
+			return s.write(reply)
+		})
+	}
+}
+
+// send writes a frame on the lane's stream, opening it first when needed.
+func (p *peer) send(ctx context.Context, number uint64, frame *cassiaschema.PeerFrame) error {
+	l := &p.lanes[number%streamsPerPeer]
+	l.mutex.Lock()
+	if l.stream == nil {
+		stream, err := p.connection.OpenStreamSync(ctx)
+		if err != nil {
+			l.mutex.Unlock()
+			return errors.Join(ErrNotSent, err)
+		}
+		l.stream = &frameStream{connection: p.connection, stream: stream}
+		s := l.stream
+		p.node.group.Go(func() error { p.read(s, true); return nil })
+	}
+	s := l.stream
+	l.mutex.Unlock()
+	p.node.framesSent.Inc(1)
+	return s.write(frame)
+}
+
+// frameStream writes length-delimited frames on one stream.
+type frameStream struct {
+	mutex      sync.Mutex
+	connection *quic.Conn
+	stream     *quic.Stream
+	buffer     writeBuffer
+}
+
+// write sends one frame in a single write.
+func (s *frameStream) write(frame *cassiaschema.PeerFrame) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.buffer.reset()
+	if _, err := protodelim.MarshalTo(&s.buffer, frame); err != nil {
+		return errors.Join(ErrNotSent, err)
+	}
+	if err := s.stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := s.stream.Write(s.buffer.bytes); err != nil {
+		// Part of the frame may have left, so nothing more can be framed on this connection.
+		return errors.Join(err, s.connection.CloseWithError(2, "write failed"))
+	}
+	return nil
+}
+
+// writeBuffer collects a frame's bytes and keeps a moderate capacity between frames.
+type writeBuffer struct{ bytes []byte }
+
+const keptBufferBytes = 64 << 10
+
+func (b *writeBuffer) reset() {
+	if cap(b.bytes) > keptBufferBytes {
+		b.bytes = nil
+	}
+	b.bytes = b.bytes[:0]
+}
+
+// Write appends to the buffer.
+func (b *writeBuffer) Write(part []byte) (int, error) {
+	b.bytes = append(b.bytes, part...)
+	return len(part), nil
+}
--- /dev/null
+++ b/io/cassiaserver/config.go
@@ -0,0 +1,44 @@
+package cassiaserver
+
+import (
+	"net"
+	"os"
+
+	"buf.build/go/protovalidate"
+	"buf.build/go/protoyaml"
+	"github.com/rotisserie/eris"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
+// ReadConfig reads and checks a VM's configuration file.
+func ReadConfig(path string) (*cassiaschema.VmConfig, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "the configuration can't be read; name an existing file with --config")
+	}
+	validator, err := protovalidate.New()
+	if err != nil {
+		return nil, err
+	}
+	config := &cassiaschema.VmConfig{}
+	options := protoyaml.UnmarshalOptions{Path: path, Validator: validator}
+	if err := options.Unmarshal(text, config); err != nil {
+		return nil, eris.Wrap(err, "the configuration is not valid; correct the named field")
+	}
+	return config, checkAddresses(config)
+}
+
+func checkAddresses(config *cassiaschema.VmConfig) error {
+	addresses := map[string]string{
+		"callerAddress": config.CallerAddress, "operatorAddress": config.OperatorAddress,
+		"peerAddress": config.PeerAddress, "gossipAddress": config.GossipAddress, "platformAddress": config.PlatformAddress,
+	}
+	for field, address := range addresses {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil || net.ParseIP(host) == nil {
+			return eris.Errorf("%s is %q; give an IP number and a port such as 127.0.0.1:7000", field, address)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/cassiatarget/client.go
@@ -0,0 +1,214 @@
+package cassiatarget
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	connectTimeout = time.Second
+	// idleConnectionTimeout returns unused connections to the target, whose number is capped.
+	idleConnectionTimeout = 60 * time.Second
+	// cancelGrace is how long a cancelled attempt may take to end before its connection is closed.
+	cancelGrace   = 250 * time.Millisecond
+	cancelTimeout = 500 * time.Millisecond
+	healthTimeout = time.Second
+	// maxRowsBytes bounds the rows of one shard.
+	maxRowsBytes = 8 << 20
+	// maxHealthBytes bounds a health reply.
+	maxHealthBytes = 64 << 10
+)
+
+// Call is one attempt to run a request on a target.
+type Call struct {
+	Attempt        cassiaid.AttemptID
+	Shard          cassiaid.ShardIndex
+	ShardName      string
+	Snapshot       cassiaid.Snapshot
+	Epoch          cassiaid.Epoch
+	Deadline       time.Time
+	IdempotencyKey string
+	Body           []byte
+}
+
+// Client holds the connections of this VM to one target.
+type Client struct {
+	name      cassiaid.TargetName
+	address   string
+	transport *http.Transport
+}
+
+// New returns a client that opens at most the given number of connections.
+func New(name cassiaid.TargetName, address string, connections int) *Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return &Client{name: name, address: address, transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     idleConnectionTimeout,
+		DisableCompression:  true,
+		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
+	}}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// progress records how far an attempt got, from which follows whether the target may have started it.
+type progress struct {
+	connected atomic.Bool
+	written   atomic.Bool
+}
+
+func (p *progress) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { p.connected.Store(true) },
+		// Header bytes are buffered; from here on some of them may have left.
+		WroteHeaderField: func(string, []string) { p.written.Store(true) },
+	}
+}
+
+// Run performs one attempt; ending ctx cancels it at the target. It always returns a result.
+func (c *Client) Run(ctx context.Context, call Call) *cassiaschema.ShardResult {
+	result := &cassiaschema.ShardResult{AttemptId: uint64(call.Attempt), Shard: uint32(call.Shard), Target: string(c.name)}
+	start := time.Now()
+	remaining := call.Deadline.Sub(start)
+	if ctx.Err() != nil || remaining <= 0 {
+		result.Outcome = cassiaschema.ShardOutcome_timedOut
+		if ctx.Err() != nil {
+			result.Outcome = cassiaschema.ShardOutcome_cancelled
+		}
+		return result
+	}
+	runContext, stop := context.WithDeadline(context.Background(), call.Deadline.Add(cancelGrace))
+	defer stop()
+	unhook := context.AfterFunc(ctx, func() {
+		c.cancel(call.Attempt)
+		time.AfterFunc(cancelGrace, stop)
+	})
+	defer unhook()
+
+	var reached progress
+	reply, err := c.transport.RoundTrip(c.request(httptrace.WithClientTrace(runContext, reached.trace()), call, remaining))
+	if err != nil {
+		c.judgeFailure(ctx, result, &reached, call.Deadline)
+	} else {
+		c.judgeReply(ctx, result, call, reply)
+	}
+	result.Elapsed = durationpb.New(time.Since(start))
+	return result
+}
+
+func (c *Client) request(ctx context.Context, call Call, remaining time.Duration) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/shard", bytes.NewReader(call.Body))
+	if err != nil {
+		// The address was checked with the settings; a placeholder fails to connect and is reported as unreachable.
+		request, _ = http.NewRequestWithContext(ctx, http.MethodPost, "http://0.0.0.0:0/shard", http.NoBody)
+	}
+	// Without GetBody and with a body that can't be rewound, the transport never sends a request a second time.
+	request.GetBody = nil
+	request.Body = io.NopCloser(bytes.NewReader(call.Body))
+	request.ContentLength = int64(len(call.Body))
+	h := request.Header
+	h.Set("Content-Type", "application/json")
+	h.Set(headerAttempt, strconv.FormatUint(uint64(call.Attempt), 10))
+	h.Set(headerShard, call.ShardName)
+	h.Set(headerSnapshot, strconv.FormatUint(uint64(call.Snapshot), 10))
+	h.Set(headerEpoch, strconv.FormatUint(uint64(call.Epoch), 10))
+	h.Set(headerDeadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	if call.IdempotencyKey != "" {
+		h.Set(headerIdempotencyKey, call.IdempotencyKey)
+	}
+	return request
+}
+
+// cancel tells the target to stop an attempt, which keeps the connection usable.
+func (c *Client) cancel(attempt cassiaid.AttemptID) {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/cancel", http.NoBody)
+	if err != nil {
+		return
+	}
+	request.Header.Set(headerAttempt, strconv.FormatUint(uint64(attempt), 10))
+	reply, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return
+	}
+	discard(reply)
+}
+
+// judgeFailure fills in the result of an attempt without a reply.
+func (c *Client) judgeFailure(ctx context.Context, result *cassiaschema.ShardResult, reached *progress, deadline time.Time) {
+	result.Started = reached.written.Load()
+	switch {
+	case ctx.Err() != nil:
+		result.Outcome = cassiaschema.ShardOutcome_cancelled
+	case !time.Now().Before(deadline):
+		result.Outcome = cassiaschema.ShardOutcome_timedOut
+	case !result.Started:
+		result.Outcome = cassiaschema.ShardOutcome_unreachable
+	default:
+		result.Outcome = cassiaschema.ShardOutcome_failed
+		result.TargetLost = true
+	}
+}
+
+// judgeReply fills in the result from a reply that has a status and headers.
+func (c *Client) judgeReply(ctx context.Context, result *cassiaschema.ShardResult, call Call, reply *http.Response) {
+	defer discard(reply)
+	readState(result, reply.Header)
+	if reply.StatusCode != http.StatusOK {
+		judgeStatus(ctx, result, reply)
+		return
+	}
+	result.Started = true
+	rows, err := io.ReadAll(io.LimitReader(reply.Body, maxRowsBytes+1))
+	switch {
+	case errors.Is(err, io.ErrUnexpectedEOF) || err != nil && ctx.Err() == nil:
+		result.Outcome = cassiaschema.ShardOutcome_badReply
+	case err != nil:
+		result.Outcome = cassiaschema.ShardOutcome_cancelled
+	case len(rows) > maxRowsBytes, !echoes(call, reply.Header):
+		result.Outcome = cassiaschema.ShardOutcome_badReply
+	default:
+		result.Outcome = cassiaschema.ShardOutcome_answered
+		result.Rows = rows
+	}
+}
+
+// Health asks a target for its own view of itself; it may lag behind what the target's replies say.
+func (c *Client) Health(ctx context.Context) (*Health, error) {
+	ctx, stop := context.WithTimeout(ctx, healthTimeout)
+	defer stop()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+"/health", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	defer discard(reply)
+	return readHealth(io.LimitReader(reply.Body, maxHealthBytes))
+}
+
+// discard reads what little is left of a reply, so that its connection can be used again.
+func discard(reply *http.Response) {
+	io.CopyN(io.Discard, reply.Body, maxHealthBytes) //nolint:errcheck // a failed connection is not used again anyway
+	reply.Body.Close()                               //nolint:errcheck // nothing is left to read
+}
--- /dev/null
+++ b/io/cassiatarget/reply.go
@@ -0,0 +1,96 @@
+package cassiatarget
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// Headers of the protocol with targets.
+const (
+	headerAttempt        = "Attempt-Id"
+	headerShard          = "Shard"
+	headerSnapshot       = "Snapshot"
+	headerEpoch          = "Shard-Map-Epoch"
+	headerDeadline       = "Deadline-Ms"
+	headerIdempotencyKey = "Idempotency-Key"
+	headerHeld           = "Held-Snapshots"
+	headerDraining       = "Draining"
+	headerNotStarted     = "Not-Started"
+)
+
+// Health is a target's own view of itself.
+type Health struct {
+	State         string              `json:"state"`
+	HeldSnapshots []cassiaid.Snapshot `json:"heldSnapshots"`
+	ShardMapEpoch cassiaid.Epoch      `json:"shardMapEpoch"`
+	Load          float64             `json:"load"`
+}
+
+// Draining tells whether the target says that it is leaving.
+func (h *Health) Draining() bool { return h.State == "draining" }
+
+func readHealth(r io.Reader) (*Health, error) {
+	h := &Health{}
+	if err := json.NewDecoder(r).Decode(h); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+// readState takes what every reply says of the target.
+func readState(result *cassiaschema.ShardResult, header http.Header) {
+	for _, word := range strings.Split(header.Get(headerHeld), ",") {
+		if version, err := strconv.ParseUint(strings.TrimSpace(word), 10, 64); err == nil {
+			result.HeldSnapshots = append(result.HeldSnapshots, version)
+		}
+	}
+	result.ShardMapEpoch = number(header, headerEpoch)
+	result.Snapshot = number(header, headerSnapshot)
+	result.Draining = header.Get(headerDraining) == "true"
+}
+
+// number returns a header's value, 0 when it is absent or malformed.
+func number(header http.Header, name string) uint64 {
+	value, err := strconv.ParseUint(header.Get(name), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return value
+}
+
+// echoes tells whether a reply belongs to the call.
+func echoes(call Call, header http.Header) bool {
+	return number(header, headerAttempt) == uint64(call.Attempt) && header.Get(headerShard) == call.ShardName
+}
+
+// judgeStatus maps a status other than 200 to an outcome; only a Not-Started header proves that nothing ran.
+func judgeStatus(ctx context.Context, result *cassiaschema.ShardResult, reply *http.Response) {
+	reason := reply.Header.Get(headerNotStarted)
+	result.Started = reason == ""
+	switch {
+	case reason == "draining":
+		result.Outcome = cassiaschema.ShardOutcome_draining
+		result.Draining = true
+	case reason == "overloaded", reason == "cold":
+		result.Outcome = cassiaschema.ShardOutcome_overloaded
+	case reply.StatusCode == http.StatusGone:
+		result.Outcome = cassiaschema.ShardOutcome_snapshotGone
+	case reply.StatusCode == http.StatusConflict:
+		result.Outcome = cassiaschema.ShardOutcome_repartitioned
+	case ctx.Err() != nil:
+		result.Outcome = cassiaschema.ShardOutcome_cancelled
+	case reply.StatusCode == http.StatusGatewayTimeout:
+		result.Outcome = cassiaschema.ShardOutcome_timedOut
+	case reply.StatusCode == http.StatusServiceUnavailable:
+		result.Outcome = cassiaschema.ShardOutcome_overloaded
+	default:
+		result.Outcome = cassiaschema.ShardOutcome_failed
+	}
+}
