--- a/core/cassiaplan/answer.go
+++ b/core/cassiaplan/answer.go
@@ -54,6 +54,8 @@
 	MissingNoOwner       MissingReason = "noOwner"
 	MissingFailed        MissingReason = "failed"
 	MissingAnswerTooBig  MissingReason = "answerTooBig"
+	// MissingCancelled is for a shard still asked when the whole query was given up.
+	MissingCancelled MissingReason = "cancelled"
 )
 
 // RefusalKind is the typed reason of a refusal.
@@ -71,6 +73,7 @@
 	RefusalQuarantined          RefusalKind = "quarantined"
 	RefusalOverloaded           RefusalKind = "overloaded"
 	RefusalNotReady             RefusalKind = "notReady"
+	RefusalCallerGone           RefusalKind = "callerGone"
 )
 
 // Ran tells whether a refused request was run by any target.
--- a/core/cassiaplan/effect.go
+++ b/core/cassiaplan/effect.go
@@ -29,6 +29,12 @@
 	Attempts   []Attempt
 }
 
+// AskKnowledge asks an owner what targets hold; the reply comes back as Knowledge.
+type AskKnowledge struct {
+	Owner   cassiaid.VMName
+	Targets []cassiaid.TargetName
+}
+
 // Cancel tells an owner that attempts are no longer wanted.
 type Cancel struct {
 	Owner    cassiaid.VMName
@@ -47,11 +53,12 @@
 // Count asks for a counter to be raised by one.
 type Count struct{ Counter Counter }
 
-func (SendBatch) isEffect() {}
-func (Cancel) isEffect()    {}
-func (SetTimer) isEffect()  {}
-func (Finish) isEffect()    {}
-func (Count) isEffect()     {}
+func (SendBatch) isEffect()    {}
+func (AskKnowledge) isEffect() {}
+func (Cancel) isEffect()       {}
+func (SetTimer) isEffect()     {}
+func (Finish) isEffect()       {}
+func (Count) isEffect()        {}
 
 // Counter names a metric of the query path.
 type Counter string
@@ -75,4 +82,10 @@
 	CountDroppedSnapshot  Counter = "droppedSnapshot"
 	CountDroppedEpoch     Counter = "droppedEpoch"
 	CountEarlyStop        Counter = "earlyStop"
+	CountAskKnowledge     Counter = "askKnowledge"
+	CountRetryVMLeaving   Counter = "retryVmLeaving"
+	CountRetryNotOwner    Counter = "retryNotOwner"
+	CountRetrySnapshot    Counter = "retrySnapshot"
+	CountRetryEpoch       Counter = "retryEpoch"
+	CountAnswerTooBig     Counter = "answerTooBig"
 )
--- /dev/null
+++ b/core/cassiaplan/front.go
@@ -0,0 +1,38 @@
+package cassiaplan
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// defaultMaxAnswerBytes bounds an answer when the front sets no bound.
+const defaultMaxAnswerBytes = 4 << 20
+
+// ShardsFor returns the shards that a request to a front has to ask.
+func ShardsFor(front *cassiaschema.Front, shardKey string) []cassiaid.ShardIndex {
+	count := len(front.GetShards())
+	if count == 0 {
+		return nil
+	}
+	if front.GetFanout() == cassiaschema.Fanout_oneShardByKey {
+		return []cassiaid.ShardIndex{cassiaid.ShardIndex(xxhash.Sum64String(shardKey) % uint64(count))}
+	}
+	shards := make([]cassiaid.ShardIndex, count)
+	for i := range shards {
+		shards[i] = cassiaid.ShardIndex(i)
+	}
+	return shards
+}
+
+func maxAnswerBytes(front *cassiaschema.Front) int {
+	if n := front.GetMaxAnswerBytes(); n > 0 {
+		return int(n)
+	}
+	return defaultMaxAnswerBytes
+}
+
+func (q *Query) idempotent() bool {
+	return q.front.GetKind() == cassiaschema.RequestKind_idempotent
+}
--- /dev/null
+++ b/core/cassiaplan/hedge.go
@@ -0,0 +1,48 @@
+package cassiaplan
+
+import "time"
+
+// maxInFlight bounds the attempts at one shard that run at the same time.
+const maxInFlight = 2
+
+// hedge asks a second replica of the shards that take longer than usual.
+func (q *Query) hedge(now time.Time) {
+	if !q.mayHedge() {
+		return
+	}
+	var choices []choice
+	for i := range q.shards {
+		s := &q.shards[i]
+		if !q.hedgeDue(s, now) {
+			continue
+		}
+		s.hedgeSettled = true
+		s.hedgeAt = now.Add(q.view.HedgeAfter(q.request.Key))
+		options, _ := q.candidates(s, notKnown)
+		if len(options) == 0 {
+			continue
+		}
+		if !q.view.TakeHedge(q.request.Key) {
+			q.outbox.count(CountHedgeDenied)
+			continue
+		}
+		q.outbox.count(CountHedge)
+		choices = append(choices, choice{shard: s, options: options})
+	}
+	q.ask(choices, true, now)
+}
+
+// mayHedge tells whether a second attempt may run beside the first one.
+func (q *Query) mayHedge() bool {
+	return q.idempotent() && q.view.HedgeAfter(q.request.Key) > 0 && !q.crash.suspects()
+}
+
+func (q *Query) hedgeDue(s *shard, now time.Time) bool {
+	return q.hedgeOpen(s) && !now.Before(s.hedgeAt)
+}
+
+// hedgeOpen tells whether a shard may still get a hedge.
+func (q *Query) hedgeOpen(s *shard) bool {
+	open := s.inFlight()
+	return s.pending() && open > 0 && open < maxInFlight
+}
--- /dev/null
+++ b/core/cassiaplan/knowledge.go
@@ -0,0 +1,95 @@
+package cassiaplan
+
+import (
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+// maxKnowledgeWait bounds how long a query waits to learn what targets hold.
+const maxKnowledgeWait = 150 * time.Millisecond
+
+// knowledgeRound is one round of asking owners what their targets hold.
+type knowledgeRound struct {
+	waiting map[cassiaid.VMName]bool
+	limit   time.Time
+}
+
+// askIfCold asks owners what their targets hold when less than half of the shards have a known replica.
+func (q *Query) askIfCold(now time.Time) bool {
+	known := 0
+	for i := range q.shards {
+		if q.knowsReplica(&q.shards[i]) {
+			known++
+		}
+	}
+	if 2*known >= len(q.shards) {
+		return false
+	}
+	q.phase = asking
+	q.asked = knowledgeRound{waiting: map[cassiaid.VMName]bool{}, limit: now.Add(q.knowledgeWait(now))}
+	q.askOwners()
+	return true
+}
+
+func (q *Query) knowsReplica(s *shard) bool {
+	for _, t := range s.targets {
+		if q.target(cassiaid.TargetName(t.GetName())).Held != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Query) knowledgeWait(now time.Time) time.Duration {
+	return min(q.request.Deadline.Sub(now)/2, maxKnowledgeWait)
+}
+
+// askOwners asks each owner once for all of its unknown targets.
+func (q *Query) askOwners() {
+	targets := map[cassiaid.VMName][]cassiaid.TargetName{}
+	seen := map[cassiaid.TargetName]bool{}
+	var owners []cassiaid.VMName
+	for i := range q.shards {
+		s := &q.shards[i]
+		for _, t := range s.targets {
+			name := cassiaid.TargetName(t.GetName())
+			owner := q.ownerFor(s, cassiaid.Zone(t.GetAvailabilityZone()))
+			if owner == "" || seen[name] || q.target(name).Held != nil {
+				continue
+			}
+			seen[name] = true
+			if targets[owner] == nil {
+				owners = append(owners, owner)
+			}
+			targets[owner] = append(targets[owner], name)
+		}
+	}
+	for _, owner := range owners {
+		q.asked.waiting[owner] = true
+		q.outbox.add(AskKnowledge{Owner: owner, Targets: targets[owner]})
+		q.outbox.count(CountAskKnowledge)
+	}
+}
+
+func (q *Query) hearKnowledge(m Knowledge) {
+	if m.Lost {
+		q.avoided[m.Owner] = true
+	}
+	for _, t := range m.Targets {
+		q.learnKnowledge(t)
+	}
+	delete(q.asked.waiting, m.Owner)
+}
+
+// endAsking starts the fan-out once every owner has replied or the wait is over.
+func (q *Query) endAsking(now time.Time) {
+	if len(q.asked.waiting) > 0 && now.Before(q.asked.limit) {
+		return
+	}
+	q.pin()
+	if q.snapshot == 0 {
+		q.refuse(Refusal{Kind: RefusalNotReady, Ran: RanNo, RetryAfter: time.Second,
+			Message: "no owner could tell which snapshots the front's targets hold; check that targets are up and retry"})
+	}
+}
--- /dev/null
+++ b/core/cassiaplan/merge.go
@@ -0,0 +1,124 @@
+package cassiaplan
+
+import (
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// takeResults takes each result at most once.
+func (q *Query) takeResults(m Results) {
+	for _, r := range m.Results {
+		q.takeResult(m.Owner, r)
+		if q.phase == finished {
+			return
+		}
+	}
+}
+
+func (q *Query) takeResult(owner cassiaid.VMName, r *cassiaschema.ShardResult) {
+	a := q.attempts[cassiaid.AttemptID(r.GetAttemptId())]
+	if !isReplyTo(a, owner, r) {
+		q.outbox.count(CountDroppedForeign)
+		return
+	}
+	q.learnResult(r)
+	if !a.open {
+		a.mayHaveStarted = a.mayHaveStarted || started(r)
+		q.outbox.count(lateOrDuplicate(a))
+		return
+	}
+	a.open = false
+	a.mayHaveStarted = started(r)
+	s := q.shard(a.Shard)
+	q.crash.see(s, r)
+	switch r.GetOutcome() {
+	case cassiaschema.ShardOutcome_answered:
+		q.ran = true
+		q.takeRows(s, a, r)
+	case cassiaschema.ShardOutcome_quarantined:
+		q.refuseQuarantined(quarantineRetryAfter)
+	default:
+		q.fail(s, a, r.GetOutcome())
+	}
+}
+
+// isReplyTo tells whether a result names the very attempt that was sent.
+func isReplyTo(a *attempt, owner cassiaid.VMName, r *cassiaschema.ShardResult) bool {
+	return a != nil && a.owner == owner && uint32(a.Shard) == r.GetShard() && string(a.Target) == r.GetTarget()
+}
+
+// started tells whether the target may have run the attempt.
+func started(r *cassiaschema.ShardResult) bool {
+	return r.GetStarted() || r.GetOutcome() == cassiaschema.ShardOutcome_answered
+}
+
+func lateOrDuplicate(a *attempt) Counter {
+	if a.cancelled {
+		return CountDroppedLate
+	}
+	return CountDroppedDuplicate
+}
+
+// takeRows merges the rows of an answer from the pinned snapshot and shard map.
+func (q *Query) takeRows(s *shard, a *attempt, r *cassiaschema.ShardResult) {
+	switch {
+	case cassiaid.Epoch(r.GetShardMapEpoch()) != q.epoch:
+		q.outbox.count(CountDroppedEpoch)
+		s.note(failures[cassiaschema.ShardOutcome_repartitioned])
+	case cassiaid.Snapshot(r.GetSnapshot()) != q.snapshot:
+		q.outbox.count(CountDroppedSnapshot)
+		s.note(failures[cassiaschema.ShardOutcome_snapshotGone])
+	case !s.pending():
+		q.outbox.count(CountDroppedDuplicate)
+	case q.rowBytes+len(r.GetRows()) > maxAnswerBytes(q.front):
+		q.outbox.count(CountAnswerTooBig)
+		q.abandon(s, MissingAnswerTooBig)
+	default:
+		q.merge(s, a, r.GetRows())
+	}
+}
+
+func (q *Query) merge(s *shard, a *attempt, rows []byte) {
+	s.merged = true
+	s.rows = rows
+	q.merged++
+	q.rowBytes += len(rows)
+	if a.Hedge {
+		q.outbox.count(CountHedgeWon)
+	}
+	q.cancelShard(s)
+}
+
+// abandon closes a shard and gives up what is in flight for it.
+func (q *Query) abandon(s *shard, reason MissingReason) {
+	s.close(reason)
+	q.cancelShard(s)
+}
+
+func (q *Query) cancelShard(s *shard) {
+	for _, a := range s.attempts {
+		q.cancel(a)
+	}
+}
+
+func (q *Query) cancelAll() {
+	for i := range q.shards {
+		q.cancelShard(&q.shards[i])
+	}
+}
+
+// countLate counts what reaches a finished query.
+func (q *Query) countLate(m Message) {
+	results, ok := m.(Results)
+	if !ok {
+		return
+	}
+	for _, r := range results.Results {
+		a := q.attempts[cassiaid.AttemptID(r.GetAttemptId())]
+		if !isReplyTo(a, results.Owner, r) {
+			q.outbox.count(CountDroppedForeign)
+			continue
+		}
+		q.outbox.count(lateOrDuplicate(a))
+	}
+}
--- a/core/cassiaplan/message.go
+++ b/core/cassiaplan/message.go
@@ -27,6 +27,14 @@
 	Attempts []cassiaid.AttemptID
 }
 
+// Knowledge brings what targets hold, as an owner that was asked sees them.
+type Knowledge struct {
+	Owner   cassiaid.VMName
+	Targets []*cassiaschema.TargetKnowledge
+	// Lost is true when the owner could not be asked or did not reply.
+	Lost bool
+}
+
 // TimerFired tells that the time of an earlier SetTimer has come.
 type TimerFired struct{}
 
@@ -39,6 +47,7 @@
 func (Begin) isMessage()       {}
 func (Results) isMessage()     {}
 func (OwnerLost) isMessage()   {}
+func (Knowledge) isMessage()   {}
 func (TimerFired) isMessage()  {}
 func (Quarantined) isMessage() {}
 func (CallerGone) isMessage()  {}
--- /dev/null
+++ b/core/cassiaplan/outbox.go
@@ -0,0 +1,71 @@
+package cassiaplan
+
+import (
+	"slices"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+// outbox gathers what one Update decided, so that each owner gets one message of a kind.
+type outbox struct {
+	owners  []cassiaid.VMName
+	sends   map[cassiaid.VMName][]Attempt
+	cancels map[cassiaid.VMName][]cassiaid.AttemptID
+	others  []Effect
+}
+
+func (o *outbox) owner(owner cassiaid.VMName) {
+	if !slices.Contains(o.owners, owner) {
+		o.owners = append(o.owners, owner)
+	}
+}
+
+func (o *outbox) send(a *attempt) {
+	if o.sends == nil {
+		o.sends = map[cassiaid.VMName][]Attempt{}
+	}
+	o.owner(a.owner)
+	o.sends[a.owner] = append(o.sends[a.owner], a.Attempt)
+}
+
+func (o *outbox) cancel(a *attempt) {
+	if o.cancels == nil {
+		o.cancels = map[cassiaid.VMName][]cassiaid.AttemptID{}
+	}
+	o.owner(a.owner)
+	o.cancels[a.owner] = append(o.cancels[a.owner], a.ID)
+}
+
+func (o *outbox) add(e Effect) { o.others = append(o.others, e) }
+
+func (o *outbox) count(c Counter) { o.add(Count{Counter: c}) }
+
+// drop forgets a send that has not left yet and tells whether there was one.
+func (o *outbox) drop(a *attempt) bool {
+	kept := o.sends[a.owner]
+	for i := range kept {
+		if kept[i].ID == a.ID {
+			o.sends[a.owner] = append(kept[:i:i], kept[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// take empties the outbox: cancels before sends, then the rest.
+func (o *outbox) take(batch SendBatch) []Effect {
+	var effects []Effect
+	for _, owner := range o.owners {
+		if ids := o.cancels[owner]; len(ids) > 0 {
+			effects = append(effects, Cancel{Owner: owner, Attempts: ids})
+		}
+		if attempts := o.sends[owner]; len(attempts) > 0 {
+			batch.Owner = owner
+			batch.Attempts = attempts
+			effects = append(effects, batch)
+		}
+	}
+	effects = append(effects, o.others...)
+	*o = outbox{}
+	return effects
+}
--- /dev/null
+++ b/core/cassiaplan/recover.go
@@ -0,0 +1,143 @@
+package cassiaplan
+
+import (
+	"time"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
+// maxNonIdempotentAttempts bounds the attempts of a shard of a request that must not run twice.
+const maxNonIdempotentAttempts = 2
+
+// failure tells what an unsuccessful outcome means.
+type failure struct {
+	reason  MissingReason
+	counter Counter
+	// final is true when another attempt would not help.
+	final bool
+	// free is true when no target saw the attempt, so that another one adds no load.
+	free bool
+}
+
+var failures = map[cassiaschema.ShardOutcome]failure{
+	cassiaschema.ShardOutcome_failed:        {reason: MissingFailed, counter: CountRetryFailed},
+	cassiaschema.ShardOutcome_badReply:      {reason: MissingFailed, counter: CountRetryFailed},
+	cassiaschema.ShardOutcome_cancelled:     {reason: MissingFailed, counter: CountRetryFailed},
+	cassiaschema.ShardOutcome_overloaded:    {reason: MissingOverloaded, counter: CountRetryOverloaded},
+	cassiaschema.ShardOutcome_draining:      {reason: MissingUnreachable, counter: CountRetryDraining},
+	cassiaschema.ShardOutcome_unreachable:   {reason: MissingUnreachable, counter: CountRetryUnreachable},
+	cassiaschema.ShardOutcome_snapshotGone:  {reason: MissingSnapshotGone, counter: CountRetrySnapshot},
+	cassiaschema.ShardOutcome_repartitioned: {reason: MissingRepartitioned, counter: CountRetryEpoch},
+	cassiaschema.ShardOutcome_timedOut:      {reason: MissingLate, final: true},
+	cassiaschema.ShardOutcome_notOwner:      {reason: MissingNoOwner, counter: CountRetryNotOwner, free: true},
+	cassiaschema.ShardOutcome_vmLeaving:     {reason: MissingUnreachable, counter: CountRetryVMLeaving, free: true},
+}
+
+// ownerLost is the failure of an attempt whose owner can not answer for it any more.
+var ownerLost = failure{reason: MissingUnreachable, counter: CountRetryOwnerLost}
+
+// fail notes an unsuccessful outcome; recoverShards decides what follows.
+func (q *Query) fail(s *shard, a *attempt, outcome cassiaschema.ShardOutcome) {
+	f, ok := failures[outcome]
+	if !ok {
+		f = failures[cassiaschema.ShardOutcome_failed]
+	}
+	if f.free {
+		q.avoided[a.owner] = true
+		a.ownerFailed = true
+		f.free = !a.mayHaveStarted
+	}
+	s.note(f)
+}
+
+// loseOwner ends the attempts that an owner can not answer for any more.
+func (q *Query) loseOwner(m OwnerLost) {
+	q.avoided[m.Owner] = true
+	for _, id := range m.Attempts {
+		a := q.attempts[id]
+		if a == nil || !a.open || a.owner != m.Owner {
+			continue
+		}
+		a.open = false
+		a.ownerFailed = true
+		a.mayHaveStarted = m.Sent
+		f := ownerLost
+		f.free = !m.Sent
+		q.shard(a.Shard).note(f)
+	}
+}
+
+// recoverShards asks again for the shards that have nothing in flight, or closes them.
+func (q *Query) recoverShards(now time.Time) {
+	q.restart(now)
+	var choices []choice
+	for i := range q.shards {
+		s := &q.shards[i]
+		if !s.pending() || s.waiting() || q.crash.holdsBack(s) {
+			continue
+		}
+		if options := q.nextOptions(s); len(options) > 0 {
+			choices = append(choices, choice{shard: s, options: options})
+		}
+	}
+	q.ask(choices, false, now)
+}
+
+// ask sends one attempt for each choice.
+func (q *Query) ask(choices []choice, hedge bool, now time.Time) {
+	if len(choices) == 0 {
+		return
+	}
+	picked := cover(choices, q.view.LocalZone(), q.random.Uint64())
+	for i, c := range choices {
+		q.newAttempt(c.shard, picked[i], hedge, now)
+		c.shard.hedgeAt = now.Add(q.view.HedgeAfter(q.request.Key))
+	}
+}
+
+// nextOptions returns where to ask for a shard next; it closes the shard when nothing is left to try.
+func (q *Query) nextOptions(s *shard) []candidate {
+	first := len(s.attempts) == 0
+	if !first && !q.mayRetry(s) {
+		s.close(s.reason)
+		return nil
+	}
+	worst := notUsable
+	if first {
+		worst = lacksSnapshot
+	}
+	options, reason := q.candidates(s, worst)
+	if len(options) == 0 {
+		if first {
+			s.reason = reason
+		}
+		s.close(s.reason)
+		return nil
+	}
+	if !first && !q.takeRetry(s) {
+		s.close(s.reason)
+		return nil
+	}
+	return options
+}
+
+// mayRetry tells whether the rules of the request allow one more attempt at a shard.
+func (q *Query) mayRetry(s *shard) bool {
+	if s.failure.final || q.crash.condemns(s) {
+		return false
+	}
+	if q.idempotent() {
+		return true
+	}
+	return !s.mayHaveStarted() && len(s.attempts) < maxNonIdempotentAttempts
+}
+
+// takeRetry pays for a retry unless no target saw the attempt before.
+func (q *Query) takeRetry(s *shard) bool {
+	if !s.failure.free && !q.view.TakeRetry(q.request.Key) {
+		q.outbox.count(CountRetryDenied)
+		return false
+	}
+	q.outbox.count(s.failure.counter)
+	return true
+}
--- /dev/null
+++ b/core/cassiaplan/refuse.go
@@ -0,0 +1,110 @@
+package cassiaplan
+
+import (
+	"fmt"
+	"time"
+)
+
+// refuse gives up what is in flight and ends the query without rows.
+func (q *Query) refuse(r Refusal) {
+	q.cancelAll()
+	q.finish(Finish{Refusal: &r})
+}
+
+// ranState tells what is known of the request having run on any target.
+func (q *Query) ranState() Ran {
+	switch {
+	case q.ran:
+		return RanYes
+	case q.mayHaveRun():
+		return RanUnknown
+	default:
+		return RanNo
+	}
+}
+
+// lacking returns the refusal for a query with too few merged shards.
+func (q *Query) lacking(unsettled MissingReason) Refusal {
+	coverage := q.coverage(unsettled)
+	ran := q.ranState()
+	switch {
+	case ran == RanNo && only(coverage, MissingOverloaded):
+		return Refusal{Kind: RefusalOverloaded, Ran: ran, RetryAfter: retryAfter,
+			Message: "every target refused the request for load; retry later or add targets"}
+	case ran == RanNo:
+		return Refusal{Kind: RefusalNotRun, Ran: ran, RetryAfter: retryAfter,
+			Message: "no target ran the request (" + reasons(coverage) + "); it is safe to retry"}
+	case has(coverage, MissingAnswerTooBig):
+		return Refusal{Kind: RefusalTooLarge, Ran: ran, Coverage: &coverage,
+			Message: "the answer is larger than the front's maxAnswerBytes; narrow the request or raise the limit"}
+	case !q.idempotent():
+		return Refusal{Kind: RefusalOutcomeUnknown, Ran: ran, Coverage: &coverage,
+			Message: "the request may have run (" + reasons(coverage) + "); look up its effect before sending it under a new key"}
+	case q.merged == 0 && has(coverage, MissingLate):
+		return Refusal{Kind: RefusalDeadlineExceeded, Ran: ran, RetryAfter: retryAfter,
+			Message: "no shard answered before the deadline; retry, or raise the front's deadline"}
+	default:
+		return q.insufficient(coverage, ran)
+	}
+}
+
+func (q *Query) insufficient(c Coverage, ran Ran) Refusal {
+	return Refusal{Kind: RefusalInsufficientCoverage, Ran: ran, RetryAfter: retryAfter, Coverage: &c,
+		Message: fmt.Sprintf("%d of %d shards answered and the front needs %d (%s); retry, or lower minCoverage",
+			c.Answered, c.Asked, q.neededShards(), reasons(c))}
+}
+
+// refuseQuarantined ends a query whose content is refused everywhere.
+func (q *Query) refuseQuarantined(remaining time.Duration) {
+	q.cancelAll()
+	q.refuse(Refusal{Kind: RefusalQuarantined, Ran: q.ranState(), RetryAfter: remaining,
+		Message: "targets were lost while they ran this request; do not send it again before the quarantine ends"})
+}
+
+// loseCaller gives up a query that nobody waits for, unless its outcome has to be learned.
+func (q *Query) loseCaller() {
+	if !q.idempotent() && q.mayHaveRun() {
+		return
+	}
+	q.cancelAll()
+	q.refuse(Refusal{Kind: RefusalCallerGone, Ran: q.ranState(),
+		Message: "the caller closed its connection before the answer; send the request again if it is still needed"})
+}
+
+func only(c Coverage, reason MissingReason) bool {
+	for _, m := range c.Missing {
+		if m.Reason != reason {
+			return false
+		}
+	}
+	return len(c.Missing) > 0
+}
+
+func has(c Coverage, reason MissingReason) bool {
+	for _, m := range c.Missing {
+		if m.Reason == reason {
+			return true
+		}
+	}
+	return false
+}
+
+// reasons lists how many shards are missing for each reason.
+func reasons(c Coverage) string {
+	counts := map[MissingReason]int{}
+	var order []MissingReason
+	for _, m := range c.Missing {
+		if counts[m.Reason] == 0 {
+			order = append(order, m.Reason)
+		}
+		counts[m.Reason]++
+	}
+	text := ""
+	for i, r := range order {
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%s: %d", r, counts[r])
+	}
+	return text
+}
--- /dev/null
+++ b/core/cassiaplan/replica.go
@@ -0,0 +1,109 @@
+package cassiaplan
+
+import (
+	"slices"
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// fitness ranks what is known of a replica; a lower one is better.
+type fitness int
+
+const (
+	holdsSnapshot fitness = iota
+	notKnown
+	notUsable
+	lacksSnapshot
+)
+
+// Bounds within which a replica counts as no slower than the best one.
+const (
+	nearFactor = 2.0
+	nearExtra  = 2 * time.Millisecond
+	leastCost  = time.Millisecond
+)
+
+// candidate is a replica that a shard may be asked at, and the owner to ask.
+type candidate struct {
+	target cassiaid.TargetName
+	zone   cassiaid.Zone
+	owner  cassiaid.VMName
+	fit    fitness
+	cost   time.Duration
+}
+
+// candidates returns the untried replicas of a shard up to a fitness, and why there is none.
+func (q *Query) candidates(s *shard, worst fitness) ([]candidate, MissingReason) {
+	var found []candidate
+	reason := MissingUnreachable
+	for _, t := range s.targets {
+		name := cassiaid.TargetName(t.GetName())
+		v := q.target(name)
+		c := candidate{target: name, zone: cassiaid.Zone(t.GetAvailabilityZone()), fit: q.fitness(v), cost: cost(v)}
+		if c.fit > worst || s.tried(name) {
+			continue
+		}
+		c.owner = q.ownerFor(s, c.zone)
+		if c.owner == "" {
+			reason = MissingNoOwner
+			continue
+		}
+		found = append(found, c)
+	}
+	return fittest(found), reason
+}
+
+func (q *Query) fitness(v TargetView) fitness {
+	switch {
+	case !q.epochFits(v):
+		return lacksSnapshot
+	case v.Held != nil && !slices.Contains(v.Held, q.snapshot):
+		return lacksSnapshot
+	case !v.Usable:
+		return notUsable
+	case v.Held == nil || v.Epoch != 0 && v.Epoch < q.epoch:
+		return notKnown
+	default:
+		return holdsSnapshot
+	}
+}
+
+// cost estimates how long a replica takes with what is already in flight.
+func cost(v TargetView) time.Duration {
+	return max(v.Typical, leastCost) * time.Duration(1+v.Load)
+}
+
+// fittest keeps the candidates of the best fitness that are not much slower than the best of them.
+func fittest(all []candidate) []candidate {
+	if len(all) == 0 {
+		return nil
+	}
+	best := slices.MinFunc(all, func(a, b candidate) int {
+		if a.fit != b.fit {
+			return int(a.fit - b.fit)
+		}
+		return int(a.cost - b.cost)
+	})
+	limit := time.Duration(float64(best.cost)*nearFactor) + nearExtra
+	return slices.DeleteFunc(all, func(c candidate) bool { return c.fit != best.fit || c.cost > limit })
+}
+
+// ownerFor returns the best owner of a shard's targets in a zone that has not failed this query.
+func (q *Query) ownerFor(s *shard, zone cassiaid.Zone) cassiaid.VMName {
+	for _, owner := range q.view.Owners(q.request.Key, s.index, zone) {
+		if !q.avoided[owner] {
+			return owner
+		}
+	}
+	return ""
+}
+
+// targetsOf returns the replicas of a shard in the front's settings.
+func targetsOf(front *cassiaschema.Front, index cassiaid.ShardIndex) []*cassiaschema.Target {
+	if int(index) >= len(front.GetShards()) {
+		return nil
+	}
+	return front.GetShards()[index].GetTargets()
+}
--- /dev/null
+++ b/core/cassiaplan/shard.go
@@ -0,0 +1,73 @@
+package cassiaplan
+
+import (
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// shard is the progress of one asked shard in the present run.
+type shard struct {
+	index    cassiaid.ShardIndex
+	targets  []*cassiaschema.Target
+	attempts []*attempt
+	merged   bool
+	rows     []byte
+	// closed is true when the shard can not be answered any more; reason then tells why.
+	closed bool
+	reason MissingReason
+	// failure is the last unsuccessful outcome.
+	failure failure
+	// targetLost is true once a target was lost while it ran the shard.
+	targetLost bool
+	// hedgeAt is when the next hedge is due.
+	hedgeAt time.Time
+	// hedgeSettled is true once a hedge was sent, denied or found impossible.
+	hedgeSettled bool
+}
+
+func (s *shard) pending() bool { return !s.merged && !s.closed }
+
+func (s *shard) close(reason MissingReason) {
+	s.closed = true
+	s.reason = reason
+}
+
+// inFlight returns the number of open attempts.
+func (s *shard) inFlight() int {
+	count := 0
+	for _, a := range s.attempts {
+		if a.open {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *shard) waiting() bool { return s.inFlight() > 0 }
+
+func (s *shard) mayHaveStarted() bool {
+	for _, a := range s.attempts {
+		if a.mayHaveStarted {
+			return true
+		}
+	}
+	return false
+}
+
+// tried tells whether a target was already asked for this shard by an owner that could answer for it.
+func (s *shard) tried(target cassiaid.TargetName) bool {
+	for _, a := range s.attempts {
+		if a.Target == target && !a.ownerFailed {
+			return true
+		}
+	}
+	return false
+}
+
+// note keeps an unsuccessful outcome for the decision what follows.
+func (s *shard) note(f failure) {
+	s.reason = f.reason
+	s.failure = f
+}
--- /dev/null
+++ b/core/cassiaplan/snapshot.go
@@ -0,0 +1,45 @@
+package cassiaplan
+
+import (
+	"slices"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+// bestSnapshot returns the snapshot that usable replicas of the most shards are known to hold, the newest of equals,
+// and how many shards that is; 0 when nothing is known.
+func (q *Query) bestSnapshot() (cassiaid.Snapshot, int) {
+	holders := q.holders()
+	var best cassiaid.Snapshot
+	for s, n := range holders {
+		if n > holders[best] || n == holders[best] && s > best {
+			best = s
+		}
+	}
+	return best, holders[best]
+}
+
+// holders counts for each snapshot the shards that a usable replica is known to serve from it.
+func (q *Query) holders() map[cassiaid.Snapshot]int {
+	counts := map[cassiaid.Snapshot]int{}
+	var seen []cassiaid.Snapshot
+	for i := range q.shards {
+		seen = seen[:0]
+		for _, t := range q.shards[i].targets {
+			v := q.target(cassiaid.TargetName(t.GetName()))
+			if !v.Usable || !q.epochFits(v) {
+				continue
+			}
+			for _, s := range v.Held {
+				if s != 0 && !slices.Contains(seen, s) {
+					seen = append(seen, s)
+					counts[s]++
+				}
+			}
+		}
+	}
+	return counts
+}
+
+// epochFits tells whether a target may serve the query's shard map, now or once it has caught up.
+func (q *Query) epochFits(v TargetView) bool { return v.Epoch <= q.epoch }
--- /dev/null
+++ b/core/cassiaplan/timer.go
@@ -0,0 +1,54 @@
+package cassiaplan
+
+import "time"
+
+// replyMargin is how long before the query's deadline owners have to be done, so that their replies still arrive.
+const replyMargin = 5 * time.Millisecond
+
+// flushFraction is the part of the hedge delay after which owners send what they have.
+const flushFraction = 2
+
+// setTimer asks to be woken when something next becomes due.
+func (q *Query) setTimer(now time.Time) {
+	if q.phase == idle {
+		return
+	}
+	next := q.nextDue(now)
+	if next.Equal(q.timer) {
+		return
+	}
+	q.timer = next
+	q.outbox.add(SetTimer{At: next})
+}
+
+func (q *Query) nextDue(now time.Time) time.Time {
+	next := q.request.Deadline
+	sooner := func(t time.Time) {
+		if t.After(now) && t.Before(next) {
+			next = t
+		}
+	}
+	if q.phase == asking {
+		sooner(q.asked.limit)
+		return next
+	}
+	hedging, stopping := q.mayHedge(), q.mayStopEarly()
+	for i := range q.shards {
+		s := &q.shards[i]
+		if !s.pending() {
+			continue
+		}
+		if hedging && q.hedgeOpen(s) {
+			sooner(s.hedgeAt)
+		}
+		if stopping {
+			sooner(q.overdueAt(s))
+		}
+	}
+	return next
+}
+
+// flushAfter returns when owners send the results that they have: before the entry decides on hedges.
+func (q *Query) flushAfter() time.Duration {
+	return q.view.HedgeAfter(q.request.Key) / flushFraction
+}
--- a/core/cassiaplan/view.go
+++ b/core/cassiaplan/view.go
@@ -10,11 +10,17 @@
 // Clock tells the time.
 type Clock interface{ Now() time.Time }
 
+// RandomSource gives random numbers; *rand.Rand of math/rand/v2 is one.
+type RandomSource interface{ Uint64() uint64 }
+
 // Request is one caller's request, checked and ready to plan.
 type Request struct {
 	ID    cassiaid.QueryID
+	Key   cassiaid.FrontKey
 	Front *cassiaschema.Front
-	// Shards lists the shards to ask: all of them, or one for a keyed front.
+	// ShardKey picks the shard of a front that asks one shard by key.
+	ShardKey string
+	// Shards lists the shards to ask; when nil, ShardsFor decides.
 	Shards   []cassiaid.ShardIndex
 	Deadline time.Time
 }
@@ -40,7 +46,7 @@
 	Owners(front cassiaid.FrontKey, shard cassiaid.ShardIndex, zone cassiaid.Zone) []cassiaid.VMName
 	// LocalZone returns the zone of this VM.
 	LocalZone() cassiaid.Zone
-	// HedgeAfter returns how long to wait for a shard of the front before a hedge is worth its load.
+	// HedgeAfter returns how long to wait for a shard of the front before a hedge is worth its load; 0 means never.
 	HedgeAfter(front cassiaid.FrontKey) time.Duration
 	// TakeHedge takes one hedge from the front's budget, or returns false.
 	TakeHedge(front cassiaid.FrontKey) bool
