--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -76,7 +76,7 @@
 	config  Config
 	group   errgroup.Group
 	context context.Context
-	cancel_ context.CancelFunc
+	stop    context.CancelFunc
 
 	mutex   sync.Mutex
 	runs    map[cassiaid.QueryID]*run
@@ -89,7 +89,7 @@
 func New(config Config) *Entry {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
-		config: config, context: ctx, cancel_: cancel,
+		config: config, context: ctx, stop: cancel,
 		runs:  make(map[cassiaid.QueryID]*run),
 		quiet: make(chan struct{}),
 	}
@@ -141,7 +141,7 @@
 	r := &run{
 		entry: e, id: cassiaid.QueryID(uuid.New()), question: question,
 		fingerprint: fingerprintOf(question),
-		messages:    newMailbox[cassiaplan.Message](),
+		events:      newMailbox[event](),
 		sent:        make(map[cassiaid.AttemptID]sentAttempt),
 		asked:       make(map[cassiaid.ShardIndex]bool),
 	}
@@ -227,6 +227,6 @@
 
 // Close ends what Leave left.
 func (e *Entry) Close() error {
-	e.cancel_()
+	e.stop()
 	return e.group.Wait()
 }
--- a/io/cassiaentry/owners.go
+++ b/io/cassiaentry/owners.go
@@ -95,7 +95,7 @@
 	r := e.runs[id]
 	e.mutex.Unlock()
 	if r != nil {
-		r.messages.put(cassiaplan.Results{Owner: owner, Results: reply.Results})
+		r.post(cassiaplan.Results{Owner: owner, Results: reply.Results})
 		return
 	}
 	for range reply.Results {
@@ -107,14 +107,14 @@
 func (e *Entry) PeerLost(owner cassiaid.VMName) {
 	e.silence.heard(owner)
 	e.config.Routes.Update(cassiaroute.OwnerUnreachable{Owner: owner})
-	e.each(func(r *run) { r.messages.put(ownerGone{owner: owner}) })
+	e.each(func(r *run) { r.events.put(event{lostOwner: owner}) })
 }
 
 // Quarantined stops the runs of a request that crashes targets.
 func (e *Entry) Quarantined(fingerprint cassiaid.Fingerprint, remaining time.Duration) {
 	e.each(func(r *run) {
 		if r.fingerprint == fingerprint {
-			r.messages.put(cassiaplan.Quarantined{Remaining: remaining})
+			r.post(cassiaplan.Quarantined{Remaining: remaining})
 		}
 	})
 }
--- a/io/cassiaentry/run.go
+++ b/io/cassiaentry/run.go
@@ -22,7 +22,7 @@
 	question    *cassiahttp.Question
 	fingerprint cassiaid.Fingerprint
 	query       *cassiaplan.Query
-	messages    *mailbox[cassiaplan.Message]
+	events      *mailbox[event]
 	timer       *time.Timer
 	// sent holds the attempts in flight; asked the shards that had an attempt before.
 	sent   map[cassiaid.AttemptID]sentAttempt
@@ -37,6 +37,28 @@
 	at     time.Time
 }
 
+// event is what arrives from outside the run: a message, or the loss of a VM that may hold attempts of the run.
+type event struct {
+	message   cassiaplan.Message
+	lostOwner cassiaid.VMName
+}
+
+// messageOf returns an event's message; only the run itself knows its attempts at a lost VM.
+func (r *run) messageOf(v event) cassiaplan.Message {
+	if v.message != nil {
+		return v.message
+	}
+	lost := cassiaplan.OwnerLost{Owner: v.lostOwner, Sent: true}
+	for id, sent := range r.sent {
+		if sent.owner == v.lostOwner {
+			lost.Attempts = append(lost.Attempts, id)
+		}
+	}
+	return lost
+}
+
+func (r *run) post(m cassiaplan.Message) { r.events.put(event{message: m}) }
+
 // wait runs the planner until it finishes.
 func (r *run) wait(ctx context.Context) *cassiaplan.Finish {
 	r.timer = time.NewTimer(time.Hour)
@@ -44,9 +66,9 @@
 	r.step(cassiaplan.Begin{})
 	for r.finish == nil {
 		select {
-		case <-r.messages.signal:
-			for _, m := range r.messages.takeAll() {
-				r.step(m)
+		case <-r.events.signal:
+			for _, v := range r.events.takeAll() {
+				r.step(r.messageOf(v))
 			}
 		case <-r.timer.C:
 			r.step(cassiaplan.TimerFired{})
@@ -142,7 +164,7 @@
 	}
 	lost := cassiaplan.OwnerLost{Owner: e.Owner, Attempts: ids}
 	if remaining <= 0 {
-		r.messages.put(lost)
+		r.post(lost)
 		return
 	}
 	r.noteSent(e, now)
@@ -156,12 +178,12 @@
 		// Checked again here: the VM may have been paused since the batch was made.
 		batch.Remaining = durationpb.New(e.Deadline.Sub(r.entry.config.Clock.Now()))
 		if batch.Remaining.AsDuration() <= 0 {
-			r.messages.put(lost)
+			r.post(lost)
 			return nil
 		}
 		if err := r.entry.send(r.id, e.Owner, batch); err != nil {
 			lost.Sent = !errors.Is(err, cassiapeer.ErrNotSent)
-			r.messages.put(lost)
+			r.post(lost)
 		}
 		return nil
 	})
@@ -216,7 +238,7 @@
 		if err == nil {
 			r.entry.config.Routes.Update(cassiaroute.KnowledgeSeen{Targets: reply.Targets})
 		}
-		r.messages.put(cassiaplan.Knowledge{Owner: e.Owner, Targets: reply.GetTargets(), Lost: err != nil})
+		r.post(cassiaplan.Knowledge{Owner: e.Owner, Targets: reply.GetTargets(), Lost: err != nil})
 		return nil
 	})
 }
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -30,7 +30,7 @@
 	t := &target{
 		owner: o, owned: owned,
 		client:    cassiatarget.New(owned.Name, owned.Address, owned.Connections),
-		limiter:   cassialimit.New(concurrencyOf(owned)),
+		limiter:   cassialimit.NewLimiter(o.config.Clock, cassialimit.Bounds{Concurrency: concurrencyOf(owned)}),
 		waiting:   make(map[cassiaid.AttemptID]*attempt),
 		running:   make(map[cassiaid.AttemptID]*attempt),
 		lastUsed:  o.config.Clock.Now(),
@@ -71,14 +71,18 @@
 // update passes a message to the limiter and performs its effects; the caller holds the mutex and finishes the refusals.
 func (t *target) update(message cassialimit.Message) []refusal {
 	var refused []refusal
-	for _, e := range t.limiter.Update(t.owner.config.Clock.Now(), message) {
+	for _, e := range t.limiter.Update(message) {
 		switch e := e.(type) {
 		case cassialimit.Start:
 			t.start(e.ID)
 		case cassialimit.Refuse:
 			a := t.waiting[e.ID]
 			delete(t.waiting, e.ID)
-			refused = append(refused, refusal{attempt: a, outcome: e.Reason})
+			refused = append(refused, refusal{attempt: a, outcome: outcomeOf(e.Reason)})
+		case cassialimit.Stop:
+			if a := t.running[e.ID]; a != nil {
+				a.cancel()
+			}
 		case cassialimit.WakeAt:
 			t.timer.Reset(e.Time.Sub(t.owner.config.Clock.Now()))
 		}
@@ -122,24 +126,35 @@
 
 // cancel ends an attempt that is no longer wanted, wherever it is.
 func (t *target) cancel(a *attempt) {
-	t.mutex.Lock()
-	if running := t.running[a.id()]; running != nil {
-		running.cancel()
-		t.mutex.Unlock()
-		return
-	}
-	refused := t.update(cassialimit.Cancel{ID: a.id()})
-	t.mutex.Unlock()
-	t.finish(refused)
+	t.pass(cassialimit.Cancel{ID: a.id()})
 }
 
-func (t *target) wake() {
+func (t *target) wake() { t.pass(cassialimit.Tick{}) }
+
+// pass takes the mutex to pass a message to the limiter.
+func (t *target) pass(message cassialimit.Message) {
 	t.mutex.Lock()
-	refused := t.update(cassialimit.Tick{})
+	refused := t.update(message)
 	t.mutex.Unlock()
 	t.finish(refused)
 }
 
+// outcomeOf maps a limiter's reason to what the entry learns; in each case the target never saw the attempt.
+func outcomeOf(reason cassialimit.Reason) cassiaschema.ShardOutcome {
+	switch reason {
+	case cassialimit.ReasonDraining:
+		return cassiaschema.ShardOutcome_draining
+	case cassialimit.ReasonTimedOut:
+		return cassiaschema.ShardOutcome_timedOut
+	case cassialimit.ReasonCancelled:
+		return cassiaschema.ShardOutcome_cancelled
+	case cassialimit.ReasonLost:
+		return cassiaschema.ShardOutcome_unreachable
+	default:
+		return cassiaschema.ShardOutcome_overloaded
+	}
+}
+
 // learn keeps what a reply says of the target.
 func (t *target) learn(result *cassiaschema.ShardResult) {
 	t.mutex.Lock()
--- /dev/null
+++ b/test/process_test.go
@@ -0,0 +1,183 @@
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+)
+
+// startTimeout bounds the start of a process on a busy machine.
+const startTimeout = 20 * time.Second
+
+// binaries is the directory that holds the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "cassiasaddle-test")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(directory)
+	binaries = directory
+	build := exec.Command("go", "build", "-o", directory+"/", "../cmd/cassiasaddle", "../cmd/cassiastandin")
+	build.Stdout, build.Stderr = os.Stderr, os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one started program.
+type process struct {
+	command *exec.Cmd
+	output  lockedBuffer
+	waiter  errgroup.Group
+	ended   chan struct{}
+}
+
+// start runs a program of this repository; the test's end kills it if it still runs.
+func start(t testing.TB, program string, arguments ...string) *process {
+	t.Helper()
+	p := &process{command: exec.Command(filepath.Join(binaries, program), arguments...), ended: make(chan struct{})}
+	p.command.Stdout, p.command.Stderr = &p.output, &p.output
+	qt.Assert(t, p.command.Start(), qt.IsNil)
+	p.waiter.Go(func() error {
+		defer close(p.ended)
+		return p.command.Wait()
+	})
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		p.waiter.Wait() //nolint:errcheck // a killed process ends with an error
+		if t.Failed() {
+			t.Logf("output of %s %s:\n%s", program, strings.Join(arguments, " "), tail(p.output.String()))
+		}
+	})
+	return p
+}
+
+const tailBytes = 6000
+
+func tail(text string) string {
+	if len(text) > tailBytes {
+		return "..." + text[len(text)-tailBytes:]
+	}
+	return text
+}
+
+// waitReady waits for the line that a stand-in prints when it listens.
+func (p *process) waitReady(t testing.TB) *process {
+	t.Helper()
+	eventually(t, startTimeout, "ready line", func() bool {
+		scanner := bufio.NewScanner(strings.NewReader(p.output.String()))
+		for scanner.Scan() {
+			if scanner.Text() == "ready" {
+				return true
+			}
+		}
+		return false
+	})
+	return p
+}
+
+// signal sends a signal; a process that has ended is left alone.
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.ended:
+	default:
+		if err := p.command.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+			fmt.Fprintln(os.Stderr, "signal:", err)
+		}
+	}
+}
+
+// wait waits for the end of a process and returns its exit status.
+func (p *process) wait(t testing.TB, limit time.Duration) int {
+	t.Helper()
+	select {
+	case <-p.ended:
+		return p.command.ProcessState.ExitCode()
+	case <-time.After(limit):
+		t.Fatalf("%s did not end in %v", p.command.Path, limit)
+		return -1
+	}
+}
+
+// runCommand runs a program to its end and returns its exit status and output.
+func runCommand(t testing.TB, program string, arguments ...string) (int, string) {
+	t.Helper()
+	p := start(t, program, arguments...)
+	status := p.wait(t, startTimeout)
+	return status, p.output.String()
+}
+
+// eventually polls a condition until it holds; it fails the test after the limit.
+func eventually(t testing.TB, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// freeAddress returns a loopback address whose port was free for TCP and UDP a moment ago.
+func freeAddress(t testing.TB, host string) string {
+	t.Helper()
+	for range 100 {
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		qt.Assert(t, err, qt.IsNil)
+		address := listener.Addr().String()
+		socket, err := net.ListenPacket("udp", address)
+		qt.Assert(t, listener.Close(), qt.IsNil)
+		if err != nil {
+			continue
+		}
+		qt.Assert(t, socket.Close(), qt.IsNil)
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// lockedBuffer collects a process's output while the test reads it.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+var _ io.Writer = (*lockedBuffer)(nil)
+
+func (b *lockedBuffer) Write(part []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(part)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
