Add owners, the entry's table and the limiter of one target

Cause: entries need one place that knows owners, targets and budgets, and owners need a limit per target. Conclusion: the API stands for wiring; quarantine, measurements and more tests follow.

--- /dev/null
+++ b/core/cassialimit/doc.go
@@ -0,0 +1,5 @@
+// Package cassialimit decides when attempts may start on one target: it finds the target's free slots, queues
+// attempts by priority and deadline, and refuses those that can't be served in time.
+//
+// A Limiter is a state machine: Update takes a message and returns the effects that the caller has to perform.
+package cassialimit
--- /dev/null
+++ b/core/cassialimit/limiter.go
@@ -0,0 +1,197 @@
+package cassialimit
+
+import (
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+)
+
+// defaultQueue is the most attempts that wait for one target.
+const defaultQueue = 64
+
+// Bounds are the fixed bounds of a limiter; zero values give the defaults.
+type Bounds struct {
+	// Concurrency bounds the attempts that run at once; it is at most the connections allowed. 1 when unset.
+	Concurrency int
+	// Queue bounds the attempts that wait; 64 when unset.
+	Queue int
+}
+
+// Limiter decides when the attempts of one VM start on one target.
+type Limiter struct {
+	clock    cassiaplan.Clock
+	bounds   Bounds
+	adaptive adaptive
+	queue    queue
+	running  map[cassiaid.AttemptID]bool
+	// alone is true while an attempt runs that others must not run beside.
+	alone    bool
+	draining bool
+	wakeAt   time.Time
+}
+
+// NewLimiter returns the limiter of a target that no attempt has run on yet.
+func NewLimiter(clock cassiaplan.Clock, bounds Bounds) *Limiter {
+	l := &Limiter{clock: clock, running: make(map[cassiaid.AttemptID]bool)}
+	l.setBounds(bounds)
+	l.adaptive.reset()
+	return l
+}
+
+// Update takes one message and returns what the caller has to do.
+func (l *Limiter) Update(m Message) []Effect {
+	now := l.clock.Now()
+	var effects []Effect
+	switch m := m.(type) {
+	case Offer:
+		effects = l.offer(now, m)
+	case Done:
+		l.done(now, m)
+	case Cancel:
+		effects = l.cancel(m.ID)
+	case Drain:
+		l.draining = true
+		effects = l.refuseAll(ReasonDraining)
+	case Undrain:
+		if l.draining {
+			l.draining = false
+			l.adaptive.reset()
+		}
+	case Lost:
+		l.adaptive.reset()
+		effects = l.refuseAll(ReasonLost)
+	case BoundsChanged:
+		l.setBounds(m.Bounds)
+	case Tick:
+		l.wakeAt = time.Time{}
+	}
+	return l.advance(now, effects)
+}
+
+// Limit returns how many attempts may run at once now.
+func (l *Limiter) Limit() int { return l.adaptive.current(l.bounds.Concurrency) }
+
+// Running returns how many attempts run.
+func (l *Limiter) Running() int { return len(l.running) }
+
+// Queued returns how many attempts wait.
+func (l *Limiter) Queued() int { return len(l.queue.offers) }
+
+func (l *Limiter) setBounds(b Bounds) {
+	b.Concurrency = max(1, b.Concurrency)
+	if b.Queue <= 0 {
+		b.Queue = defaultQueue
+	}
+	l.bounds = b
+}
+
+// offer queues the attempt, or refuses it when it can't be served in time.
+func (l *Limiter) offer(now time.Time, o Offer) []Effect {
+	if l.has(o.ID) {
+		return nil
+	}
+	if l.draining {
+		return []Effect{Refuse{ID: o.ID, Reason: ReasonDraining}}
+	}
+	if !now.Before(o.Deadline) {
+		return []Effect{Refuse{ID: o.ID, Reason: ReasonTimedOut}}
+	}
+	at := l.queue.position(o)
+	if now.Add(l.waitFor(now, at) + l.adaptive.estimate.unloaded()).After(o.Deadline) {
+		return []Effect{Refuse{ID: o.ID, Reason: ReasonOverloaded}}
+	}
+	l.queue.insert(at, o)
+	if len(l.queue.offers) <= l.bounds.Queue {
+		return nil
+	}
+	if l.canStart(now, l.queue.offers[0]) {
+		return nil
+	}
+	return []Effect{Refuse{ID: l.queue.takeLast().ID, Reason: ReasonOverloaded}}
+}
+
+// has tells whether an attempt waits or runs already.
+func (l *Limiter) has(id cassiaid.AttemptID) bool {
+	_, ok := l.running[id]
+	return ok || l.queue.has(id)
+}
+
+// waitFor estimates how long an attempt waits behind a number of others.
+func (l *Limiter) waitFor(now time.Time, ahead int) time.Duration {
+	limit := l.Limit()
+	free := max(0, limit-len(l.running))
+	var wait time.Duration
+	if ahead >= free {
+		wait = time.Duration(ahead-free+1) * l.adaptive.estimate.typical() / time.Duration(limit)
+	}
+	return max(wait, l.adaptive.pausedTo.Sub(now))
+}
+
+func (l *Limiter) done(now time.Time, m Done) {
+	alone, ok := l.running[m.ID]
+	if !ok {
+		return
+	}
+	busy := len(l.running) >= l.Limit()
+	delete(l.running, m.ID)
+	if alone {
+		l.alone = false
+	}
+	l.adaptive.done(now, m, busy, l.bounds.Concurrency)
+}
+
+func (l *Limiter) cancel(id cassiaid.AttemptID) []Effect {
+	if _, ok := l.running[id]; ok {
+		return []Effect{Stop{ID: id}}
+	}
+	if l.queue.remove(id) {
+		return []Effect{Refuse{ID: id, Reason: ReasonCancelled}}
+	}
+	return nil
+}
+
+func (l *Limiter) refuseAll(reason Reason) []Effect {
+	var effects []Effect
+	for _, o := range l.queue.offers {
+		effects = append(effects, Refuse{ID: o.ID, Reason: reason})
+	}
+	l.queue.offers = nil
+	return effects
+}
+
+// advance refuses what came too late, starts what may start, and asks to be woken for the rest.
+func (l *Limiter) advance(now time.Time, effects []Effect) []Effect {
+	for _, o := range l.queue.expired(now, 0) {
+		effects = append(effects, Refuse{ID: o.ID, Reason: ReasonTimedOut})
+	}
+	for len(l.queue.offers) > 0 && l.canStart(now, l.queue.offers[0]) {
+		o := l.queue.take()
+		l.running[o.ID] = o.Alone
+		l.alone = l.alone || o.Alone
+		effects = append(effects, Start{ID: o.ID})
+	}
+	return l.wake(now, effects)
+}
+
+func (l *Limiter) canStart(now time.Time, o Offer) bool {
+	if l.alone || now.Before(l.adaptive.pausedTo) {
+		return false
+	}
+	if o.Alone {
+		return len(l.running) == 0
+	}
+	return len(l.running) < l.Limit()
+}
+
+func (l *Limiter) wake(now time.Time, effects []Effect) []Effect {
+	at := l.queue.firstDeadline()
+	if paused := l.adaptive.pausedTo; len(l.queue.offers) > 0 && now.Before(paused) && paused.Before(at) {
+		at = paused
+	}
+	if at.IsZero() || at.Equal(l.wakeAt) {
+		return effects
+	}
+	l.wakeAt = at
+	return append(effects, WakeAt{Time: at})
+}
--- /dev/null
+++ b/core/cassialimit/queue.go
@@ -0,0 +1,92 @@
+package cassialimit
+
+import (
+	"slices"
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// queue holds the attempts that wait, the next to start first: by priority, then by deadline.
+type queue struct{ offers []Offer }
+
+func rank(p cassiaschema.Priority) int {
+	switch p {
+	case cassiaschema.Priority_urgent:
+		return 0
+	case cassiaschema.Priority_background:
+		return 2
+	}
+	return 1
+}
+
+func before(a, b Offer) bool {
+	if rank(a.Priority) != rank(b.Priority) {
+		return rank(a.Priority) < rank(b.Priority)
+	}
+	return a.Deadline.Before(b.Deadline)
+}
+
+// position returns how many attempts would start before the offer.
+func (q *queue) position(o Offer) int {
+	for i, other := range q.offers {
+		if before(o, other) {
+			return i
+		}
+	}
+	return len(q.offers)
+}
+
+func (q *queue) insert(at int, o Offer) { q.offers = slices.Insert(q.offers, at, o) }
+
+func (q *queue) take() Offer {
+	o := q.offers[0]
+	q.offers = slices.Delete(q.offers, 0, 1)
+	return o
+}
+
+func (q *queue) takeLast() Offer {
+	o := q.offers[len(q.offers)-1]
+	q.offers = q.offers[:len(q.offers)-1]
+	return o
+}
+
+func (q *queue) find(id cassiaid.AttemptID) int {
+	return slices.IndexFunc(q.offers, func(o Offer) bool { return o.ID == id })
+}
+
+func (q *queue) has(id cassiaid.AttemptID) bool { return q.find(id) >= 0 }
+
+func (q *queue) remove(id cassiaid.AttemptID) bool {
+	at := q.find(id)
+	if at < 0 {
+		return false
+	}
+	q.offers = slices.Delete(q.offers, at, at+1)
+	return true
+}
+
+// expired takes out the attempts that could not end by their deadlines if they started now.
+func (q *queue) expired(now time.Time, needed time.Duration) []Offer {
+	var late []Offer
+	q.offers = slices.DeleteFunc(q.offers, func(o Offer) bool {
+		if now.Add(needed).Before(o.Deadline) {
+			return false
+		}
+		late = append(late, o)
+		return true
+	})
+	return late
+}
+
+// firstDeadline returns the earliest deadline, or the zero time.
+func (q *queue) firstDeadline() time.Time {
+	var first time.Time
+	for _, o := range q.offers {
+		if first.IsZero() || o.Deadline.Before(first) {
+			first = o.Deadline
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/core/cassiaroute/latency.go
@@ -0,0 +1,78 @@
+package cassiaroute
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	latencyBuckets = 64
+	// bucketsPerDoubling sets the resolution: 64 buckets from 100 us cover up to 6.5 s.
+	bucketsPerDoubling = 4
+	latencyFloor       = 100 * time.Microsecond
+)
+
+// Latency estimates quantiles of recent durations in constant space; older samples lose weight as new ones come.
+type Latency struct {
+	counts [latencyBuckets]uint16
+	total  int
+	// window is the number of samples at which all counts are halved; zero counts as defaultWindow.
+	window int
+}
+
+const defaultWindow = 128
+
+// Observe adds one sample.
+func (l *Latency) Observe(d time.Duration) {
+	window := l.window
+	if window == 0 {
+		window = defaultWindow
+	}
+	if l.total >= window {
+		l.halve()
+	}
+	l.counts[bucketOf(d)]++
+	l.total++
+}
+
+// Samples returns how many samples the estimate rests on.
+func (l *Latency) Samples() int { return l.total }
+
+// Quantile returns the estimate for a share of samples from 0 to 1, or zero without samples.
+func (l *Latency) Quantile(share float64) time.Duration {
+	if l.total == 0 {
+		return 0
+	}
+	rank := share * float64(l.total)
+	below := 0.0
+	for i, c := range l.counts {
+		if c == 0 {
+			continue
+		}
+		if below+float64(c) >= rank {
+			return bucketAt(float64(i) + (rank-below)/float64(c))
+		}
+		below += float64(c)
+	}
+	return bucketAt(latencyBuckets)
+}
+
+func (l *Latency) halve() {
+	l.total = 0
+	for i := range l.counts {
+		l.counts[i] /= 2
+		l.total += int(l.counts[i])
+	}
+}
+
+func bucketOf(d time.Duration) int {
+	if d <= latencyFloor {
+		return 0
+	}
+	at := int(bucketsPerDoubling * math.Log2(float64(d)/float64(latencyFloor)))
+	return min(at, latencyBuckets-1)
+}
+
+func bucketAt(position float64) time.Duration {
+	return time.Duration(float64(latencyFloor) * math.Exp2(position/bucketsPerDoubling))
+}
--- /dev/null
+++ b/core/cassiaroute/table.go
@@ -0,0 +1,214 @@
+package cassiaroute
+
+import (
+	"slices"
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
+)
+
+var _ cassiaplan.View = (*Table)(nil)
+
+// Table is one VM's knowledge of members, fronts and targets; it implements cassiaplan.View.
+type Table struct {
+	local   cassiaid.VMName
+	zone    cassiaid.Zone
+	clock   cassiaplan.Clock
+	members map[cassiaid.Zone][]Member
+	count   int
+	fronts  map[cassiaid.FrontKey]*front
+	targets map[cassiaid.TargetName]*target
+	owners  map[sliceID][]cassiaid.VMName
+	// avoid holds until when an unreachable owner is ranked last.
+	avoid map[cassiaid.VMName]time.Time
+}
+
+// NewTable returns the table of one VM.
+func NewTable(local cassiaid.VMName, zone cassiaid.Zone, clock cassiaplan.Clock) *Table {
+	return &Table{
+		local:   local,
+		zone:    zone,
+		clock:   clock,
+		members: make(map[cassiaid.Zone][]Member),
+		fronts:  make(map[cassiaid.FrontKey]*front),
+		targets: make(map[cassiaid.TargetName]*target),
+		owners:  make(map[sliceID][]cassiaid.VMName),
+		avoid:   make(map[cassiaid.VMName]time.Time),
+	}
+}
+
+// ownerAvoid is how long an unreachable owner is ranked last.
+const ownerAvoid = time.Second
+
+// Update takes one message and returns what the caller has to do.
+func (t *Table) Update(m Message) []Effect {
+	now := t.clock.Now()
+	switch m := m.(type) {
+	case MembersChanged:
+		t.setMembers(m.Members)
+	case SettingsChanged:
+		t.setFronts(m.Fronts)
+	case ResultSeen:
+		return t.seeResult(now, m)
+	case KnowledgeSeen:
+		return t.seeKnowledge(now, m.Targets)
+	case TargetLeaving:
+		return t.markLeaving(now, m)
+	case TargetBack:
+		t.markBack(m.Target)
+	case PlatformLeaving:
+		return t.setPlatformList(m.Targets)
+	case OwnerUnreachable:
+		t.avoid[m.Owner] = now.Add(ownerAvoid)
+	case OwnerReachable:
+		delete(t.avoid, m.Owner)
+	case AttemptSent:
+		t.countSent(now, m)
+	case AttemptEnded:
+		if s := t.targets[m.Target]; s != nil && s.load > 0 {
+			s.load--
+		}
+	}
+	return nil
+}
+
+// LocalZone returns the zone of this VM.
+func (t *Table) LocalZone() cassiaid.Zone { return t.zone }
+
+// Front returns the front's settings in force, or nil.
+func (t *Table) Front(key cassiaid.FrontKey) *cassiaschema.Front {
+	if f := t.fronts[key]; f != nil {
+		return f.settings
+	}
+	return nil
+}
+
+// Target returns what is known of a target.
+func (t *Table) Target(name cassiaid.TargetName) cassiaplan.TargetView {
+	s := t.targets[name]
+	if s == nil {
+		return cassiaplan.TargetView{Usable: true}
+	}
+	return cassiaplan.TargetView{
+		Held:    s.held,
+		Epoch:   s.epoch,
+		Usable:  s.usable(t.clock.Now()),
+		Typical: s.typical,
+		Slow:    s.slow,
+		Load:    s.load,
+	}
+}
+
+// Owners returns the VMs that may be asked for a shard's targets in a zone, the best first.
+func (t *Table) Owners(key cassiaid.FrontKey, index cassiaid.ShardIndex, zone cassiaid.Zone) []cassiaid.VMName {
+	f := t.fronts[key]
+	if f == nil {
+		return nil
+	}
+	id := sliceID{front: key, zone: zone, slice: sliceOf(index, len(f.settings.GetShards()), f.slices)}
+	owners, ok := t.owners[id]
+	if !ok {
+		owners = rankOwners(t.members[zone], id.key(), f.share.Owners)
+		t.owners[id] = owners
+	}
+	if len(t.avoid) == 0 {
+		return owners
+	}
+	return t.avoidLast(owners)
+}
+
+// avoidLast moves owners that could not be reached lately to the end.
+func (t *Table) avoidLast(owners []cassiaid.VMName) []cassiaid.VMName {
+	now := t.clock.Now()
+	ranked := slices.Clone(owners)
+	slices.SortStableFunc(ranked, func(a, b cassiaid.VMName) int {
+		avoidA, avoidB := now.Before(t.avoid[a]), now.Before(t.avoid[b])
+		switch {
+		case avoidA == avoidB:
+			return 0
+		case avoidA:
+			return 1
+		}
+		return -1
+	})
+	return ranked
+}
+
+// Owned is a target that this VM owns.
+type Owned struct {
+	Front  cassiaid.FrontKey
+	Shard  cassiaid.ShardIndex
+	Target *cassiaschema.Target
+	Share  Share
+}
+
+// Owned returns the targets that this VM owns in its zone.
+func (t *Table) Owned() []Owned {
+	var owned []Owned
+	for key, f := range t.fronts {
+		for i, s := range f.settings.GetShards() {
+			index := cassiaid.ShardIndex(i)
+			if !slices.Contains(t.Owners(key, index, t.zone), t.local) {
+				continue
+			}
+			for _, target := range s.GetTargets() {
+				if cassiaid.Zone(target.GetAvailabilityZone()) == t.zone {
+					owned = append(owned, Owned{Front: key, Shard: index, Target: target, Share: f.share})
+				}
+			}
+		}
+	}
+	return owned
+}
+
+// IsOwner tells whether this VM owns a shard's targets in its zone.
+func (t *Table) IsOwner(key cassiaid.FrontKey, index cassiaid.ShardIndex) bool {
+	return slices.Contains(t.Owners(key, index, t.zone), t.local)
+}
+
+// HedgeAfter returns how long to wait for a shard of the front before a hedge is worth its load.
+func (t *Table) HedgeAfter(key cassiaid.FrontKey) time.Duration {
+	f := t.fronts[key]
+	if f == nil {
+		return defaultDeadline / unknownHedgeParts
+	}
+	return f.hedgeAfter()
+}
+
+// TakeHedge takes one hedge from the front's budget, or returns false.
+func (t *Table) TakeHedge(key cassiaid.FrontKey) bool {
+	f := t.fronts[key]
+	return f != nil && f.hedges.Take()
+}
+
+// TakeRetry takes one retry from the front's budget, or returns false.
+func (t *Table) TakeRetry(key cassiaid.FrontKey) bool {
+	f := t.fronts[key]
+	if f == nil {
+		return false
+	}
+	f.retries.EarnTime(t.clock.Now(), retriesPerSecond)
+	return f.retries.Take()
+}
+
+func (t *Table) setMembers(members []Member) {
+	clear(t.members)
+	clear(t.owners)
+	t.count = len(members)
+	for _, m := range members {
+		t.members[m.Zone] = append(t.members[m.Zone], m)
+	}
+}
+
+func (t *Table) countSent(now time.Time, m AttemptSent) {
+	if f := t.fronts[m.Front]; f != nil && !m.Extra {
+		f.hedges.Earn(1, f.hedgeRatio)
+		f.retries.Earn(1, f.retryRatio)
+	}
+	if s := t.targets[m.Target]; s != nil {
+		s.load++
+		s.trickleAt = now.Add(t.trickleEvery())
+	}
+}
--- /dev/null
+++ b/core/cassiaroute/target.go
@@ -0,0 +1,157 @@
+package cassiaroute
+
+import (
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	// leavingHold is how long a sign of leaving lasts unless it says otherwise.
+	leavingHold = 30 * time.Second
+	// unreachableHold is the first ejection after a refused connection.
+	unreachableHold = time.Second
+	// ejectBase is the first ejection for slowness or failures.
+	ejectBase = 2 * time.Second
+	ejectMax  = time.Minute
+	// ejectForget is how long a target must behave before its ejections start from the base again.
+	ejectForget = 2 * time.Minute
+	// failuresToEject is the number of failures in a row that eject a target.
+	failuresToEject = 3
+)
+
+// condition tells how much a target may be used.
+type condition int
+
+const (
+	conditionOpen condition = iota
+	// conditionDoubtful targets are used only when their shard has no open one.
+	conditionDoubtful
+	// conditionClosed targets get no work.
+	conditionClosed
+)
+
+// target is what a Table knows of one target.
+type target struct {
+	name   cassiaid.TargetName
+	shards []*shard
+	held   []cassiaid.Snapshot
+	epoch  cassiaid.Epoch
+	load   int
+
+	latency       Latency
+	typical, slow time.Duration
+
+	leavingUntil   time.Time
+	onPlatformList bool
+	healthDoubt    bool
+
+	ejectedUntil time.Time
+	ejections    int
+	failures     int
+	trickleAt    time.Time
+}
+
+// shard is one shard of a front and the targets that hold it.
+type shard struct {
+	front    *front
+	replicas []*target
+}
+
+func (t *target) condition(now time.Time) condition {
+	if t.onPlatformList || now.Before(t.leavingUntil) {
+		return conditionClosed
+	}
+	if t.healthDoubt || now.Before(t.ejectedUntil) {
+		return conditionDoubtful
+	}
+	return conditionOpen
+}
+
+// usable tells whether a query may be sent to the target: it is open, due for a trickle, or the last resort of a shard.
+func (t *target) usable(now time.Time) bool {
+	switch t.condition(now) {
+	case conditionOpen:
+		return true
+	case conditionClosed:
+		return false
+	}
+	if !t.trickleAt.IsZero() && !now.Before(t.trickleAt) {
+		return true
+	}
+	for _, s := range t.shards {
+		if !s.hasOpen(now) {
+			return true
+		}
+	}
+	return len(t.shards) == 0
+}
+
+func (s *shard) hasOpen(now time.Time) bool {
+	for _, t := range s.replicas {
+		if t.condition(now) == conditionOpen {
+			return true
+		}
+	}
+	return false
+}
+
+// mayDoubt tells whether at most half of the replicas of each of the target's shards would be out of use with it.
+func (t *target) mayDoubt(now time.Time) bool {
+	for _, s := range t.shards {
+		out := 1
+		for _, r := range s.replicas {
+			if r != t && r.condition(now) != conditionOpen {
+				out++
+			}
+		}
+		if 2*out > len(s.replicas) {
+			return false
+		}
+	}
+	return true
+}
+
+// eject takes the target out of use for a time that doubles with each ejection.
+func (t *target) eject(now time.Time, base, trickle time.Duration) time.Duration {
+	if !t.ejectedUntil.IsZero() && now.Sub(t.ejectedUntil) > ejectForget {
+		t.ejections = 0
+	}
+	hold := min(ejectMax, base<<min(t.ejections, 8))
+	t.ejections++
+	t.ejectedUntil = now.Add(hold)
+	t.trickleAt = now.Add(trickle)
+	t.failures = 0
+	return hold
+}
+
+// observe adds the duration of one attempt.
+func (t *target) observe(d time.Duration) {
+	t.latency.Observe(d)
+	t.typical = t.latency.Quantile(0.5)
+	t.slow = t.latency.Quantile(0.95)
+}
+
+// learn takes over what a reply says of the target's index.
+func (t *target) learn(held []uint64, epoch uint64) {
+	if len(held) == 0 {
+		return
+	}
+	t.held = t.held[:0:0]
+	for _, v := range held {
+		t.held = append(t.held, cassiaid.Snapshot(v))
+	}
+	t.epoch = cassiaid.Epoch(epoch)
+}
+
+// failed tells whether an outcome speaks against the target itself.
+func failed(r *cassiaschema.ShardResult) bool {
+	switch r.GetOutcome() {
+	case cassiaschema.ShardOutcome_failed, cassiaschema.ShardOutcome_badReply, cassiaschema.ShardOutcome_unreachable:
+		return true
+	case cassiaschema.ShardOutcome_timedOut:
+		return r.GetStarted()
+	}
+	return r.GetTargetLost()
+}
