--- /dev/null
+++ b/core/cassiaplan/query_test.go
@@ -0,0 +1,301 @@
+package cassiaplan
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+func finishOf(c *qt.C, effects []Effect) Finish {
+	c.Helper()
+	f := effectsOf[Finish](effects)
+	c.Assert(f, qt.HasLen, 1)
+	return f[0]
+}
+
+func TestQueryOf76ShardsCostsAtMost12MessagesEachWay(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(76)
+	first := w.begin()
+	c.Assert(len(effectsOf[SendBatch](first)) <= 4, qt.IsTrue)
+	asked := 0
+	for _, b := range effectsOf[SendBatch](first) {
+		asked += len(b.Attempts)
+	}
+	c.Assert(asked, qt.Equals, 76)
+	slow := func(b SendBatch, a Attempt) *cassiaschema.ShardResult {
+		if a.Shard%20 == 3 {
+			return nil
+		}
+		return answer(b, a)
+	}
+	all := append(first, w.reply(first, slow)...)
+	hedges := w.at(20 * time.Millisecond)
+	all = append(all, hedges...)
+	c.Assert(counted(hedges, CountHedge), qt.Equals, 4)
+	last := w.reply(hedges, answer)
+	all = append(all, last...)
+	f := finishOf(c, last)
+	c.Assert(f.Answer.Coverage, qt.DeepEquals, Coverage{Asked: 76, Answered: 76})
+	c.Assert(f.Answer.Snapshot, qt.Equals, cassiaid.Snapshot(42))
+	c.Assert(len(effectsOf[SendBatch](all))+len(effectsOf[Cancel](all)) <= 12, qt.IsTrue)
+	cancelled := 0
+	for _, x := range effectsOf[Cancel](all) {
+		cancelled += len(x.Attempts)
+	}
+	c.Assert(cancelled, qt.Equals, 4)
+}
+
+func TestSnapshotIsTheNewestThatEveryShardHolds(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(3)
+	w.setHeld("t1-0", 41)
+	w.setHeld("t1-1", 40, 41)
+	for _, b := range effectsOf[SendBatch](w.begin()) {
+		c.Assert(b.Snapshot, qt.Equals, cassiaid.Snapshot(41))
+	}
+}
+
+func TestSnapshotGoneRestartsOnceOnANewerSnapshot(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(3)
+	for i := range w.targets {
+		w.setHeld(i, 41)
+	}
+	gone := func(b SendBatch, a Attempt) *cassiaschema.ShardResult {
+		r := refused(b, a, cassiaschema.ShardOutcome_snapshotGone)
+		r.HeldSnapshots = []uint64{42}
+		return r
+	}
+	first := w.begin()
+	var again []Effect
+	for effects := first; len(effectsOf[SendBatch](effects)) > 0 && counted(again, CountRestartSnapshot) == 0; {
+		again = w.reply(effects, gone)
+		effects = again
+	}
+	c.Assert(counted(again, CountRestartSnapshot), qt.Equals, 1)
+	restarted := effectsOf[SendBatch](again)
+	c.Assert(restarted[len(restarted)-1].Snapshot, qt.Equals, cassiaid.Snapshot(42))
+}
+
+func TestRepartitionRestartsOnTheNewerShardMap(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(3)
+	first := w.begin()
+	grown := newWorld(4)
+	grown.front.ShardMapEpoch = 8
+	w.newer = grown.front
+	for name, v := range grown.targets {
+		v.Epoch = 8
+		w.targets[name] = v
+	}
+	moved := func(b SendBatch, a Attempt) *cassiaschema.ShardResult {
+		r := refused(b, a, cassiaschema.ShardOutcome_repartitioned)
+		r.ShardMapEpoch = 8
+		return r
+	}
+	one := effectsOf[SendBatch](first)[:1]
+	again := w.reply([]Effect{one[0]}, moved)
+	c.Assert(counted(again, CountRestartEpoch), qt.Equals, 1)
+	c.Assert(counted(w.reply(first, answer), CountDroppedLate)+len(one[0].Attempts), qt.Equals, 3)
+	f := finishOf(c, w.reply(again, answer))
+	c.Assert(f.Answer.Epoch, qt.Equals, cassiaid.Epoch(8))
+	c.Assert(f.Answer.Coverage, qt.DeepEquals, Coverage{Asked: 4, Answered: 4})
+}
+
+func TestAnswersFromElsewhereAreNeverMerged(t *testing.T) {
+	wrong := map[Counter]func(*cassiaschema.ShardResult){
+		CountDroppedSnapshot: func(r *cassiaschema.ShardResult) { r.Snapshot = 41 },
+		CountDroppedEpoch:    func(r *cassiaschema.ShardResult) { r.ShardMapEpoch = 6 },
+		CountDroppedForeign:  func(r *cassiaschema.ShardResult) { r.AttemptId++ },
+	}
+	for counter, change := range wrong {
+		t.Run(string(counter), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(1)
+			w.retries = 0
+			w.hedgeAfter = 0
+			effects := w.reply(w.begin(), func(b SendBatch, a Attempt) *cassiaschema.ShardResult {
+				r := answer(b, a)
+				change(r)
+				return r
+			})
+			c.Assert(counted(effects, counter), qt.Equals, 1)
+			effects = append(effects, w.at(300*time.Millisecond)...)
+			c.Assert(finishOf(c, effects).Answer, qt.IsNil)
+		})
+	}
+}
+
+func TestPreferTailStopsEarlyAndPreferCoverageWaits(t *testing.T) {
+	for _, p := range []cassiaschema.Preference{cassiaschema.Preference_preferTail, cassiaschema.Preference_preferCoverage} {
+		t.Run(p.String(), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(40)
+			w.front.Preference = p
+			w.hedges = 0
+			w.reply(w.begin(), func(b SendBatch, a Attempt) *cassiaschema.ShardResult {
+				if a.Shard == 5 {
+					return nil
+				}
+				return answer(b, a)
+			})
+			c.Assert(effectsOf[Finish](w.at(59*time.Millisecond)), qt.HasLen, 0)
+			effects := w.at(60 * time.Millisecond)
+			if p == cassiaschema.Preference_preferCoverage {
+				c.Assert(effectsOf[Finish](effects), qt.HasLen, 0)
+				effects = w.at(300 * time.Millisecond)
+			}
+			f := finishOf(c, effects)
+			c.Assert(f.Answer.Coverage, qt.DeepEquals,
+				Coverage{Asked: 40, Answered: 39, Missing: []MissingShard{{Shard: 5, Reason: MissingLate}}})
+		})
+	}
+}
+
+func TestColdEntryAsksBeforeItPins(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(8)
+	for name := range w.targets {
+		w.targets[name] = TargetView{Usable: true}
+	}
+	asks := effectsOf[AskKnowledge](w.begin())
+	c.Assert(asks, qt.HasLen, 4)
+	var effects []Effect
+	for _, ask := range asks {
+		c.Assert(effectsOf[SendBatch](effects), qt.HasLen, 0)
+		k := Knowledge{Owner: ask.Owner}
+		for _, name := range ask.Targets {
+			k.Targets = append(k.Targets, &cassiaschema.TargetKnowledge{Target: string(name), HeldSnapshots: []uint64{41},
+				ShardMapEpoch: 7, Reachable: true})
+		}
+		effects = w.query.Update(k)
+	}
+	for _, b := range effectsOf[SendBatch](effects) {
+		c.Assert(b.Snapshot, qt.Equals, cassiaid.Snapshot(41))
+	}
+	c.Assert(finishOf(c, w.reply(effects, answer)).Answer.Coverage.Answered, qt.Equals, 8)
+}
+
+func TestColdEntryWithoutRepliesIsNotReady(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(2)
+	w.targets = map[cassiaid.TargetName]TargetView{}
+	w.begin()
+	r := finishOf(c, w.at(150*time.Millisecond)).Refusal
+	c.Assert([]any{r.Kind, r.Ran}, qt.DeepEquals, []any{RefusalNotReady, RanNo})
+}
+
+func TestNonIdempotentRequests(t *testing.T) {
+	lost := func(sent bool) func(*world, SendBatch) []Effect {
+		return func(w *world, b SendBatch) []Effect {
+			return w.query.Update(OwnerLost{Owner: b.Owner, Sent: sent, Attempts: []cassiaid.AttemptID{b.Attempts[0].ID}})
+		}
+	}
+	outcome := func(o cassiaschema.ShardOutcome, started bool) func(*world, SendBatch) []Effect {
+		return func(w *world, b SendBatch) []Effect {
+			r := refused(b, b.Attempts[0], o)
+			r.Started = started
+			return w.query.Update(Results{Owner: b.Owner, Results: []*cassiaschema.ShardResult{r}})
+		}
+	}
+	tests := map[string]struct {
+		steps []func(*world, SendBatch) []Effect
+		kind  RefusalKind
+		ran   Ran
+	}{
+		"owner lost after the send": {steps: []func(*world, SendBatch) []Effect{lost(true)}, kind: RefusalOutcomeUnknown, ran: RanUnknown},
+		"never sent twice":          {steps: []func(*world, SendBatch) []Effect{lost(false), lost(false)}, kind: RefusalNotRun, ran: RanNo},
+		"overloaded twice": {steps: []func(*world, SendBatch) []Effect{outcome(cassiaschema.ShardOutcome_overloaded, false),
+			outcome(cassiaschema.ShardOutcome_overloaded, false)}, kind: RefusalOverloaded, ran: RanNo},
+		"overloaded, then failed": {steps: []func(*world, SendBatch) []Effect{outcome(cassiaschema.ShardOutcome_overloaded, false),
+			outcome(cassiaschema.ShardOutcome_failed, true)}, kind: RefusalOutcomeUnknown, ran: RanUnknown},
+		"timed out": {steps: []func(*world, SendBatch) []Effect{outcome(cassiaschema.ShardOutcome_timedOut, true)},
+			kind: RefusalOutcomeUnknown, ran: RanUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(4)
+			w.front.Kind = cassiaschema.RequestKind_nonIdempotent
+			w.front.Fanout = cassiaschema.Fanout_oneShardByKey
+			effects := w.begin()
+			for _, step := range test.steps {
+				batches := effectsOf[SendBatch](effects)
+				c.Assert(batches, qt.HasLen, 1)
+				c.Assert(batches[0].Attempts, qt.HasLen, 1)
+				c.Assert(effectsOf[SendBatch](w.at(100*time.Millisecond)), qt.HasLen, 0)
+				effects = step(w, batches[0])
+			}
+			r := finishOf(c, effects).Refusal
+			c.Assert([]any{r.Kind, r.Ran}, qt.DeepEquals, []any{test.kind, test.ran})
+		})
+	}
+}
+
+func TestHopelessQueryIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(4)
+	w.front.MinCoverage = 1
+	w.retries = 0
+	first := effectsOf[SendBatch](w.begin())
+	effects := w.query.Update(Results{Owner: first[0].Owner,
+		Results: []*cassiaschema.ShardResult{refused(first[0], first[0].Attempts[0], cassiaschema.ShardOutcome_overloaded)}})
+	r := finishOf(c, effects).Refusal
+	c.Assert([]any{r.Kind, r.Ran, r.Coverage.Answered}, qt.DeepEquals, []any{RefusalInsufficientCoverage, RanUnknown, 0})
+	c.Assert(counted(effects, CountRetryDenied), qt.Equals, 1)
+	c.Assert(len(effectsOf[Cancel](effects)) > 0, qt.IsTrue)
+}
+
+func TestRetriesBringTheShardBackFromAnotherTarget(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(20)
+	first := w.begin()
+	again := w.reply(first, func(b SendBatch, a Attempt) *cassiaschema.ShardResult {
+		return refused(b, a, cassiaschema.ShardOutcome_overloaded)
+	})
+	f := finishOf(c, w.reply(again, answer))
+	c.Assert(f.Answer.Coverage.Answered, qt.Equals, 20)
+	c.Assert(w.retryGranted, qt.Equals, 20)
+}
+
+func TestRequestThatBringsTargetsDownIsTriedAgainOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(6)
+	crash := func(b SendBatch, a Attempt) *cassiaschema.ShardResult {
+		r := answer(b, a)
+		r.Outcome, r.TargetLost, r.Rows = cassiaschema.ShardOutcome_failed, true, nil
+		return r
+	}
+	again := w.reply(w.begin(), crash)
+	c.Assert(effectsOf[SendBatch](again), qt.HasLen, 1)
+	c.Assert(effectsOf[SendBatch](again)[0].Attempts, qt.HasLen, 1)
+	last := w.reply(again, crash)
+	c.Assert(effectsOf[SendBatch](last), qt.HasLen, 0)
+	c.Assert(finishOf(c, last).Refusal.Kind, qt.Equals, RefusalInsufficientCoverage)
+}
+
+func TestQuarantineEndsAtOnceAndLaterMessagesOnlyCount(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(5)
+	first := w.begin()
+	effects := w.query.Update(Quarantined{Remaining: time.Minute})
+	r := finishOf(c, effects).Refusal
+	c.Assert([]any{r.Kind, r.Ran, r.RetryAfter}, qt.DeepEquals, []any{RefusalQuarantined, RanUnknown, time.Minute})
+	late := w.reply(first, answer)
+	c.Assert(counted(late, CountDroppedLate), qt.Equals, 5)
+	c.Assert(len(late), qt.Equals, 5)
+}
+
+func TestAnswerIsBounded(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(4)
+	w.front.MaxAnswerBytes = 150
+	f := finishOf(c, w.reply(w.begin(), answer))
+	c.Assert(f.Answer.Coverage.Answered, qt.Equals, 2)
+	c.Assert(f.Answer.Coverage.Missing[0].Reason, qt.Equals, MissingAnswerTooBig)
+}
