--- /dev/null
+++ b/standin/cassiaplatform/store.go
@@ -0,0 +1,155 @@
+package cassiaplatform
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Entry is a key's value and the revision of its last write.
+type Entry struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+	lease    string
+}
+
+// lease is a promise to keep keys until it lapses.
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// store is the key-value state; its revision counts all writes.
+type store struct {
+	mu       sync.Mutex
+	clock    clockwork.Clock
+	revision uint64
+	entries  map[string]Entry
+	leases   map[string]lease
+	leaseSeq uint64
+	changed  chan struct{}
+}
+
+func newStore(clock clockwork.Clock) *store {
+	return &store{
+		clock:   clock,
+		entries: map[string]Entry{},
+		leases:  map[string]lease{},
+		changed: make(chan struct{}),
+	}
+}
+
+// get returns a key's entry; a missing key has revision 0.
+func (s *store) get(key string) Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	return s.entries[key]
+}
+
+// getOrChange returns a key's entry and a channel that is closed at the next write.
+func (s *store) getOrChange(key string) (Entry, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	return s.entries[key], s.changed
+}
+
+// put writes a key when the condition holds, and returns the key's revision afterwards.
+func (s *store) put(key string, value []byte, when condition, leaseID string) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	current := s.entries[key].Revision
+	if !when.holds(current) {
+		return current, false
+	}
+	if _, alive := s.leases[leaseID]; leaseID != "" && !alive {
+		return current, false
+	}
+	s.revision++
+	s.entries[key] = Entry{Key: key, Value: value, Revision: s.revision, lease: leaseID}
+	s.notify()
+	return s.revision, true
+}
+
+// remove deletes a key when the condition holds, and returns the key's revision before.
+func (s *store) remove(key string, when condition) (uint64, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	current := s.entries[key].Revision
+	if !when.holds(current) {
+		return current, false
+	}
+	s.revision++
+	delete(s.entries, key)
+	s.notify()
+	return current, true
+}
+
+// grant starts a lease.
+func (s *store) grant(ttl time.Duration) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaseSeq++
+	id := "lease-" + strconv.FormatUint(s.leaseSeq, 10)
+	s.leases[id] = lease{ttl: ttl, expires: s.clock.Now().Add(ttl)}
+	return id
+}
+
+// keepAlive extends a lease unless it has lapsed.
+func (s *store) keepAlive(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l, alive := s.leases[id]
+	if !alive {
+		return false
+	}
+	l.expires = s.clock.Now().Add(l.ttl)
+	s.leases[id] = l
+	return true
+}
+
+// interrupt wakes all watches without a write.
+func (s *store) interrupt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notify()
+}
+
+// expire removes lapsed leases and their keys; the caller holds the lock.
+func (s *store) expire() {
+	now := s.clock.Now()
+	for id, l := range s.leases {
+		if now.Before(l.expires) {
+			continue
+		}
+		delete(s.leases, id)
+		for key, e := range s.entries {
+			if e.lease == id {
+				s.revision++
+				delete(s.entries, key)
+			}
+		}
+		s.notify()
+	}
+}
+
+// notify wakes all watches; the caller holds the lock.
+func (s *store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// condition is the revision that a write expects; the zero value expects nothing.
+type condition struct {
+	set      bool
+	revision uint64
+}
+
+func (c condition) holds(current uint64) bool { return !c.set || c.revision == current }
