--- /dev/null
+++ b/standin/cassiashard/attempt.go
@@ -0,0 +1,254 @@
+package cassiashard
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Headers of requests and replies.
+const (
+	headerAttempt     = "Attempt-Id"
+	headerShard       = "Shard"
+	headerSnapshot    = "Snapshot"
+	headerEpoch       = "Shard-Map-Epoch"
+	headerDeadline    = "Deadline-Ms"
+	headerIdempotency = "Idempotency-Key"
+	headerHeld        = "Held-Snapshots"
+	headerDraining    = "Draining"
+	headerNotStarted  = "Not-Started"
+)
+
+// maxBodyBytes bounds the body of a query.
+const maxBodyBytes = 4 << 20
+
+// attempt is one request to run a query on a shard.
+type attempt struct {
+	id       uint64
+	shard    string
+	snapshot uint64
+	epoch    uint64
+	body     []byte
+	bodyHash string
+	deadline time.Time
+	handle   int
+	// stop ends the attempt with a cause.
+	stop    context.CancelCauseFunc
+	stopped context.Context
+	waiter  *waiter
+}
+
+// crash ends the attempt because the target crashed.
+func (a *attempt) crash() { a.stop(errCrashed) }
+
+// stopReason is why an attempt ended early.
+type stopReason string
+
+func (s stopReason) Error() string { return string(s) }
+
+// Reasons to end an attempt early.
+const (
+	errCancelled stopReason = "cancelled"
+	errCrashed   stopReason = "crashed"
+	errDeadline  stopReason = "deadline"
+)
+
+// BodyHash returns the hash of a query's body as rows and the execution log show it.
+func BodyHash(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
+
+// readAttempt reads an attempt from its request.
+func readAttempt(r *http.Request, now time.Time) (*attempt, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	a := &attempt{shard: r.Header.Get(headerShard), body: body, bodyHash: BodyHash(body)}
+	var deadlineMs uint64
+	for header, value := range map[string]*uint64{
+		headerAttempt: &a.id, headerSnapshot: &a.snapshot, headerEpoch: &a.epoch, headerDeadline: &deadlineMs,
+	} {
+		text := r.Header.Get(header)
+		if text == "" {
+			continue
+		}
+		if *value, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return nil, err
+		}
+	}
+	if r.Header.Get(headerDeadline) != "" {
+		a.deadline = now.Add(time.Duration(deadlineMs) * time.Millisecond)
+	}
+	return a, nil
+}
+
+// execution returns the log entry of an attempt's arrival.
+func (a *attempt) execution(target, idempotencyKey string, now time.Time) Execution {
+	e := Execution{
+		Target: target, AttemptID: a.id, Shard: a.shard, Snapshot: a.snapshot, ShardMapEpoch: a.epoch,
+		IdempotencyKey: idempotencyKey, BodyHash: a.bodyHash,
+		ArrivedUnixMicros: now.UnixMicro(), Outcome: OutcomeNotStarted,
+	}
+	if !a.deadline.IsZero() {
+		e.DeadlineUnixMicros = a.deadline.UnixMicro()
+	}
+	return e
+}
+
+// postShard runs an attempt and answers it.
+func (t *Target) postShard(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	a, err := readAttempt(r, now)
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, "send decimal Attempt-Id, Snapshot, Shard-Map-Epoch and Deadline-Ms and a whole body")
+		return
+	}
+	ctx, stop := context.WithCancelCause(r.Context())
+	defer stop(nil)
+	a.stop, a.stopped = stop, ctx
+	if !a.deadline.IsZero() {
+		timer := time.AfterFunc(time.Until(a.deadline), func() { stop(errDeadline) })
+		defer timer.Stop()
+	}
+	if refused := t.enter(a, r.Header.Get(headerIdempotency), now); refused != nil {
+		t.writeRefusal(w, a, *refused)
+		return
+	}
+	defer t.exit(a)
+	if t.Behaviour().Hang {
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case <-a.waiter.granted:
+	case <-ctx.Done():
+		if t.abandon(a) {
+			t.writeEarlyEnd(w, a, false)
+			return
+		}
+	}
+	t.run(w, a)
+}
+
+// refusal is a reply to an attempt that was not started.
+type refusal struct {
+	status int
+	reason string
+}
+
+// enter admits an attempt to the queue, or returns the refusal.
+func (t *Target) enter(a *attempt, idempotencyKey string, now time.Time) *refusal {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a.snapshot == 0 {
+		a.snapshot = t.behaviour.newest()
+	}
+	a.handle = t.log.add(a.execution(t.options.Name, idempotencyKey, now))
+	if refused := t.refuse(a, now); refused != nil {
+		t.log.finish(a.handle, now, OutcomeNotStarted, refused.reason)
+		return refused
+	}
+	a.waiter = t.slots.wait()
+	t.attempts[a.id] = a
+	t.grant()
+	return nil
+}
+
+// refuse decides whether an attempt may queue; the caller holds the lock.
+func (t *Target) refuse(a *attempt, now time.Time) *refusal {
+	b := t.behaviour
+	switch {
+	case b.Draining:
+		return &refusal{http.StatusServiceUnavailable, stateDraining}
+	case b.cold(now.Sub(t.started)):
+		return &refusal{http.StatusServiceUnavailable, stateCold}
+	case a.epoch != 0 && a.epoch != b.ShardMapEpoch, !b.serves(a.shard):
+		return &refusal{http.StatusConflict, "repartitioned"}
+	case !b.holds(a.snapshot):
+		return &refusal{http.StatusGone, "snapshotGone"}
+	case b.ShedAbove > 0 && len(t.slots.queue) >= b.ShedAbove:
+		return &refusal{http.StatusServiceUnavailable, "overloaded"}
+	}
+	return nil
+}
+
+// abandon takes a stopped attempt out of the queue, and tells whether it had not been given a slot.
+func (t *Target) abandon(a *attempt) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.slots.leave(a.waiter) {
+		return false
+	}
+	t.log.finish(a.handle, time.Now(), OutcomeNotStarted, earlyEndReason(a))
+	return true
+}
+
+// exit frees what an attempt holds.
+func (t *Target) exit(a *attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.attempts[a.id] == a {
+		delete(t.attempts, a.id)
+	}
+	if !t.slots.leave(a.waiter) {
+		t.slots.release(a.waiter)
+	}
+	t.slots.resize(t.behaviour.Slots)
+	t.grant()
+}
+
+// run plays an attempt that holds a slot.
+func (t *Target) run(w http.ResponseWriter, a *attempt) {
+	t.mu.Lock()
+	now := time.Now()
+	t.log.start(a.handle, now)
+	b := t.behaviour
+	runTime := b.runTime(t.random, now.Sub(t.started))
+	if b.CrashMarker != "" && strings.Contains(string(a.body), b.CrashMarker) {
+		t.crash(now)
+	}
+	t.mu.Unlock()
+
+	timer := time.NewTimer(runTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		t.log.finish(a.handle, time.Now(), OutcomeRan, "")
+		t.writeRows(w, a)
+	case <-a.stopped.Done():
+		outcome := OutcomeCancelled
+		if context.Cause(a.stopped) == errCrashed {
+			outcome = OutcomeCrashed
+		}
+		t.log.finish(a.handle, time.Now(), outcome, earlyEndReason(a))
+		t.writeEarlyEnd(w, a, true)
+	}
+}
+
+func earlyEndReason(a *attempt) string {
+	if reason, ok := context.Cause(a.stopped).(stopReason); ok {
+		return string(reason)
+	}
+	return "clientGone"
+}
+
+// postCancel stops an attempt that waits or runs.
+func (t *Target) postCancel(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(r.Header.Get(headerAttempt), 10, 64)
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, "send a decimal Attempt-Id")
+		return
+	}
+	t.mu.Lock()
+	t.counters.Cancels++
+	a := t.attempts[id]
+	t.mu.Unlock()
+	if a != nil {
+		a.stop(errCancelled)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/cassiashard/control.go
@@ -0,0 +1,60 @@
+package cassiashard
+
+import (
+	"io"
+	"net/http"
+)
+
+// LogReply is the body of GET /standin/log.
+type LogReply struct {
+	Entries  []Execution `json:"entries"`
+	Counters Counters    `json:"counters"`
+}
+
+func (t *Target) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /shard", t.postShard)
+	mux.HandleFunc("POST /cancel", t.postCancel)
+	mux.HandleFunc("GET /health", t.getHealth)
+	mux.Handle("/standin/", t.control())
+	return mux
+}
+
+// control returns the handler of the stand-in's own paths.
+func (t *Target) control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /standin/behaviour", t.postBehaviour)
+	mux.HandleFunc("GET /standin/behaviour", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, t.Behaviour())
+	})
+	mux.HandleFunc("GET /standin/log", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, LogReply{t.Log(), t.Counters()})
+	})
+	mux.HandleFunc("DELETE /standin/log", func(w http.ResponseWriter, _ *http.Request) {
+		t.ClearLog()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+func (t *Target) postBehaviour(w http.ResponseWriter, r *http.Request) {
+	patch, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err == nil {
+		err = t.Patch(patch)
+	}
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Patch replaces the parts of the behaviour that a JSON object names.
+func (t *Target) Patch(patch []byte) error {
+	merged, err := t.Behaviour().Merge(patch)
+	if err != nil {
+		return err
+	}
+	t.SetBehaviour(merged)
+	return nil
+}
--- /dev/null
+++ b/standin/cassiashard/fleet.go
@@ -0,0 +1,184 @@
+package cassiashard
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
+// Fleet is all the targets of some teams in one process.
+type Fleet struct {
+	targets []*Target
+	byName  map[string]*Target
+}
+
+// NewFleet returns a target for each address in the teams' settings, all with the same first behaviour but for
+// connection caps, shards and epochs, which the settings give.
+func NewFleet(teams []*cassiaschema.TeamSettings, behaviour Behaviour, seed uint64) (*Fleet, error) {
+	f := &Fleet{byName: map[string]*Target{}}
+	options := map[string]*Options{}
+	var order []string
+	for _, team := range teams {
+		for _, front := range team.GetFronts() {
+			for _, shard := range front.GetShards() {
+				for _, target := range shard.GetTargets() {
+					o := options[target.GetName()]
+					if o == nil {
+						o = &Options{
+							Name: target.GetName(), Address: target.GetAddress(),
+							AvailabilityZone: target.GetAvailabilityZone(), Seed: seed, Behaviour: behaviour,
+						}
+						options[o.Name] = o
+						order = append(order, o.Name)
+					}
+					if o.Address != target.GetAddress() {
+						return nil, eris.Errorf("target %s has two addresses; give each address its own name", o.Name)
+					}
+					o.add(front, shard.GetName())
+				}
+			}
+		}
+	}
+	for _, name := range order {
+		f.add(NewTarget(*options[name]))
+	}
+	return f, nil
+}
+
+// add widens a target's behaviour by a shard of a front.
+func (o *Options) add(front *cassiaschema.Front, shard string) {
+	b := &o.Behaviour
+	if !slices.Contains(b.Shards, shard) {
+		b.Shards = append(slices.Clone(b.Shards), shard)
+	}
+	b.ShardMapEpoch = max(b.ShardMapEpoch, front.GetShardMapEpoch())
+	if maximum := front.GetTargetLimits().GetMaxConnections(); maximum > 0 {
+		b.MaxConnections = int(maximum)
+	}
+}
+
+func (f *Fleet) add(t *Target) {
+	f.targets = append(f.targets, t)
+	f.byName[t.Name()] = t
+}
+
+// Targets returns all targets in the order of the settings.
+func (f *Fleet) Targets() []*Target { return f.targets }
+
+// Target returns a target by its name, nil when there is none.
+func (f *Fleet) Target(name string) *Target { return f.byName[name] }
+
+// Change replaces parts of every target's behaviour.
+func (f *Fleet) Change(change func(*Behaviour)) {
+	for _, t := range f.targets {
+		t.Change(change)
+	}
+}
+
+// Log returns the executions of all targets.
+func (f *Fleet) Log() []Execution {
+	var all []Execution
+	for _, t := range f.targets {
+		all = append(all, t.Log()...)
+	}
+	return all
+}
+
+// ClearLog forgets the executions of all targets.
+func (f *Fleet) ClearLog() {
+	for _, t := range f.targets {
+		t.ClearLog()
+	}
+}
+
+// Run serves all targets until the context ends; ready is called once when all listen.
+func (f *Fleet) Run(ctx context.Context, ready func()) error {
+	group, ctx := errgroup.WithContext(ctx)
+	var listening sync.WaitGroup
+	for _, t := range f.targets {
+		listening.Add(1)
+		group.Go(func() error {
+			var once sync.Once
+			done := func() { once.Do(listening.Done) }
+			defer done()
+			return t.Run(ctx, done)
+		})
+	}
+	group.Go(func() error {
+		listening.Wait()
+		if ctx.Err() == nil && ready != nil {
+			ready()
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// ControlHandler serves /standin/targets/{name}/behaviour and /standin/targets/{name}/log, and with the name "all"
+// those of all targets.
+func (f *Fleet) ControlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /standin/targets/all/log", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, LogReply{f.Log(), f.Counters()})
+	})
+	mux.HandleFunc("DELETE /standin/targets/all/log", func(w http.ResponseWriter, _ *http.Request) {
+		f.ClearLog()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST /standin/targets/all/behaviour", f.postBehaviour)
+	mux.HandleFunc("/standin/targets/{name}/{rest...}", func(w http.ResponseWriter, r *http.Request) {
+		t := f.byName[r.PathValue("name")]
+		if t == nil {
+			writeProblem(w, http.StatusNotFound, "no such target")
+			return
+		}
+		http.StripPrefix("/standin/targets/"+t.Name(), t.controlUnder()).ServeHTTP(w, r)
+	})
+	return mux
+}
+
+// controlUnder returns the stand-in's own handler without its path prefix.
+func (t *Target) controlUnder() http.Handler {
+	control := t.control()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.URL.Path = "/standin" + r.URL.Path
+		control.ServeHTTP(w, r)
+	})
+}
+
+func (f *Fleet) postBehaviour(w http.ResponseWriter, r *http.Request) {
+	patch, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	for _, t := range f.targets {
+		if err == nil {
+			err = t.Patch(patch)
+		}
+	}
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Counters returns the sums over all targets; peaks are the largest of any.
+func (f *Fleet) Counters() Counters {
+	var sum Counters
+	for _, t := range f.targets {
+		c := t.Counters()
+		sum.ConnectionsAccepted += c.ConnectionsAccepted
+		sum.ConnectionsRefused += c.ConnectionsRefused
+		sum.ConnectionsPeak = max(sum.ConnectionsPeak, c.ConnectionsPeak)
+		sum.Crashes += c.Crashes
+		sum.Cancels += c.Cancels
+		sum.HealthReports += c.HealthReports
+		sum.FaultyReplies += c.FaultyReplies
+	}
+	return sum
+}
--- /dev/null
+++ b/standin/cassiashard/health.go
@@ -0,0 +1,71 @@
+package cassiashard
+
+import (
+	"net/http"
+	"time"
+)
+
+// Health states of a target.
+const (
+	stateReady    = "ready"
+	stateCold     = "cold"
+	stateDraining = "draining"
+)
+
+// healthRecord is what a truthful health report showed from a time on.
+type healthRecord struct {
+	since     time.Time
+	behaviour Behaviour
+	started   time.Time
+}
+
+// healthReport is the body of a health reply.
+type healthReport struct {
+	State         string   `json:"state"`
+	HeldSnapshots []uint64 `json:"heldSnapshots"`
+	ShardMapEpoch uint64   `json:"shardMapEpoch"`
+	Load          float64  `json:"load"`
+}
+
+// recordHealth keeps the truth for reports that lag; the caller holds the lock.
+func (t *Target) recordHealth(now time.Time) {
+	t.history = append(t.history, healthRecord{now, t.behaviour, t.started})
+}
+
+// health returns the report as the behaviour makes it lag or lie.
+func (t *Target) health(now time.Time) healthReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counters.HealthReports++
+	current := t.behaviour
+	shownAt := now.Add(-milliseconds(current.HealthLagMs))
+	shown := t.history[0]
+	for _, h := range t.history {
+		if !h.since.After(shownAt) {
+			shown = h
+		}
+	}
+	report := healthReport{
+		State:         stateReady,
+		HeldSnapshots: shown.behaviour.HeldSnapshots,
+		ShardMapEpoch: shown.behaviour.ShardMapEpoch,
+		Load:          float64(t.slots.running()+len(t.slots.queue)) / float64(max(1, current.Slots)),
+	}
+	if shown.behaviour.cold(shownAt.Sub(shown.started)) {
+		report.State = stateCold
+	}
+	if shown.behaviour.Draining {
+		report.State = stateDraining
+	}
+	if current.HealthState != "" {
+		report.State = current.HealthState
+	}
+	if current.HealthLoad > 0 {
+		report.Load = current.HealthLoad
+	}
+	return report
+}
+
+func (t *Target) getHealth(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, t.health(time.Now()))
+}
--- /dev/null
+++ b/standin/cassiashard/listener.go
@@ -0,0 +1,48 @@
+package cassiashard
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// cappedListener closes connections over the cap at once and makes each new one wait for its set-up.
+type cappedListener struct {
+	net.Listener
+	target *Target
+}
+
+// Accept returns the next connection within the cap.
+func (l *cappedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.target.admit(conn); c != nil {
+			return c, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// admittedConn is a connection within the cap.
+type admittedConn struct {
+	net.Conn
+	target *Target
+	ready  time.Time
+	setUp  sync.Once
+	closed sync.Once
+}
+
+// Read waits for the set-up of the connection before its first byte.
+func (c *admittedConn) Read(buffer []byte) (int, error) {
+	c.setUp.Do(func() { time.Sleep(time.Until(c.ready)) })
+	return c.Conn.Read(buffer)
+}
+
+// Close ends the connection and frees its place under the cap.
+func (c *admittedConn) Close() error {
+	c.closed.Do(func() { c.target.dismiss(c) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/cassiashard/reply.go
@@ -0,0 +1,172 @@
+package cassiashard
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// statusCancelled answers an attempt that was stopped by its client.
+const statusCancelled = 499
+
+// discardLogger drops the HTTP server's own complaints about broken connections.
+var discardLogger = log.New(io.Discard, "", 0)
+
+// Rows is the body of a reply.
+type Rows struct {
+	Shard    string `json:"shard"`
+	Snapshot uint64 `json:"snapshot"`
+	BodyHash string `json:"bodyHash"`
+	// Filler makes the rows as large as the behaviour says.
+	Filler string `json:"filler,omitempty"`
+}
+
+// reply is one answer with rows.
+type reply struct {
+	attempt  uint64
+	snapshot uint64
+	rows     []byte
+}
+
+// writeHeaders sets the headers that every reply carries.
+func (t *Target) writeHeaders(header http.Header, a *attempt) {
+	b := t.Behaviour()
+	held := make([]string, len(b.HeldSnapshots))
+	for i, s := range b.HeldSnapshots {
+		held[i] = strconv.FormatUint(s, 10)
+	}
+	header.Set(headerHeld, strings.Join(held, ","))
+	header.Set(headerEpoch, strconv.FormatUint(b.ShardMapEpoch, 10))
+	header.Set(headerAttempt, strconv.FormatUint(a.id, 10))
+	header.Set(headerShard, a.shard)
+	if b.Draining {
+		header.Set(headerDraining, "true")
+	}
+}
+
+// writeRefusal answers an attempt that was not started.
+func (t *Target) writeRefusal(w http.ResponseWriter, a *attempt, refused refusal) {
+	t.writeHeaders(w.Header(), a)
+	w.Header().Set(headerNotStarted, refused.reason)
+	writeProblem(w, refused.status, refused.reason)
+}
+
+// writeEarlyEnd answers an attempt that was stopped, or drops the connection when the target crashed.
+func (t *Target) writeEarlyEnd(w http.ResponseWriter, a *attempt, started bool) {
+	reason := earlyEndReason(a)
+	if reason == string(errCrashed) {
+		panic(http.ErrAbortHandler)
+	}
+	t.writeHeaders(w.Header(), a)
+	if !started {
+		w.Header().Set(headerNotStarted, reason)
+	}
+	status := statusCancelled
+	if reason == string(errDeadline) {
+		status = http.StatusGatewayTimeout
+	}
+	writeProblem(w, status, reason)
+}
+
+// writeRows answers an attempt that ran, with the reply faults in play.
+func (t *Target) writeRows(w http.ResponseWriter, a *attempt) {
+	t.mu.Lock()
+	b := t.behaviour
+	faults := b.ReplyFaults
+	draw := func(share float64) bool {
+		hit := share > 0 && t.random.Float64() < share
+		if hit {
+			t.counters.FaultyReplies++
+		}
+		return hit
+	}
+	duplicate, truncate, wrongAttempt := draw(faults.Duplicate), draw(faults.Truncate), draw(faults.WrongAttempt)
+	wrongSnapshot, late, cut := draw(faults.WrongSnapshot), draw(faults.Late), draw(faults.CutBeforeReply)
+	other := t.last
+	t.last = a
+	t.mu.Unlock()
+
+	answer := reply{attempt: a.id, snapshot: a.snapshot, rows: a.rows(a.snapshot, b.RowBytes)}
+	if wrongSnapshot {
+		answer.snapshot++
+		answer.rows = a.rows(answer.snapshot, b.RowBytes)
+	}
+	if wrongAttempt {
+		answer = reply{attempt: a.id + 1, snapshot: a.snapshot, rows: a.rows(a.snapshot, b.RowBytes)}
+		if other != nil {
+			answer = reply{attempt: other.id, snapshot: other.snapshot, rows: other.rows(other.snapshot, b.RowBytes)}
+		}
+	}
+	if late {
+		time.Sleep(milliseconds(faults.LateMs))
+	}
+	t.writeHeaders(w.Header(), a)
+	switch {
+	case cut:
+		panic(http.ErrAbortHandler)
+	case duplicate:
+		writeTwice(w, answer)
+	default:
+		writeReply(w, answer, truncate)
+	}
+}
+
+// rows returns the rows of an attempt at a snapshot.
+func (a *attempt) rows(snapshot uint64, size int) []byte {
+	rows := Rows{Shard: a.shard, Snapshot: snapshot, BodyHash: a.bodyHash}
+	if size > 0 {
+		rows.Filler = strings.Repeat("x", size)
+	}
+	content, _ := json.Marshal(rows)
+	return content
+}
+
+// writeReply sends an answer, or only its first half.
+func writeReply(w http.ResponseWriter, answer reply, truncate bool) {
+	header := w.Header()
+	header.Set(headerAttempt, strconv.FormatUint(answer.attempt, 10))
+	header.Set(headerSnapshot, strconv.FormatUint(answer.snapshot, 10))
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(answer.rows)))
+	if !truncate {
+		_, _ = w.Write(answer.rows)
+		return
+	}
+	_, _ = w.Write(answer.rows[:len(answer.rows)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// writeTwice sends the same answer twice on the connection, as a proxy gone wrong does, then closes it.
+func writeTwice(w http.ResponseWriter, answer reply) {
+	header := w.Header().Clone()
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	header.Set(headerAttempt, strconv.FormatUint(answer.attempt, 10))
+	header.Set(headerSnapshot, strconv.FormatUint(answer.snapshot, 10))
+	for range 2 {
+		_, _ = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n", len(answer.rows))
+		_ = header.Write(buffer)
+		_, _ = buffer.WriteString("\r\n")
+		_, _ = buffer.Write(answer.rows)
+	}
+	_ = buffer.Flush()
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeProblem(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, map[string]string{"message": message})
+}
--- /dev/null
+++ b/standin/cassiashard/target.go
@@ -0,0 +1,312 @@
+package cassiashard
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+// readHeaderTimeout bounds how long a client may take to send a request's headers.
+const readHeaderTimeout = 30 * time.Second
+
+// Options name one target and its first behaviour.
+type Options struct {
+	Name             string
+	Address          string
+	AvailabilityZone string
+	Seed             uint64
+	Behaviour        Behaviour
+}
+
+// Target is one stand-in target; it serves its own listener while Run runs.
+type Target struct {
+	options Options
+	log     executionLog
+	mux     *http.ServeMux
+	// wake tells Run to close or open the listener.
+	wake chan struct{}
+
+	mu        sync.Mutex
+	behaviour Behaviour
+	history   []healthRecord
+	random    *rand.Rand
+	slots     slots
+	retry     *time.Timer
+	attempts  map[uint64]*attempt
+	conns     map[*admittedConn]struct{}
+	connReady time.Time
+	started   time.Time
+	downUntil time.Time
+	counters  Counters
+	last      *attempt
+}
+
+// Counters count what the execution log does not show.
+type Counters struct {
+	// ConnectionsAccepted counts the connections within the cap.
+	ConnectionsAccepted int `json:"connectionsAccepted"`
+	// ConnectionsRefused counts the connections closed because of the cap.
+	ConnectionsRefused int `json:"connectionsRefused"`
+	// ConnectionsPeak is the largest number of connections at once.
+	ConnectionsPeak int `json:"connectionsPeak"`
+	Crashes         int `json:"crashes"`
+	Cancels         int `json:"cancels"`
+	HealthReports   int `json:"healthReports"`
+	FaultyReplies   int `json:"faultyReplies"`
+}
+
+// NewTarget returns a target that is not yet listening.
+func NewTarget(options Options) *Target {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(options.Name))
+	t := &Target{
+		options:  options,
+		wake:     make(chan struct{}, 1),
+		random:   rand.New(rand.NewPCG(options.Seed, hash.Sum64())),
+		attempts: map[uint64]*attempt{},
+		conns:    map[*admittedConn]struct{}{},
+		started:  time.Now(),
+	}
+	t.mux = t.routes()
+	t.SetBehaviour(options.Behaviour)
+	return t
+}
+
+// Name returns the target's name.
+func (t *Target) Name() string { return t.options.Name }
+
+// Address returns the address that the target listens on.
+func (t *Target) Address() string { return t.options.Address }
+
+// AvailabilityZone returns the target's availability zone.
+func (t *Target) AvailabilityZone() string { return t.options.AvailabilityZone }
+
+// Log returns all executions so far.
+func (t *Target) Log() []Execution { return t.log.snapshot() }
+
+// ClearLog forgets all executions so far.
+func (t *Target) ClearLog() { t.log.clear() }
+
+// Counters returns the target's counters.
+func (t *Target) Counters() Counters {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counters
+}
+
+// Behaviour returns the behaviour in force.
+func (t *Target) Behaviour() Behaviour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.behaviour
+}
+
+// Change replaces parts of the behaviour.
+func (t *Target) Change(change func(*Behaviour)) {
+	b := t.Behaviour()
+	change(&b)
+	t.SetBehaviour(b)
+}
+
+// SetBehaviour replaces the behaviour.
+func (t *Target) SetBehaviour(b Behaviour) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.behaviour = b
+	t.slots.resize(b.Slots)
+	t.recordHealth(time.Now())
+	if b.Lost {
+		t.closeConns()
+	}
+	t.grant()
+	t.signal()
+}
+
+// Run serves the target's address until the context ends; ready is called once when it first listens.
+func (t *Target) Run(ctx context.Context, ready func()) error {
+	listener, err := t.listen()
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	t.started = time.Now()
+	t.mu.Unlock()
+	if ready != nil {
+		ready()
+	}
+	for ctx.Err() == nil {
+		if t.available(time.Now()) {
+			if listener == nil {
+				if listener, err = t.relisten(ctx); err != nil {
+					return err
+				}
+			}
+			err = t.serveWhileAvailable(ctx, listener)
+			listener = nil
+			if err != nil {
+				return err
+			}
+			continue
+		}
+		if listener != nil {
+			_ = listener.Close()
+			listener = nil
+		}
+		t.waitForChange(ctx)
+	}
+	if listener != nil {
+		_ = listener.Close()
+	}
+	return nil
+}
+
+func (t *Target) listen() (net.Listener, error) {
+	listener, err := net.Listen("tcp", t.options.Address)
+	return listener, eris.Wrapf(err, "target %s cannot listen; free the address %s", t.options.Name, t.options.Address)
+}
+
+// relisten opens the listener again, with patience for an address that is still held.
+func (t *Target) relisten(ctx context.Context) (net.Listener, error) {
+	const attempts, pause = 50, 20 * time.Millisecond
+	var listener net.Listener
+	var err error
+	for range attempts {
+		if listener, err = t.listen(); err == nil || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(pause)
+	}
+	t.mu.Lock()
+	t.started = time.Now()
+	t.recordHealth(t.started)
+	t.mu.Unlock()
+	return listener, err
+}
+
+// available tells whether the target takes connections.
+func (t *Target) available(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.behaviour.Lost && !now.Before(t.downUntil)
+}
+
+// serveWhileAvailable serves until the target crashes, is lost or is stopped.
+func (t *Target) serveWhileAvailable(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: t.mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: discardLogger}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		err := server.Serve(&cappedListener{Listener: listener, target: t})
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return eris.Wrapf(err, "target %s stopped serving", t.options.Name)
+	})
+	group.Go(func() error {
+		for ctx.Err() == nil && t.available(time.Now()) {
+			t.waitForChange(ctx)
+		}
+		return server.Close()
+	})
+	return group.Wait()
+}
+
+// waitForChange returns at the next change of behaviour, at the end of a restart or when the context ends.
+func (t *Target) waitForChange(ctx context.Context) {
+	t.mu.Lock()
+	restart := time.Until(t.downUntil)
+	t.mu.Unlock()
+	if restart <= 0 {
+		restart = time.Hour
+	}
+	timer := time.NewTimer(restart)
+	defer timer.Stop()
+	select {
+	case <-t.wake:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// signal makes Run look at the behaviour again.
+func (t *Target) signal() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+// admit takes a connection within the cap, or returns nil.
+func (t *Target) admit(conn net.Conn) *admittedConn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if maximum := t.behaviour.MaxConnections; maximum > 0 && len(t.conns) >= maximum {
+		t.counters.ConnectionsRefused++
+		return nil
+	}
+	now := time.Now()
+	if t.connReady.Before(now) {
+		t.connReady = now
+	}
+	t.connReady = t.connReady.Add(milliseconds(t.behaviour.ConnectMs))
+	c := &admittedConn{Conn: conn, target: t, ready: t.connReady}
+	t.conns[c] = struct{}{}
+	t.counters.ConnectionsAccepted++
+	t.counters.ConnectionsPeak = max(t.counters.ConnectionsPeak, len(t.conns))
+	return c
+}
+
+func (t *Target) dismiss(c *admittedConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
+
+// crash ends all connections unanswered and refuses new ones for the restart time; the caller holds the lock.
+func (t *Target) crash(now time.Time) {
+	t.counters.Crashes++
+	t.downUntil = now.Add(milliseconds(t.behaviour.RestartMs))
+	for _, a := range t.attempts {
+		a.crash()
+	}
+	t.closeConns()
+	t.signal()
+}
+
+// closeConns ends all connections; the caller holds the lock.
+func (t *Target) closeConns() {
+	for c := range t.conns {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Conn.Close()
+	}
+}
+
+// grant gives free slots to waiting attempts; the caller holds the lock.
+func (t *Target) grant() {
+	now := time.Now()
+	again := t.slots.grant(now, otherLoad{t.behaviour, t.random})
+	if again.IsZero() {
+		return
+	}
+	wait := max(again.Sub(now), 50*time.Microsecond)
+	if t.retry == nil {
+		t.retry = time.AfterFunc(wait, t.grantAgain)
+		return
+	}
+	t.retry.Reset(wait)
+}
+
+func (t *Target) grantAgain() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.grant()
+}
