--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -39,7 +39,7 @@
 
 // Owner is the owner side of this VM.
 type Owner interface {
-	HandleBatch(request *cassiaschema.ShardBatch, reply cassiaowner.Reply)
+	HandleBatch(from cassiaid.VMName, request *cassiaschema.ShardBatch, reply cassiaowner.Reply)
 	Cancel(request *cassiaschema.CancelAttempts)
 	Knowledge(ctx context.Context, request *cassiaschema.KnowledgeRequest) *cassiaschema.KnowledgeReply
 }
@@ -186,6 +186,18 @@
 	}
 }
 
+// answeredFront returns the settings that name the answer's shards.
+func (r *run) answeredFront(answer *cassiaplan.Answer) *cassiaschema.Front {
+	front := r.question.Front
+	if uint64(answer.Epoch) == front.ShardMapEpoch {
+		return front
+	}
+	if now := r.entry.front(r.question.Key); now != nil {
+		return now
+	}
+	return front
+}
+
 // randomSource draws from the process-wide generator, which is safe for concurrent use.
 type randomSource struct{}
 
--- a/io/cassiaentry/owners.go
+++ b/io/cassiaentry/owners.go
@@ -42,7 +42,7 @@
 
 // local passes a batch to the owner side of this VM.
 func (e *Entry) local(batch *cassiaschema.ShardBatch) {
-	e.config.Owner.HandleBatch(batch, func(reply *cassiaschema.ShardBatchReply) { e.HandleReply(e.config.Self, reply) })
+	e.config.Owner.HandleBatch(e.config.Self, batch, func(reply *cassiaschema.ShardBatchReply) { e.HandleReply(e.config.Self, reply) })
 }
 
 // cancel tells an owner that attempts are no longer wanted; a lost message costs only the targets' time.
--- a/io/cassiaowner/attempt.go
+++ b/io/cassiaowner/attempt.go
@@ -18,12 +18,20 @@
 	front  cassiaid.FrontKey
 	target *target
 	began  time.Time
+	// alone is true when nothing else may run on the target beside the attempt.
+	alone bool
 	// cancel stops a started attempt; nil before its start.
 	cancel context.CancelFunc
 }
 
 func (a *attempt) id() cassiaid.AttemptID { return cassiaid.AttemptID(a.wanted.AttemptId) }
 
+func (a *attempt) shard() cassiaid.ShardIndex { return cassiaid.ShardIndex(a.wanted.Shard) }
+
+func (a *attempt) fingerprint() cassiaid.Fingerprint {
+	return cassiaid.Fingerprint(a.batch.request.Fingerprint)
+}
+
 // notStarted returns the result of an attempt that its target never saw.
 func (a *attempt) notStarted(outcome cassiaschema.ShardOutcome) *cassiaschema.ShardResult {
 	return &cassiaschema.ShardResult{
@@ -35,7 +43,7 @@
 func (a *attempt) call() cassiatarget.Call {
 	r := a.batch.request
 	return cassiatarget.Call{
-		Attempt: a.id(), Shard: cassiaid.ShardIndex(a.wanted.Shard), ShardName: a.wanted.ShardName,
+		Attempt: a.id(), Shard: a.shard(), ShardName: a.wanted.ShardName,
 		Snapshot: cassiaid.Snapshot(r.Snapshot), Epoch: cassiaid.Epoch(r.ShardMapEpoch),
 		Deadline: a.batch.deadline, IdempotencyKey: r.IdempotencyKey, Body: r.Body,
 	}
--- a/io/cassiaowner/batch.go
+++ b/io/cassiaowner/batch.go
@@ -22,6 +22,8 @@
 	deadline time.Time
 	reply    Reply
 	ended    func()
+	// remote is true for a batch that another VM asked for.
+	remote bool
 
 	mutex       sync.Mutex
 	ready       []*cassiaschema.ShardResult
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -11,6 +11,7 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaquarantine"
 	"cassiasaddle/core/cassiaschema"
 )
 
@@ -42,22 +43,22 @@
 	Accepts(front cassiaid.FrontKey, shard cassiaid.ShardIndex, target cassiaid.TargetName) (OwnedTarget, bool)
 	// Leaving tells whether the target is known to leave.
 	Leaving(target cassiaid.TargetName) bool
-	// Quarantined tells whether requests with the fingerprint are refused.
-	Quarantined(fingerprint cassiaid.Fingerprint) bool
 }
 
 // Observer learns first-hand what targets do.
 type Observer interface {
 	// TargetSeen reports a target's state from its health endpoint.
-	TargetSeen(front cassiaid.FrontKey, knowledge *cassiaschema.TargetKnowledge)
-	// ResultSeen reports the outcome of an attempt.
-	ResultSeen(front cassiaid.FrontKey, fingerprint cassiaid.Fingerprint, result *cassiaschema.ShardResult)
+	TargetSeen(knowledge *cassiaschema.TargetKnowledge)
+	// ResultSeen reports the outcome of an attempt that another VM asked for.
+	ResultSeen(front cassiaid.FrontKey, result *cassiaschema.ShardResult)
 }
 
 // Config holds what an Owner needs.
 type Config struct {
-	Rules    Rules
-	Observer Observer
+	Self       cassiaid.VMName
+	Rules      Rules
+	Observer   Observer
+	Quarantine *Quarantine
 	Clock    cassiaplan.Clock
 	Logger   log.Logger
 	Scope    tally.Scope
@@ -98,7 +99,7 @@
 }
 
 // HandleBatch starts or refuses each attempt of a batch; reply is called with every result exactly once.
-func (o *Owner) HandleBatch(request *cassiaschema.ShardBatch, reply Reply) {
+func (o *Owner) HandleBatch(from cassiaid.VMName, request *cassiaschema.ShardBatch, reply Reply) {
 	if len(request.Attempts) == 0 {
 		return
 	}
@@ -106,6 +107,7 @@
 	deadline := now.Add(request.Remaining.AsDuration() - hopMargin)
 	front := cassiaid.FrontKey{Team: cassiaid.TeamName(request.Team), Front: cassiaid.FrontName(request.Front)}
 	b := newBatch(request, deadline, reply, o.batchEnded)
+	b.remote = from != o.config.Self
 	leaving := o.batchBegun()
 	o.config.Scope.Counter("ownerBatches").Inc(1)
 	o.config.Scope.Counter("ownerAttempts").Inc(int64(len(request.Attempts)))
@@ -116,6 +118,12 @@
 			o.refuse(a, refusal)
 			continue
 		}
+		verdict := o.config.Quarantine.Admit(a.fingerprint(), a.shard())
+		if refuses(verdict) {
+			o.refuse(a, refusalOf(verdict))
+			continue
+		}
+		a.alone = verdict == cassiaquarantine.VerdictAlone
 		o.remember(a)
 		t.offer(a)
 	}
@@ -126,9 +134,6 @@
 	if leaving {
 		return nil, cassiaschema.ShardOutcome_vmLeaving
 	}
-	if o.config.Rules.Quarantined(cassiaid.Fingerprint(a.batch.request.Fingerprint)) {
-		return nil, cassiaschema.ShardOutcome_quarantined
-	}
 	name := cassiaid.TargetName(a.wanted.Target)
 	owned, ok := o.config.Rules.Accepts(a.front, cassiaid.ShardIndex(a.wanted.Shard), name)
 	if !ok {
--- /dev/null
+++ b/io/cassiaowner/quarantine.go
@@ -0,0 +1,119 @@
+package cassiaowner
+
+import (
+	"sync"
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaquarantine"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// BlameSharer tells other VMs which requests lose targets.
+type BlameSharer interface {
+	// ShareLoss tells the owners of the front's targets; it returns when they know or cannot be reached in time.
+	ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss)
+	// ShareQuarantine tells all VMs to refuse a request.
+	ShareQuarantine(fingerprint cassiaid.Fingerprint, remaining time.Duration)
+}
+
+// Quarantine guards this VM's record of requests that crash targets.
+type Quarantine struct {
+	mutex  sync.Mutex
+	core   *cassiaquarantine.Quarantine
+	sharer BlameSharer
+}
+
+// NewQuarantine returns an empty record; sharer may be nil.
+func NewQuarantine(clock cassiaplan.Clock, sharer BlameSharer) *Quarantine {
+	return &Quarantine{core: cassiaquarantine.NewQuarantine(clock), sharer: sharer}
+}
+
+// Admit decides on an attempt when it comes.
+func (q *Quarantine) Admit(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) cassiaquarantine.Verdict {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.core.Admit(fingerprint, shard)
+}
+
+// Begin decides again when an attempt is about to start and records the start.
+func (q *Quarantine) Begin(run cassiaquarantine.Run, target cassiaid.TargetName) cassiaquarantine.Verdict {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	verdict := q.core.Admit(run.Fingerprint, run.Shard)
+	if verdict == cassiaquarantine.VerdictAlone && !run.Alone {
+		// It came before the suspicion and would now start beside others; a later try runs alone.
+		verdict = cassiaquarantine.VerdictHold
+	}
+	if !refuses(verdict) {
+		q.core.Update(cassiaquarantine.Started{Run: run, Target: target})
+	}
+	return verdict
+}
+
+// End records how a started attempt ended and shares what follows before it returns.
+func (q *Quarantine) End(front cassiaid.FrontKey, attempt cassiaid.AttemptID, result *cassiaschema.ShardResult) {
+	q.share(front, q.update(cassiaquarantine.Ended{Attempt: attempt, Ending: endingOf(result)}))
+}
+
+// Learn takes what other VMs tell and shares what follows.
+func (q *Quarantine) Learn(m cassiaquarantine.Message) {
+	q.share(cassiaid.FrontKey{}, q.update(m))
+}
+
+// Remaining returns how long a request is still refused, or zero.
+func (q *Quarantine) Remaining(fingerprint cassiaid.Fingerprint) time.Duration {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.core.Remaining(fingerprint)
+}
+
+// Canary tells whether one shard has to answer a request before it goes to the others.
+func (q *Quarantine) Canary(fingerprint cassiaid.Fingerprint) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.core.Canary(fingerprint, cassiaquarantine.CanaryAfterLosses)
+}
+
+func (q *Quarantine) update(m cassiaquarantine.Message) []cassiaquarantine.Effect {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.core.Update(m)
+}
+
+func (q *Quarantine) share(front cassiaid.FrontKey, effects []cassiaquarantine.Effect) {
+	if q.sharer == nil {
+		return
+	}
+	for _, e := range effects {
+		switch e := e.(type) {
+		case cassiaquarantine.ShareLoss:
+			q.sharer.ShareLoss(front, e.Loss)
+		case cassiaquarantine.ShareQuarantine:
+			q.sharer.ShareQuarantine(e.Fingerprint, e.Remaining)
+		}
+	}
+}
+
+func endingOf(result *cassiaschema.ShardResult) cassiaquarantine.Ending {
+	switch {
+	case result.Outcome == cassiaschema.ShardOutcome_answered:
+		return cassiaquarantine.EndingAnswered
+	case result.TargetLost:
+		return cassiaquarantine.EndingLost
+	}
+	return cassiaquarantine.EndingOther
+}
+
+func refuses(verdict cassiaquarantine.Verdict) bool {
+	return verdict == cassiaquarantine.VerdictRefuse || verdict == cassiaquarantine.VerdictHold
+}
+
+// refusalOf returns the outcome of an attempt that a verdict refuses.
+func refusalOf(verdict cassiaquarantine.Verdict) cassiaschema.ShardOutcome {
+	if verdict == cassiaquarantine.VerdictRefuse {
+		return cassiaschema.ShardOutcome_quarantined
+	}
+	return cassiaschema.ShardOutcome_overloaded
+}
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -7,6 +7,7 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassialimit"
+	"cassiasaddle/core/cassiaquarantine"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiatarget"
 )
@@ -56,7 +57,7 @@
 	t.waiting[a.id()] = a
 	t.lastUsed = t.owner.config.Clock.Now()
 	refused := t.update(cassialimit.Offer{
-		ID: a.id(), Deadline: a.batch.deadline, Priority: a.batch.request.Priority,
+		ID: a.id(), Deadline: a.batch.deadline, Priority: a.batch.request.Priority, Alone: a.alone,
 	})
 	t.mutex.Unlock()
 	t.finish(refused)
@@ -109,13 +110,14 @@
 
 func (t *target) run(ctx context.Context, a *attempt) {
 	started := t.owner.config.Clock.Now()
-	result := t.client.Run(ctx, a.call())
+	result := t.perform(ctx, a)
 	a.cancel()
 	a.ran(result, started)
 	t.owner.forget(a)
 	t.learn(result)
-	fingerprint := cassiaid.Fingerprint(a.batch.request.Fingerprint)
-	t.owner.config.Observer.ResultSeen(t.owned.Front, fingerprint, result)
+	if a.batch.remote {
+		t.owner.config.Observer.ResultSeen(t.owned.Front, result)
+	}
 	t.mutex.Lock()
 	delete(t.running, a.id())
 	refused := t.update(cassialimit.Done{ID: a.id(), Outcome: result.Outcome, Elapsed: result.Elapsed.AsDuration()})
@@ -124,6 +126,19 @@
 	a.batch.add(result)
 }
 
+// perform sends the attempt to the target, unless its request came under suspicion while it waited.
+func (t *target) perform(ctx context.Context, a *attempt) *cassiaschema.ShardResult {
+	quarantine := t.owner.config.Quarantine
+	run := cassiaquarantine.Run{Attempt: a.id(), Fingerprint: a.fingerprint(), Shard: a.shard(), Alone: a.alone}
+	if verdict := quarantine.Begin(run, t.owned.Name); refuses(verdict) {
+		t.owner.countRefusal(refusalOf(verdict))
+		return a.notStarted(refusalOf(verdict))
+	}
+	result := t.client.Run(ctx, a.call())
+	quarantine.End(t.owned.Front, a.id(), result)
+	return result
+}
+
 // cancel ends an attempt that is no longer wanted, wherever it is.
 func (t *target) cancel(a *attempt) {
 	t.pass(cassialimit.Cancel{ID: a.id()})
@@ -187,7 +202,7 @@
 	}
 	known := t.copyKnowledge()
 	t.mutex.Unlock()
-	t.owner.config.Observer.TargetSeen(t.owned.Front, known)
+	t.owner.config.Observer.TargetSeen(known)
 }
 
 // knowledgeNow returns what is known of the target, asking it first when nothing is.
--- a/io/cassiaserver/config.go
+++ b/io/cassiaserver/config.go
@@ -4,11 +4,10 @@
 	"net"
 	"os"
 
-	"buf.build/go/protovalidate"
-	"buf.build/go/protoyaml"
 	"github.com/rotisserie/eris"
 
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/core/cassiasettings"
 )
 
 // ReadConfig reads and checks a VM's configuration file.
@@ -17,15 +16,10 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "the configuration can't be read; name an existing file with --config")
 	}
-	validator, err := protovalidate.New()
+	config, err := cassiasettings.ParseVMConfig(cassiasettings.Text{Name: path, Content: text})
 	if err != nil {
 		return nil, err
 	}
-	config := &cassiaschema.VmConfig{}
-	options := protoyaml.UnmarshalOptions{Path: path, Validator: validator}
-	if err := options.Unmarshal(text, config); err != nil {
-		return nil, eris.Wrap(err, "the configuration is not valid; correct the named field")
-	}
 	return config, checkAddresses(config)
 }
 
--- /dev/null
+++ b/io/cassiaserver/frames.go
@@ -0,0 +1,55 @@
+package cassiaserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiapeer"
+)
+
+// knowledgeTimeout bounds how long targets are asked what they hold.
+const knowledgeTimeout = time.Second
+
+// HandleFrame takes a frame from another VM.
+func (s *server) HandleFrame(from cassiaid.VMName, frame *cassiaschema.PeerFrame, reply cassiapeer.Replier) {
+	switch body := frame.Body.(type) {
+	case *cassiaschema.PeerFrame_ShardBatch:
+		s.owner.HandleBatch(from, body.ShardBatch, func(results *cassiaschema.ShardBatchReply) {
+			s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ShardBatchReply{ShardBatchReply: results}})
+		})
+	case *cassiaschema.PeerFrame_ShardBatchReply:
+		s.entry.HandleReply(from, body.ShardBatchReply)
+	case *cassiaschema.PeerFrame_CancelAttempts:
+		s.owner.Cancel(body.CancelAttempts)
+	case *cassiaschema.PeerFrame_KnowledgeRequest:
+		s.group.Go(func() error { s.replyKnowledge(from, body.KnowledgeRequest, reply); return nil })
+	case *cassiaschema.PeerFrame_TargetLoss:
+		s.learnLoss(body.TargetLoss)
+		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_TargetLossAck{TargetLossAck: &cassiaschema.TargetLossAck{}}})
+	default:
+		if answer := s.tree.HandleFrame(from, frame); answer != nil {
+			s.reply(from, reply, answer)
+		}
+	}
+}
+
+func (s *server) replyKnowledge(from cassiaid.VMName, request *cassiaschema.KnowledgeRequest, reply cassiapeer.Replier) {
+	ctx, cancel := context.WithTimeout(context.Background(), knowledgeTimeout)
+	defer cancel()
+	knowledge := s.owner.Knowledge(ctx, request)
+	s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_KnowledgeReply{KnowledgeReply: knowledge}})
+}
+
+func (s *server) reply(to cassiaid.VMName, reply cassiapeer.Replier, frame *cassiaschema.PeerFrame) {
+	if err := reply(frame); err != nil {
+		s.metrics.Scope.Counter("replyLost").Inc(1)
+		level.Debug(s.logger).Log("msg", "reply lost", "peer", to, "err", err)
+	}
+}
+
+// PeerLost tells that the connection to a VM ended.
+func (s *server) PeerLost(peer cassiaid.VMName) { s.entry.PeerLost(peer) }
--- /dev/null
+++ b/io/cassiaserver/operator.go
@@ -0,0 +1,86 @@
+package cassiaserver
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaroute"
+)
+
+// Status is what a VM tells operators of itself and its members.
+type Status struct {
+	VM                 cassiaid.VMName     `json:"vm"`
+	Zone               cassiaid.Zone       `json:"zone"`
+	Ready              bool                `json:"ready"`
+	SettingsGeneration cassiaid.Generation `json:"settingsGeneration"`
+	Members            []MemberStatus      `json:"members"`
+	Owners             []OwnerStatus       `json:"owners"`
+}
+
+// MemberStatus is one VM as this VM sees it.
+type MemberStatus struct {
+	Name               cassiaid.VMName     `json:"name"`
+	AvailabilityZone   cassiaid.Zone       `json:"availabilityZone"`
+	State              string              `json:"state"`
+	SettingsGeneration cassiaid.Generation `json:"settingsGeneration"`
+}
+
+// OwnerStatus names the owners of one slice of a front's targets in one zone, the primary first.
+type OwnerStatus struct {
+	Front  string            `json:"front"`
+	Slice  int               `json:"slice"`
+	Zone   cassiaid.Zone     `json:"zone"`
+	Owners []cassiaid.VMName `json:"owners"`
+}
+
+// operatorHandler serves the operators' port.
+func (s *server) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", s.metrics.Handler)
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "live\n") })
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.HandleFunc("GET /v1/status", s.serveStatus)
+	mux.Handle("/v1/settings/", s.tree.Handler())
+	return mux
+}
+
+// serveReady answers 200 while the VM takes callers' requests.
+func (s *server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case s.leaving.Load():
+		writeText(w, http.StatusServiceUnavailable, "stopping\n")
+	case !s.tree.Ready():
+		writeText(w, http.StatusServiceUnavailable, "no settings yet; apply settings or wait for the platform or a peer\n")
+	default:
+		writeText(w, http.StatusOK, "ready\n")
+	}
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.WriteHeader(status)
+	w.Write([]byte(text)) //nolint:errcheck // the operator went away
+}
+
+func (s *server) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(s.status()) //nolint:errcheck // the operator went away
+}
+
+func (s *server) status() Status {
+	status := Status{
+		VM: s.self, Zone: s.zone, Ready: s.tree.Ready() && !s.leaving.Load(),
+		SettingsGeneration: s.tree.Generation(),
+	}
+	for _, m := range s.gossip.Members() {
+		status.Members = append(status.Members, MemberStatus{
+			Name: m.Name, AvailabilityZone: m.Zone, State: m.State.String(), SettingsGeneration: m.SettingsGeneration,
+		})
+	}
+	s.routes.With(func(t *cassiaroute.Table) {
+		for _, o := range t.AllOwners() {
+			status.Owners = append(status.Owners, OwnerStatus{Front: o.Front.String(), Slice: o.Slice, Zone: o.Zone, Owners: o.Owners})
+		}
+	})
+	return status
+}
--- /dev/null
+++ b/io/cassiaserver/platform.go
@@ -0,0 +1,84 @@
+package cassiaserver
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiamember"
+	"cassiasaddle/core/cassiaroute"
+)
+
+const (
+	// leavingPollInterval is how often the platform is asked which targets it is about to stop.
+	leavingPollInterval = time.Second
+	// leavingPollMaxInterval is the longest pause between tries while the platform does not answer.
+	leavingPollMaxInterval = 10 * time.Second
+	// leavingPollers is how many VMs of a zone ask; the others learn it from them.
+	leavingPollers = 2
+	// leavingShareInterval is how often a target that stays on the list is told again.
+	leavingShareInterval = 10 * time.Second
+	// leavingNotice is how long one notice holds.
+	leavingNotice = 30 * time.Second
+)
+
+// watchLeavingTargets asks the platform which targets it is about to stop, on few VMs of each zone.
+func (s *server) watchLeavingTargets(ctx context.Context) error {
+	wait := leavingPollInterval
+	shared := make(map[cassiaid.TargetName]time.Time)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(jitter(wait)):
+		}
+		if !s.pollsPlatform() {
+			wait = leavingPollInterval
+			continue
+		}
+		targets, err := s.store.LeavingTargets(ctx)
+		if err != nil {
+			wait = min(2*wait, leavingPollMaxInterval)
+			level.Debug(s.logger).Log("msg", "the platform did not list leaving targets", "err", err)
+			continue
+		}
+		wait = leavingPollInterval
+		s.routes.Update(cassiaroute.PlatformLeaving{Targets: targets})
+		s.shareAgain(targets, shared)
+	}
+}
+
+// shareAgain repeats notices of targets that stay on the list, before the notices before them lapse.
+func (s *server) shareAgain(targets []cassiaid.TargetName, shared map[cassiaid.TargetName]time.Time) {
+	now := time.Now()
+	for _, t := range targets {
+		if now.Sub(shared[t]) >= leavingShareInterval {
+			shared[t] = now
+			s.gossip.AddLeavingTarget(t, true, leavingNotice)
+		}
+	}
+}
+
+// pollsPlatform tells whether this VM is one of its zone's VMs that ask the platform.
+func (s *server) pollsPlatform() bool {
+	names := make([]cassiaid.VMName, 0, leavingPollers)
+	for _, m := range s.gossip.Members() {
+		if m.Zone == s.zone && m.State == cassiamember.Alive && len(names) < leavingPollers {
+			names = append(names, m.Name)
+		}
+	}
+	for _, name := range names {
+		if name == s.self {
+			return true
+		}
+	}
+	return false
+}
+
+// jitter spreads calls of many VMs over time.
+func jitter(wait time.Duration) time.Duration {
+	return wait/2 + time.Duration(rand.Int64N(int64(wait)))
+}
--- /dev/null
+++ b/io/cassiaserver/rules.go
@@ -0,0 +1,65 @@
+package cassiaserver
+
+import (
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaroute"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiaentry"
+	"cassiasaddle/io/cassiaowner"
+)
+
+// rules answers the owner side's questions from the routing table.
+type rules struct {
+	routes *cassiaentry.Routes
+}
+
+var _ cassiaowner.Rules = rules{}
+
+// Owned lists the targets this VM is to hold connections to.
+func (r rules) Owned() []cassiaowner.OwnedTarget {
+	var owned []cassiaroute.Owned
+	r.routes.With(func(t *cassiaroute.Table) { owned = t.Owned() })
+	targets := make([]cassiaowner.OwnedTarget, 0, len(owned))
+	for _, o := range owned {
+		targets = append(targets, ownedTarget(o))
+	}
+	return targets
+}
+
+func ownedTarget(o cassiaroute.Owned) cassiaowner.OwnedTarget {
+	return cassiaowner.OwnedTarget{
+		Front: o.Front, Name: cassiaid.TargetName(o.Target.Name), Address: o.Target.Address,
+		Connections: o.Share.Connections, MaxConcurrency: o.Share.Concurrency,
+	}
+}
+
+// Accepts returns the target if this VM may serve it.
+func (r rules) Accepts(front cassiaid.FrontKey, shard cassiaid.ShardIndex, target cassiaid.TargetName) (owned cassiaowner.OwnedTarget, ok bool) {
+	r.routes.With(func(t *cassiaroute.Table) {
+		var found cassiaroute.Owned
+		if found, ok = t.Accepts(front, shard, target); ok {
+			owned = ownedTarget(found)
+		}
+	})
+	return owned, ok
+}
+
+// Leaving tells whether the target is known to leave.
+func (r rules) Leaving(target cassiaid.TargetName) bool { return r.routes.Leaving(target) }
+
+// observer passes on what the owner side learns of targets.
+type observer struct {
+	routes *cassiaentry.Routes
+}
+
+var _ cassiaowner.Observer = observer{}
+
+// TargetSeen reports a target's state from its health endpoint.
+func (o observer) TargetSeen(knowledge *cassiaschema.TargetKnowledge) {
+	o.routes.Update(cassiaroute.KnowledgeSeen{Targets: []*cassiaschema.TargetKnowledge{knowledge}})
+}
+
+// ResultSeen reports the outcome of an attempt that another VM asked for.
+func (o observer) ResultSeen(front cassiaid.FrontKey, result *cassiaschema.ShardResult) {
+	o.routes.Update(cassiaroute.ResultSeen{Front: front, Result: result})
+}
--- /dev/null
+++ b/io/cassiaserver/server.go
@@ -0,0 +1,262 @@
+package cassiaserver
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiamember"
+	"cassiasaddle/core/cassiaroute"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiaentry"
+	"cassiasaddle/io/cassiagossip"
+	"cassiasaddle/io/cassiahttp"
+	"cassiasaddle/io/cassialog"
+	"cassiasaddle/io/cassiaowner"
+	"cassiasaddle/io/cassiapeer"
+	"cassiasaddle/io/cassiastore"
+	"cassiasaddle/io/cassiatls"
+	"cassiasaddle/io/cassiatree"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleCallerTimeout = 2 * time.Minute
+	// leaveGrace is how long a stopping VM still takes batches, until the other VMs know that it leaves.
+	leaveGrace = time.Second
+)
+
+// server is one running VM.
+type server struct {
+	config  *cassiaschema.VmConfig
+	options options
+	self    cassiaid.VMName
+	zone    cassiaid.Zone
+	logger  log.Logger
+	metrics *cassialog.Metrics
+
+	store      *cassiastore.Client
+	gossip     *cassiagossip.Gossip
+	members    *members
+	tree       *cassiatree.Service
+	node       *cassiapeer.Node
+	routes     *cassiaentry.Routes
+	quarantine *cassiaowner.Quarantine
+	owner      *cassiaowner.Owner
+	entry      *cassiaentry.Entry
+	callers    *http.Server
+	operators  *http.Server
+
+	group   errgroup.Group
+	leaving atomic.Bool
+}
+
+// Run runs one VM until ctx ends and then stops it without cutting off what runs.
+func Run(ctx context.Context, config *cassiaschema.VmConfig, chosen ...Option) error {
+	s := &server{
+		config: config, options: newOptions(chosen),
+		self: cassiaid.VMName(config.Name), zone: cassiaid.Zone(config.AvailabilityZone),
+		metrics: cassialog.NewMetrics(),
+	}
+	s.logger = s.options.logger
+	defer s.metrics.Close() //nolint:errcheck // the last report has nobody to go to
+	if err := s.build(); err != nil {
+		return err
+	}
+	return s.serve(ctx)
+}
+
+// build makes the parts of the VM; those that listen do so from here on.
+func (s *server) build() error {
+	clock := clockwork.NewRealClock()
+	scope := s.metrics.Scope
+	s.store = cassiastore.NewClient(s.config.PlatformAddress, s.config.PlatformToken, scope)
+	identity, err := cassiatls.Load(s.config.GetTls(), s.logger, scope)
+	if err != nil {
+		return err
+	}
+	s.gossip, err = cassiagossip.New(s.gossipConfig(),
+		cassiagossip.WithLogger(s.logger), cassiagossip.WithMetrics(scope), cassiagossip.WithSeeds(seeds(s.store)))
+	if err != nil {
+		return err
+	}
+	s.members = newMembers(s.gossip)
+	s.routes = cassiaentry.NewRoutes(cassiaroute.NewTable(s.self, s.zone, clock), s, s.logger, scope)
+	s.quarantine = cassiaowner.NewQuarantine(clock, s)
+	s.owner = cassiaowner.New(cassiaowner.Config{
+		Self: s.self, Rules: rules{s.routes}, Observer: observer{s.routes}, Quarantine: s.quarantine,
+		Clock: clock, Logger: s.logger, Scope: scope,
+	})
+	s.node, err = cassiapeer.Listen(cassiapeer.Config{
+		Self: s.self, Address: s.config.PeerAddress, TLS: identity.Config(), Resolver: s.members, Handler: s,
+		Logger: s.logger, Scope: scope,
+	})
+	if err != nil {
+		return err
+	}
+	s.tree = cassiatree.New(cassiatree.Config{
+		Self: s.self, Zone: s.zone, AdminTokenSHA256: s.config.AdminTokenSha256,
+		Store: s.store, Peers: settingsPeers{s.node}, Members: s.members, Clock: clock, Seed: rand.Uint64(),
+		Logger: s.logger, Scope: scope,
+	})
+	s.entry = cassiaentry.New(cassiaentry.Config{
+		Self: s.self, Routes: s.routes, Peers: s.node, Owner: s.owner, Fronts: fronts{s.tree}, Quarantine: s.quarantine,
+		Clock: clock, Logger: s.logger, Scope: scope,
+	})
+	return s.buildHTTP()
+}
+
+func (s *server) gossipConfig() cassiagossip.Config {
+	return cassiagossip.Config{
+		Name: s.self, Region: cassiamember.Region(s.config.Region), Zone: s.zone,
+		PeerAddress: s.config.PeerAddress, GossipAddress: s.config.GossipAddress, ClusterKeyFile: s.config.ClusterKeyFile,
+	}
+}
+
+func (s *server) buildHTTP() error {
+	handler, err := cassiahttp.New(s.entry, s.logger, s.metrics.Scope)
+	if err != nil {
+		return err
+	}
+	s.callers = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleCallerTimeout}
+	s.operators = &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleCallerTimeout}
+	return nil
+}
+
+// serve runs the parts until ctx ends or one of them fails.
+func (s *server) serve(ctx context.Context) error {
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	parts, running := errgroup.WithContext(running)
+	s.gossip.Subscribe(s.subscriber())
+	s.setMembers(s.gossip.Members())
+	parts.Go(func() error { return s.gossip.Run(running) })
+	parts.Go(func() error { return s.tree.Run(running) })
+	parts.Go(func() error { return s.followSettings(running) })
+	parts.Go(func() error { return s.watchLeavingTargets(running) })
+	parts.Go(func() error { return s.entry.WatchSilence(running) })
+	endpoints, err := s.listen(parts)
+	if err != nil {
+		stop()
+		return errors.Join(err, s.close(), parts.Wait())
+	}
+	level.Info(s.logger).Log("msg", "listening", "callers", endpoints.Caller, "operators", endpoints.Operator)
+	if s.options.ready != nil {
+		s.options.ready(endpoints)
+	}
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+	}
+	stopped := s.stop(running)
+	stop()
+	return errors.Join(stopped, s.close(), parts.Wait(), s.group.Wait())
+}
+
+// listen opens the callers' and the operators' addresses.
+func (s *server) listen(parts *errgroup.Group) (Endpoints, error) {
+	callers, err := net.Listen("tcp", s.config.CallerAddress)
+	if err != nil {
+		return Endpoints{}, eris.Wrap(err, "callerAddress can't be opened; free it or configure another")
+	}
+	operators, err := net.Listen("tcp", s.config.OperatorAddress)
+	if err != nil {
+		return Endpoints{}, errors.Join(eris.Wrap(err, "operatorAddress can't be opened; free it or configure another"), callers.Close())
+	}
+	parts.Go(func() error { return serveUntilClosed(s.callers, callers) })
+	parts.Go(func() error { return serveUntilClosed(s.operators, operators) })
+	return Endpoints{Caller: callers.Addr().String(), Operator: operators.Addr().String()}, nil
+}
+
+func serveUntilClosed(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return eris.Wrapf(err, "serving on %s failed", listener.Addr())
+	}
+	return nil
+}
+
+// subscriber passes on what membership learns.
+func (s *server) subscriber() cassiagossip.Subscriber {
+	return cassiagossip.Subscriber{
+		Members:      s.setMembers,
+		PeerSettings: func(cassiaid.VMName, cassiaid.Generation) { s.members.signal() },
+		Quarantine:   s.learnQuarantine,
+		Target:       s.learnTarget,
+	}
+}
+
+func (s *server) setMembers(live []cassiamember.Member) {
+	s.members.update(live)
+	s.routes.Update(forRoutes(live))
+}
+
+// followSettings passes on each new settings tree.
+func (s *server) followSettings(ctx context.Context) error {
+	changes, end := s.tree.Subscribe()
+	defer end()
+	for {
+		if tree := s.tree.Current(); tree != nil {
+			s.gossip.SetSettingsGeneration(tree.Generation())
+			s.routes.Update(cassiaroute.SettingsChanged{Fronts: tree.Fronts()})
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changes:
+		}
+	}
+}
+
+// stop announces the end, refuses new work and waits for what runs.
+func (s *server) stop(running context.Context) error {
+	s.leaving.Store(true)
+	level.Info(s.logger).Log("msg", "stopping")
+	s.gossip.Leave()
+	if running.Err() != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.options.stopTimeout)
+	defer cancel()
+	grace := time.After(leaveGrace)
+	left := s.entry.Leave(ctx)
+	select {
+	case <-grace:
+	case <-ctx.Done():
+	}
+	left = errors.Join(left, s.owner.Leave(ctx))
+	return errors.Join(left, s.callers.Shutdown(ctx), s.operators.Shutdown(ctx))
+}
+
+// close ends the parts that hold sockets and connections.
+func (s *server) close() error {
+	err := errors.Join(s.callers.Close(), s.operators.Close(), s.entry.Close(), s.owner.Close(), s.node.Close())
+	s.store.Close()
+	return err
+}
+
+// fronts gives the entry the settings in force.
+type fronts struct{ tree *cassiatree.Service }
+
+// Front returns a front, nil when there is none.
+func (f fronts) Front(key cassiaid.FrontKey) *cassiaschema.Front {
+	tree := f.tree.Current()
+	if tree == nil {
+		return nil
+	}
+	front, _ := tree.Front(key)
+	return front
+}
+
+// Ready is false until the VM has settings.
+func (f fronts) Ready() bool { return f.tree.Ready() }
