--- /dev/null
+++ b/core/cassiasettings/check.go
@@ -0,0 +1,229 @@
+package cassiasettings
+
+import (
+	"fmt"
+	"net/netip"
+	"sort"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	defaultMaxConnections  = 25
+	defaultConnectionShare = 0.5
+	// shareTolerance absorbs the rounding of added fractions.
+	shareTolerance = 1e-9
+)
+
+// place names a field of a text for a problem.
+type place struct {
+	text Text
+	path []any
+}
+
+func (p place) problem(kind ProblemKind, remedy, format string, args ...any) Problem {
+	return Problem{Kind: kind, File: p.text.File, Line: lineOf(p.text, p.path...), Field: fieldName(p.path...),
+		Detail: fmt.Sprintf(format, args...), Remedy: remedy}
+}
+
+func checkRoot(t Text, root *cassiaschema.RootSettings) []Problem {
+	var problems []Problem
+	seen := make(map[string]bool)
+	for i, team := range root.GetTeams() {
+		at := place{t, []any{"teams", i, "name"}}
+		if Subtree(team.GetName()) == RootSubtree {
+			problems = append(problems, at.problem(ProblemTeam, "choose another name", "the name %q is reserved", RootSubtree))
+		}
+		if seen[team.GetName()] {
+			problems = append(problems, at.problem(ProblemDuplicate, "remove one of the two",
+				"team %q is listed twice", team.GetName()))
+		}
+		seen[team.GetName()] = true
+	}
+	return problems
+}
+
+func checkTeam(t Text, team *cassiaschema.TeamSettings) []Problem {
+	var problems []Problem
+	seen := make(map[string]bool)
+	for i, front := range team.GetFronts() {
+		if seen[front.GetName()] {
+			at := place{t, []any{"fronts", i, "name"}}
+			problems = append(problems, at.problem(ProblemDuplicate, "give each front of a team its own name",
+				"front %q is listed twice", front.GetName()))
+		}
+		seen[front.GetName()] = true
+		problems = append(problems, checkShards(t, i, front)...)
+	}
+	return problems
+}
+
+func checkShards(t Text, index int, front *cassiaschema.Front) []Problem {
+	var problems []Problem
+	seen := make(map[string]bool)
+	for i, shard := range front.GetShards() {
+		if seen[shard.GetName()] {
+			at := place{t, []any{"fronts", index, "shards", i, "name"}}
+			problems = append(problems, at.problem(ProblemDuplicate, "give each shard of a front its own name",
+				"shard %q is listed twice", shard.GetName()))
+		}
+		seen[shard.GetName()] = true
+		targets := make(map[string]bool)
+		for j, target := range shard.GetTargets() {
+			at := place{t, []any{"fronts", index, "shards", i, "targets", j, "name"}}
+			if targets[target.GetName()] {
+				problems = append(problems, at.problem(ProblemDuplicate, "list each target of a shard once",
+					"target %q is listed twice", target.GetName()))
+			}
+			targets[target.GetName()] = true
+			if _, err := netip.ParseAddrPort(target.GetAddress()); err != nil {
+				at.path[len(at.path)-1] = "address"
+				problems = append(problems, at.problem(ProblemAddress, "write an IP number and a port, as 10.0.0.7:8080",
+					"address %q cannot be used", target.GetAddress()))
+			}
+		}
+	}
+	return problems
+}
+
+// targetUse is what a front says of one target.
+type targetUse struct {
+	at     place
+	front  cassiaid.FrontKey
+	target *cassiaschema.Target
+	limits *cassiaschema.TargetLimits
+}
+
+func (u targetUse) maxConnections() uint32 {
+	if n := u.limits.GetMaxConnections(); n > 0 {
+		return n
+	}
+	return defaultMaxConnections
+}
+
+func (u targetUse) connectionShare() float64 {
+	if u.limits == nil || u.limits.ConnectionShare == nil {
+		return defaultConnectionShare
+	}
+	return u.limits.GetConnectionShare()
+}
+
+// checkTargets checks what all teams together say of each target.
+func checkTargets(t *Tree) []Problem {
+	var problems []Problem
+	byName := make(map[string]targetUse)
+	byAddress := make(map[string][]targetUse)
+	var addresses []string
+	for _, u := range t.targetUses() {
+		if first, ok := byName[u.target.GetName()]; !ok {
+			byName[u.target.GetName()] = u
+		} else if p, ok := compareTargets(first, u); ok {
+			problems = append(problems, p)
+		}
+		address := u.target.GetAddress()
+		if len(byAddress[address]) == 0 {
+			addresses = append(addresses, address)
+		}
+		byAddress[address] = append(byAddress[address], u)
+	}
+	sort.Strings(addresses)
+	for _, address := range addresses {
+		if p, ok := checkAddress(address, byAddress[address]); ok {
+			problems = append(problems, p)
+		}
+	}
+	return problems
+}
+
+func compareTargets(first, u targetUse) (Problem, bool) {
+	if first.target.GetAddress() == u.target.GetAddress() &&
+		first.target.GetAvailabilityZone() == u.target.GetAvailabilityZone() {
+		return Problem{}, false
+	}
+	return u.at.problem(ProblemTargetMismatch, "give the target the same address and availabilityZone everywhere",
+		"target %q is %s in %s here but %s in %s in front %s", u.target.GetName(),
+		u.target.GetAddress(), u.target.GetAvailabilityZone(),
+		first.target.GetAddress(), first.target.GetAvailabilityZone(), first.front), true
+}
+
+// checkAddress adds up the connection shares of the fronts that use one address.
+func checkAddress(address string, uses []targetUse) (Problem, bool) {
+	fronts := make(map[cassiaid.FrontKey]bool)
+	sum := 0.0
+	for _, u := range uses {
+		if u.target.GetName() != uses[0].target.GetName() {
+			return u.at.problem(ProblemTargetMismatch, "use one name for one address",
+				"address %s is target %q here but %q in front %s", address, u.target.GetName(),
+				uses[0].target.GetName(), uses[0].front), true
+		}
+		if u.maxConnections() != uses[0].maxConnections() {
+			return u.at.problem(ProblemConnectionShare, "agree on one maxConnections for the target",
+				"maxConnections of target %q is %d here but %d in front %s", u.target.GetName(),
+				u.maxConnections(), uses[0].maxConnections(), uses[0].front), true
+		}
+		if fronts[u.front] {
+			continue
+		}
+		fronts[u.front] = true
+		sum += u.connectionShare()
+	}
+	if sum <= 1+shareTolerance {
+		return Problem{}, false
+	}
+	u := uses[len(uses)-1]
+	return u.at.problem(ProblemConnectionShare, "lower connectionShare of these fronts until the sum is at most 1",
+		"the connectionShare of %d fronts on target %q adds up to %.3g of its connections: %s",
+		len(fronts), u.target.GetName(), sum, frontList(fronts)), true
+}
+
+func frontList(fronts map[cassiaid.FrontKey]bool) string {
+	names := make([]string, 0, len(fronts))
+	for key := range fronts {
+		names = append(names, key.String())
+	}
+	sort.Strings(names)
+	return fmt.Sprint(names)
+}
+
+// checkTeams refuses fronts of teams that the root subtree does not list.
+func checkTeams(t *Tree) []Problem {
+	listed := make(map[string]bool)
+	for _, team := range t.Root().GetTeams() {
+		listed[team.GetName()] = true
+	}
+	var problems []Problem
+	for _, name := range t.TeamNames() {
+		team := t.teams[name]
+		text := t.text(TeamSubtree(name))
+		if team.GetTeam() != string(name) {
+			at := place{text, []any{"team"}}
+			problems = append(problems, at.problem(ProblemTeam, "apply the text to its own team's subtree",
+				"the text is of team %q and not of %q", team.GetTeam(), name))
+		}
+		if len(team.GetFronts()) > 0 && !listed[string(name)] {
+			problems = append(problems, Problem{Kind: ProblemTeam, File: string(RootSubtree), Field: "teams",
+				Detail: fmt.Sprintf("team %q has fronts but is not listed", name),
+				Remedy: "list the team in the root settings, or remove its fronts first"})
+		}
+	}
+	return problems
+}
+
+// checkDowngrade refuses a shard map epoch below the one in force.
+func checkDowngrade(before, after *Tree, subtree Subtree) []Problem {
+	var problems []Problem
+	team := cassiaid.TeamName(subtree)
+	for i, front := range after.Team(team).GetFronts() {
+		key := cassiaid.FrontKey{Team: team, Front: cassiaid.FrontName(front.GetName())}
+		old, ok := before.Front(key)
+		if !ok || front.GetShardMapEpoch() >= old.GetShardMapEpoch() {
+			continue
+		}
+		at := place{after.text(subtree), []any{"fronts", i, "shardMapEpoch"}}
+		problems = append(problems, at.problem(ProblemDowngrade, "set shardMapEpoch to the one in force or higher",
+			"shardMapEpoch %d of front %q is lower than %d, which is in force",
+			front.GetShardMapEpoch(), front.GetName(), old.GetShardMapEpoch()))
+	}
+	return problems
+}
--- /dev/null
+++ b/core/cassiasettings/propagation.go
@@ -0,0 +1,319 @@
+package cassiasettings
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	storeBackoffBase  = 200 * time.Millisecond
+	storeBackoffLimit = 4 * time.Second
+	pullBackoffBase   = 200 * time.Millisecond
+	pullBackoffLimit  = 2 * time.Second
+	// firstAskPeers is how many peers a VM without settings asks before it takes the highest answer.
+	firstAskPeers = 3
+	// storeFallbackAfter is how long a VM without settings leaves the store to the watchers.
+	storeFallbackAfter = 10 * time.Second
+	// storeFallbackSpread keeps VMs that started together from asking together.
+	storeFallbackSpread = 5 * time.Second
+	// storeFallbackLimit caps the pause between tries of a VM that is no watcher.
+	storeFallbackLimit = 30 * time.Second
+)
+
+// Clock tells the time.
+type Clock interface{ Now() time.Time }
+
+// Config is what a Propagation needs to know.
+type Config struct {
+	Self  cassiaid.VMName
+	Zone  cassiaid.Zone
+	Clock Clock
+	Rand  *rand.Rand
+}
+
+// Propagation decides how one VM learns of accepted settings and tells others of them.
+type Propagation struct {
+	config Config
+	// fallbackAt is when a VM without settings asks the store though it is no watcher.
+	fallbackAt time.Time
+
+	tree *Tree
+	// rejected holds generations above the one in force that failed validation here.
+	rejected map[cassiaid.Generation]bool
+
+	members  []Member
+	watchers map[cassiaid.Zone][]cassiaid.VMName
+	watching bool
+	// heard holds generations above the one in force and the VMs that named them in a digest.
+	heard map[cassiaid.VMName]cassiaid.Generation
+
+	candidate *candidate
+	staged    Edits
+
+	pulls       map[cassiaid.VMName]bool
+	pullBackoff backoff
+	// answered holds the peers that a VM without settings has asked and that answered or failed.
+	answered map[cassiaid.VMName]bool
+
+	store storeCall
+}
+
+// candidate is a state higher than the one in force, perhaps not whole yet.
+type candidate struct {
+	head *cassiaschema.SettingsHead
+	// from is the VM that named the head; empty when it was the store.
+	from cassiaid.VMName
+}
+
+func (c *candidate) generation() cassiaid.Generation {
+	return cassiaid.Generation(c.head.GetGeneration())
+}
+
+// NewPropagation returns a Propagation with no settings in force.
+func NewPropagation(config Config) *Propagation {
+	return &Propagation{
+		config:      config,
+		fallbackAt:  config.Clock.Now().Add(storeFallbackAfter + time.Duration(config.Rand.Int64N(int64(storeFallbackSpread)))),
+		rejected:    make(map[cassiaid.Generation]bool),
+		heard:       make(map[cassiaid.VMName]cassiaid.Generation),
+		staged:      make(Edits),
+		pulls:       make(map[cassiaid.VMName]bool),
+		pullBackoff: backoff{base: pullBackoffBase, limit: pullBackoffLimit},
+		answered:    make(map[cassiaid.VMName]bool),
+		store:       storeCall{backoff: backoff{base: storeBackoffBase, limit: storeFallbackLimit}},
+	}
+}
+
+// Tree returns the tree in force, or nil when there is none yet.
+func (p *Propagation) Tree() *Tree { return p.tree }
+
+// Watching tells whether this VM watches the store for its zone.
+func (p *Propagation) Watching() bool { return p.watching }
+
+// Update takes a message and returns what has to be done.
+func (p *Propagation) Update(m Message) []Effect {
+	var effects []Effect
+	switch m := m.(type) {
+	case MembersChanged:
+		effects = p.membersChanged(m.Members)
+	case DigestReceived:
+		effects = p.digestReceived(m)
+	case StateReceived:
+		effects = p.stateReceived(m)
+	case PullFailed:
+		effects = p.pullFailed(m.From)
+	case HeadRead:
+		effects = p.headRead(m)
+	case HeadUnchanged:
+		p.store.finish(m.Call)
+	case EditsRead:
+		p.store.finish(m.Call)
+		p.stage(m.Edits)
+	case StoreFailed:
+		effects = p.storeFailed(m.Call)
+	case EditAccepted:
+		p.stage(m.Tree.Edits())
+		effects = p.consider(m.Tree.Head(), "")
+	}
+	return p.advance(effects)
+}
+
+// advance takes every step that has become possible.
+func (p *Propagation) advance(effects []Effect) []Effect {
+	effects = append(effects, p.install()...)
+	effects = append(effects, p.pull()...)
+	return append(effects, p.callStore()...)
+}
+
+func (p *Propagation) membersChanged(members []Member) []Effect {
+	p.members = slices.Clone(members)
+	self := func(m Member) bool { return m.Name == p.config.Self }
+	if !slices.ContainsFunc(members, self) {
+		p.members = append(p.members, Member{Name: p.config.Self, Zone: p.config.Zone})
+	}
+	p.watchers = Watchers(p.members)
+	watching := slices.Contains(p.watchers[p.config.Zone], p.config.Self)
+	if watching == p.watching {
+		return nil
+	}
+	p.watching = watching
+	if watching {
+		p.store.backoff.limit = storeBackoffLimit
+		return []Effect{Count{CountBecameWatcher}}
+	}
+	p.store.backoff.limit = storeFallbackLimit
+	p.dropIncomplete("")
+	return append(p.store.stop(), Count{CountStoppedWatcher})
+}
+
+func (p *Propagation) digestReceived(m DigestReceived) []Effect {
+	if p.newer(m.Generation) {
+		p.heard[m.From] = max(m.Generation, p.heard[m.From])
+	}
+	return []Effect{Count{CountDigestReceived}}
+}
+
+func (p *Propagation) stateReceived(m StateReceived) []Effect {
+	head := m.State.GetHead()
+	lacking := len(p.missing(head))
+	delete(p.pulls, m.From)
+	delete(p.heard, m.From)
+	p.answered[m.From] = true
+	p.stage(m.State.GetEdits())
+	if remaining := len(p.missing(head)); head == nil || remaining > 0 && remaining == lacking {
+		p.dropIncomplete(m.From)
+		p.pullBackoff.fail(p.config.Clock.Now(), p.config.Rand)
+		return nil
+	}
+	if p.tree != nil && !p.newer(cassiaid.Generation(head.GetGeneration())) {
+		p.pullBackoff.fail(p.config.Clock.Now(), p.config.Rand)
+		return []Effect{Count{CountPeerBehind}}
+	}
+	p.pullBackoff.succeed()
+	return p.consider(head, m.From)
+}
+
+func (p *Propagation) pullFailed(from cassiaid.VMName) []Effect {
+	delete(p.pulls, from)
+	delete(p.heard, from)
+	p.answered[from] = true
+	p.dropIncomplete(from)
+	p.pullBackoff.fail(p.config.Clock.Now(), p.config.Rand)
+	return []Effect{Count{CountPullFailed}}
+}
+
+// dropIncomplete forgets a candidate whose source has failed before it was whole.
+func (p *Propagation) dropIncomplete(from cassiaid.VMName) {
+	if p.candidate != nil && p.candidate.from == from && len(p.missing(p.candidate.head)) > 0 {
+		p.candidate = nil
+	}
+}
+
+// newer tells whether a generation is worth having: above the one in force and not rejected before.
+func (p *Propagation) newer(g cassiaid.Generation) bool {
+	return !p.rejected[g] && g > p.tree.Generation()
+}
+
+func (p *Propagation) stage(edits []*cassiaschema.SettingsEdit) {
+	for _, e := range edits {
+		p.staged[EditID(e.GetEditId())] = e
+	}
+}
+
+// consider makes a head the candidate if it is higher than the one in force and the candidate so far.
+func (p *Propagation) consider(head *cassiaschema.SettingsHead, from cassiaid.VMName) []Effect {
+	next := &candidate{head: head, from: from}
+	g := next.generation()
+	if p.rejected[g] || p.tree != nil && g <= p.tree.Generation() {
+		if from == "" && g < p.tree.Generation() {
+			return []Effect{Count{CountStoreBehind}}
+		}
+		return nil
+	}
+	if p.candidate == nil || g > p.candidate.generation() || g == p.candidate.generation() && from == "" {
+		p.candidate = next
+		p.prune()
+	}
+	return nil
+}
+
+// prune forgets staged edits that the candidate does not name.
+func (p *Propagation) prune() {
+	named := make(map[EditID]bool)
+	for _, s := range p.candidate.head.GetSubtrees() {
+		named[EditID(s.GetEditId())] = true
+	}
+	for id := range p.staged {
+		if !named[id] {
+			delete(p.staged, id)
+		}
+	}
+}
+
+// missing lists the edits that a head names and this VM does not have.
+func (p *Propagation) missing(head *cassiaschema.SettingsHead) []*cassiaschema.SubtreeHead {
+	var missing []*cassiaschema.SubtreeHead
+	for _, s := range head.GetSubtrees() {
+		if p.staged[EditID(s.GetEditId())] == nil && p.tree.Edit(Subtree(s.GetSubtree())).GetEditId() != s.GetEditId() {
+			missing = append(missing, s)
+		}
+	}
+	return missing
+}
+
+// install puts the candidate in force once it is whole, valid and, on a new VM, the highest that can be had.
+func (p *Propagation) install() []Effect {
+	if p.candidate == nil || len(p.missing(p.candidate.head)) > 0 || p.tree == nil && !p.settled() {
+		return nil
+	}
+	next := p.candidate
+	p.candidate = nil
+	tree, err := Build(next.head, p.staged, p.tree)
+	if err == nil {
+		err = checkRevisions(p.tree, tree)
+	}
+	if err != nil {
+		p.rejected[next.generation()] = true
+		p.forget()
+		return []Effect{Reject{Generation: next.generation(), Reason: err}, Count{CountRejected}}
+	}
+	p.tree = tree
+	p.forget()
+	return append([]Effect{Install{Tree: tree}, Count{CountInstalled}}, p.push(next.from == "")...)
+}
+
+// forget drops what an installed or rejected generation has made useless.
+func (p *Propagation) forget() {
+	p.staged = make(Edits)
+	for name, g := range p.heard {
+		if !p.newer(g) {
+			delete(p.heard, name)
+		}
+	}
+	for g := range p.rejected {
+		if p.tree != nil && g <= p.tree.Generation() {
+			delete(p.rejected, g)
+		}
+	}
+}
+
+// checkRevisions refuses a tree in which a subtree went back although the generation is higher.
+func checkRevisions(before, after *Tree) error {
+	for _, s := range before.Head().GetSubtrees() {
+		if r := after.Revision(Subtree(s.GetSubtree())); uint64(r) < s.GetRevision() {
+			return invalid([]Problem{{Kind: ProblemDowngrade, File: s.GetSubtree(),
+				Detail: fmt.Sprintf("revision %d is lower than %d, which is in force", r, s.GetRevision()),
+				Remedy: "roll back with settings rollback, which makes a new revision"}})
+		}
+	}
+	return nil
+}
+
+// push tells the VMs that depend on this one: a watcher its zone and all watchers, another VM the watchers of what it
+// wrote to the store itself.
+func (p *Propagation) push(fromStore bool) []Effect {
+	if p.tree.Generation() == 0 || !p.watching && !fromStore {
+		return nil
+	}
+	var to []cassiaid.VMName
+	for _, m := range p.members {
+		behind := m.Name != p.config.Self && m.Generation < p.tree.Generation()
+		dependent := p.watching && m.Zone == p.config.Zone
+		if behind && (dependent || slices.Contains(p.watchers[m.Zone], m.Name)) {
+			to = append(to, m.Name)
+		}
+	}
+	if len(to) == 0 {
+		return nil
+	}
+	return []Effect{PushDigest{To: to, Generation: p.tree.Generation()}, Count{CountDigestPushed}}
+}
+
+// ErrNotReady tells that this VM has no settings yet.
+var ErrNotReady = errors.New("no settings yet: neither the store nor another VM has answered; check platformAddress and the peers")
--- /dev/null
+++ b/core/cassiasettings/tree.go
@@ -0,0 +1,236 @@
+package cassiasettings
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// EditID identifies one edit of a subtree; whoever makes the edit chooses it.
+type EditID string
+
+// Tree is one accepted and valid state of the whole settings tree; it never changes and a nil Tree is empty.
+type Tree struct {
+	head   *cassiaschema.SettingsHead
+	edits  map[Subtree]*cassiaschema.SettingsEdit
+	root   *cassiaschema.RootSettings
+	teams  map[cassiaid.TeamName]*cassiaschema.TeamSettings
+	fronts map[cassiaid.FrontKey]*cassiaschema.Front
+	// files names the files of texts that were not read from the store.
+	files map[Subtree]string
+}
+
+// Edits holds edits by their id.
+type Edits map[EditID]*cassiaschema.SettingsEdit
+
+// Build parses and checks the state that a head names; what previous has parsed already is used again.
+func Build(head *cassiaschema.SettingsHead, edits Edits, previous *Tree) (*Tree, error) {
+	if head == nil {
+		head = new(cassiaschema.SettingsHead)
+	}
+	t := &Tree{
+		head:   head,
+		edits:  make(map[Subtree]*cassiaschema.SettingsEdit),
+		root:   new(cassiaschema.RootSettings),
+		teams:  make(map[cassiaid.TeamName]*cassiaschema.TeamSettings),
+		fronts: make(map[cassiaid.FrontKey]*cassiaschema.Front),
+	}
+	for _, s := range head.GetSubtrees() {
+		edit, err := findEdit(s, edits, previous)
+		if err != nil {
+			return nil, err
+		}
+		t.edits[Subtree(s.GetSubtree())] = edit
+		if err := t.parseEdit(edit, previous); err != nil {
+			return nil, err
+		}
+	}
+	t.indexFronts()
+	if err := invalid(append(checkTeams(t), checkTargets(t)...)); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// CheckTexts checks texts by themselves and together, as far as that is possible without the other subtrees.
+func CheckTexts(texts []Text) error {
+	t := &Tree{
+		edits:  make(map[Subtree]*cassiaschema.SettingsEdit),
+		teams:  make(map[cassiaid.TeamName]*cassiaschema.TeamSettings),
+		fronts: make(map[cassiaid.FrontKey]*cassiaschema.Front),
+		files:  make(map[Subtree]string),
+	}
+	var problems []Problem
+	for _, text := range texts {
+		if err := t.addText(text); err != nil {
+			problems = append(problems, problemsOf(err)...)
+		}
+	}
+	if len(problems) > 0 {
+		return invalid(problems)
+	}
+	if t.root != nil {
+		problems = checkTeams(t)
+	}
+	return invalid(append(problems, checkTargets(t)...))
+}
+
+func (t *Tree) addText(text Text) error {
+	subtree, err := DetectSubtree(text)
+	if err != nil {
+		return err
+	}
+	if first, ok := t.files[subtree]; ok {
+		return invalid([]Problem{{Kind: ProblemDuplicate, File: text.File,
+			Detail: fmt.Sprintf("subtree %q is already in %s", subtree, first), Remedy: "give one file for each subtree"}})
+	}
+	t.files[subtree] = text.File
+	edit := &cassiaschema.SettingsEdit{Subtree: string(subtree), Yaml: text.YAML}
+	t.edits[subtree] = edit
+	return t.parseEdit(edit, nil)
+}
+
+func problemsOf(err error) []Problem {
+	var invalid *InvalidError
+	if errors.As(err, &invalid) {
+		return invalid.Problems
+	}
+	return []Problem{{Kind: ProblemSyntax, Detail: err.Error(), Remedy: "correct the text"}}
+}
+
+func findEdit(s *cassiaschema.SubtreeHead, edits Edits, previous *Tree) (*cassiaschema.SettingsEdit, error) {
+	edit := edits[EditID(s.GetEditId())]
+	if edit == nil {
+		edit = previous.Edit(Subtree(s.GetSubtree()))
+	}
+	if edit.GetEditId() != s.GetEditId() || edit.GetSubtree() != s.GetSubtree() || edit.GetRevision() != s.GetRevision() {
+		return nil, invalid([]Problem{{Kind: ProblemIncomplete, File: s.GetSubtree(),
+			Detail: fmt.Sprintf("edit %q of revision %d is missing or another one", s.GetEditId(), s.GetRevision()),
+			Remedy: "apply the subtree again"}})
+	}
+	return edit, nil
+}
+
+func (t *Tree) parseEdit(edit *cassiaschema.SettingsEdit, previous *Tree) error {
+	subtree := Subtree(edit.GetSubtree())
+	known := previous.Edit(subtree).GetEditId() == edit.GetEditId() && edit.GetEditId() != ""
+	text := t.text(subtree)
+	var err error
+	switch {
+	case subtree == RootSubtree && known:
+		t.root = previous.root
+	case subtree == RootSubtree:
+		t.root, err = ParseRoot(text)
+	case known:
+		t.teams[cassiaid.TeamName(subtree)] = previous.Team(cassiaid.TeamName(subtree))
+	default:
+		t.teams[cassiaid.TeamName(subtree)], err = ParseTeam(text)
+	}
+	return err
+}
+
+func (t *Tree) indexFronts() {
+	for name, team := range t.teams {
+		for _, f := range team.GetFronts() {
+			t.fronts[cassiaid.FrontKey{Team: name, Front: cassiaid.FrontName(f.GetName())}] = f
+		}
+	}
+}
+
+// Generation returns the number of accepted edits of the whole tree.
+func (t *Tree) Generation() cassiaid.Generation {
+	return cassiaid.Generation(t.Head().GetGeneration())
+}
+
+// Head returns which edit is in force for each subtree.
+func (t *Tree) Head() *cassiaschema.SettingsHead {
+	if t == nil {
+		return nil
+	}
+	return t.head
+}
+
+// Revision returns the number of accepted edits of a subtree, 0 for one that does not exist.
+func (t *Tree) Revision(s Subtree) cassiaid.Revision {
+	return cassiaid.Revision(t.Edit(s).GetRevision())
+}
+
+// Edit returns the edit in force for a subtree, or nil.
+func (t *Tree) Edit(s Subtree) *cassiaschema.SettingsEdit {
+	if t == nil {
+		return nil
+	}
+	return t.edits[s]
+}
+
+// Edits returns the edits in force.
+func (t *Tree) Edits() []*cassiaschema.SettingsEdit {
+	var edits []*cassiaschema.SettingsEdit
+	for _, s := range t.Head().GetSubtrees() {
+		edits = append(edits, t.edits[Subtree(s.GetSubtree())])
+	}
+	return edits
+}
+
+// Root returns the root settings.
+func (t *Tree) Root() *cassiaschema.RootSettings {
+	if t == nil {
+		return nil
+	}
+	return t.root
+}
+
+// Team returns a team's settings, or nil.
+func (t *Tree) Team(name cassiaid.TeamName) *cassiaschema.TeamSettings {
+	if t == nil {
+		return nil
+	}
+	return t.teams[name]
+}
+
+// TeamNames returns the teams that have a subtree, in order.
+func (t *Tree) TeamNames() []cassiaid.TeamName {
+	if t == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(t.teams))
+}
+
+// Front returns the settings of a front.
+func (t *Tree) Front(key cassiaid.FrontKey) (*cassiaschema.Front, bool) {
+	if t == nil {
+		return nil, false
+	}
+	f, ok := t.fronts[key]
+	return f, ok
+}
+
+func (t *Tree) text(s Subtree) Text {
+	file, ok := t.files[s]
+	if !ok {
+		file = string(s)
+	}
+	return Text{File: file, YAML: t.Edit(s).GetYaml()}
+}
+
+// targetUses lists every target of every front, in a fixed order.
+func (t *Tree) targetUses() []targetUse {
+	var uses []targetUse
+	for _, name := range t.TeamNames() {
+		text := t.text(TeamSubtree(name))
+		for i, front := range t.teams[name].GetFronts() {
+			key := cassiaid.FrontKey{Team: name, Front: cassiaid.FrontName(front.GetName())}
+			for j, shard := range front.GetShards() {
+				for k, target := range shard.GetTargets() {
+					at := place{text, []any{"fronts", i, "shards", j, "targets", k}}
+					uses = append(uses, targetUse{at: at, front: key, target: target, limits: front.GetTargetLimits()})
+				}
+			}
+		}
+	}
+	return uses
+}
--- /dev/null
+++ b/io/cassiastore/error.go
@@ -0,0 +1,56 @@
+package cassiastore
+
+import "fmt"
+
+// Kind tells how a call to the platform failed.
+type Kind string
+
+// Kinds of failure.
+const (
+	// Conflict means that the key is at another revision; nothing was written.
+	Conflict Kind = "conflict"
+	// Unavailable means that the call had no effect.
+	Unavailable Kind = "unavailable"
+	// OutcomeUnknown means that a write may or may not have taken effect.
+	OutcomeUnknown Kind = "outcomeUnknown"
+	// TooLarge means that the value is over the store's limit; nothing was written.
+	TooLarge Kind = "tooLarge"
+	// LeaseLapsed means that the lease no longer holds.
+	LeaseLapsed Kind = "leaseLapsed"
+	// Refused means that the platform does not take the call, for instance for a wrong token.
+	Refused Kind = "refused"
+)
+
+// Error is a failed call to the platform.
+type Error struct {
+	Kind Kind
+	Call string
+	// Revision is the key's revision after a conflict.
+	Revision Revision
+	Cause    error
+}
+
+// Error returns the call, the kind, the cause and what to do.
+func (e *Error) Error() string {
+	return fmt.Sprintf("platform call %s: %s: %v; %s", e.Call, e.Kind, e.Cause, e.remedy())
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+func (e *Error) remedy() string {
+	switch e.Kind {
+	case Conflict:
+		return "read the key again before the next write"
+	case OutcomeUnknown:
+		return "read the key back to learn whether the write took effect"
+	case TooLarge:
+		return "write a smaller value"
+	case LeaseLapsed:
+		return "take a new lease"
+	case Refused:
+		return "check platformAddress and platformToken"
+	default:
+		return "try again later; the platform's service may be down"
+	}
+}
--- /dev/null
+++ b/io/cassiatree/edit.go
@@ -0,0 +1,345 @@
+package cassiatree
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/core/cassiasettings"
+	"cassiasaddle/io/cassiastore"
+)
+
+const (
+	// applyTimeout bounds how long an edit is tried while the store fails.
+	applyTimeout      = 8 * time.Second
+	retryPause        = 50 * time.Millisecond
+	retryPauseLimit   = 500 * time.Millisecond
+	maxHistoryEntries = 1000
+)
+
+// Accepted tells under which numbers an edit was accepted.
+type Accepted struct {
+	Subtree  cassiasettings.Subtree `json:"subtree"`
+	Revision cassiaid.Revision      `json:"revision"`
+	// Generation is one at which the edit is in force.
+	Generation cassiaid.Generation   `json:"generation"`
+	EditID     cassiasettings.EditID `json:"editId"`
+}
+
+// UnavailableError tells that the store could not be reached and that nothing was changed.
+type UnavailableError struct{ Cause error }
+
+// Error says that nothing was changed and what to do.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("the platform's store cannot be reached, nothing was changed; try again later: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// OutcomeUnknownError tells that an edit may or may not have been accepted.
+type OutcomeUnknownError struct {
+	Subtree cassiasettings.Subtree
+	EditID  cassiasettings.EditID
+	Cause   error
+}
+
+// Error says how to learn the outcome.
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("the edit was sent to the store, which then could not be read; it may be accepted or not; "+
+		"once the store is back run `settings get --subtree %s --edit %s`, or apply again with --edit %s, which never applies it twice: %v",
+		e.Subtree, e.EditID, e.EditID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
+
+// EditIDUsedError tells that an edit id belongs to another text.
+type EditIDUsedError struct{ EditID cassiasettings.EditID }
+
+// Error says to choose another id.
+func (e *EditIDUsedError) Error() string {
+	return fmt.Sprintf("edit id %s was used before for another text or base revision; leave --edit out to get a new id", e.EditID)
+}
+
+// stored is the tree in the store and the store's revision of its head.
+type stored struct {
+	tree     *cassiasettings.Tree
+	revision cassiastore.Revision
+}
+
+// editor performs one proposal.
+type editor struct {
+	service  *Service
+	proposal cassiasettings.Proposal
+	token    string
+	// open is true while a write of the head that stood at openRevision may still take effect unseen.
+	open         bool
+	openRevision cassiastore.Revision
+}
+
+// Apply writes an edit to the store and returns its true outcome; an edit id is never applied twice.
+func (s *Service) Apply(ctx context.Context, p cassiasettings.Proposal, token string) (Accepted, error) {
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
+	p.Time = s.config.Clock.Now()
+	e := &editor{service: s, proposal: p, token: token}
+	pause := retryPause
+	for {
+		accepted, done, err := e.try(ctx)
+		if done {
+			s.countOutcome(err)
+			return accepted, err
+		}
+		if !s.sleep(ctx, pause) {
+			err = e.giveUp(err)
+			s.countOutcome(err)
+			return Accepted{}, err
+		}
+		pause = min(2*pause, retryPauseLimit)
+	}
+}
+
+// Plan checks a proposal against the tree in the store and returns the difference that it would make.
+func (s *Service) Plan(ctx context.Context, p cassiasettings.Proposal, token string) (string, error) {
+	now, err := s.readStored(ctx)
+	if err != nil {
+		return "", &UnavailableError{err}
+	}
+	e := &editor{service: s, proposal: p, token: token}
+	accept, err := e.propose(ctx, now)
+	if err != nil {
+		return "", err
+	}
+	name := func(r cassiaid.Revision) string { return fmt.Sprintf("%s revision %d", p.Subtree, r) }
+	return cassiasettings.Diff(name(p.Base), now.tree.Edit(p.Subtree).GetYaml(),
+		name(p.Base+1), accept.Edit.GetYaml()), nil
+}
+
+// try makes one attempt; done is false when another may settle the outcome.
+func (e *editor) try(ctx context.Context) (Accepted, bool, error) {
+	now, err := e.service.readStored(ctx)
+	if err != nil {
+		return Accepted{}, false, err
+	}
+	if err := e.authorize(now); err != nil {
+		return Accepted{}, true, err
+	}
+	mine, err := e.service.findEdit(ctx, now.tree, e.proposal.Subtree, e.proposal.Base,
+		func(edit *cassiaschema.SettingsEdit) bool { return edit.GetEditId() == string(e.proposal.EditID) })
+	if err != nil {
+		return Accepted{}, false, err
+	}
+	if mine != nil {
+		return e.alreadyAccepted(now, mine)
+	}
+	if now.revision != e.openRevision {
+		e.open = false
+	}
+	accept, err := e.propose(ctx, now)
+	if err != nil {
+		var failed *cassiastore.Error
+		return Accepted{}, !errors.As(err, &failed), err
+	}
+	return e.write(ctx, now, accept)
+}
+
+func (e *editor) authorize(now stored) error {
+	return cassiasettings.Authorize(now.tree, e.service.config.AdminTokenSHA256, e.proposal.Subtree, e.token)
+}
+
+func (e *editor) alreadyAccepted(now stored, mine *cassiaschema.SettingsEdit) (Accepted, bool, error) {
+	if !bytes.Equal(mine.GetYaml(), e.proposal.YAML) {
+		return Accepted{}, true, &EditIDUsedError{e.proposal.EditID}
+	}
+	e.service.accepted(now.tree)
+	return Accepted{Subtree: e.proposal.Subtree, Revision: cassiaid.Revision(mine.GetRevision()),
+		Generation: now.tree.Generation(), EditID: e.proposal.EditID}, true, nil
+}
+
+// propose checks the proposal and completes a conflict with the difference to the base.
+func (e *editor) propose(ctx context.Context, now stored) (*cassiasettings.Accept, error) {
+	if err := e.authorize(now); err != nil {
+		return nil, err
+	}
+	accept, err := cassiasettings.Propose(now.tree, e.proposal)
+	var conflict *cassiasettings.ConflictError
+	if !errors.As(err, &conflict) {
+		return accept, err
+	}
+	subtree, base := e.proposal.Subtree, e.proposal.Base
+	var before *cassiaschema.SettingsEdit
+	if base > 0 && base < conflict.InForce {
+		before, err = e.service.findEdit(ctx, now.tree, subtree, base-1,
+			func(edit *cassiaschema.SettingsEdit) bool { return edit.GetRevision() == uint64(base) })
+		if err != nil {
+			return nil, err
+		}
+	}
+	conflict.Diff = cassiasettings.Diff(fmt.Sprintf("%s revision %d (base)", subtree, base), before.GetYaml(),
+		fmt.Sprintf("%s revision %d (in force)", subtree, conflict.InForce), now.tree.Edit(subtree).GetYaml())
+	return nil, conflict
+}
+
+// write puts the edit and then the head that names it.
+func (e *editor) write(ctx context.Context, now stored, accept *cassiasettings.Accept) (Accepted, bool, error) {
+	held, err := e.putEdit(ctx, accept.Edit)
+	if err != nil {
+		var used *EditIDUsedError
+		var failed *cassiastore.Error
+		tooLarge := errors.As(err, &failed) && failed.Kind == cassiastore.TooLarge
+		return Accepted{}, tooLarge || errors.As(err, &used), err
+	}
+	accept.Edit.Author, accept.Edit.UnixMillis = held.GetAuthor(), held.GetUnixMillis()
+	head, err := proto.Marshal(accept.Head)
+	if err != nil {
+		return Accepted{}, true, eris.Wrap(err, "encode settings head")
+	}
+	_, err = e.service.config.Store.Put(ctx, headKey, head, now.revision)
+	var failed *cassiastore.Error
+	switch {
+	case err == nil:
+		e.service.accepted(accept.Tree)
+		return Accepted{Subtree: e.proposal.Subtree, Revision: cassiaid.Revision(held.GetRevision()),
+			Generation: accept.Tree.Generation(), EditID: e.proposal.EditID}, true, nil
+	case errors.As(err, &failed) && failed.Kind == cassiastore.Conflict:
+		e.service.count("applyRetryHeadMoved")
+	case errors.As(err, &failed) && failed.Kind == cassiastore.OutcomeUnknown:
+		e.open, e.openRevision = true, now.revision
+		e.service.count("applyRetryReplyLost")
+	}
+	return Accepted{}, false, err
+}
+
+// putEdit stores an edit under its id, which may hold it already after a lost reply.
+func (e *editor) putEdit(ctx context.Context, edit *cassiaschema.SettingsEdit) (*cassiaschema.SettingsEdit, error) {
+	value, err := proto.Marshal(edit)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode settings edit")
+	}
+	key := editKey(e.proposal.Subtree, e.proposal.EditID)
+	_, err = e.service.config.Store.Put(ctx, key, value, 0)
+	var failed *cassiastore.Error
+	if !errors.As(err, &failed) || failed.Kind != cassiastore.Conflict {
+		return edit, err
+	}
+	held, err := e.service.getEdit(ctx, e.proposal.Subtree, e.proposal.EditID)
+	if err != nil {
+		return nil, err
+	}
+	same := bytes.Equal(held.GetYaml(), edit.GetYaml()) && held.GetRevision() == edit.GetRevision() &&
+		held.GetPreviousEditId() == edit.GetPreviousEditId()
+	if !same {
+		return nil, &EditIDUsedError{e.proposal.EditID}
+	}
+	return held, nil
+}
+
+// giveUp names the outcome when time has run out.
+func (e *editor) giveUp(err error) error {
+	if e.open {
+		return &OutcomeUnknownError{Subtree: e.proposal.Subtree, EditID: e.proposal.EditID, Cause: err}
+	}
+	return &UnavailableError{err}
+}
+
+// accepted spreads a tree that is known to be in the store.
+func (s *Service) accepted(tree *cassiasettings.Tree) {
+	select {
+	case s.inbox <- cassiasettings.EditAccepted{Tree: tree}:
+	default:
+	}
+}
+
+func (s *Service) countOutcome(err error) {
+	var unknown *OutcomeUnknownError
+	var unavailable *UnavailableError
+	var conflict *cassiasettings.ConflictError
+	var invalid *cassiasettings.InvalidError
+	var forbidden *cassiasettings.ForbiddenError
+	switch {
+	case err == nil:
+		s.count("applyAccepted")
+	case errors.As(err, &unknown):
+		s.count("applyOutcomeUnknown")
+	case errors.As(err, &unavailable):
+		s.count("applyUnavailable")
+	case errors.As(err, &conflict):
+		s.count("applyConflict")
+	case errors.As(err, &invalid):
+		s.count("applyInvalid")
+	case errors.As(err, &forbidden):
+		s.count("applyForbidden")
+	default:
+		s.count("applyFailed")
+	}
+}
+
+// sleep pauses with jitter and returns false when the context ended first.
+func (s *Service) sleep(ctx context.Context, pause time.Duration) bool {
+	s.mu.Lock()
+	pause = pause/2 + time.Duration(s.random.Int64N(int64(pause/2)+1))
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.config.Clock.After(pause):
+		return true
+	}
+}
+
+// readStored reads the whole tree that the store names.
+func (s *Service) readStored(ctx context.Context) (stored, error) {
+	entry, err := s.config.Store.Get(ctx, headKey)
+	if err != nil {
+		return stored{}, err
+	}
+	head, err := decodeHead(entry)
+	if err != nil {
+		return stored{}, err
+	}
+	edits := make(cassiasettings.Edits)
+	for _, h := range head.GetSubtrees() {
+		id := cassiasettings.EditID(h.GetEditId())
+		edit, err := s.getEdit(ctx, cassiasettings.Subtree(h.GetSubtree()), id)
+		if err != nil {
+			return stored{}, err
+		}
+		edits[id] = edit
+	}
+	tree, err := cassiasettings.Build(head, edits, s.Current())
+	if err != nil {
+		return stored{}, eris.Wrap(err, "the settings in the store cannot be read by this VM; use a VM of the newest version")
+	}
+	return stored{tree: tree, revision: entry.Revision}, nil
+}
+
+// findEdit follows the history of a subtree back to revisions above a lowest one and returns the first match, or nil.
+func (s *Service) findEdit(ctx context.Context, tree *cassiasettings.Tree, subtree cassiasettings.Subtree,
+	above cassiaid.Revision, match func(*cassiaschema.SettingsEdit) bool) (*cassiaschema.SettingsEdit, error) {
+	edit := tree.Edit(subtree)
+	for edit != nil && edit.GetRevision() > uint64(above) {
+		if match(edit) {
+			return edit, nil
+		}
+		if edit.GetPreviousEditId() == "" {
+			return nil, nil
+		}
+		var err error
+		previous := cassiasettings.EditID(edit.GetPreviousEditId())
+		if edit, err = s.getEdit(ctx, subtree, previous); err != nil {
+			return nil, err
+		}
+		if edit == nil {
+			return nil, eris.Errorf("edit %s of subtree %s is not in the store; restore it from the platform's backup", previous, subtree)
+		}
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/io/cassiatree/handler.go
@@ -0,0 +1,210 @@
+package cassiatree
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/core/cassiasettings"
+	"cassiasaddle/io/cassiastore"
+)
+
+const (
+	// maxRequestBytes leaves room for the JSON escapes of a text of the largest size.
+	maxRequestBytes       = 4 * cassiasettings.MaxSubtreeBytes
+	defaultHistoryEntries = 20
+)
+
+// operation answers one kind of request.
+type operation[Request, Reply any] func(ctx context.Context, c call, request Request) (Reply, error)
+
+// call is what all operations take from the HTTP request.
+type call struct {
+	subtree cassiasettings.Subtree
+	token   string
+	query   func(name string) string
+}
+
+// none is the body of a request that has none.
+type none struct{}
+
+// Handler serves /v1/settings/ on the operator port.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /v1/settings/inForce", handle(s.inForce))
+	mux.Handle("GET /v1/settings/{subtree}", handle(s.get))
+	mux.Handle("GET /v1/settings/{subtree}/history", handle(s.history))
+	mux.Handle("POST /v1/settings/{subtree}/plan", handle(s.plan))
+	mux.Handle("POST /v1/settings/{subtree}/apply", handle(s.apply))
+	mux.Handle("POST /v1/settings/{subtree}/rollback", handle(s.rollback))
+	return mux
+}
+
+func handle[Request, Reply any](o operation[Request, Reply]) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := call{
+			subtree: cassiasettings.Subtree(r.PathValue("subtree")),
+			token:   strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "),
+			query:   r.URL.Query().Get,
+		}
+		var request Request
+		if err := decodeBody(w, r, &request); err != nil {
+			refuse(w, err)
+			return
+		}
+		reply, err := o(r.Context(), c, request)
+		if err != nil {
+			refuse(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, reply)
+	})
+}
+
+func decodeBody(w http.ResponseWriter, r *http.Request, request any) error {
+	if r.Method == http.MethodGet {
+		return nil
+	}
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(request)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &ErrorReply{Kind: ErrorTooLarge, Status: http.StatusRequestEntityTooLarge,
+			Message: "the request is too large; a subtree may have " + strconv.Itoa(cassiasettings.MaxSubtreeBytes) + " bytes"}
+	case err != nil && !errors.Is(err, io.EOF):
+		return badRequest("the body is not the expected JSON: " + err.Error())
+	}
+	return nil
+}
+
+func badRequest(message string) error {
+	return &ErrorReply{Kind: ErrorBadRequest, Status: http.StatusBadRequest, Message: message}
+}
+
+func refuse(w http.ResponseWriter, err error) {
+	reply := errorReply(err)
+	writeJSON(w, reply.Status, reply)
+}
+
+func writeJSON(w http.ResponseWriter, status int, reply any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+func errorReply(err error) *ErrorReply {
+	var ready *ErrorReply
+	var invalid *cassiasettings.InvalidError
+	var conflict *cassiasettings.ConflictError
+	var forbidden *cassiasettings.ForbiddenError
+	var unknown *OutcomeUnknownError
+	var unavailable *UnavailableError
+	var used *EditIDUsedError
+	var store *cassiastore.Error
+	reply := &ErrorReply{Message: err.Error()}
+	switch {
+	case errors.As(err, &ready):
+		return ready
+	case errors.As(err, &unknown):
+		reply.Kind, reply.Status = ErrorOutcomeUnknown, http.StatusGatewayTimeout
+	case errors.As(err, &unavailable):
+		reply.Kind, reply.Status = ErrorUnavailable, http.StatusServiceUnavailable
+	case errors.As(err, &invalid):
+		reply.Kind, reply.Status, reply.Problems = ErrorInvalid, http.StatusUnprocessableEntity, invalid.Problems
+	case errors.As(err, &conflict):
+		reply.Kind, reply.Status, reply.Conflict = ErrorConflict, http.StatusConflict, conflict
+	case errors.As(err, &forbidden):
+		reply.Kind, reply.Status = ErrorForbidden, http.StatusForbidden
+	case errors.As(err, &used):
+		reply.Kind, reply.Status = ErrorBadRequest, http.StatusBadRequest
+	case errors.As(err, &store) && store.Kind == cassiastore.TooLarge:
+		reply.Kind, reply.Status = ErrorTooLarge, http.StatusRequestEntityTooLarge
+	case errors.As(err, &store):
+		reply.Kind, reply.Status = ErrorUnavailable, http.StatusServiceUnavailable
+	default:
+		reply.Kind, reply.Status = ErrorInternal, http.StatusInternalServerError
+	}
+	return reply
+}
+
+func (s *Service) apply(ctx context.Context, c call, r EditRequest) (Accepted, error) {
+	if r.EditID == "" {
+		return Accepted{}, badRequest("editId is missing; send a new UUID for each edit")
+	}
+	return s.Apply(ctx, proposal(c, r), c.token)
+}
+
+func (s *Service) plan(ctx context.Context, c call, r EditRequest) (PlanReply, error) {
+	diff, err := s.Plan(ctx, proposal(c, r), c.token)
+	return PlanReply{Diff: diff}, err
+}
+
+func proposal(c call, r EditRequest) cassiasettings.Proposal {
+	return cassiasettings.Proposal{Subtree: c.subtree, Base: r.BaseRevision, EditID: r.EditID, Author: r.Author,
+		YAML: []byte(r.YAML)}
+}
+
+// rollback applies the text of an earlier revision as a new edit.
+func (s *Service) rollback(ctx context.Context, c call, r RollbackRequest) (Accepted, error) {
+	if r.EditID == "" {
+		return Accepted{}, badRequest("editId is missing; send a new UUID for each edit")
+	}
+	now, err := s.readStored(ctx)
+	if err != nil {
+		return Accepted{}, &UnavailableError{err}
+	}
+	if err := cassiasettings.Authorize(now.tree, s.config.AdminTokenSHA256, c.subtree, c.token); err != nil {
+		return Accepted{}, err
+	}
+	base := now.tree.Revision(c.subtree)
+	mine, err := s.findEdit(ctx, now.tree, c.subtree, r.ToRevision,
+		func(edit *cassiaschema.SettingsEdit) bool { return edit.GetEditId() == string(r.EditID) })
+	if err != nil {
+		return Accepted{}, err
+	}
+	if mine != nil {
+		base = cassiaid.Revision(mine.GetRevision()) - 1
+	}
+	edit, err := s.revision(ctx, now.tree, c.subtree, r.ToRevision)
+	if err != nil {
+		return Accepted{}, err
+	}
+	return s.Apply(ctx, cassiasettings.Proposal{Subtree: c.subtree, Base: base,
+		EditID: r.EditID, Author: r.Author, YAML: edit.GetYaml()}, c.token)
+}
+
+// inForce lists the members' generations; with ask=true it asks those that are behind the generation wanted.
+func (s *Service) inForce(ctx context.Context, c call, _ none) (InForceReply, error) {
+	wanted, err := number(c, "generation")
+	if err != nil {
+		return InForceReply{}, err
+	}
+	if c.query("ask") == "true" {
+		s.askMembers(ctx, cassiaid.Generation(wanted))
+	}
+	return InForceReply{Generation: s.Generation(), Members: s.membersInForce()}, nil
+}
+
+func number(c call, name string) (uint64, error) {
+	text := c.query(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, badRequest(name + " is not a whole number")
+	}
+	return n, nil
+}
+
+func notFound(message string) error {
+	return &ErrorReply{Kind: ErrorNotFound, Status: http.StatusNotFound, Message: message}
+}
--- /dev/null
+++ b/io/cassiatree/history.go
@@ -0,0 +1,185 @@
+package cassiatree
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/core/cassiasettings"
+)
+
+// authorizeRead lets anyone who reaches the operator port read a team's subtree; the root needs its token.
+func (s *Service) authorizeRead(tree *cassiasettings.Tree, c call) error {
+	if c.subtree != cassiasettings.RootSubtree {
+		return nil
+	}
+	return cassiasettings.Authorize(tree, s.config.AdminTokenSHA256, c.subtree, c.token)
+}
+
+// get returns an edit: by its id, by its revision, or the one in force.
+func (s *Service) get(ctx context.Context, c call, _ none) (EditReply, error) {
+	if err := s.authorizeRead(s.Current(), c); err != nil {
+		return EditReply{}, err
+	}
+	revision, err := number(c, "revision")
+	if err != nil {
+		return EditReply{}, err
+	}
+	now, err := s.readStored(ctx)
+	id := cassiasettings.EditID(c.query("edit"))
+	if err != nil {
+		return s.getOffline(c.subtree, id, cassiaid.Revision(revision), err)
+	}
+	edit := now.tree.Edit(c.subtree)
+	switch {
+	case id != "":
+		return s.getByID(ctx, now.tree, c.subtree, id)
+	case revision != 0:
+		edit, err = s.revision(ctx, now.tree, c.subtree, cassiaid.Revision(revision))
+	}
+	if err != nil {
+		return EditReply{}, err
+	}
+	if edit == nil {
+		return EditReply{}, notFound(fmt.Sprintf("subtree %q does not exist; apply it with --base-revision 0", c.subtree))
+	}
+	return editReply(edit, now.tree, true, true), nil
+}
+
+// getOffline answers from what is in force on this VM while the store cannot be read.
+func (s *Service) getOffline(subtree cassiasettings.Subtree, id cassiasettings.EditID, revision cassiaid.Revision,
+	cause error) (EditReply, error) {
+	edit := s.Current().Edit(subtree)
+	known := edit != nil && (id == "" || string(id) == edit.GetEditId()) &&
+		(revision == 0 || uint64(revision) == edit.GetRevision())
+	if !known {
+		return EditReply{}, &UnavailableError{cause}
+	}
+	reply := editReply(edit, s.Current(), true, true)
+	reply.StoreRead = false
+	return reply, nil
+}
+
+func (s *Service) getByID(ctx context.Context, tree *cassiasettings.Tree, subtree cassiasettings.Subtree,
+	id cassiasettings.EditID) (EditReply, error) {
+	edit, err := s.getEdit(ctx, subtree, id)
+	if err != nil {
+		return EditReply{}, err
+	}
+	if edit == nil {
+		return EditReply{}, notFound(fmt.Sprintf("edit %s never reached the store, so it was not accepted; apply it again", id))
+	}
+	found, err := s.findEdit(ctx, tree, subtree, cassiaid.Revision(edit.GetRevision()-1),
+		func(e *cassiaschema.SettingsEdit) bool { return e.GetEditId() == string(id) })
+	if err != nil {
+		return EditReply{}, err
+	}
+	return editReply(edit, tree, found != nil, true), nil
+}
+
+// revision returns the accepted edit of a revision.
+func (s *Service) revision(ctx context.Context, tree *cassiasettings.Tree, subtree cassiasettings.Subtree,
+	revision cassiaid.Revision) (*cassiaschema.SettingsEdit, error) {
+	missing := notFound(fmt.Sprintf("subtree %q has no revision %d; see settings history", subtree, revision))
+	if revision == 0 {
+		return nil, missing
+	}
+	edit, err := s.findEdit(ctx, tree, subtree, revision-1,
+		func(e *cassiaschema.SettingsEdit) bool { return e.GetRevision() == uint64(revision) })
+	if err != nil {
+		return nil, err
+	}
+	if edit == nil {
+		return nil, missing
+	}
+	return edit, nil
+}
+
+func (s *Service) history(ctx context.Context, c call, _ none) (HistoryReply, error) {
+	if err := s.authorizeRead(s.Current(), c); err != nil {
+		return HistoryReply{}, err
+	}
+	limit, err := number(c, "limit")
+	if err != nil {
+		return HistoryReply{}, err
+	}
+	if limit == 0 {
+		limit = defaultHistoryEntries
+	}
+	limit = min(limit, maxHistoryEntries)
+	now, err := s.readStored(ctx)
+	if err != nil {
+		return HistoryReply{}, &UnavailableError{err}
+	}
+	var reply HistoryReply
+	_, err = s.findEdit(ctx, now.tree, c.subtree, 0, func(e *cassiaschema.SettingsEdit) bool {
+		entry := editReply(e, now.tree, true, false)
+		reply.Edits = append(reply.Edits, entry)
+		return uint64(len(reply.Edits)) >= limit
+	})
+	return reply, err
+}
+
+func editReply(e *cassiaschema.SettingsEdit, tree *cassiasettings.Tree, accepted, withText bool) EditReply {
+	subtree := cassiasettings.Subtree(e.GetSubtree())
+	reply := EditReply{Subtree: subtree, Revision: cassiaid.Revision(e.GetRevision()),
+		EditID: cassiasettings.EditID(e.GetEditId()), Author: e.GetAuthor(), Time: time.UnixMilli(e.GetUnixMillis()).UTC(),
+		Bytes: len(e.GetYaml()), Accepted: accepted, StoreRead: true,
+		InForce: tree.Edit(subtree).GetEditId() == e.GetEditId()}
+	if withText {
+		reply.YAML = string(e.GetYaml())
+	}
+	return reply
+}
+
+// askMembers asks the members that are not known to have a generation which one they have.
+func (s *Service) askMembers(ctx context.Context, wanted cassiaid.Generation) {
+	var asks errgroup.Group
+	asks.SetLimit(parallelSends)
+	for _, m := range s.membersInForce() {
+		if m.Generation >= wanted || m.Name == s.config.Self {
+			continue
+		}
+		asks.Go(func() error {
+			request := &cassiaschema.SettingsRequest{HaveGeneration: math.MaxUint64}
+			state, err := s.request(ctx, m.Name, request)
+			if err == nil {
+				s.confirm(m.Name, cassiaid.Generation(state.GetHead().GetGeneration()))
+			}
+			return nil
+		})
+	}
+	_ = asks.Wait()
+}
+
+func (s *Service) confirm(name cassiaid.VMName, g cassiaid.Generation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmed[name] = g
+}
+
+func (s *Service) membersInForce() []MemberInForce {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	live := make(map[cassiaid.VMName]cassiaid.Generation)
+	members := []MemberInForce{{Name: s.config.Self, AvailabilityZone: s.config.Zone, Generation: s.Generation()}}
+	for _, m := range s.config.Members.Live() {
+		if m.Name == s.config.Self {
+			continue
+		}
+		g := max(m.Generation, s.confirmed[m.Name])
+		live[m.Name] = g
+		members = append(members, MemberInForce{Name: m.Name, AvailabilityZone: m.Zone, Generation: g})
+	}
+	for name := range s.confirmed {
+		if _, ok := live[name]; !ok {
+			delete(s.confirmed, name)
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/io/cassiatree/peer.go
@@ -0,0 +1,55 @@
+package cassiatree
+
+import (
+	"context"
+
+	"github.com/go-kit/log/level"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/core/cassiasettings"
+)
+
+func (s *Service) pull(ctx context.Context, e cassiasettings.Pull) cassiasettings.Message {
+	state, err := s.request(ctx, e.From, e.Request)
+	if err != nil {
+		_ = level.Debug(s.config.Logger).Log("msg", "settings not pulled", "from", e.From, "err", err)
+		return cassiasettings.PullFailed{From: e.From}
+	}
+	return cassiasettings.StateReceived{From: e.From, State: state}
+}
+
+func (s *Service) request(ctx context.Context, to cassiaid.VMName, r *cassiaschema.SettingsRequest) (*cassiaschema.SettingsState, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_SettingsRequest{SettingsRequest: r}}
+	reply, err := s.config.Peers.Exchange(ctx, to, frame)
+	if err != nil {
+		return nil, eris.Wrapf(err, "ask VM %s for settings", to)
+	}
+	body, ok := reply.GetBody().(*cassiaschema.PeerFrame_SettingsState)
+	if !ok {
+		return nil, eris.Errorf("VM %s answered with another frame; check that both run the same version", to)
+	}
+	return body.SettingsState, nil
+}
+
+func (s *Service) push(ctx context.Context, e cassiasettings.PushDigest) error {
+	var sends errgroup.Group
+	sends.SetLimit(parallelSends)
+	for _, to := range e.To {
+		sends.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+			defer cancel()
+			digest := &cassiaschema.SettingsDigest{Generation: uint64(e.Generation)}
+			frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_SettingsDigest{SettingsDigest: digest}}
+			if err := s.config.Peers.Send(ctx, to, frame); err != nil {
+				s.count("digestNotSent")
+			}
+			return nil
+		})
+	}
+	return sends.Wait()
+}
