Fault-injecting relay for TCP and UDP

cause: links between zones are slow, lossy and get cut; no library at hand carries UDP. change: delay, jitter, loss, reorder, duplicate, cut, half-open, by sender prefix, from Go and HTTP. conclusion: go test -race -count=10 passes.

--- /dev/null
+++ b/standin/cassiarelay/datagram.go
@@ -0,0 +1,112 @@
+package cassiarelay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+// flow is the traffic of one sender through a UDP relay.
+type flow struct {
+	sender   netip.AddrPort
+	upstream *net.UDPConn
+	forward  *line
+	back     *line
+}
+
+func (r *Relay) runUDP(ctx context.Context, ready func()) error {
+	address, err := net.ResolveUDPAddr("udp", r.options.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "%s is not an address; write it as IP:port", r.options.Listen)
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return eris.Wrapf(err, "relay cannot listen; free the address %s", r.options.Listen)
+	}
+	if ready != nil {
+		ready()
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		return socket.Close()
+	})
+	group.Go(func() error {
+		flows := map[netip.AddrPort]*flow{}
+		buffer := make([]byte, partBytes)
+		for {
+			n, sender, err := socket.ReadFromUDPAddrPort(buffer)
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			if err != nil {
+				continue
+			}
+			f := flows[sender]
+			if f == nil {
+				if f, err = r.startFlow(ctx, group, socket, sender); err != nil {
+					continue
+				}
+				flows[sender] = f
+			}
+			for _, delay := range r.policy.fate(sender.Addr().Unmap(), n, false, false) {
+				f.forward.add(append([]byte{}, buffer[:n]...), delay)
+			}
+		}
+	})
+	return group.Wait()
+}
+
+// startFlow opens the upstream socket of a sender; it is bound to the sender's IP number.
+func (r *Relay) startFlow(ctx context.Context, group *errgroup.Group, socket *net.UDPConn, sender netip.AddrPort) (*flow, error) {
+	address, err := net.ResolveUDPAddr("udp", r.options.Upstream)
+	if err != nil {
+		return nil, err
+	}
+	upstream, err := net.DialUDP("udp", &net.UDPAddr{IP: sender.Addr().AsSlice()}, address)
+	if err != nil {
+		return nil, err
+	}
+	r.policy.count(func(c *Counters) { c.Connections++ })
+	f := &flow{sender: sender, upstream: upstream, forward: newLine(false), back: newLine(false)}
+	group.Go(func() error {
+		f.forward.run(ctx, func(content []byte) error {
+			_, _ = upstream.Write(content)
+			return nil
+		})
+		return upstream.Close()
+	})
+	group.Go(func() error {
+		f.back.run(ctx, func(content []byte) error {
+			_, _ = socket.WriteToUDPAddrPort(content, sender)
+			return nil
+		})
+		return nil
+	})
+	group.Go(func() error {
+		r.readBack(f)
+		return nil
+	})
+	return f, nil
+}
+
+// readBack takes what comes back from upstream until its socket is closed.
+func (r *Relay) readBack(f *flow) {
+	buffer := make([]byte, partBytes)
+	for {
+		n, err := f.upstream.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		for _, delay := range r.policy.fate(f.sender.Addr().Unmap(), n, true, false) {
+			f.back.add(append([]byte{}, buffer[:n]...), delay)
+		}
+	}
+}
--- /dev/null
+++ b/standin/cassiarelay/relay.go
@@ -0,0 +1,70 @@
+package cassiarelay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+)
+
+// partBytes is the largest datagram or part of a stream that a relay takes at once.
+const partBytes = 64 << 10
+
+// Options name the two ends of a relay.
+type Options struct {
+	// Network is tcp or udp.
+	Network string
+	// Listen is the address that the relay stands in for.
+	Listen string
+	// Upstream is the address that it passes everything on to.
+	Upstream string
+	Seed     uint64
+}
+
+// Relay carries one address's traffic; it works while Run runs.
+type Relay struct {
+	options Options
+	policy  policy
+	wake    chan struct{}
+}
+
+// New returns a relay without faults.
+func New(options Options) *Relay {
+	r := &Relay{options: options, wake: make(chan struct{}, 1)}
+	r.policy.random = rand.New(rand.NewPCG(options.Seed, 1))
+	r.policy.changed = func() {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
+	return r
+}
+
+// Listen returns the address that the relay stands in for.
+func (r *Relay) Listen() string { return r.options.Listen }
+
+// SetFaults replaces the faults for senders without faults of their own.
+func (r *Relay) SetFaults(faults Faults) { r.policy.set(faults) }
+
+// SetFaultsFrom replaces the faults for senders in a prefix, and for the replies to them.
+func (r *Relay) SetFaultsFrom(prefix netip.Prefix, faults Faults) { r.policy.setFrom(prefix, faults) }
+
+// Counters returns what the relay did so far.
+func (r *Relay) Counters() Counters {
+	r.policy.mu.Lock()
+	defer r.policy.mu.Unlock()
+	return r.policy.counters
+}
+
+// Run relays until the context ends; ready is called once when the relay listens.
+func (r *Relay) Run(ctx context.Context, ready func()) error {
+	switch r.options.Network {
+	case "tcp":
+		return r.runTCP(ctx, ready)
+	case "udp":
+		return r.runUDP(ctx, ready)
+	}
+	return eris.Errorf("network %q is not known; use tcp or udp", r.options.Network)
+}
--- /dev/null
+++ b/standin/cassiarelay/relay_test.go
@@ -0,0 +1,201 @@
+package cassiarelay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+)
+
+// patience bounds how long a test waits for something that must happen.
+const patience = 10 * time.Second
+
+// echo starts an echo service and returns its address.
+func echo(t *testing.T, network string) string {
+	c := qt.New(t)
+	var group errgroup.Group
+	if network == "udp" {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		group.Go(func() error {
+			buffer := make([]byte, partBytes)
+			for {
+				n, from, err := socket.ReadFrom(buffer)
+				if err != nil {
+					return nil
+				}
+				_, _ = socket.WriteTo(buffer[:n], from)
+			}
+		})
+		t.Cleanup(func() { _ = socket.Close(); _ = group.Wait() })
+		return socket.LocalAddr().String()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			group.Go(func() error { _, _ = io.Copy(conn, conn); return conn.Close() })
+		}
+	})
+	t.Cleanup(func() { _ = listener.Close(); _ = group.Wait() })
+	return listener.Addr().String()
+}
+
+// freeAddress returns an address that nothing listens on.
+func freeAddress(c *qt.C, network string) string {
+	if network == "udp" {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		defer func() { _ = socket.Close() }()
+		return socket.LocalAddr().String()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// start runs a relay before an echo service and returns it with a connection through it.
+func start(t *testing.T, network string) (*Relay, net.Conn) {
+	c := qt.New(t)
+	upstream := echo(t, network)
+	r := New(Options{Network: network, Listen: freeAddress(c, network), Upstream: upstream, Seed: 1})
+	ctx, stop := context.WithCancel(context.Background())
+	ready := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error { return Set{r}.Run(ctx, func() { close(ready) }) })
+	t.Cleanup(func() {
+		stop()
+		c.Assert(group.Wait(), qt.IsNil)
+	})
+	<-ready
+	return r, dial(t, network, r.Listen())
+}
+
+func dial(t *testing.T, network, address string) net.Conn {
+	conn, err := net.Dial(network, address)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// exchange sends a text and returns what comes back within a time.
+func exchange(c *qt.C, conn net.Conn, text string, within time.Duration) (string, error) {
+	_, err := conn.Write([]byte(text))
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.SetReadDeadline(time.Now().Add(within)), qt.IsNil)
+	buffer := make([]byte, partBytes)
+	n, err := conn.Read(buffer)
+	return string(buffer[:n]), err
+}
+
+func TestDelayBothWays(t *testing.T) {
+	for _, network := range []string{"tcp", "udp"} {
+		c := qt.New(t)
+		r, conn := start(t, network)
+		r.SetFaults(Faults{DelayMs: 20})
+		begin := time.Now()
+		got, err := exchange(c, conn, "hello", patience)
+		c.Assert(err, qt.IsNil)
+		c.Assert(got, qt.Equals, "hello")
+		c.Assert(time.Since(begin) >= 40*time.Millisecond, qt.IsTrue)
+	}
+}
+
+func TestHalfOpenSwallowsAndHeals(t *testing.T) {
+	for _, network := range []string{"tcp", "udp"} {
+		c := qt.New(t)
+		r, conn := start(t, network)
+		for _, faults := range []Faults{{HalfOpen: true}, {SwallowReplies: true}} {
+			r.SetFaults(faults)
+			_, err := exchange(c, conn, "lost", 30*time.Millisecond)
+			c.Assert(err, qt.ErrorMatches, ".*timeout.*")
+			r.SetFaults(Faults{})
+			got, err := exchange(c, conn, "seen", patience)
+			c.Assert(err, qt.IsNil)
+			c.Assert(got, qt.Equals, "seen")
+		}
+		c.Assert(r.Counters().Dropped, qt.Equals, 2)
+	}
+}
+
+func TestCutResetsAndRefusesByPrefix(t *testing.T) {
+	c := qt.New(t)
+	r, conn := start(t, "tcp")
+	r.SetFaultsFrom(netip.MustParsePrefix("127.9.0.0/16"), Faults{Cut: true})
+	got, err := exchange(c, conn, "other prefix", patience)
+	c.Assert(err, qt.IsNil)
+	c.Assert(got, qt.Equals, "other prefix")
+
+	r.SetFaultsFrom(netip.MustParsePrefix("127.0.0.0/16"), Faults{Cut: true})
+	c.Assert(conn.SetReadDeadline(time.Now().Add(patience)), qt.IsNil)
+	_, err = conn.Read(make([]byte, 1))
+	c.Assert(err, qt.ErrorMatches, ".*reset.*|EOF")
+	again := dial(t, "tcp", r.Listen())
+	c.Assert(again.SetReadDeadline(time.Now().Add(patience)), qt.IsNil)
+	_, err = again.Read(make([]byte, 1))
+	c.Assert(err, qt.ErrorMatches, ".*reset.*|EOF")
+}
+
+func TestDatagramFaults(t *testing.T) {
+	c := qt.New(t)
+	r, conn := start(t, "udp")
+	r.SetFaults(Faults{Loss: 1})
+	_, err := exchange(c, conn, "lost", 30*time.Millisecond)
+	c.Assert(err, qt.ErrorMatches, ".*timeout.*")
+
+	r.SetFaults(Faults{Duplicate: 1})
+	_, err = exchange(c, conn, "twice", patience)
+	c.Assert(err, qt.IsNil)
+	for range 3 {
+		_, err = conn.Read(make([]byte, partBytes))
+		c.Assert(err, qt.IsNil)
+	}
+
+	r.SetFaults(Faults{Reorder: 0.5})
+	const count = 200
+	for i := range count {
+		_, err = conn.Write([]byte{byte(i)})
+		c.Assert(err, qt.IsNil)
+	}
+	overtaken, last := false, -1
+	c.Assert(conn.SetReadDeadline(time.Now().Add(patience)), qt.IsNil)
+	buffer := make([]byte, partBytes)
+	for range count {
+		_, err = conn.Read(buffer)
+		c.Assert(err, qt.IsNil)
+		overtaken = overtaken || int(buffer[0]) < last
+		last = int(buffer[0])
+	}
+	c.Assert(overtaken, qt.IsTrue)
+}
+
+func TestControl(t *testing.T) {
+	c := qt.New(t)
+	r := New(Options{Network: "tcp", Listen: "127.0.0.1:1"})
+	handler := Set{r}.ControlHandler()
+	post := func(path, body string) int {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+		return w.Code
+	}
+	c.Assert(post("/standin/relays/127.0.0.1:1/faults", `{"faults":{"delayMs":4}}`), qt.Equals, 204)
+	c.Assert(post("/standin/relays/all/faults", `{"from":"127.9.0.0/16","faults":{"cut":true}}`), qt.Equals, 204)
+	c.Assert(r.policy.of(netip.MustParseAddr("127.0.0.1")).DelayMs, qt.Equals, 4.0)
+	c.Assert(r.policy.of(netip.MustParseAddr("127.9.0.1")).Cut, qt.IsTrue)
+	c.Assert(post("/standin/relays/127.0.0.1:2/faults", `{}`), qt.Equals, 404)
+	c.Assert(post("/standin/relays/all/faults", `{"faults":{"loss":2}}`), qt.Equals, 400)
+	c.Assert(post("/standin/relays/all/faults", `{"from":"x"}`), qt.Equals, 400)
+}
--- /dev/null
+++ b/standin/cassiarelay/stream.go
@@ -0,0 +1,163 @@
+package cassiarelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+// streams are the open connections of a TCP relay by their senders.
+type streams struct {
+	mu    sync.Mutex
+	conns map[*net.TCPConn]netip.Addr
+}
+
+func (s *streams) add(conn *net.TCPConn, sender netip.Addr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[conn] = sender
+}
+
+func (s *streams) remove(conn *net.TCPConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// resetCut resets the connections whose link is cut.
+func (s *streams) resetCut(p *policy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn, sender := range s.conns {
+		if p.of(sender).Cut {
+			reset(conn)
+		}
+	}
+}
+
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+func (r *Relay) runTCP(ctx context.Context, ready func()) error {
+	listener, err := net.Listen("tcp", r.options.Listen)
+	if err != nil {
+		return eris.Wrapf(err, "relay cannot listen; free the address %s", r.options.Listen)
+	}
+	if ready != nil {
+		ready()
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	open := &streams{conns: map[*net.TCPConn]netip.Addr{}}
+	group.Go(func() error {
+		for {
+			select {
+			case <-r.wake:
+				open.resetCut(&r.policy)
+			case <-ctx.Done():
+				return listener.Close()
+			}
+		}
+	})
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			if err != nil {
+				return eris.Wrap(err, "relay cannot accept")
+			}
+			group.Go(func() error {
+				r.relayStream(ctx, conn.(*net.TCPConn), open)
+				return nil
+			})
+		}
+	})
+	return group.Wait()
+}
+
+// relayStream carries one connection until either side ends it.
+func (r *Relay) relayStream(ctx context.Context, client *net.TCPConn, open *streams) {
+	sender := addrOf(client.RemoteAddr())
+	open.add(client, sender)
+	defer open.remove(client)
+	r.policy.count(func(c *Counters) { c.Connections++ })
+	if r.policy.of(sender).Cut {
+		r.policy.count(func(c *Counters) { c.Refused++ })
+		reset(client)
+		return
+	}
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: sender.AsSlice()}}
+	conn, err := dialer.DialContext(ctx, "tcp", r.options.Upstream)
+	if err != nil {
+		reset(client)
+		return
+	}
+	upstream := conn.(*net.TCPConn)
+	open.add(upstream, sender)
+	defer open.remove(upstream)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	closeBoth := context.AfterFunc(ctx, func() {
+		_ = client.Close()
+		_ = upstream.Close()
+	})
+	defer closeBoth()
+
+	var group errgroup.Group
+	group.Go(func() error { r.pump(ctx, stop, client, upstream, sender, false); return nil })
+	group.Go(func() error { r.pump(ctx, stop, upstream, client, sender, true); return nil })
+	_ = group.Wait()
+	_ = client.Close()
+	_ = upstream.Close()
+}
+
+// pump carries one direction of a connection.
+func (r *Relay) pump(ctx context.Context, stop func(), from, to *net.TCPConn, sender netip.Addr, reply bool) {
+	l := newLine(true)
+	var group errgroup.Group
+	group.Go(func() error {
+		l.run(ctx, func(content []byte) error {
+			_, err := to.Write(content)
+			if err != nil {
+				stop()
+			}
+			return err
+		})
+		_ = to.CloseWrite()
+		return nil
+	})
+	buffer := make([]byte, partBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			for _, delay := range r.policy.fate(sender, n, reply, true) {
+				l.add(append([]byte{}, buffer[:n]...), delay)
+			}
+		}
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) && !errors.Is(err, io.EOF) {
+				stop()
+			}
+			break
+		}
+	}
+	l.end()
+	_ = group.Wait()
+}
+
+func addrOf(a net.Addr) netip.Addr {
+	parsed, err := netip.ParseAddrPort(a.String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return parsed.Addr().Unmap()
+}
