--- a/cmd/cassiasaddle/settings.go
+++ b/cmd/cassiasaddle/settings.go
@@ -20,9 +20,8 @@
 	"cassiasaddle/io/cassiatree"
 )
 
-// Exit codes of the settings commands.
+// Exit codes of the settings commands, besides exitOK and exitFailed.
 const (
-	exitFailed         = 1
 	exitInvalid        = 2
 	exitConflict       = 3
 	exitOutcomeUnknown = 4
