--- a/io/cassiaserver/config.go
+++ b/io/cassiaserver/config.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "the configuration can't be read; name an existing file with --config")
 	}
-	config, err := cassiasettings.ParseVMConfig(cassiasettings.Text{Name: path, Content: text})
+	config, err := cassiasettings.ParseVMConfig(cassiasettings.Text{File: path, YAML: text})
 	if err != nil {
 		return nil, err
 	}
