--- /dev/null
+++ b/test/cluster_test.go
@@ -0,0 +1,395 @@
+package test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/standin/cassiashard"
+)
+
+const (
+	adminToken = "admin-token"
+	teamToken  = "team-token"
+	team       = "salon"
+	// settingsBound is the stated time in which accepted settings are in force on every VM.
+	settingsBound = 5 * time.Second
+	callTimeout   = 10 * time.Second
+)
+
+// layout describes a cluster to start.
+type layout struct {
+	zones      []string
+	vmsPerZone int
+	fronts     []*cassiaschema.Front
+	// behaviour is a JSON object that changes the targets' default behaviour.
+	behaviour string
+}
+
+// cluster is a platform, targets and VMs, each a process of its own.
+type cluster struct {
+	t        testing.TB
+	layout   layout
+	dir      string
+	host     int
+	platform string
+	control  string
+	process  map[string]*process
+	vms      []*vm
+}
+
+// vm is one VM of the cluster.
+type vm struct {
+	name, zone                       string
+	callers, operators, peer, gossip string
+	config                           string
+	process                          *process
+}
+
+// clusters counts the clusters of this test process, so that each has loopback addresses of its own.
+var clusters int
+
+// startCluster starts everything and applies the settings by the command line.
+func startCluster(t testing.TB, l layout) *cluster {
+	t.Helper()
+	clusters++
+	c := &cluster{t: t, layout: l, dir: t.TempDir(), process: map[string]*process{}}
+	c.startStandins()
+	for _, zone := range l.zones {
+		for i := range l.vmsPerZone {
+			c.addVM(fmt.Sprintf("vm-%s-%d", zone, i+1), zone)
+		}
+	}
+	c.makeKeys()
+	for _, v := range c.vms {
+		c.startVM(v)
+	}
+	c.apply("root", c.rootYAML(), adminToken)
+	c.apply(team, c.teamYAML(l.fronts), teamToken)
+	c.waitOwners()
+	return c
+}
+
+// address returns a free address on the next loopback host of this cluster.
+func (c *cluster) address() string {
+	c.host++
+	return freeAddress(c.t, fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, clusters%250, c.host))
+}
+
+func (c *cluster) startStandins() {
+	c.platform, c.control = c.address(), c.address()
+	for _, f := range c.layout.fronts {
+		for _, s := range f.Shards {
+			for _, r := range s.Targets {
+				if r.Address == "" {
+					r.Address = c.targetAddress(r.Name)
+				}
+			}
+		}
+	}
+	file := c.write("team.json.yaml", c.teamYAML(c.layout.fronts))
+	c.process["platform"] = start(c.t, "cassiastandin", "platform", "--listen", c.platform).waitReady(c.t)
+	arguments := []string{"targets", "--settings", file, "--control", c.control}
+	if c.layout.behaviour != "" {
+		arguments = append(arguments, "--behaviour", c.layout.behaviour)
+	}
+	c.process["targets"] = start(c.t, "cassiastandin", arguments...).waitReady(c.t)
+}
+
+// targetAddress returns the address of a target; fronts that name the same target share it.
+func (c *cluster) targetAddress(name string) string {
+	for _, f := range c.layout.fronts {
+		for _, s := range f.Shards {
+			for _, r := range s.Targets {
+				if r.Name == name && r.Address != "" {
+					return r.Address
+				}
+			}
+		}
+	}
+	return c.address()
+}
+
+func (c *cluster) addVM(name, zone string) *vm {
+	v := &vm{name: name, zone: zone, callers: c.address(), operators: c.address(), peer: c.address(), gossip: c.address()}
+	c.vms = append(c.vms, v)
+	body := map[string]string{
+		"name": name, "region": "region-1", "availabilityZone": zone,
+		"peerAddress": v.peer, "gossipAddress": v.gossip, "state": "live",
+	}
+	c.send(http.MethodPut, "http://"+c.platform+"/v1/vms/"+name, body)
+	return v
+}
+
+func (c *cluster) makeKeys() {
+	arguments := []string{"keys", "--directory", c.dir}
+	for _, v := range c.vms {
+		arguments = append(arguments, v.name)
+	}
+	status, output := runCommand(c.t, "cassiasaddle", arguments...)
+	qt.Assert(c.t, status, qt.Equals, 0, qt.Commentf("%s", output))
+}
+
+// startVM starts a VM's process; it is waited for by apply or by the caller.
+func (c *cluster) startVM(v *vm) {
+	v.config = c.write(v.name+".yaml", fmt.Sprintf(`name: %s
+region: region-1
+availabilityZone: %s
+callerAddress: %s
+operatorAddress: %s
+peerAddress: %s
+gossipAddress: %s
+platformAddress: %s
+adminTokenSha256: %s
+clusterKeyFile: %s
+tls:
+  certificate: %s
+  key: %s
+  authority: %s
+logLevel: debug
+`, v.name, v.zone, v.callers, v.operators, v.peer, v.gossip, c.platform, hash(adminToken),
+		filepath.Join(c.dir, "cluster.key"), filepath.Join(c.dir, v.name+".crt"), filepath.Join(c.dir, v.name+".key"),
+		filepath.Join(c.dir, "authority.crt")))
+	v.process = start(c.t, "cassiasaddle", "serve", "--config", v.config)
+	eventually(c.t, startTimeout, v.name+" is live", func() bool {
+		status, _ := c.tryGet("http://" + v.operators + "/livez")
+		return status == http.StatusOK
+	})
+}
+
+func hash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func (c *cluster) rootYAML() string {
+	return fmt.Sprintf("teams:\n  - name: %s\n    tokenSha256: %s\n", team, hash(teamToken))
+}
+
+func (c *cluster) teamYAML(fronts []*cassiaschema.Front) string {
+	text, err := protojson.Marshal(&cassiaschema.TeamSettings{Team: team, Fronts: fronts})
+	qt.Assert(c.t, err, qt.IsNil)
+	return string(text) // JSON is YAML.
+}
+
+func (c *cluster) write(name, text string) string {
+	path := filepath.Join(c.dir, name)
+	qt.Assert(c.t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path
+}
+
+// apply puts settings in force by the command line and waits until every VM has them.
+func (c *cluster) apply(subtree, text, token string) {
+	c.t.Helper()
+	status, output := c.tryApply(subtree, text, token, c.revision(subtree))
+	qt.Assert(c.t, status, qt.Equals, 0, qt.Commentf("%s", output))
+}
+
+func (c *cluster) tryApply(subtree, text, token string, base uint64) (int, string) {
+	file := c.write(subtree+".yaml", text)
+	return runCommand(c.t, "cassiasaddle", "settings", "apply", "--address", c.vms[0].operators, "--token", token,
+		"--subtree", subtree, "--base-revision", fmt.Sprint(base), "--wait", settingsBound.String(), file)
+}
+
+// revision returns the revision of a subtree in force, 0 when there is none.
+func (c *cluster) revision(subtree string) uint64 {
+	var edit struct{ Revision uint64 }
+	request, err := http.NewRequest(http.MethodGet, "http://"+c.vms[0].operators+"/v1/settings/"+subtree, nil)
+	qt.Assert(c.t, err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer "+adminToken)
+	if subtree == team {
+		request.Header.Set("Authorization", "Bearer "+teamToken)
+	}
+	reply, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer reply.Body.Close()
+	if json.NewDecoder(reply.Body).Decode(&edit) != nil {
+		return 0
+	}
+	return edit.Revision
+}
+
+// status is a VM's status as operators see it.
+type status struct {
+	Ready              bool
+	SettingsGeneration uint64
+	Members            []struct {
+		Name, AvailabilityZone, State string
+		SettingsGeneration            uint64
+	}
+	Owners []struct {
+		Front, Zone string
+		Owners      []string
+	}
+}
+
+func (c *cluster) status(v *vm) status {
+	var s status
+	code, body := c.tryGet("http://" + v.operators + "/v1/status")
+	if code == http.StatusOK {
+		qt.Assert(c.t, json.Unmarshal(body, &s), qt.IsNil)
+	}
+	return s
+}
+
+// waitOwners waits until every VM knows all others and sees an owner for each slice.
+func (c *cluster) waitOwners() {
+	c.t.Helper()
+	for _, v := range c.vms {
+		eventually(c.t, startTimeout, v.name+" knows members and owners", func() bool {
+			s := c.status(v)
+			if !s.Ready || len(s.Members) != len(c.vms) || len(s.Owners) == 0 {
+				return false
+			}
+			for _, o := range s.Owners {
+				if len(o.Owners) == 0 {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// answer is what a caller receives, an answer or a refusal.
+type answer struct {
+	Status        int `json:"-"`
+	Header        http.Header
+	RequestID     string
+	Snapshot      uint64
+	ShardMapEpoch uint64
+	Coverage      struct {
+		Asked, Answered int
+		Fraction        float64
+		Missing         []struct{ Shard, Reason string }
+	}
+	Rows []struct {
+		Shard    string
+		Snapshot uint64
+		BodyHash string
+	}
+	Kind, Message, Ran string
+	RetryAfterMs       int64
+	Took               time.Duration `json:"-"`
+}
+
+// ask sends a caller's request to a VM; headers are pairs of names and values.
+func (c *cluster) ask(v *vm, front, body string, headers ...string) answer {
+	c.t.Helper()
+	a, err := tryAsk(v, front, body, headers...)
+	qt.Assert(c.t, err, qt.IsNil)
+	return a
+}
+
+func tryAsk(v *vm, front, body string, headers ...string) (answer, error) {
+	var a answer
+	request, err := http.NewRequest(http.MethodPost, "http://"+v.callers+"/v1/teams/"+team+"/fronts/"+front+"/query", strings.NewReader(body))
+	if err != nil {
+		return a, err
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	client := http.Client{Timeout: callTimeout}
+	begun := time.Now()
+	reply, err := client.Do(request)
+	if err != nil {
+		return a, err
+	}
+	defer reply.Body.Close()
+	text, err := io.ReadAll(reply.Body)
+	if err != nil {
+		return a, err
+	}
+	a.Status, a.Header, a.Took = reply.StatusCode, reply.Header, time.Since(begun)
+	return a, json.Unmarshal(text, &a)
+}
+
+// behave changes the behaviour of a target, or of all targets.
+func (c *cluster) behave(target, patch string) {
+	c.t.Helper()
+	c.send(http.MethodPost, "http://"+c.control+"/standin/targets/"+target+"/behaviour", json.RawMessage(patch))
+}
+
+// executions returns what the targets logged.
+func (c *cluster) executions() []cassiashard.Execution {
+	c.t.Helper()
+	var reply cassiashard.LogReply
+	code, body := c.tryGet("http://" + c.control + "/standin/targets/all/log")
+	qt.Assert(c.t, code, qt.Equals, http.StatusOK)
+	qt.Assert(c.t, json.Unmarshal(body, &reply), qt.IsNil)
+	return reply.Entries
+}
+
+// faults sets the platform's faults.
+func (c *cluster) faults(patch string) {
+	c.t.Helper()
+	c.send(http.MethodPost, "http://"+c.platform+"/standin/faults", json.RawMessage(patch))
+}
+
+func (c *cluster) send(method, url string, body any) {
+	c.t.Helper()
+	text, err := json.Marshal(body)
+	qt.Assert(c.t, err, qt.IsNil)
+	request, err := http.NewRequest(method, url, bytes.NewReader(text))
+	qt.Assert(c.t, err, qt.IsNil)
+	reply, err := http.DefaultClient.Do(request)
+	qt.Assert(c.t, err, qt.IsNil)
+	defer reply.Body.Close()
+	text, err = io.ReadAll(reply.Body)
+	qt.Assert(c.t, err, qt.IsNil)
+	qt.Assert(c.t, reply.StatusCode < 300, qt.IsTrue, qt.Commentf("%s %s: %d %s", method, url, reply.StatusCode, text))
+}
+
+func (c *cluster) tryGet(url string) (int, []byte) {
+	client := http.Client{Timeout: callTimeout}
+	reply, err := client.Get(url)
+	if err != nil {
+		return 0, nil
+	}
+	defer reply.Body.Close()
+	body, err := io.ReadAll(reply.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return reply.StatusCode, body
+}
+
+// stop ends a VM by SIGTERM and requires exit status 0.
+func (c *cluster) stop(v *vm) {
+	c.t.Helper()
+	v.process.signal(syscall.SIGTERM)
+	qt.Assert(c.t, v.process.wait(c.t, startTimeout), qt.Equals, 0)
+}
+
+// front returns a front with the given number of shards, each with one target in each of two zones in turn.
+func newFront(name string, shards int, zones []string) *cassiaschema.Front {
+	f := &cassiaschema.Front{Name: name, ShardMapEpoch: 1, Deadline: durationpb.New(2 * time.Second)}
+	for i := range shards {
+		s := &cassiaschema.Shard{Name: fmt.Sprintf("%s-%02d", name, i)}
+		for r := range min(2, len(zones)) {
+			zone := zones[(i+r)%len(zones)]
+			s.Targets = append(s.Targets, &cassiaschema.Target{Name: fmt.Sprintf("%s-%02d-%s", name, i, zone), AvailabilityZone: zone})
+		}
+		f.Shards = append(f.Shards, s)
+	}
+	return f
+}
+
