--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -392,4 +392,3 @@
 	}
 	return f
 }
-
