Add the quarantine of requests that crash their targets

Cause: a request that crashes each target and is sent again and again has to stop after two targets. Ruled out: gossip alone (a caller sends again faster than gossip travels); counting losses without asking what else ran on the target (an innocent companion would be blamed). Change: core/cassiaquarantine, a package of its own since its messages and effects are its own. A loss is shared with the front's owners before it is reported; a suspect runs alone; an answer clears it. Conclusion: needs the rim to wait for the loss notice's replies before it reports the attempt.

--- /dev/null
+++ b/core/cassiaquarantine/admit.go
@@ -0,0 +1,96 @@
+package cassiaquarantine
+
+import (
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+// Verdict tells whether an attempt may go to a target.
+type Verdict int
+
+// Verdicts on an attempt.
+const (
+	// VerdictRun lets the attempt run as usual.
+	VerdictRun Verdict = iota
+	// VerdictAlone lets the attempt run while nothing else runs on its target.
+	VerdictAlone
+	// VerdictHold refuses the attempt for the moment, since another one of the same suspect runs.
+	VerdictHold
+	// VerdictRefuse refuses the attempt because its request is quarantined.
+	VerdictRefuse
+)
+
+// Admit decides on an attempt; it is asked when the attempt comes and again before it starts.
+func (q *Quarantine) Admit(f cassiaid.Fingerprint, shard cassiaid.ShardIndex) Verdict {
+	now := q.clock.Now()
+	if q.Remaining(f) > 0 {
+		return VerdictRefuse
+	}
+	if !q.suspected(now, f, shard) {
+		return VerdictRun
+	}
+	if q.retrying(f, shard) {
+		return VerdictHold
+	}
+	return VerdictAlone
+}
+
+// retrying tells whether the suspect already runs alone somewhere, or runs for the same shard.
+func (q *Quarantine) retrying(f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	for _, a := range q.attempts {
+		if a.run.Fingerprint == f && !a.counted && (a.run.Alone || a.run.Shard == shard) {
+			return true
+		}
+	}
+	return false
+}
+
+// suspected tells whether a run of the request's part might lose a target: the part was lost before, or the request
+// was lost on any shard and has been answered by none, or it was quarantined lately.
+func (q *Quarantine) suspected(now time.Time, f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	if q.onParole(now, f) && !q.answeredParts.has(now, Window, runKey{f, shard}) {
+		return true
+	}
+	s := q.suspects[f]
+	if s == nil {
+		return false
+	}
+	q.forgetOld(now, f, s)
+	if len(s.of(shard)) > 0 {
+		return true
+	}
+	return len(s.strikes) > 0 && !q.answered.has(now, Window, f)
+}
+
+// CanaryPolicy tells which fan-outs wait for a first shard's answer.
+type CanaryPolicy int
+
+// Policies for canaries.
+const (
+	// CanaryAfterLosses sends a canary for requests not answered lately while targets are being lost.
+	CanaryAfterLosses CanaryPolicy = iota
+	// CanaryAlways sends a canary for each request not answered lately.
+	CanaryAlways
+	// CanaryNever sends none.
+	CanaryNever
+)
+
+// Canary tells whether a request over many shards has to be answered by one of them before it goes to the others.
+func (q *Quarantine) Canary(f cassiaid.Fingerprint, policy CanaryPolicy) bool {
+	now := q.clock.Now()
+	if policy == CanaryNever || q.answered.has(now, Window, f) {
+		return false
+	}
+	return policy == CanaryAlways || q.losing(now) || q.onParole(now, f)
+}
+
+// losing tells whether a target was lost within the window.
+func (q *Quarantine) losing(now time.Time) bool {
+	for _, l := range q.losses {
+		if now.Sub(l.at) <= Window {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/cassiaquarantine/quarantine_test.go
@@ -0,0 +1,264 @@
+package cassiaquarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+// cluster is a few owners of the targets of one front; losses and quarantines reach all of them before a caller learns.
+type cluster struct {
+	clock  *clockwork.FakeClock
+	owners []*Quarantine
+	deadly map[cassiaid.Fingerprint]bool
+	// crashes counts the targets lost, by the deadly request that ran on them.
+	crashes map[cassiaid.Fingerprint]int
+	refused map[cassiaid.Fingerprint]bool
+	next    cassiaid.AttemptID
+}
+
+func newCluster(owners int, deadly ...cassiaid.Fingerprint) *cluster {
+	k := &cluster{
+		clock:   clockwork.NewFakeClock(),
+		deadly:  map[cassiaid.Fingerprint]bool{},
+		crashes: map[cassiaid.Fingerprint]int{},
+		refused: map[cassiaid.Fingerprint]bool{},
+	}
+	for range owners {
+		k.owners = append(k.owners, NewQuarantine(k.clock))
+	}
+	for _, f := range deadly {
+		k.deadly[f] = true
+	}
+	return k
+}
+
+// update hands a message to one owner and what it shares to all others.
+func (k *cluster) update(owner int, m Message) {
+	for _, e := range k.owners[owner].Update(m) {
+		var shared Message
+		switch e := e.(type) {
+		case ShareLoss:
+			shared = LossLearned(e)
+		case ShareAnswer:
+			shared = AnswerLearned(e)
+		case ShareQuarantine:
+			k.refused[e.Fingerprint] = true
+			shared = Learned(e)
+		}
+		for i := range k.owners {
+			if i != owner {
+				k.update(i, shared)
+			}
+		}
+	}
+}
+
+// start begins an attempt at an owner's target, or returns 0 when it is refused.
+func (k *cluster) start(owner int, f cassiaid.Fingerprint, shard cassiaid.ShardIndex) cassiaid.AttemptID {
+	verdict := k.owners[owner].Admit(f, shard)
+	if verdict == VerdictRefuse || verdict == VerdictHold {
+		return 0
+	}
+	k.next++
+	run := Run{Attempt: k.next, Fingerprint: f, Shard: shard, Alone: verdict == VerdictAlone}
+	k.update(owner, Started{Run: run, Target: targetOf(owner, shard)})
+	return k.next
+}
+
+func targetOf(owner int, shard cassiaid.ShardIndex) cassiaid.TargetName {
+	return cassiaid.TargetName(fmt.Sprintf("t%d-%d", owner, shard))
+}
+
+// run runs a request alone on an owner's target to its end and tells whether it was answered.
+func (k *cluster) run(owner int, f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	id := k.start(owner, f, shard)
+	if id == 0 {
+		return false
+	}
+	k.clock.Advance(5 * time.Millisecond)
+	if k.deadly[f] {
+		k.crashes[f]++
+		k.update(owner, Ended{Attempt: id, Ending: EndingLost})
+		return false
+	}
+	k.update(owner, Ended{Attempt: id, Ending: EndingAnswered})
+	return true
+}
+
+func TestRepeatedDeadlyRequestCrashesTwoTargets(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(8, 1)
+	for i := range 100 {
+		k.run(i%8, 1, 0)
+		k.clock.Advance(100 * time.Millisecond)
+	}
+	c.Assert(k.crashes[1], qt.Equals, 2)
+	c.Assert(k.owners[5].Admit(1, 3), qt.Equals, VerdictRefuse)
+	c.Assert(k.owners[5].Admit(2, 3), qt.Equals, VerdictRun)
+}
+
+func TestParoleAllowsOneMoreLoss(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(4, 1)
+	k.run(0, 1, 0)
+	k.run(1, 1, 0)
+	k.clock.Advance(holdBase + time.Second)
+	k.run(2, 1, 0)
+	k.run(3, 1, 0)
+	c.Assert(k.crashes[1], qt.Equals, 3)
+	c.Assert(k.owners[0].Remaining(1) > holdBase, qt.IsTrue)
+}
+
+// TestCompanionOfADeadlyRequestIsCleared crashes two targets under a deadly request that an innocent one runs beside.
+func TestCompanionOfADeadlyRequestIsCleared(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(2, 1)
+	deadly, innocent := k.start(0, 1, 0), k.start(0, 2, 0)
+	k.update(0, Ended{Attempt: deadly, Ending: EndingLost})
+	k.update(0, Ended{Attempt: innocent, Ending: EndingLost})
+	c.Assert(k.owners[1].Admit(2, 0), qt.Equals, VerdictAlone)
+	k.run(1, 1, 0)
+	c.Assert(k.owners[1].Admit(1, 0), qt.Equals, VerdictRefuse)
+	c.Assert(k.run(1, 2, 0), qt.IsTrue)
+	c.Assert(k.owners[0].Admit(2, 0) == VerdictRefuse, qt.IsFalse)
+}
+
+// TestAmbiguousLossesQuarantineNobody loses two targets that both ran the same two requests.
+func TestAmbiguousLossesQuarantineNobody(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(2)
+	var runs [2][2]cassiaid.AttemptID
+	for owner := range 2 {
+		runs[owner] = [2]cassiaid.AttemptID{k.start(owner, 1, 0), k.start(owner, 2, 0)}
+	}
+	for owner := range 2 {
+		for _, id := range runs[owner] {
+			k.update(owner, Ended{Attempt: id, Ending: EndingLost})
+		}
+	}
+	c.Assert(k.refused, qt.HasLen, 0)
+}
+
+// TestOutageDoesNotBlameARequestInFlight loses a zone's targets under a popular request and under a new one.
+func TestOutageDoesNotBlameARequestInFlight(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(3)
+	const popular, fresh, other = 1, 2, 3
+	c.Assert(k.run(2, popular, 0), qt.IsTrue)
+	first, second := k.start(0, popular, 0), k.start(1, popular, 0)
+	k.update(0, Ended{Attempt: first, Ending: EndingLost})
+	k.update(1, Ended{Attempt: second, Ending: EndingLost})
+	for shard := range cassiaid.ShardIndex(3) {
+		k.update(0, Ended{Attempt: k.start(0, other+cassiaid.Fingerprint(shard), 7+shard), Ending: EndingLost})
+	}
+	k.update(0, Ended{Attempt: k.start(0, fresh, 5), Ending: EndingLost})
+	k.update(1, Ended{Attempt: k.start(1, fresh, 5), Ending: EndingLost})
+	c.Assert(k.refused, qt.HasLen, 0)
+	c.Assert(k.run(2, popular, 0), qt.IsTrue)
+	c.Assert(k.run(2, fresh, 5), qt.IsTrue)
+}
+
+// TestFanOutThatNobodyAnswersIsQuarantined sends one request to many shards at once; all its targets are lost.
+func TestFanOutThatNobodyAnswersIsQuarantined(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(2)
+	var ids []cassiaid.AttemptID
+	for shard := range cassiaid.ShardIndex(10) {
+		ids = append(ids, k.start(0, 1, shard))
+	}
+	for i, id := range ids {
+		c.Assert(k.refused[1], qt.IsFalse, qt.Commentf("after %d losses", i))
+		k.update(0, Ended{Attempt: id, Ending: EndingLost})
+	}
+	c.Assert(k.refused[1], qt.IsTrue)
+}
+
+// TestFanOutOverALostRackIsCleared loses two of ten targets of the only request in flight; the others answer.
+func TestFanOutOverALostRackIsCleared(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(2)
+	var ids []cassiaid.AttemptID
+	for shard := range cassiaid.ShardIndex(10) {
+		ids = append(ids, k.start(0, 1, shard))
+	}
+	for i, id := range ids {
+		ending := EndingAnswered
+		if i < 2 {
+			ending = EndingLost
+		}
+		k.update(0, Ended{Attempt: id, Ending: ending})
+	}
+	c.Assert(k.refused, qt.HasLen, 0)
+	c.Assert(k.run(1, 1, 0), qt.IsTrue)
+}
+
+// TestRequestThatTurnsDeadlyIsQuarantined has a request answered once before each target that runs it is lost.
+func TestRequestThatTurnsDeadlyIsQuarantined(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(8)
+	for owner := range 8 {
+		c.Assert(k.run(owner, 1, 0), qt.IsTrue)
+	}
+	k.deadly[1] = true
+	for owner := range 8 {
+		k.run(owner, 1, 0)
+	}
+	c.Assert(k.crashes[1], qt.Equals, 2)
+}
+
+func TestCanary(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(1)
+	q := k.owners[0]
+	c.Assert(q.Canary(1, CanaryAfterLosses), qt.IsFalse)
+	c.Assert(q.Canary(1, CanaryAlways), qt.IsTrue)
+	q.Update(IdleLost{Target: "t"})
+	c.Assert(q.Canary(1, CanaryAfterLosses), qt.IsTrue)
+	c.Assert(q.Canary(1, CanaryNever), qt.IsFalse)
+	c.Assert(k.run(0, 1, 0), qt.IsTrue)
+	c.Assert(q.Canary(1, CanaryAlways), qt.IsFalse)
+}
+
+// TestBoundHolds repeats deadly requests one after the other at random owners between innocent ones, with one
+// unrelated crash, and judges by the targets lost and by what the innocent callers got.
+func TestBoundHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		owners := rapid.IntRange(2, 8).Draw(t, "owners")
+		k := newCluster(owners, 1)
+		crashAt := rapid.IntRange(0, 59).Draw(t, "unrelatedCrash")
+		for step := range 60 {
+			owner := rapid.IntRange(0, owners-1).Draw(t, "owner")
+			innocent := cassiaid.Fingerprint(rapid.IntRange(2, 5).Draw(t, "innocent"))
+			clear := k.owners[owner].Admit(innocent, 0) == VerdictRun
+			companion := k.start(owner, innocent, 0)
+			if step == crashAt && clear {
+				k.update(owner, Ended{Attempt: companion, Ending: EndingLost})
+				companion = 0
+			}
+			ending := EndingAnswered
+			if verdict := k.owners[owner].Admit(1, 0); verdict == VerdictRun || verdict == VerdictAlone && companion == 0 {
+				k.run(owner, 1, 0)
+				ending = EndingLost
+			}
+			if companion != 0 {
+				k.update(owner, Ended{Attempt: companion, Ending: ending})
+			}
+			k.clock.Advance(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
+		}
+		if k.crashes[1] > lossesToBlame {
+			t.Fatalf("%d targets crashed", k.crashes[1])
+		}
+		for f := range k.refused {
+			if f != 1 {
+				t.Fatalf("innocent request %d was quarantined", f)
+			}
+		}
+	})
+}
