--- a/io/cassiaowner/quarantine.go
+++ b/io/cassiaowner/quarantine.go
@@ -14,6 +14,8 @@
 type BlameSharer interface {
 	// ShareLoss tells the owners of the front's targets; it returns when they know or cannot be reached in time.
 	ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss)
+	// ShareAnswer tells the owners of the front's targets that a suspected request was answered.
+	ShareAnswer(front cassiaid.FrontKey, answer cassiaquarantine.ShareAnswer)
 	// ShareQuarantine tells all VMs to refuse a request.
 	ShareQuarantine(fingerprint cassiaid.Fingerprint, remaining time.Duration)
 }
@@ -57,9 +59,19 @@
 	q.share(front, q.update(cassiaquarantine.Ended{Attempt: attempt, Ending: endingOf(result)}))
 }
 
-// Learn takes what other VMs tell and shares what follows.
-func (q *Quarantine) Learn(m cassiaquarantine.Message) {
-	q.share(cassiaid.FrontKey{}, q.update(m))
+// Learn takes what other VMs tell. It returns the answers that this VM can vouch for and shares what else follows.
+func (q *Quarantine) Learn(m cassiaquarantine.Message) []cassiaquarantine.ShareAnswer {
+	var answers []cassiaquarantine.ShareAnswer
+	var others []cassiaquarantine.Effect
+	for _, e := range q.update(m) {
+		if a, ok := e.(cassiaquarantine.ShareAnswer); ok {
+			answers = append(answers, a)
+			continue
+		}
+		others = append(others, e)
+	}
+	q.share(cassiaid.FrontKey{}, others)
+	return answers
 }
 
 // Remaining returns how long a request is still refused, or zero.
@@ -90,6 +102,8 @@
 		switch e := e.(type) {
 		case cassiaquarantine.ShareLoss:
 			q.sharer.ShareLoss(front, e.Loss)
+		case cassiaquarantine.ShareAnswer:
+			q.sharer.ShareAnswer(front, e)
 		case cassiaquarantine.ShareQuarantine:
 			q.sharer.ShareQuarantine(e.Fingerprint, e.Remaining)
 		}
--- a/io/cassiaserver/blame.go
+++ b/io/cassiaserver/blame.go
@@ -18,28 +18,52 @@
 // ShareLoss tells the owners of the front's targets; it returns when they know or cannot be reached in time.
 func (s *server) ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss) {
 	s.metrics.Scope.Counter("targetLosses").Inc(1)
-	message := &cassiaschema.TargetLoss{Target: string(loss.Target)}
+	notice := &cassiaschema.LossNotice{Target: string(loss.Target)}
 	for _, r := range loss.Runs {
-		message.Runs = append(message.Runs, &cassiaschema.LostRun{
+		notice.Runs = append(notice.Runs, &cassiaschema.LostRun{
 			AttemptId: uint64(r.Attempt), Fingerprint: uint64(r.Fingerprint), Shard: uint32(r.Shard), Alone: r.Alone,
 		})
 	}
-	var owners []cassiaid.VMName
-	s.routes.With(func(t *cassiaroute.Table) { owners = t.FrontOwners(front) })
 	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
 	defer cancel()
+	s.eachOwner(front, func(owner cassiaid.VMName) {
+		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNotice{LossNotice: notice}}
+		reply, err := s.node.Exchange(ctx, owner, frame)
+		if err != nil {
+			s.metrics.Scope.Counter("lossNotShared").Inc(1)
+			return
+		}
+		for _, a := range reply.GetLossNoticeReply().GetAnswered() {
+			s.learnAnswer(a)
+		}
+	})
+}
+
+// ShareAnswer tells the owners of the front's targets that a suspected request was answered.
+func (s *server) ShareAnswer(front cassiaid.FrontKey, answer cassiaquarantine.ShareAnswer) {
+	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
+	defer cancel()
+	s.eachOwner(front, func(owner cassiaid.VMName) {
+		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_AnswerNotice{AnswerNotice: answerNotice(answer)}}
+		if err := s.node.Send(ctx, owner, uint64(answer.Fingerprint), frame); err != nil {
+			s.metrics.Scope.Counter("answerNotShared").Inc(1)
+		}
+	})
+}
+
+func answerNotice(a cassiaquarantine.ShareAnswer) *cassiaschema.AnswerNotice {
+	return &cassiaschema.AnswerNotice{Fingerprint: uint64(a.Fingerprint), Shard: uint32(a.Shard), Earlier: a.Earlier}
+}
+
+// eachOwner calls f for every other owner of a front's targets at once and waits for all.
+func (s *server) eachOwner(front cassiaid.FrontKey, f func(owner cassiaid.VMName)) {
+	var owners []cassiaid.VMName
+	s.routes.With(func(t *cassiaroute.Table) { owners = t.FrontOwners(front) })
 	var group errgroup.Group
 	for _, owner := range owners {
-		if owner == s.self {
-			continue
+		if owner != s.self {
+			group.Go(func() error { f(owner); return nil })
 		}
-		group.Go(func() error {
-			frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_TargetLoss{TargetLoss: message}}
-			if _, err := s.node.Exchange(ctx, owner, frame); err != nil {
-				s.metrics.Scope.Counter("targetLossNotShared").Inc(1)
-			}
-			return nil
-		})
 	}
 	group.Wait() //nolint:errcheck // the calls return no error
 }
@@ -56,16 +80,27 @@
 	s.gossip.AddLeavingTarget(notice.Target, notice.Leaving, notice.Remaining)
 }
 
-// learnLoss takes another owner's loss.
-func (s *server) learnLoss(message *cassiaschema.TargetLoss) {
-	loss := cassiaquarantine.Loss{Target: cassiaid.TargetName(message.Target)}
-	for _, r := range message.Runs {
+// learnLoss takes another owner's loss and vouches for requests that this VM's targets have answered.
+func (s *server) learnLoss(notice *cassiaschema.LossNotice) *cassiaschema.LossNoticeReply {
+	loss := cassiaquarantine.Loss{Target: cassiaid.TargetName(notice.Target)}
+	for _, r := range notice.Runs {
 		loss.Runs = append(loss.Runs, cassiaquarantine.Run{
 			Attempt: cassiaid.AttemptID(r.AttemptId), Fingerprint: cassiaid.Fingerprint(r.Fingerprint),
 			Shard: cassiaid.ShardIndex(r.Shard), Alone: r.Alone,
 		})
 	}
-	s.quarantine.Learn(cassiaquarantine.LossLearned{Loss: loss})
+	reply := &cassiaschema.LossNoticeReply{}
+	for _, a := range s.quarantine.Learn(cassiaquarantine.LossLearned{Loss: loss}) {
+		reply.Answered = append(reply.Answered, answerNotice(a))
+	}
+	return reply
+}
+
+// learnAnswer takes that a suspected request was answered elsewhere.
+func (s *server) learnAnswer(a *cassiaschema.AnswerNotice) {
+	s.quarantine.Learn(cassiaquarantine.AnswerLearned{
+		Fingerprint: cassiaid.Fingerprint(a.Fingerprint), Shard: cassiaid.ShardIndex(a.Shard), Earlier: a.Earlier,
+	})
 }
 
 // learnQuarantine takes another VM's quarantine.
--- a/io/cassiaserver/frames.go
+++ b/io/cassiaserver/frames.go
@@ -27,9 +27,11 @@
 		s.owner.Cancel(body.CancelAttempts)
 	case *cassiaschema.PeerFrame_KnowledgeRequest:
 		s.group.Go(func() error { s.replyKnowledge(from, body.KnowledgeRequest, reply); return nil })
-	case *cassiaschema.PeerFrame_TargetLoss:
-		s.learnLoss(body.TargetLoss)
-		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_TargetLossAck{TargetLossAck: &cassiaschema.TargetLossAck{}}})
+	case *cassiaschema.PeerFrame_LossNotice:
+		answered := s.learnLoss(body.LossNotice)
+		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: answered}})
+	case *cassiaschema.PeerFrame_AnswerNotice:
+		s.learnAnswer(body.AnswerNotice)
 	default:
 		if answer := s.tree.HandleFrame(from, frame); answer != nil {
 			s.reply(from, reply, answer)
