Check the planner under any schedule of messages

Change: a judge that sees only messages and effects; rapid property and fuzz target; denied hedges ask again with doubled pauses.

--- a/core/cassiaplan/hedge.go
+++ b/core/cassiaplan/hedge.go
@@ -5,6 +5,9 @@
 // maxInFlight bounds the attempts at one shard that run at the same time.
 const maxInFlight = 2
 
+// maxHedgeDenials bounds how often the budget is asked for a shard's hedge; the pauses between double.
+const maxHedgeDenials = 5
+
 // hedge asks a second replica of the shards that take longer than usual.
 func (q *Query) hedge(now time.Time) {
 	if !q.mayHedge() {
@@ -16,14 +19,15 @@
 		if !q.hedgeDue(s, now) {
 			continue
 		}
-		s.hedgeSettled = true
-		s.hedgeAt = now.Add(q.view.HedgeAfter(q.request.Key))
 		options, _ := q.candidates(s, notKnown)
 		if len(options) == 0 {
+			s.hedgeAt = q.request.Deadline
 			continue
 		}
 		if !q.view.TakeHedge(q.request.Key) {
 			q.outbox.count(CountHedgeDenied)
+			s.hedgeDenials++
+			s.hedgeAt = now.Add(q.view.HedgeAfter(q.request.Key) << s.hedgeDenials)
 			continue
 		}
 		q.outbox.count(CountHedge)
@@ -44,5 +48,5 @@
 // hedgeOpen tells whether a shard may still get a hedge.
 func (q *Query) hedgeOpen(s *shard) bool {
 	open := s.inFlight()
-	return s.pending() && open > 0 && open < maxInFlight
+	return s.pending() && open > 0 && open < maxInFlight && s.hedgeDenials < maxHedgeDenials
 }
--- /dev/null
+++ b/core/cassiaplan/judge_test.go
@@ -0,0 +1,168 @@
+package cassiaplan
+
+import (
+	"bytes"
+
+	"pgregory.net/rapid"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// sentAttempt is what the judge saw of one attempt.
+type sentAttempt struct {
+	Attempt
+	batch SendBatch
+	// over is true once the attempt was cancelled, ended or its owner was lost.
+	over bool
+	// proved is true once a result proved that it did not start.
+	proved bool
+	// free is true when it ended without reaching a target.
+	free      bool
+	delivered bool
+}
+
+// judge watches a query from outside: the messages it got and the effects it gave.
+type judge struct {
+	world    *world
+	attempts map[cassiaid.AttemptID]*sentAttempt
+	order    []*sentAttempt
+	finish   *Finish
+	firsts   map[[3]uint64]bool
+	repeats  int
+	freed    int
+	hedges   int
+	versions map[[2]uint64]bool
+	timer    SetTimer
+}
+
+func newJudge(w *world) *judge {
+	return &judge{world: w, attempts: map[cassiaid.AttemptID]*sentAttempt{}, firsts: map[[3]uint64]bool{},
+		versions: map[[2]uint64]bool{}}
+}
+
+func (j *judge) see(t *rapid.T, effects []Effect) {
+	for _, e := range effects {
+		if _, isCount := e.(Count); j.finish != nil && !isCount {
+			t.Fatalf("effect %T after the finish", e)
+		}
+		switch e := e.(type) {
+		case SendBatch:
+			for _, a := range e.Attempts {
+				j.seeSend(t, e, a)
+			}
+		case Cancel:
+			for _, id := range e.Attempts {
+				j.attempts[id].over = true
+			}
+		case SetTimer:
+			j.timer = e
+		case Finish:
+			j.finish = &e
+		}
+	}
+	if j.hedges > j.world.hedgesGranted {
+		t.Fatalf("%d hedges, %d granted", j.hedges, j.world.hedgesGranted)
+	}
+	if j.repeats > j.world.retryGranted+j.freed {
+		t.Fatalf("%d repeats, %d granted and %d free", j.repeats, j.world.retryGranted, j.freed)
+	}
+}
+
+func (j *judge) seeSend(t *rapid.T, b SendBatch, a Attempt) {
+	if j.attempts[a.ID] != nil {
+		t.Fatalf("attempt %d sent twice", a.ID)
+	}
+	if j.world.front.Kind == cassiaschema.RequestKind_nonIdempotent {
+		for _, other := range j.order {
+			if other.Shard == a.Shard && !other.proved {
+				t.Fatalf("shard %d sent again although it may have started", a.Shard)
+			}
+		}
+	}
+	j.versions[[2]uint64{uint64(b.Snapshot), uint64(b.Epoch)}] = true
+	if len(j.versions) > 2 {
+		t.Fatalf("more than one restart: %v", j.versions)
+	}
+	run := [3]uint64{uint64(a.Shard), uint64(b.Snapshot), uint64(b.Epoch)}
+	switch {
+	case a.Hedge:
+		j.hedges++
+	case j.firsts[run]:
+		j.repeats++
+	}
+	j.firsts[run] = true
+	s := &sentAttempt{Attempt: a, batch: b}
+	j.attempts[a.ID] = s
+	j.order = append(j.order, s)
+}
+
+// delivered notes a result before the query sees it.
+func (j *judge) delivered(r *cassiaschema.ShardResult, s *sentAttempt) {
+	free := r.Outcome == cassiaschema.ShardOutcome_notOwner || r.Outcome == cassiaschema.ShardOutcome_vmLeaving
+	if !s.over {
+		s.proved = !r.Started
+		s.free = free && !r.Started
+		if s.free {
+			j.freed++
+		}
+	}
+	s.over, s.delivered = true, true
+}
+
+// verdict checks the final answer against what was sent and delivered.
+func (j *judge) verdict(t *rapid.T) {
+	if j.finish == nil {
+		t.Fatalf("no finish at the deadline")
+	}
+	for _, s := range j.order {
+		if !s.over {
+			t.Fatalf("attempt %d neither ended nor cancelled", s.ID)
+		}
+	}
+	if r := j.finish.Refusal; r != nil {
+		j.judgeRefusal(t, r)
+		return
+	}
+	a := j.finish.Answer
+	if a.Coverage.Answered != len(a.Rows) || a.Coverage.Asked != len(a.Rows)+len(a.Coverage.Missing) {
+		t.Fatalf("false coverage %+v of %d rows", a.Coverage, len(a.Rows))
+	}
+	if a.Coverage.Fraction()+1e-9 < j.world.front.MinCoverage {
+		t.Fatalf("coverage %v below the least", a.Coverage)
+	}
+	seen := map[cassiaid.ShardIndex]bool{}
+	for _, rows := range a.Rows {
+		if seen[rows.Shard] || !j.genuine(a, rows) {
+			t.Fatalf("rows of shard %d twice or from elsewhere: %s", rows.Shard, rows.Rows)
+		}
+		seen[rows.Shard] = true
+	}
+	for _, m := range a.Coverage.Missing {
+		if seen[m.Shard] || m.Reason == "" {
+			t.Fatalf("missing shard %d is answered or has no reason", m.Shard)
+		}
+	}
+}
+
+func (j *judge) judgeRefusal(t *rapid.T, r *Refusal) {
+	for _, s := range j.order {
+		if r.Ran == RanNo && !s.proved {
+			t.Fatalf("refused as not run while attempt %d may have started", s.ID)
+		}
+	}
+	if (r.Kind == RefusalNotRun) != (r.Ran == RanNo) && r.Kind == RefusalNotRun {
+		t.Fatalf("notRun with ran %s", r.Ran)
+	}
+}
+
+// genuine tells whether rows were delivered for this shard by an attempt of the answer's snapshot and shard map.
+func (j *judge) genuine(a *Answer, rows ShardRows) bool {
+	for _, s := range j.order {
+		if s.delivered && s.Shard == rows.Shard && s.batch.Snapshot == a.Snapshot && s.batch.Epoch == a.Epoch &&
+			bytes.Equal(rows.Rows, rowsOf(s.batch, s.Attempt)) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/cassiaplan/query_test.go
+++ b/core/cassiaplan/query_test.go
@@ -299,3 +299,34 @@
 	c.Assert(f.Answer.Coverage.Answered, qt.Equals, 2)
 	c.Assert(f.Answer.Coverage.Missing[0].Reason, qt.Equals, MissingAnswerTooBig)
 }
+
+func TestLoserIsCancelledAsSoonAsItsShardIsMerged(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(2)
+	w.hedges = 1
+	primaries := effectsOf[SendBatch](w.begin())
+	hedges := w.at(20 * time.Millisecond)
+	c.Assert(counted(hedges, CountHedgeDenied), qt.Equals, 1)
+	won := effectsOf[SendBatch](hedges)[0]
+	effects := w.reply(hedges, answer)
+	c.Assert(effectsOf[Finish](effects), qt.HasLen, 0)
+	c.Assert(counted(effects, CountHedgeWon), qt.Equals, 1)
+	c.Assert(effectsOf[Cancel](effects), qt.HasLen, 1)
+	for _, b := range primaries {
+		for _, a := range b.Attempts {
+			if a.Shard == won.Attempts[0].Shard {
+				c.Assert(effectsOf[Cancel](effects)[0], qt.DeepEquals, Cancel{Owner: b.Owner, Attempts: []cassiaid.AttemptID{a.ID}})
+			}
+		}
+	}
+}
+
+func TestQueryPastItsDeadlineSendsNothing(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(3)
+	w.clock.now = epochStart.Add(time.Second)
+	effects := w.begin()
+	c.Assert(effectsOf[SendBatch](effects), qt.HasLen, 0)
+	r := finishOf(c, effects).Refusal
+	c.Assert([]any{r.Kind, r.Ran}, qt.DeepEquals, []any{RefusalNotRun, RanNo})
+}
--- /dev/null
+++ b/core/cassiaplan/schedule_test.go
@@ -0,0 +1,144 @@
+package cassiaplan
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// drawWorld draws a front and what is known of its targets.
+func drawWorld(t *rapid.T) *world {
+	w := newWorld(rapid.IntRange(1, 9).Draw(t, "shards"))
+	w.front.Kind = cassiaschema.RequestKind(rapid.IntRange(0, 1).Draw(t, "kind"))
+	w.front.Fanout = cassiaschema.Fanout(rapid.IntRange(0, 1).Draw(t, "fanout"))
+	w.front.Preference = cassiaschema.Preference(rapid.IntRange(0, 1).Draw(t, "preference"))
+	w.front.MinCoverage = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "minCoverage")
+	w.hedgeAfter = time.Duration(rapid.IntRange(0, 40).Draw(t, "hedgeAfter")) * time.Millisecond
+	w.hedges = rapid.IntRange(0, 5).Draw(t, "hedges")
+	w.retries = rapid.IntRange(0, 5).Draw(t, "retries")
+	held := [][]cassiaid.Snapshot{nil, {41}, {41, 42}, {42, 43}}
+	for _, s := range w.front.Shards {
+		for _, target := range s.Targets {
+			w.targets[cassiaid.TargetName(target.Name)] = TargetView{
+				Held:   rapid.SampledFrom(held).Draw(t, "held"),
+				Epoch:  rapid.SampledFrom([]cassiaid.Epoch{0, 6, 7, 8}).Draw(t, "epoch"),
+				Usable: rapid.IntRange(0, 4).Draw(t, "usable") > 0,
+			}
+		}
+	}
+	if rapid.Bool().Draw(t, "repartitioned") {
+		grown := newWorld(len(w.front.Shards) + 1)
+		grown.front.ShardMapEpoch = 8
+		grown.front.Kind, grown.front.Fanout = w.front.Kind, w.front.Fanout
+		grown.front.MinCoverage, grown.front.Preference = w.front.MinCoverage, w.front.Preference
+		w.newer = grown.front
+	}
+	return w
+}
+
+// drawResult draws an outcome of an attempt, now and then a wrong or foreign one.
+func drawResult(t *rapid.T, s *sentAttempt) (*cassiaschema.ShardResult, bool) {
+	r := answer(s.batch, s.Attempt)
+	genuine := true
+	switch rapid.IntRange(0, 9).Draw(t, "fault") {
+	case 0, 1, 2:
+		r.Outcome = cassiaschema.ShardOutcome(rapid.IntRange(0, 13).Draw(t, "outcome"))
+		r.Started = r.Outcome == cassiaschema.ShardOutcome_answered || rapid.Bool().Draw(t, "started")
+		r.HeldSnapshots = []uint64{uint64(rapid.IntRange(41, 44).Draw(t, "holds"))}
+		r.ShardMapEpoch = uint64(rapid.IntRange(6, 8).Draw(t, "replyEpoch"))
+		r.TargetLost = r.Outcome == cassiaschema.ShardOutcome_failed && r.Started
+		r.Rows = []byte("not rows of this epoch")
+		if r.ShardMapEpoch == uint64(s.batch.Epoch) {
+			r.Rows = rowsOf(s.batch, s.Attempt)
+		}
+	case 3:
+		r.Snapshot++
+		r.Rows = []byte("rows of another snapshot")
+	case 4:
+		r.Shard++
+		r.Rows, genuine = []byte("rows of another shard"), false
+	case 5:
+		r.AttemptId++
+		r.Rows, genuine = []byte("rows of another query"), false
+	}
+	return r, genuine
+}
+
+// drawMessage draws what happens next.
+func drawMessage(t *rapid.T, w *world, j *judge) Message {
+	n := rapid.IntRange(0, 24).Draw(t, "message")
+	switch {
+	case n == 0:
+		return Quarantined{Remaining: time.Second}
+	case n == 1:
+		return CallerGone{}
+	case n < 7 || len(j.order) == 0:
+		w.clock.now = w.clock.now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "pause")) * time.Millisecond)
+		return TimerFired{}
+	}
+	s := rapid.SampledFrom(j.order).Draw(t, "attempt")
+	if n == 7 {
+		return drawOwnerLost(t, s, j)
+	}
+	r, genuine := drawResult(t, s)
+	if genuine {
+		j.delivered(r, s)
+	}
+	return Results{Owner: s.owner(), Results: []*cassiaschema.ShardResult{r}}
+}
+
+func (s *sentAttempt) owner() cassiaid.VMName { return s.batch.Owner }
+
+// drawOwnerLost loses the owner of an attempt with all attempts of its batch.
+func drawOwnerLost(t *rapid.T, s *sentAttempt, j *judge) Message {
+	m := OwnerLost{Owner: s.owner(), Sent: rapid.Bool().Draw(t, "sent")}
+	for _, a := range s.batch.Attempts {
+		m.Attempts = append(m.Attempts, a.ID)
+		other := j.attempts[a.ID]
+		if !other.over {
+			other.proved, other.free = !m.Sent, !m.Sent
+			if other.free {
+				j.freed++
+			}
+		}
+		other.over = true
+	}
+	return m
+}
+
+func checkSchedule(t *rapid.T) {
+	w := drawWorld(t)
+	j := newJudge(w)
+	j.see(t, w.begin())
+	for range rapid.IntRange(0, 60).Draw(t, "messages") {
+		j.see(t, w.query.Update(drawMessage(t, w, j)))
+	}
+	for range 100 {
+		if j.finish != nil {
+			break
+		}
+		w.clock.now = maxTime(w.clock.now, j.timer.At)
+		j.see(t, w.query.Update(TimerFired{}))
+	}
+	j.verdict(t)
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func TestAnySchedule(t *testing.T) { rapid.Check(t, checkSchedule) }
+
+func FuzzSchedule(f *testing.F) {
+	for _, seed := range []string{"", "cassiasaddle", "\x00\x01\x02\x03\x04\x05\x06\x07\xff\xfe\xfd\xfc\x80\x40\x20\x10"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(rapid.MakeFuzz(checkSchedule))
+}
--- a/core/cassiaplan/shard.go
+++ b/core/cassiaplan/shard.go
@@ -23,8 +23,8 @@
 	targetLost bool
 	// hedgeAt is when the next hedge is due.
 	hedgeAt time.Time
-	// hedgeSettled is true once a hedge was sent, denied or found impossible.
-	hedgeSettled bool
+	// hedgeDenials counts how often the budget denied a hedge.
+	hedgeDenials int
 }
 
 func (s *shard) pending() bool { return !s.merged && !s.closed }
