--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -56,6 +56,10 @@
 type Quarantine interface {
 	// Remaining returns how long a fingerprint stays refused, 0 when it is not.
 	Remaining(fingerprint cassiaid.Fingerprint) time.Duration
+	// Canary tells whether one shard has to answer a request before it goes to the others.
+	Canary(fingerprint cassiaid.Fingerprint) bool
+	// Answered notes that a request was answered by a shard.
+	Answered(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex)
 }
 
 // Config holds what an Entry needs.
@@ -78,11 +82,13 @@
 	context context.Context
 	stop    context.CancelFunc
 
-	mutex   sync.Mutex
-	runs    map[cassiaid.QueryID]*run
-	leaving bool
-	quiet   chan struct{}
-	silence silence
+	mutex sync.Mutex
+	runs  map[cassiaid.QueryID]*run
+	// questions is how many callers wait for an answer.
+	questions int
+	leaving   bool
+	quiet     chan struct{}
+	silence   silence
 }
 
 // New returns an entry that answers until Close.
@@ -117,14 +123,24 @@
 
 // Ask answers one question.
 func (e *Entry) Ask(ctx context.Context, question *cassiahttp.Question) ([]byte, *cassiaplan.Refusal) {
-	r, refusal := e.begin(question)
+	fingerprint := fingerprintOf(question)
+	if remaining := e.config.Quarantine.Remaining(fingerprint); remaining > 0 {
+		return nil, &cassiaplan.Refusal{
+			Kind: cassiaplan.RefusalQuarantined, Ran: cassiaplan.RanNo, RetryAfter: remaining,
+			Message: "this request crashed targets before; change it, or ask again after the quarantine",
+		}
+	}
+	if refusal := e.enter(); refusal != nil {
+		return nil, refusal
+	}
+	defer e.exit()
+	sentCanary, refusal := e.askCanary(ctx, question, fingerprint)
 	if refusal != nil {
 		return nil, refusal
 	}
-	defer e.end(r)
-	finish := r.wait(ctx)
+	r, finish := e.run(ctx, question, fingerprint, nil)
 	if finish.Refusal != nil {
-		return nil, finish.Refusal
+		return nil, afterCanary(sentCanary, finish.Refusal)
 	}
 	answer, err := cassiahttp.EncodeAnswer(question.RequestID, r.answeredFront(finish.Answer), finish.Answer)
 	if err != nil {
@@ -136,48 +152,87 @@
 	return answer, nil
 }
 
-// begin registers a run, unless the question is refused at once.
-func (e *Entry) begin(question *cassiahttp.Question) (*run, *cassiaplan.Refusal) {
-	r := &run{
-		entry: e, id: cassiaid.QueryID(uuid.New()), question: question,
-		fingerprint: fingerprintOf(question),
-		events:      newMailbox[event](),
-		sent:        make(map[cassiaid.AttemptID]sentAttempt),
-		asked:       make(map[cassiaid.ShardIndex]bool),
+// askCanary lets one shard answer first while targets are being lost, so that a request which crashes its target does
+// not reach all targets at once.
+func (e *Entry) askCanary(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) (bool, *cassiaplan.Refusal) {
+	shards := cassiaplan.ShardsFor(question.Front, question.ShardKey)
+	if len(shards) < 2 || question.Front.Kind != cassiaschema.RequestKind_idempotent || !e.config.Quarantine.Canary(fingerprint) {
+		return false, nil
 	}
-	if remaining := e.config.Quarantine.Remaining(r.fingerprint); remaining > 0 {
-		return nil, &cassiaplan.Refusal{
-			Kind: cassiaplan.RefusalQuarantined, Ran: cassiaplan.RanNo, RetryAfter: remaining,
-			Message: "this request crashed targets before; change it, or ask again after the quarantine",
-		}
+	e.count("canary")
+	shard := shards[rand.IntN(len(shards))]
+	_, finish := e.run(ctx, question, fingerprint, []cassiaid.ShardIndex{shard})
+	if finish.Refusal != nil {
+		return true, finish.Refusal
+	}
+	e.config.Quarantine.Answered(fingerprint, shard)
+	return true, nil
+}
+
+// afterCanary corrects a refusal of the rest of a request that one shard has run already.
+func afterCanary(sentCanary bool, refusal *cassiaplan.Refusal) *cassiaplan.Refusal {
+	if !sentCanary || refusal.Ran != cassiaplan.RanNo {
+		return refusal
+	}
+	corrected := *refusal
+	corrected.Ran = cassiaplan.RanYes
+	if corrected.Kind == cassiaplan.RefusalNotRun {
+		corrected.Kind = cassiaplan.RefusalOverloaded
+	}
+	return &corrected
+}
+
+// run carries one planner from Begin to Finish; nil shards ask all that the question is for.
+func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, shards []cassiaid.ShardIndex) (*run, *cassiaplan.Finish) {
+	r := &run{
+		entry: e, id: cassiaid.QueryID(uuid.New()), question: question, fingerprint: fingerprint,
+		events: newMailbox[event](),
+		sent:   make(map[cassiaid.AttemptID]sentAttempt),
+		asked:  make(map[cassiaid.ShardIndex]bool),
 	}
 	request := cassiaplan.Request{
-		ID: r.id, Key: question.Key, Front: question.Front, ShardKey: question.ShardKey, Deadline: question.Deadline,
+		ID: r.id, Key: question.Key, Front: question.Front, ShardKey: question.ShardKey, Shards: shards,
+		Deadline: question.Deadline,
 	}
 	e.config.Routes.With(func(t *cassiaroute.Table) {
 		r.query = cassiaplan.NewQuery(request, t, e.config.Clock, randomSource{})
 	})
+	e.mutex.Lock()
+	e.runs[r.id] = r
+	e.mutex.Unlock()
+	defer e.forget(r)
+	return r, r.wait(ctx)
+}
+
+func (e *Entry) forget(r *run) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.runs, r.id)
+}
+
+// enter counts a question in, unless this VM is stopping.
+func (e *Entry) enter() *cassiaplan.Refusal {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.leaving {
-		return nil, &cassiaplan.Refusal{
+		return &cassiaplan.Refusal{
 			Kind: cassiaplan.RefusalNotRun, Ran: cassiaplan.RanNo, RetryAfter: retryAfterLeaving,
 			Message: "this VM is stopping; ask again to reach another VM",
 		}
 	}
-	e.runs[r.id] = r
-	return r, nil
+	e.questions++
+	return nil
 }
 
-func (e *Entry) end(r *run) {
+func (e *Entry) exit() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	delete(e.runs, r.id)
+	e.questions--
 	e.signalQuiet()
 }
 
 func (e *Entry) signalQuiet() {
-	if e.leaving && len(e.runs) == 0 {
+	if e.leaving && e.questions == 0 {
 		select {
 		case <-e.quiet:
 		default:
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -59,9 +59,9 @@
 	Rules      Rules
 	Observer   Observer
 	Quarantine *Quarantine
-	Clock    cassiaplan.Clock
-	Logger   log.Logger
-	Scope    tally.Scope
+	Clock      cassiaplan.Clock
+	Logger     log.Logger
+	Scope      tally.Scope
 }
 
 // Owner serves shard batches on this VM's targets.
--- a/io/cassiaowner/quarantine.go
+++ b/io/cassiaowner/quarantine.go
@@ -88,6 +88,11 @@
 	return q.core.Canary(fingerprint, cassiaquarantine.CanaryAfterLosses)
 }
 
+// Answered notes that a request was answered by a shard.
+func (q *Quarantine) Answered(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) {
+	q.Learn(cassiaquarantine.AnswerLearned{Fingerprint: fingerprint, Shard: shard})
+}
+
 func (q *Quarantine) update(m cassiaquarantine.Message) []cassiaquarantine.Effect {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
