--- a/io/cassiaentry/owners.go
+++ b/io/cassiaentry/owners.go
@@ -30,6 +30,7 @@
 func (e *Entry) send(query cassiaid.QueryID, owner cassiaid.VMName, batch *cassiaschema.ShardBatch) error {
 	ctx, cancel := context.WithTimeout(e.context, min(sendTimeout, batch.Remaining.AsDuration()))
 	defer cancel()
+	batch.SentUnixMicros = e.config.Clock.Now().UnixMicro()
 	frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ShardBatch{ShardBatch: batch}}
 	err := e.config.Peers.Send(ctx, owner, laneOf(query), frame)
 	if err != nil {
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiadelay"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaquarantine"
@@ -77,6 +78,7 @@
 	batches  int
 	quiet    chan struct{}
 	attempts map[cassiaid.AttemptID]*attempt
+	late     map[cassiaid.VMName]*cassiadelay.Lateness
 }
 
 // targetKey tells apart the shares that several fronts have in one target.
@@ -92,6 +94,7 @@
 		config: config, context: ctx, cancel: cancel,
 		targets:  make(map[targetKey]*target),
 		attempts: make(map[cassiaid.AttemptID]*attempt),
+		late:     make(map[cassiaid.VMName]*cassiadelay.Lateness),
 		quiet:    make(chan struct{}),
 	}
 	o.group.Go(func() error { o.watchHealth(); return nil })
@@ -104,7 +107,7 @@
 		return
 	}
 	now := o.config.Clock.Now()
-	deadline := now.Add(request.Remaining.AsDuration() - hopMargin)
+	deadline := now.Add(request.Remaining.AsDuration() - hopMargin - o.lateness(from, request, now))
 	front := cassiaid.FrontKey{Team: cassiaid.TeamName(request.Team), Front: cassiaid.FrontName(request.Front)}
 	b := newBatch(request, deadline, reply, o.batchEnded)
 	b.remote = from != o.config.Self
@@ -129,6 +132,21 @@
 	}
 }
 
+// lateness returns how much of a batch's remaining time passed on its way, for example while this VM was paused.
+func (o *Owner) lateness(from cassiaid.VMName, request *cassiaschema.ShardBatch, now time.Time) time.Duration {
+	if from == o.config.Self || request.SentUnixMicros == 0 {
+		return 0
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	l := o.late[from]
+	if l == nil {
+		l = &cassiadelay.Lateness{}
+		o.late[from] = l
+	}
+	return l.Observe(now, time.UnixMicro(request.SentUnixMicros))
+}
+
 // place finds the target of an attempt, or why it can't be served here.
 func (o *Owner) place(a *attempt, leaving bool) (*target, cassiaschema.ShardOutcome) {
 	if leaving {
