--- a/cmd/cassiasaddle/main.go
+++ b/cmd/cassiasaddle/main.go
@@ -49,7 +49,9 @@
 		Usage:          "a query tier over many shards",
 		Version:        version,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Commands:       []*cli.Command{serveCommand(), versionCommand()},
+		Commands: []*cli.Command{
+			serveCommand(), settingsCommand(), statusCommand(), queryCommand(), keysCommand(), versionCommand(),
+		},
 	}
 }
 
