--- a/standin/cassiashard/fleet.go
+++ b/standin/cassiashard/fleet.go
@@ -19,37 +19,56 @@
 	byName  map[string]*Target
 }
 
-// NewFleet returns a target for each address in the teams' settings, all with the same first behaviour but for
-// connection caps, shards and epochs, which the settings give.
-func NewFleet(teams []*cassiaschema.TeamSettings, behaviour Behaviour, seed uint64) (*Fleet, error) {
-	f := &Fleet{byName: map[string]*Target{}}
-	options := map[string]*Options{}
-	var order []string
+// NewFleet returns a target for each name in the teams' settings. The first behaviour is the team's, but connection
+// caps, shards and epochs are those of the settings.
+func NewFleet(teams []*cassiaschema.TeamSettings, behaviourOf func(team string) Behaviour, seed uint64) (*Fleet, error) {
+	b := fleetBuilder{options: map[string]*Options{}, seed: seed}
 	for _, team := range teams {
-		for _, front := range team.GetFronts() {
-			for _, shard := range front.GetShards() {
-				for _, target := range shard.GetTargets() {
-					o := options[target.GetName()]
-					if o == nil {
-						o = &Options{
-							Name: target.GetName(), Address: target.GetAddress(),
-							AvailabilityZone: target.GetAvailabilityZone(), Seed: seed, Behaviour: behaviour,
-						}
-						options[o.Name] = o
-						order = append(order, o.Name)
-					}
-					if o.Address != target.GetAddress() {
-						return nil, eris.Errorf("target %s has two addresses; give each address its own name", o.Name)
-					}
-					o.add(front, shard.GetName())
+		if err := b.addTeam(team, behaviourOf(team.GetTeam())); err != nil {
+			return nil, err
+		}
+	}
+	f := &Fleet{byName: map[string]*Target{}}
+	for _, name := range b.order {
+		f.add(NewTarget(*b.options[name]))
+	}
+	return f, nil
+}
+
+// fleetBuilder gathers what the settings say of each target.
+type fleetBuilder struct {
+	options map[string]*Options
+	order   []string
+	seed    uint64
+}
+
+func (b *fleetBuilder) addTeam(team *cassiaschema.TeamSettings, behaviour Behaviour) error {
+	for _, front := range team.GetFronts() {
+		for _, shard := range front.GetShards() {
+			for _, target := range shard.GetTargets() {
+				o := b.optionsOf(target, behaviour)
+				if o.Address != target.GetAddress() {
+					return eris.Errorf("target %s has two addresses; give each address its own name", o.Name)
 				}
+				o.add(front, shard.GetName())
 			}
 		}
 	}
-	for _, name := range order {
-		f.add(NewTarget(*options[name]))
+	return nil
+}
+
+// optionsOf returns the options of a target, new ones at its first mention.
+func (b *fleetBuilder) optionsOf(target *cassiaschema.Target, behaviour Behaviour) *Options {
+	o := b.options[target.GetName()]
+	if o == nil {
+		o = &Options{
+			Name: target.GetName(), Address: target.GetAddress(),
+			AvailabilityZone: target.GetAvailabilityZone(), Seed: b.seed, Behaviour: behaviour,
+		}
+		b.options[o.Name] = o
+		b.order = append(b.order, o.Name)
 	}
-	return f, nil
+	return o
 }
 
 // add widens a target's behaviour by a shard of a front.
--- a/standin/cassiashard/target_test.go
+++ b/standin/cassiashard/target_test.go
@@ -268,7 +268,7 @@
 		{ShardMapEpoch: 3, Shards: []*cassiaschema.Shard{shard("s-1", "t-1", "127.0.0.1:1"), shard("s-2", "t-2", "127.0.0.1:2")}},
 		{Shards: []*cassiaschema.Shard{shard("s-3", "t-1", "127.0.0.1:1")}, TargetLimits: &cassiaschema.TargetLimits{MaxConnections: 100}},
 	}}
-	f, err := NewFleet([]*cassiaschema.TeamSettings{team}, DefaultBehaviour(), 1)
+	f, err := NewFleet([]*cassiaschema.TeamSettings{team}, func(string) Behaviour { return DefaultBehaviour() }, 1)
 	c.Assert(err, qt.IsNil)
 	c.Assert(f.Targets(), qt.HasLen, 2)
 	b := f.Target("t-1").Behaviour()
@@ -280,6 +280,6 @@
 	c.Assert(string(content), qt.Contains, `"connectionsRefused":0`)
 
 	team.Fronts[1].Shards[0].Targets[0].Address = "127.0.0.1:9"
-	_, err = NewFleet([]*cassiaschema.TeamSettings{team}, DefaultBehaviour(), 1)
+	_, err = NewFleet([]*cassiaschema.TeamSettings{team}, func(string) Behaviour { return DefaultBehaviour() }, 1)
 	c.Assert(err, qt.ErrorMatches, "target t-1 has two addresses.*")
 }
