Test settings' parsing, checks over teams, proposals and spreading by random schedules

Cause: nothing showed that a VM never goes back or that all get the last edit. Found by the schedules: a VM that stopped watching with a head under way kept a candidate it could no longer fetch and stayed behind for ever; it now drops it and pulls from a peer.

--- /dev/null
+++ b/core/cassiasettings/parse_test.go
@@ -0,0 +1,117 @@
+package cassiasettings
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const goodTeam = `team: kaffi
+fronts:
+  - name: leit
+    deadline: 0.350s
+    shards:
+      - name: s0
+        targets:
+          - {name: t0, address: "10.0.0.1:80", availabilityZone: sud-a}
+          - {name: t1, address: "10.0.0.2:80", availabilityZone: sud-b}
+`
+
+// replaced returns the good text with one part replaced.
+func replaced(old, replacement string) string { return strings.Replace(goodTeam, old, replacement, 1) }
+
+func TestParseRefusesWhole(t *testing.T) {
+	tests := []struct {
+		name   string
+		yaml   string
+		kind   ProblemKind
+		line   int
+		detail string
+	}{
+		{"unknown field", replaced("deadline: 0.350s", "dedline: 0.350s"), ProblemUnknownField, 4, "dedline"},
+		{"constraint", replaced("name: leit", "name: LEIT"), ProblemConstraint, 3, "pattern"},
+		{"constraint of a number", replaced("deadline: 0.350s", "minCoverage: 1.5"), ProblemConstraint, 4, "less than"},
+		{"unknown value", replaced("deadline: 0.350s", "preference: fastest"), ProblemConstraint, 4, "fastest"},
+		{"no shards", "team: kaffi\nfronts:\n  - name: leit\n", ProblemConstraint, 3, "at least 1"},
+		{"syntax", "team: kaffi\nfronts: [\n", ProblemSyntax, 2, ""},
+		{"tab", "team: kaffi\nfronts:\n\t- name: a\n", ProblemSyntax, 3, ""},
+		{"empty", "", ProblemSyntax, 1, "empty"},
+		{"two documents", goodTeam + "---\nteam: other\n", ProblemSyntax, 10, "more than one"},
+		{"repeated field", replaced("deadline: 0.350s", "name: again"), ProblemDuplicate, 4, "line 3"},
+		{"alias", "team: &a kaffi\nfronts: *a\n", ProblemSyntax, 2, "aliases"},
+		{"oversized", goodTeam + "#" + strings.Repeat("x", MaxSubtreeBytes), ProblemTooLarge, 0, "over the limit"},
+		{"nested", "team: " + strings.Repeat("[", 100) + strings.Repeat("]", 100), ProblemSyntax, 1, "deeply"},
+		{"address", replaced("10.0.0.1:80", "db.example:80"), ProblemAddress, 8, "db.example"},
+		{"target twice", replaced("name: t1", "name: t0"), ProblemDuplicate, 9, "t0"},
+		{"front twice", goodTeam + goodTeam[strings.Index(goodTeam, "  - name: leit"):], ProblemDuplicate, 10, "leit"},
+		{"shard twice", goodTeam + goodTeam[strings.Index(goodTeam, "      - name: s0"):], ProblemDuplicate, 10, "s0"},
+	}
+	_, err := ParseTeam(Text{"kaffi.yaml", []byte(goodTeam)})
+	qt.Assert(t, err, qt.IsNil)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := ParseTeam(Text{"kaffi.yaml", []byte(test.yaml)})
+			var invalid *InvalidError
+			c.Assert(errors.As(err, &invalid), qt.IsTrue, qt.Commentf("%v", err))
+			p := invalid.Problems[0]
+			c.Assert(p.Kind, qt.Equals, test.kind, qt.Commentf("%v", err))
+			c.Assert(p.File, qt.Equals, "kaffi.yaml")
+			c.Assert(p.Line, qt.Equals, test.line, qt.Commentf("%v", err))
+			c.Assert(p.String(), qt.Contains, test.detail)
+			c.Assert(p.Remedy, qt.Not(qt.Equals), "")
+		})
+	}
+}
+
+func TestCheckTextsAcrossTeams(t *testing.T) {
+	other := strings.NewReplacer("team: kaffi", "team: te", "name: leit", "name: saga").Replace(goodTeam)
+	limits := func(text, limits string) string {
+		return strings.Replace(text, "    deadline", "    targetLimits: {"+limits+"}\n    deadline", 1)
+	}
+	root := "teams:\n  - {name: kaffi, tokenSha256: " + strings.Repeat("a", 64) + "}\n"
+	tests := []struct {
+		name  string
+		texts []string
+		kind  ProblemKind
+	}{
+		{"shares of one half each", []string{goodTeam, other}, ""},
+		{"shares over one", []string{goodTeam, limits(other, "connectionShare: 0.6")}, ProblemConnectionShare},
+		{"another cap", []string{goodTeam, limits(other, "maxConnections: 30, connectionShare: 0.1")}, ProblemConnectionShare},
+		{"another address", []string{goodTeam, strings.Replace(other, "10.0.0.1", "10.0.0.9", 1)}, ProblemTargetMismatch},
+		{"another zone", []string{goodTeam, strings.Replace(other, "sud-a", "sud-c", 1)}, ProblemTargetMismatch},
+		{"another name", []string{goodTeam, strings.Replace(other, "name: t0", "name: t9", 1)}, ProblemTargetMismatch},
+		{"one subtree twice", []string{goodTeam, goodTeam}, ProblemDuplicate},
+		{"team listed", []string{root, goodTeam}, ""},
+		{"team not listed", []string{root, goodTeam, other}, ProblemTeam},
+		{"reserved name", []string{strings.Replace(root, "kaffi", "root", 1)}, ProblemTeam},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var texts []Text
+			for i, yaml := range test.texts {
+				texts = append(texts, Text{string(rune('a'+i)) + ".yaml", []byte(yaml)})
+			}
+			err := CheckTexts(texts)
+			if test.kind == "" {
+				c.Assert(err, qt.IsNil)
+				return
+			}
+			var invalid *InvalidError
+			c.Assert(errors.As(err, &invalid), qt.IsTrue)
+			c.Assert(invalid.Has(test.kind), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+func FuzzParseTeam(f *testing.F) {
+	f.Add([]byte(goodTeam))
+	f.Add([]byte("? - &a [*a]\n: !!binary x"))
+	f.Fuzz(func(_ *testing.T, yaml []byte) {
+		_, _ = ParseTeam(Text{"fuzz.yaml", yaml})
+		_, _ = ParseRoot(Text{"fuzz.yaml", yaml})
+	})
+}
--- a/core/cassiasettings/propagation.go
+++ b/core/cassiasettings/propagation.go
@@ -126,6 +126,9 @@
 
 // advance takes every step that has become possible.
 func (p *Propagation) advance(effects []Effect) []Effect {
+	if !p.usesStore() {
+		p.dropIncomplete("")
+	}
 	effects = append(effects, p.install()...)
 	effects = append(effects, p.pull()...)
 	return append(effects, p.callStore()...)
--- /dev/null
+++ b/core/cassiasettings/simulation_test.go
@@ -0,0 +1,373 @@
+package cassiasettings
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+type testClock struct{ now time.Time }
+
+func (c *testClock) Now() time.Time { return c.now }
+
+// accepted is one state that the store took.
+type accepted struct {
+	head  *cassiaschema.SettingsHead
+	valid bool
+}
+
+// testVM is one VM of a world; each restart gives it a new incarnation.
+type testVM struct {
+	name        cassiaid.VMName
+	zone        cassiaid.Zone
+	p           *Propagation
+	incarnation int
+	paused      bool
+	told        []Member
+	watch       *WatchHead
+	storeCalls  int
+	installed   cassiaid.Generation
+	ready       bool
+}
+
+// delivery is something under way; run may cause further deliveries.
+type delivery struct{ run func() }
+
+// world joins VMs by messages that arrive in any order, late, twice or never, and a store with outages.
+type world struct {
+	t       rapid.TB
+	clock   *testClock
+	vms     []*testVM
+	pending []delivery
+	states  []accepted
+	edits   map[EditID]*cassiaschema.SettingsEdit
+	storeUp bool
+	cutZone cassiaid.Zone
+	watched int
+}
+
+func newWorld(t rapid.TB, vms, zones int, seed uint64) *world {
+	w := &world{t: t, clock: &testClock{now: time.Unix(1_800_000_000, 0)}, storeUp: true,
+		edits: make(map[EditID]*cassiaschema.SettingsEdit), states: []accepted{{valid: true}}}
+	for i := range vms {
+		v := &testVM{name: cassiaid.VMName(fmt.Sprintf("vm%d", i)), zone: cassiaid.Zone(fmt.Sprintf("zone%d", i%zones))}
+		w.vms = append(w.vms, v)
+		w.start(v, seed+uint64(i))
+	}
+	for _, v := range w.vms {
+		w.gossip(v)
+	}
+	return w
+}
+
+func (w *world) start(v *testVM, seed uint64) {
+	v.incarnation++
+	v.installed, v.ready, v.watch, v.paused, v.told, v.storeCalls = 0, false, nil, false, nil, 0
+	v.p = NewPropagation(Config{Self: v.name, Zone: v.zone, Clock: w.clock, Rand: rand.New(rand.NewPCG(seed, 7))})
+}
+
+func (w *world) reachable(a, b *testVM) bool {
+	return !b.paused && (a.zone == b.zone || a.zone != w.cutZone && b.zone != w.cutZone)
+}
+
+// gossip tells a VM the live members and their present generations.
+func (w *world) gossip(v *testVM) {
+	v.told = nil
+	for _, o := range w.vms {
+		if w.reachable(v, o) {
+			v.told = append(v.told, Member{Name: o.name, Zone: o.zone, Generation: o.p.Tree().Generation()})
+		}
+	}
+	w.update(v, MembersChanged{Members: v.told})
+}
+
+func (w *world) update(v *testVM, m Message) {
+	for _, effect := range v.p.Update(m) {
+		w.perform(v, effect)
+	}
+}
+
+// later queues a message for this incarnation of a VM.
+func (w *world) later(v *testVM, m Message) {
+	incarnation := v.incarnation
+	var d delivery
+	d.run = func() {
+		switch {
+		case v.incarnation != incarnation:
+		case v.paused:
+			w.pending = append(w.pending, d)
+		default:
+			w.update(v, m)
+		}
+	}
+	w.pending = append(w.pending, d)
+}
+
+func (w *world) perform(v *testVM, effect Effect) {
+	switch e := effect.(type) {
+	case Install:
+		w.installed(v, e.Tree)
+	case PushDigest:
+		for _, to := range e.To {
+			if o := w.vm(to); w.reachable(v, o) {
+				w.later(o, DigestReceived{From: v.name, Generation: e.Generation})
+			}
+		}
+	case Pull:
+		w.pending = append(w.pending, delivery{func() { w.answerPull(v, w.vm(e.From), e) }})
+	case ReadHead:
+		w.callStore(v, e.Call, func() Message { return w.headRead(e.Call) })
+	case FetchEdits:
+		w.callStore(v, e.Call, func() Message {
+			var edits []*cassiaschema.SettingsEdit
+			for _, s := range e.Subtrees {
+				edits = append(edits, w.edits[EditID(s.GetEditId())])
+			}
+			return EditsRead{Call: e.Call, Edits: edits}
+		})
+	case WatchHead:
+		v.storeCalls++
+		v.watch = &e
+	case StopWatch:
+		v.watch = nil
+		v.storeCalls--
+	}
+	if v.storeCalls > 1 {
+		w.t.Fatalf("%s has %d calls to the store in flight", v.name, v.storeCalls)
+	}
+}
+
+func (w *world) vm(name cassiaid.VMName) *testVM {
+	return w.vms[slices.IndexFunc(w.vms, func(v *testVM) bool { return v.name == name })]
+}
+
+func (w *world) answerPull(v, from *testVM, e Pull) {
+	if !w.reachable(v, from) {
+		w.later(v, PullFailed{From: from.name})
+		return
+	}
+	w.later(v, StateReceived{From: from.name, State: from.p.Tree().Reply(e.Request)})
+}
+
+func (w *world) callStore(v *testVM, call CallID, answer func() Message) {
+	v.storeCalls++
+	incarnation := v.incarnation
+	w.pending = append(w.pending, delivery{func() {
+		if v.incarnation != incarnation {
+			return
+		}
+		v.storeCalls--
+		if !w.storeUp || v.zone == w.cutZone {
+			w.later(v, StoreFailed{Call: call})
+			return
+		}
+		w.later(v, answer())
+	}})
+}
+
+func (w *world) headRead(call CallID) HeadRead {
+	revision := len(w.states) - 1
+	return HeadRead{Call: call, Head: w.states[revision].head, Revision: uint64(revision)}
+}
+
+// fireWatches answers or fails the watches that are due.
+func (w *world) fireWatches() {
+	for _, v := range w.vms {
+		if v.watch == nil {
+			continue
+		}
+		e := *v.watch
+		switch {
+		case !w.storeUp || v.zone == w.cutZone:
+			v.watch = nil
+			v.storeCalls--
+			w.later(v, StoreFailed{Call: e.Call})
+		case uint64(len(w.states)-1) > e.After:
+			v.watch = nil
+			v.storeCalls--
+			w.later(v, w.headRead(e.Call))
+		}
+	}
+}
+
+// accept adds a state to the store; an invalid one stands for what a faulty or newer writer put there.
+func (w *world) accept(subtree Subtree, valid bool) {
+	yaml := replaced("kaffi", string(subtree))
+	if subtree == RootSubtree {
+		yaml = rootText("kaffi", "te", fmt.Sprintf("extra%d", len(w.states)))
+	}
+	if subtree == "te" {
+		yaml = "team: te\n"
+	}
+	if !valid {
+		yaml = "unknown: true\n"
+	}
+	head := &cassiaschema.SettingsHead{}
+	if before := w.states[len(w.states)-1].head; before != nil {
+		head = proto.Clone(before).(*cassiaschema.SettingsHead)
+	}
+	edit := &cassiaschema.SettingsEdit{Subtree: string(subtree), EditId: fmt.Sprintf("edit%d", len(w.states)), Yaml: []byte(yaml), Revision: 1}
+	for _, s := range head.GetSubtrees() {
+		if s.GetSubtree() == string(subtree) {
+			edit.Revision = s.GetRevision() + 1
+		}
+	}
+	w.edits[EditID(edit.GetEditId())] = edit
+	head = nextHead(head, edit)
+	_, err := Build(head, w.edits, nil)
+	w.states = append(w.states, accepted{head: head, valid: err == nil})
+}
+
+// installed checks what a VM puts in force.
+func (w *world) installed(v *testVM, tree *Tree) {
+	g := tree.Generation()
+	if v.ready && g <= v.installed {
+		w.t.Fatalf("%s went from generation %d to %d", v.name, v.installed, g)
+	}
+	state := w.states[g]
+	if !state.valid {
+		w.t.Fatalf("%s put the invalid generation %d in force", v.name, g)
+	}
+	if g > 0 && !proto.Equal(state.head, tree.Head()) {
+		w.t.Fatalf("%s has another content at generation %d", v.name, g)
+	}
+	for _, s := range tree.Head().GetSubtrees() {
+		if tree.Edit(Subtree(s.GetSubtree())) != w.edits[EditID(s.GetEditId())] {
+			w.t.Fatalf("%s has a wrong edit for %s at generation %d", v.name, s.GetSubtree(), g)
+		}
+	}
+	if !v.ready {
+		for _, m := range v.told {
+			if m.Name != v.name && m.Generation > g && w.states[m.Generation].valid {
+				w.t.Fatalf("%s started with generation %d though %s named %d", v.name, g, m.Name, m.Generation)
+			}
+		}
+	}
+	v.ready, v.installed = true, g
+}
+
+// deliver runs one of the pending deliveries; keep leaves it pending as well, so that it happens twice.
+func (w *world) deliver(i int, keep bool) {
+	d := w.pending[i]
+	if !keep {
+		w.pending = slices.Delete(w.pending, i, i+1)
+	}
+	d.run()
+}
+
+// settle lets time pass with every message delivered in order.
+func (w *world) settle(d time.Duration) {
+	const step = 200 * time.Millisecond
+	for passed := time.Duration(0); passed < d; passed += step {
+		w.clock.now = w.clock.now.Add(step)
+		if passed%time.Second == 0 {
+			for _, v := range w.vms {
+				w.gossip(v)
+			}
+		}
+		for _, v := range w.vms {
+			w.update(v, Tick{})
+		}
+		w.fireWatches()
+		for rounds := 0; len(w.pending) > 0; rounds++ {
+			if rounds > 10_000 {
+				w.t.Fatalf("messages go on for ever")
+			}
+			w.deliver(0, false)
+			w.fireWatches()
+		}
+	}
+}
+
+func (w *world) heal() {
+	w.storeUp, w.cutZone = true, ""
+	for _, v := range w.vms {
+		v.paused = false
+	}
+}
+
+func (w *world) requireEverywhere(g cassiaid.Generation) {
+	for _, v := range w.vms {
+		if !v.ready || v.installed != g {
+			w.t.Logf("%+v candidate %+v", v.p, v.p.candidate)
+			w.t.Fatalf("%s has generation %d (ready %t) and not %d", v.name, v.installed, v.ready, g)
+		}
+	}
+}
+
+func (w *world) generation() cassiaid.Generation { return cassiaid.Generation(len(w.states) - 1) }
+
+// TestNoScheduleRevertsSettings induces lost, late, doubled and reordered messages, store outages, cut zones, paused
+// and restarted VMs and invalid states, and proves that no VM goes back, that none takes an invalid state and that
+// all have the last one within five seconds once all can reach each other.
+func TestNoScheduleRevertsSettings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(1, 3).Draw(t, "zones")
+		w := newWorld(t, rapid.IntRange(2, 9).Draw(t, "vms"), zones, 1)
+		pick := func(t *rapid.T) *testVM { return w.vms[rapid.IntRange(0, len(w.vms)-1).Draw(t, "vm")] }
+		message := func(t *rapid.T) int {
+			if len(w.pending) == 0 {
+				t.Skip("no message")
+			}
+			return rapid.IntRange(0, len(w.pending)-1).Draw(t, "message")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"accept": func(t *rapid.T) {
+				w.accept(rapid.SampledFrom([]Subtree{RootSubtree, "kaffi", "te"}).Draw(t, "subtree"),
+					rapid.IntRange(0, 3).Draw(t, "valid") > 0)
+			},
+			"acceptHere": func(t *rapid.T) {
+				v := pick(t)
+				w.accept(RootSubtree, true)
+				if tree, err := Build(w.states[w.generation()].head, w.edits, nil); err == nil && !v.paused {
+					w.update(v, EditAccepted{Tree: tree})
+				}
+			},
+			"deliver":  func(t *rapid.T) { w.deliver(message(t), false) },
+			"deliver2": func(t *rapid.T) { w.deliver(message(t), false) },
+			"tick": func(t *rapid.T) {
+				w.clock.now = w.clock.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				if v := pick(t); !v.paused {
+					w.update(v, Tick{})
+				}
+				w.fireWatches()
+			},
+			"gossip": func(t *rapid.T) {
+				if v := pick(t); !v.paused {
+					w.gossip(v)
+				}
+			},
+			"straggler": func(t *rapid.T) {
+				v, g := pick(t), cassiaid.Generation(rapid.IntRange(0, len(w.states)-1).Draw(t, "generation"))
+				from := pick(t)
+				if tree, err := Build(w.states[g].head, w.edits, nil); err == nil {
+					w.later(v, StateReceived{From: from.name, State: tree.Reply(&cassiaschema.SettingsRequest{})})
+					w.later(v, HeadRead{Head: w.states[g].head, Revision: uint64(g)})
+				}
+			},
+			"pause":   func(t *rapid.T) { pick(t).paused = true },
+			"resume":  func(t *rapid.T) { pick(t).paused = false },
+			"store":   func(*rapid.T) { w.storeUp = !w.storeUp },
+			"cut":     func(t *rapid.T) { w.cutZone = pick(t).zone },
+			"heal":    func(*rapid.T) { w.cutZone = "" },
+			"restart": func(t *rapid.T) { v := pick(t); w.start(v, uint64(len(w.pending))); w.gossip(v) },
+		})
+		w.heal()
+		w.accept("kaffi", true)
+		w.accept(RootSubtree, true)
+		w.accept("te", true)
+		w.settle(10 * time.Second)
+		w.requireEverywhere(w.generation())
+		w.accept("te", true)
+		w.settle(5 * time.Second)
+		w.requireEverywhere(w.generation())
+	})
+}
