Slice fronts by the zones a query needs; drain by each source; tests of the table

Cause: one slice per zone of a front in four zones leaves the work on few owners at 590 VMs. Health endpoints and other VMs' notices do not close a target that is the last of its shard. Change: Slices by a greedy cover of zones, at most 6 messages near and 8 scattered; signs of leaving by source; a target that was down and answers again is a new process. Figures: TestPeerMessagesOfAQuery logs messages and the busiest owner at today's and the aim's sizes. Conclusion: the busiest owner at the aim's size stays an open question for docs/design/owners.md.

--- a/core/cassiaroute/evidence.go
+++ b/core/cassiaroute/evidence.go
@@ -1,7 +1,6 @@
 package cassiaroute
 
 import (
-	"slices"
 	"time"
 
 	"cassiasaddle/core/cassiaid"
@@ -83,7 +82,6 @@
 		return nil
 	case r.GetOutcome() == cassiaschema.ShardOutcome_answered:
 		s.failures = 0
-		s.healthDoubt = false
 	}
 	if t.isSlow(m.Front, s) {
 		return t.eject(now, s, EjectSlow, ejectBase)
@@ -126,69 +124,97 @@
 			continue
 		}
 		s.learn(k.GetHeldSnapshots(), k.GetShardMapEpoch())
-		doubt := k.GetDraining() || !k.GetReachable()
 		switch {
-		case !doubt:
+		case k.GetDraining() || !k.GetReachable():
+			s.wasDown = s.wasDown || !k.GetReachable()
+			effects = append(effects, t.doubt(now, s, k.GetDraining())...)
+		case s.wasDown:
+			effects = append(effects, t.markRestarted(now, s)...)
+		default:
 			s.healthDoubt = false
-		case !s.healthDoubt && s.mayDoubt(now):
-			s.healthDoubt = true
-			s.trickleAt = now.Add(t.trickleEvery())
-			effects = append(effects, Ejected{Target: s.name, Reason: EjectHealth})
-		case !s.healthDoubt:
-			effects = append(effects, EjectKept{Target: s.name, Reason: EjectHealth})
 		}
 	}
 	return effects
 }
 
+// doubt avoids a target that its health endpoint speaks against while its shard has enough others.
+func (t *Table) doubt(now time.Time, s *target, draining bool) []Effect {
+	if s.healthDoubt {
+		return nil
+	}
+	if !s.mayDoubt(now) {
+		return []Effect{EjectKept{Target: s.name, Reason: EjectHealth}}
+	}
+	s.healthDoubt = true
+	effects := []Effect{Ejected{Target: s.name, Reason: EjectHealth}}
+	if draining {
+		effects = append(effects, ShareLeaving{Target: s.name, Leaving: true, Remaining: leavingHold})
+	}
+	return effects
+}
+
+// markRestarted opens a target that was unreachable and answers again: what was known of the old process is over.
+func (t *Table) markRestarted(now time.Time, s *target) []Effect {
+	left := now.Before(s.leavingUntil)
+	s.reopen()
+	if !left {
+		return nil
+	}
+	return []Effect{ShareLeaving{Target: s.name}}
+}
+
 func (t *Table) markLeaving(now time.Time, m TargetLeaving) []Effect {
 	s := t.targets[m.Target]
 	if s == nil {
 		return nil
 	}
-	if !m.Source.certain() {
-		return t.markDoubtful(now, m.Source, s)
-	}
 	remaining := m.Remaining
 	if remaining <= 0 {
 		remaining = leavingHold
 	}
-	fresh := s.condition(now) != conditionClosed
-	if until := now.Add(remaining); until.After(s.leavingUntil) {
-		s.leavingUntil = until
+	switch m.Source {
+	case SourceRefused:
+		return t.eject(now, s, EjectUnreachable, unreachableHold)
+	case SourceHealth:
+		return t.doubt(now, s, true)
+	case SourceNotice:
+		s.noticedUntil = later(s.noticedUntil, now.Add(remaining))
+		return nil
 	}
-	if !fresh || m.Source == SourceNotice {
+	fresh := s.condition(now) != conditionClosed
+	s.leavingUntil = later(s.leavingUntil, now.Add(remaining))
+	s.wasDown = false
+	if !fresh {
 		return nil
 	}
 	return []Effect{ShareLeaving{Target: m.Target, Leaving: true, Remaining: remaining}}
 }
 
-func (t *Table) markDoubtful(now time.Time, source LeavingSource, s *target) []Effect {
-	if source == SourceRefused {
-		return t.eject(now, s, EjectUnreachable, unreachableHold)
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return t.seeKnowledge(now, []*cassiaschema.TargetKnowledge{{Target: string(s.name), Draining: true, Reachable: true}})
+	return b
 }
 
 func (t *Table) markBack(name cassiaid.TargetName) {
 	if s := t.targets[name]; s != nil {
-		s.leavingUntil = time.Time{}
-		s.healthDoubt = false
-		s.ejectedUntil = time.Time{}
-		s.failures = 0
+		s.reopen()
 	}
 }
 
 // setPlatformList replaces the platform's list of leaving targets.
-func (t *Table) setPlatformList(names []cassiaid.TargetName) []Effect {
-	now := t.clock.Now()
+func (t *Table) setPlatformList(now time.Time, names []cassiaid.TargetName) []Effect {
+	listed := make(map[cassiaid.TargetName]bool, len(names))
 	var effects []Effect
-	for name, s := range t.targets {
-		listed := slices.Contains(names, name)
-		if listed && s.condition(now) != conditionClosed {
+	for _, name := range names {
+		listed[name] = true
+		if s := t.targets[name]; s != nil && s.condition(now) != conditionClosed {
 			effects = append(effects, ShareLeaving{Target: name, Leaving: true, Remaining: leavingHold})
 		}
-		s.onPlatformList = listed
+	}
+	for name, s := range t.targets {
+		s.onPlatformList = listed[name]
 	}
 	return effects
 }
--- a/core/cassiaroute/message.go
+++ b/core/cassiaroute/message.go
@@ -74,7 +74,8 @@
 func (AttemptSent) isMessage()      {}
 func (AttemptEnded) isMessage()     {}
 
-// LeavingSource tells where the sign of a leaving target came from.
+// LeavingSource tells where the sign of a leaving target came from. The target's own reply and the platform's list
+// close a target even when it is the last of its shard; the other signs only put it behind the shard's others.
 type LeavingSource string
 
 // Sources of the sign that a target leaves.
@@ -83,15 +84,10 @@
 	SourceReply LeavingSource = "reply"
 	// SourcePlatform is the platform's list of leaving targets.
 	SourcePlatform LeavingSource = "platform"
-	// SourceNotice is another VM's first-hand sign.
+	// SourceNotice is a sign that another VM has seen.
 	SourceNotice LeavingSource = "notice"
 	// SourceHealth is the target's health endpoint, which may lag or mislead.
 	SourceHealth LeavingSource = "health"
 	// SourceRefused is a refused connection.
 	SourceRefused LeavingSource = "refusedConnection"
 )
-
-// certain tells whether the sign holds even for the last replica of a shard.
-func (s LeavingSource) certain() bool {
-	return s == SourceReply || s == SourcePlatform || s == SourceNotice
-}
--- /dev/null
+++ b/core/cassiaroute/peermessages_test.go
@@ -0,0 +1,121 @@
+package cassiaroute
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// peerCost is what the first attempts of one query cost in messages, for each way of reaching the targets.
+type peerCost struct {
+	// direct is a call to each target without owners; perShard one message per shard's owner alone.
+	direct, perShard int
+	// relayed is one message to each zone's relay and from there to the owners.
+	relayed int
+	// sliced is one message to each owner of a slice.
+	sliced int
+}
+
+// costOf counts the messages of a query from a zone that asks as few zones as it can, or every zone in turn.
+func costOf(t *Table, key cassiaid.FrontKey, local string, scatter bool, load map[cassiaid.VMName]int) peerCost {
+	f := t.Front(key)
+	zones := coverFrom(f, zonesOf(f), local)
+	owners, relays, single := map[cassiaid.VMName]bool{}, map[string]bool{}, map[string]bool{}
+	for i, s := range f.GetShards() {
+		zone := s.GetTargets()[i/len(zonesOf(f))%len(s.GetTargets())].GetAvailabilityZone()
+		for _, near := range zones {
+			if !scatter && servedIn(s, near) {
+				zone = near
+				break
+			}
+		}
+		owner := t.Owners(key, cassiaid.ShardIndex(i), cassiaid.Zone(zone))[0]
+		owners[owner] = true
+		relays[zone] = true
+		load[owner]++
+		id := sliceID{front: key, zone: cassiaid.Zone(zone), slice: i}
+		single[string(rankOwners(t.members[cassiaid.Zone(zone)], id.key(), 1)[0])] = true
+	}
+	return peerCost{direct: len(f.GetShards()), perShard: len(single), relayed: len(relays) + len(owners), sliced: len(owners)}
+}
+
+func TestPeerMessagesOfAQuery(t *testing.T) {
+	sizes := []struct{ vms, zones, shards, replicas, fronts int }{
+		{8, 4, 50, 2, 1}, {8, 3, 50, 2, 1},
+		{590, 4, 76, 2, 30}, {590, 4, 76, 4, 15}, {590, 8, 76, 2, 30}, {590, 8, 76, 4, 15}, {590, 8, 76, 8, 8},
+	}
+	for _, tt := range sizes {
+		t.Run(fmt.Sprintf("%+v", tt), func(t *testing.T) {
+			table, keys := sizedTable(tt.vms, tt.zones, tt.shards, tt.replicas, tt.fronts)
+			load, scatteredLoad := map[cassiaid.VMName]int{}, map[cassiaid.VMName]int{}
+			var near, scattered peerCost
+			queries := 0
+			for _, key := range keys {
+				for z := range tt.zones {
+					local := fmt.Sprintf("z%d", z)
+					cost := costOf(table, key, local, false, load)
+					near = largest(near, cost)
+					scattered = largest(scattered, costOf(table, key, local, true, scatteredLoad))
+					queries++
+				}
+			}
+			qt.Check(t, near.sliced <= plannedMessages, qt.IsTrue)
+			qt.Check(t, scattered.sliced <= max(scatteredMessages, tt.zones), qt.IsTrue)
+			most := 0
+			for _, l := range load {
+				most = max(most, l)
+			}
+			mean := float64(queries*tt.shards) / float64(tt.vms)
+			t.Logf("slices %d; most messages: %+v; scattered %d; busiest owner %.1f times the mean, %d owners busy",
+				Slices(table.Front(keys[0])), near, scattered.sliced, float64(most)/mean, len(load))
+		})
+	}
+}
+
+func largest(a, b peerCost) peerCost {
+	return peerCost{max(a.direct, b.direct), max(a.perShard, b.perShard), max(a.relayed, b.relayed), max(a.sliced, b.sliced)}
+}
+
+func sizedTable(vms, zones, shards, replicas, fronts int) (*Table, []cassiaid.FrontKey) {
+	settings := map[cassiaid.FrontKey]*cassiaschema.Front{}
+	var keys []cassiaid.FrontKey
+	for i := range fronts {
+		key := cassiaid.FrontKey{Team: "team", Front: cassiaid.FrontName(fmt.Sprintf("f%d", i))}
+		settings[key] = testFront(shards, replicas, zones)
+		keys = append(keys, key)
+	}
+	table := NewTable("vm0", "z0", clockwork.NewFakeClock())
+	table.Update(MembersChanged{Members: testMembers(vms, zones)})
+	table.Update(SettingsChanged{Fronts: settings})
+	return table, keys
+}
+
+// BenchmarkOwners measures how long the owners of one query's shards take to find once they are known.
+func BenchmarkOwners(b *testing.B) {
+	table, keys := sizedTable(590, 4, 76, 2, 30)
+	for i := 0; b.Loop(); i++ {
+		for shard := range cassiaid.ShardIndex(76) {
+			table.Owners(keys[i%len(keys)], shard, "z0")
+		}
+	}
+}
+
+// BenchmarkMembersChanged measures one membership change at the size of two years from now, with the owners of every
+// front found again.
+func BenchmarkMembersChanged(b *testing.B) {
+	table, keys := sizedTable(590, 4, 76, 2, 30)
+	members := testMembers(590, 4)
+	for b.Loop() {
+		table.Update(MembersChanged{Members: members})
+		for _, key := range keys {
+			for shard := range cassiaid.ShardIndex(76) {
+				table.Owners(key, shard, "z0")
+			}
+		}
+	}
+}
--- a/core/cassiaroute/slice.go
+++ b/core/cassiaroute/slice.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,30 +13,91 @@
 // MaxPeerMessages bounds the messages that one query sends to other VMs, and those that it receives.
 const MaxPeerMessages = 12
 
-// plannedMessages is the part of MaxPeerMessages for first attempts; hedges, retries and split replies use the rest.
-const plannedMessages = MaxPeerMessages / 2
+const (
+	// plannedMessages is the part of MaxPeerMessages for first attempts that go to as few zones as possible.
+	plannedMessages = MaxPeerMessages / 2
+	// scatteredMessages is the part for first attempts that go to every zone; hedges, retries and cancellations
+	// have the rest.
+	scatteredMessages = MaxPeerMessages * 2 / 3
+)
 
-// Slices returns into how many contiguous slices the shards of a front are cut in each zone.
+// Slices returns into how many contiguous slices the shards of a front are cut in each zone: many, so that the work
+// spreads over many owners, but so few that a query's first attempts fit the messages planned for them.
 func Slices(front *cassiaschema.Front) int {
-	zones := make(map[string]struct{})
+	zones := zonesOf(front)
+	if len(zones) == 0 {
+		return 1
+	}
+	count := min(plannedMessages/neededZones(front, zones), scatteredMessages/len(zones))
+	return min(max(1, count), len(front.GetShards()))
+}
+
+func zonesOf(front *cassiaschema.Front) []string {
+	seen := make(map[string]bool)
+	var zones []string
 	for _, s := range front.GetShards() {
 		for _, t := range s.GetTargets() {
-			zones[t.GetAvailabilityZone()] = struct{}{}
+			if zone := t.GetAvailabilityZone(); !seen[zone] {
+				seen[zone] = true
+				zones = append(zones, zone)
+			}
 		}
 	}
-	if len(zones) == 0 {
-		return 1
+	return zones
+}
+
+// neededZones returns how many zones a query of the front has to ask, from the worst zone to ask from.
+func neededZones(front *cassiaschema.Front, zones []string) int {
+	needed := 1
+	for _, local := range zones {
+		needed = max(needed, len(coverFrom(front, zones, local)))
 	}
-	slices := max(1, plannedMessages/len(zones))
-	return min(slices, max(1, len(front.GetShards())))
+	return needed
+}
+
+// coverFrom returns the zones that a query asks: the local one, then those that serve the most of the shards left.
+func coverFrom(front *cassiaschema.Front, zones []string, local string) []string {
+	left := front.GetShards()
+	cover := []string{}
+	for zone := local; len(left) > 0; zone = widestZone(left, zones) {
+		cover = append(cover, zone)
+		left = withoutZone(left, zone)
+	}
+	return cover
+}
+
+func widestZone(shards []*cassiaschema.Shard, zones []string) string {
+	var widest string
+	fewest := len(shards)
+	for _, zone := range zones {
+		if left := len(withoutZone(shards, zone)); left < fewest {
+			widest, fewest = zone, left
+		}
+	}
+	return widest
+}
+
+// withoutZone returns the shards that have no target in a zone.
+func withoutZone(shards []*cassiaschema.Shard, zone string) []*cassiaschema.Shard {
+	var left []*cassiaschema.Shard
+	for _, s := range shards {
+		if len(s.GetTargets()) > 0 && !servedIn(s, zone) {
+			left = append(left, s)
+		}
+	}
+	return left
+}
+
+func servedIn(s *cassiaschema.Shard, zone string) bool {
+	return slices.ContainsFunc(s.GetTargets(), func(t *cassiaschema.Target) bool { return t.GetAvailabilityZone() == zone })
 }
 
 // sliceOf returns the slice that a shard belongs to.
-func sliceOf(shard cassiaid.ShardIndex, shards, slices int) int {
+func sliceOf(shard cassiaid.ShardIndex, shards, count int) int {
 	if shards == 0 {
 		return 0
 	}
-	return int(shard) * slices / shards
+	return int(shard) * count / shards
 }
 
 // sliceID names the targets of one zone in one slice of a front.
--- a/core/cassiaroute/table.go
+++ b/core/cassiaroute/table.go
@@ -59,7 +59,7 @@
 	case TargetBack:
 		t.markBack(m.Target)
 	case PlatformLeaving:
-		return t.setPlatformList(m.Targets)
+		return t.setPlatformList(now, m.Targets)
 	case OwnerUnreachable:
 		t.avoid[m.Owner] = now.Add(ownerAvoid)
 	case OwnerReachable:
--- /dev/null
+++ b/core/cassiaroute/table_test.go
@@ -0,0 +1,252 @@
+package cassiaroute
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"pgregory.net/rapid"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// bench is a table of one front with a clock that the test moves.
+type bench struct {
+	*Table
+	clock *clockwork.FakeClock
+}
+
+func newBench(shards, replicas int) *bench {
+	clock := clockwork.NewFakeClock()
+	t := NewTable("vm0", "z0", clock)
+	t.Update(MembersChanged{Members: testMembers(8, 4)})
+	t.Update(SettingsChanged{Fronts: map[cassiaid.FrontKey]*cassiaschema.Front{testKey: testFront(shards, replicas, 4)}})
+	return &bench{Table: t, clock: clock}
+}
+
+// answer reports an answered attempt of a target.
+func (b *bench) answer(name string, elapsed time.Duration) []Effect {
+	return b.result(&cassiaschema.ShardResult{
+		Target: name, Outcome: cassiaschema.ShardOutcome_answered, Started: true, Elapsed: durationpb.New(elapsed),
+	})
+}
+
+func (b *bench) result(r *cassiaschema.ShardResult) []Effect {
+	return b.Update(ResultSeen{Front: testKey, Result: r})
+}
+
+func (b *bench) usable(name cassiaid.TargetName) bool { return b.Target(name).Usable }
+
+func TestFirstSignOfLeavingCounts(t *testing.T) {
+	reply := &cassiaschema.ShardResult{Target: "t0-0", Outcome: cassiaschema.ShardOutcome_answered, Draining: true}
+	refusal := &cassiaschema.ShardResult{Target: "t0-0", Outcome: cassiaschema.ShardOutcome_draining}
+	unreachable := &cassiaschema.ShardResult{Target: "t0-0", Outcome: cassiaschema.ShardOutcome_unreachable}
+	health := &cassiaschema.TargetKnowledge{Target: "t0-0", Draining: true, Reachable: true}
+	tests := []struct {
+		name    string
+		message Message
+		shared  bool
+		// evenLast is true when the last replica of a shard is closed too.
+		evenLast bool
+	}{
+		{"reply", ResultSeen{Front: testKey, Result: reply}, true, true},
+		{"refusal", ResultSeen{Front: testKey, Result: refusal}, true, true},
+		{"platform", PlatformLeaving{Targets: []cassiaid.TargetName{"t0-0"}}, true, true},
+		{"health", KnowledgeSeen{Targets: []*cassiaschema.TargetKnowledge{health}}, true, false},
+		{"refused connection", ResultSeen{Front: testKey, Result: unreachable}, false, false},
+		{"notice", TargetLeaving{Target: "t0-0", Source: SourceNotice}, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBench(4, 2)
+			effects := b.Update(tt.message)
+			c.Assert(b.usable("t0-0"), qt.IsFalse)
+			c.Assert(b.usable("t0-1"), qt.IsTrue)
+			shared := false
+			for _, e := range effects {
+				s, ok := e.(ShareLeaving)
+				shared = shared || ok && s.Leaving && s.Target == "t0-0"
+			}
+			c.Assert(shared, qt.Equals, tt.shared)
+			alone := newBench(4, 1)
+			alone.Update(tt.message)
+			c.Assert(alone.usable("t0-0"), qt.Equals, !tt.evenLast)
+		})
+	}
+}
+
+func TestLeavingTargetGetsNothingUntilItIsANewProcess(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4, 2)
+	b.result(&cassiaschema.ShardResult{Target: "t0-0", Outcome: cassiaschema.ShardOutcome_draining})
+	health := func(reachable bool) []Effect {
+		known := &cassiaschema.TargetKnowledge{Target: "t0-0", Reachable: reachable}
+		return b.Update(KnowledgeSeen{Targets: []*cassiaschema.TargetKnowledge{known}})
+	}
+	for range 30 {
+		b.clock.Advance(time.Second)
+		health(true)
+		c.Assert(b.usable("t0-0"), qt.IsFalse)
+	}
+	health(false)
+	c.Assert(b.usable("t0-0"), qt.IsFalse)
+	c.Assert(health(true), qt.DeepEquals, []Effect{ShareLeaving{Target: "t0-0"}})
+	c.Assert(b.usable("t0-0"), qt.IsTrue)
+}
+
+func TestPlatformListReplacesItself(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4, 2)
+	c.Assert(b.Update(PlatformLeaving{Targets: []cassiaid.TargetName{"t0-0"}}), qt.HasLen, 1)
+	c.Assert(b.Update(PlatformLeaving{Targets: []cassiaid.TargetName{"t0-0"}}), qt.HasLen, 0)
+	b.clock.Advance(time.Hour)
+	c.Assert(b.usable("t0-0"), qt.IsFalse)
+	b.Update(PlatformLeaving{})
+	c.Assert(b.usable("t0-0"), qt.IsTrue)
+}
+
+func TestSlowTargetIsEjectedForAGrowingTime(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(8, 2)
+	slow := func() (holds []time.Duration) {
+		for range 2 * slowSamples {
+			for s := range 8 {
+				b.answer(fmt.Sprintf("t%d-1", s), 5*time.Millisecond)
+			}
+			for _, e := range b.answer("t0-0", 200*time.Millisecond) {
+				if e, ok := e.(Ejected); ok && e.Reason == EjectSlow {
+					holds = append(holds, e.For)
+				}
+			}
+		}
+		return holds
+	}
+	c.Assert(slow(), qt.DeepEquals, []time.Duration{ejectBase})
+	c.Assert(b.usable("t0-0"), qt.IsFalse)
+	b.clock.Advance(trickleBase)
+	c.Assert(b.usable("t0-0"), qt.IsTrue, qt.Commentf("a trickle is due"))
+	b.Update(AttemptSent{Front: testKey, Target: "t0-0"})
+	c.Assert(b.usable("t0-0"), qt.IsFalse)
+	b.clock.Advance(ejectBase)
+	c.Assert(slow(), qt.DeepEquals, []time.Duration{2 * ejectBase})
+}
+
+func TestFailingTargetIsEjected(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4, 2)
+	bad := &cassiaschema.ShardResult{Target: "t0-0", Outcome: cassiaschema.ShardOutcome_badReply, Started: true}
+	for range failuresToEject - 1 {
+		c.Assert(b.result(bad), qt.HasLen, 0)
+	}
+	c.Assert(b.result(bad), qt.DeepEquals, []Effect{Ejected{Target: "t0-0", Reason: EjectFailing, For: ejectBase}})
+	c.Assert(b.usable("t0-0"), qt.IsFalse)
+}
+
+// TestDoubtNeverEmptiesAShard reports random doubts about the replicas of one shard, everything but certain signs.
+func TestDoubtNeverEmptiesAShard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		replicas := rapid.IntRange(1, 6).Draw(t, "replicas")
+		b := newBench(2, replicas)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			name := fmt.Sprintf("t0-%d", rapid.IntRange(0, replicas-1).Draw(t, "target"))
+			known := &cassiaschema.TargetKnowledge{Target: name, Draining: rapid.Bool().Draw(t, "draining"), Reachable: rapid.Bool().Draw(t, "reachable")}
+			outcome := cassiaschema.ShardOutcome(rapid.SampledFrom([]int32{0, 1, 2, 6, 8, 10}).Draw(t, "outcome"))
+			messages := []Message{
+				KnowledgeSeen{Targets: []*cassiaschema.TargetKnowledge{known}},
+				TargetLeaving{Target: cassiaid.TargetName(name), Source: rapid.SampledFrom([]LeavingSource{SourceHealth, SourceNotice, SourceRefused}).Draw(t, "source")},
+				ResultSeen{Front: testKey, Result: &cassiaschema.ShardResult{Target: name, Outcome: outcome, Started: true, TargetLost: rapid.Bool().Draw(t, "lost")}},
+			}
+			b.Update(rapid.SampledFrom(messages).Draw(t, "message"))
+			b.clock.Advance(time.Duration(rapid.IntRange(0, 2000).Draw(t, "advance")) * time.Millisecond)
+			usable := 0
+			for r := range replicas {
+				if b.usable(cassiaid.TargetName(fmt.Sprintf("t0-%d", r))) {
+					usable++
+				}
+			}
+			if usable == 0 {
+				t.Fatal("no replica is usable")
+			}
+		}
+	})
+}
+
+func TestBudgetsFollowTheLoad(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4, 2)
+	taken := func(take func(cassiaid.FrontKey) bool) int {
+		n := 0
+		for take(testKey) {
+			n++
+		}
+		return n
+	}
+	c.Assert(taken(b.TakeHedge), qt.Equals, budgetStart)
+	c.Assert(taken(b.TakeRetry), qt.Equals, budgetStart)
+	hedges, retries := 0, 0
+	for range 1000 {
+		for range 10 {
+			b.Update(AttemptSent{Front: testKey, Target: "t0-0"})
+			b.Update(AttemptEnded{Target: "t0-0"})
+			b.Update(AttemptSent{Front: testKey, Target: "t0-1", Extra: true})
+		}
+		hedges += taken(b.TakeHedge)
+		retries += taken(b.TakeRetry)
+	}
+	c.Assert(hedges, qt.Equals, 500)
+	c.Assert(retries, qt.Equals, 500)
+	c.Assert(b.Target("t0-0").Load, qt.Equals, 0)
+	c.Assert(b.Target("t0-1").Load, qt.Equals, 10000)
+}
+
+// TestHedgeAfterLeavesTheBudgetsShare sends latencies of which one in ten is slow and counts those past the wait.
+func TestHedgeAfterLeavesTheBudgetsShare(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4, 2)
+	c.Assert(b.HedgeAfter(testKey), qt.Equals, defaultDeadline/unknownHedgeParts)
+	late := 0
+	const samples = 20000
+	for i := range samples {
+		took := time.Duration(1+i*7919%100) * time.Millisecond
+		if took > b.HedgeAfter(testKey) {
+			late++
+		}
+		b.answer("t0-0", took)
+	}
+	share := float64(late) / samples
+	c.Assert(share > 0.03 && share < 0.07, qt.IsTrue, qt.Commentf("%.3f of the attempts would hedge", share))
+}
+
+func TestLatencyQuantiles(t *testing.T) {
+	c := qt.New(t)
+	var l Latency
+	c.Assert(l.Quantile(0.5), qt.Equals, time.Duration(0))
+	for i := range 1000 {
+		l.Observe(time.Duration(1+i*37%100) * time.Millisecond)
+	}
+	for _, q := range []float64{0.5, 0.9, 0.95} {
+		want := q * float64(100*time.Millisecond)
+		got := float64(l.Quantile(q))
+		c.Check(got > 0.8*want && got < 1.2*want, qt.IsTrue, qt.Commentf("quantile %v: %v", q, time.Duration(got)))
+	}
+	for range 3 * defaultWindow {
+		l.Observe(time.Second)
+	}
+	c.Assert(l.Quantile(0.5) > 800*time.Millisecond, qt.IsTrue)
+}
+
+func TestSettingsKeepWhatIsKnown(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4, 2)
+	r := &cassiaschema.ShardResult{Target: "t0-0", Outcome: cassiaschema.ShardOutcome_answered, HeldSnapshots: []uint64{3, 4}, ShardMapEpoch: 2}
+	b.result(r)
+	b.Update(SettingsChanged{Fronts: map[cassiaid.FrontKey]*cassiaschema.Front{testKey: testFront(2, 2, 4)}})
+	c.Assert(b.Target("t0-0").Held, qt.DeepEquals, []cassiaid.Snapshot{3, 4})
+	c.Assert(b.Target("t0-0").Epoch, qt.Equals, cassiaid.Epoch(2))
+	c.Assert(b.targets, qt.HasLen, 4)
+}
--- a/core/cassiaroute/target.go
+++ b/core/cassiaroute/target.go
@@ -9,7 +9,7 @@
 
 const (
 	// leavingHold is how long a sign of leaving lasts unless it says otherwise.
-	leavingHold = 30 * time.Second
+	leavingHold = time.Minute
 	// unreachableHold is the first ejection after a refused connection.
 	unreachableHold = time.Second
 	// ejectBase is the first ejection for slowness or failures.
@@ -44,8 +44,11 @@
 	typical, slow time.Duration
 
 	leavingUntil   time.Time
+	noticedUntil   time.Time
 	onPlatformList bool
 	healthDoubt    bool
+	// wasDown is true once a leaving target could not be reached: when it can be again, it is a new process.
+	wasDown bool
 
 	ejectedUntil time.Time
 	ejections    int
@@ -63,7 +66,7 @@
 	if t.onPlatformList || now.Before(t.leavingUntil) {
 		return conditionClosed
 	}
-	if t.healthDoubt || now.Before(t.ejectedUntil) {
+	if t.healthDoubt || now.Before(t.ejectedUntil) || now.Before(t.noticedUntil) {
 		return conditionDoubtful
 	}
 	return conditionOpen
@@ -77,7 +80,7 @@
 	case conditionClosed:
 		return false
 	}
-	if !t.trickleAt.IsZero() && !now.Before(t.trickleAt) {
+	if t.trickles(now) {
 		return true
 	}
 	for _, s := range t.shards {
@@ -88,6 +91,12 @@
 	return len(t.shards) == 0
 }
 
+// trickles tells whether an ejected target is due for an attempt that shows whether it has recovered; a target that is
+// said to be leaving gets none.
+func (t *target) trickles(now time.Time) bool {
+	return !t.healthDoubt && !now.Before(t.noticedUntil) && !now.Before(t.trickleAt)
+}
+
 func (s *shard) hasOpen(now time.Time) bool {
 	for _, t := range s.replicas {
 		if t.condition(now) == conditionOpen {
@@ -126,6 +135,13 @@
 	return hold
 }
 
+// reopen forgets everything that spoke against the target.
+func (t *target) reopen() {
+	t.leavingUntil, t.noticedUntil, t.ejectedUntil = time.Time{}, time.Time{}, time.Time{}
+	t.healthDoubt, t.wasDown = false, false
+	t.failures = 0
+}
+
 // observe adds the duration of one attempt.
 func (t *target) observe(d time.Duration) {
 	t.latency.Observe(d)
