--- a/core/cassiaplan/learned.go
+++ b/core/cassiaplan/learned.go
@@ -27,7 +27,11 @@
 	return v
 }
 
+// learnResult keeps what a result tells beside its rows; an answer as asked tells nothing that matters to this query.
 func (q *Query) learnResult(r *cassiaschema.ShardResult) {
+	if r.GetOutcome() == cassiaschema.ShardOutcome_answered && cassiaid.Snapshot(r.GetSnapshot()) == q.snapshot {
+		return
+	}
 	name := cassiaid.TargetName(r.GetTarget())
 	l := q.learned[name]
 	if held := snapshots(r.GetHeldSnapshots()); held != nil {
--- a/core/cassiaplan/query.go
+++ b/core/cassiaplan/query.go
@@ -52,7 +52,7 @@
 		view:     view,
 		clock:    clock,
 		random:   random,
-		attempts: map[cassiaid.AttemptID]*attempt{},
+		attempts: make(map[cassiaid.AttemptID]*attempt, len(request.Front.GetShards())),
 		avoided:  map[cassiaid.VMName]bool{},
 		learned:  map[cassiaid.TargetName]learned{},
 	}
@@ -155,6 +155,9 @@
 
 // shard returns the progress of a shard in the present run, nil when it is not asked.
 func (q *Query) shard(index cassiaid.ShardIndex) *shard {
+	if i := int(index); i < len(q.shards) && q.shards[i].index == index {
+		return &q.shards[i]
+	}
 	for i := range q.shards {
 		if q.shards[i].index == index {
 			return &q.shards[i]
--- a/core/cassiaplan/query_test.go
+++ b/core/cassiaplan/query_test.go
@@ -330,3 +330,13 @@
 	r := finishOf(c, effects).Refusal
 	c.Assert([]any{r.Kind, r.Ran}, qt.DeepEquals, []any{RefusalNotRun, RanNo})
 }
+
+func TestHedgeAvoidsTheOwnerThatIsWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	for _, target := range w.front.Shards[0].Targets {
+		target.AvailabilityZone = "zone-0"
+	}
+	c.Assert(effectsOf[SendBatch](w.begin())[0].Owner, qt.Equals, cassiaid.VMName("zone-0/1"))
+	c.Assert(effectsOf[SendBatch](w.at(20 * time.Millisecond))[0].Owner, qt.Equals, cassiaid.VMName("zone-0/2"))
+}
--- a/core/cassiaplan/replica.go
+++ b/core/cassiaplan/replica.go
@@ -90,14 +90,20 @@
 	return slices.DeleteFunc(all, func(c candidate) bool { return c.fit != best.fit || c.cost > limit })
 }
 
-// ownerFor returns the best owner of a shard's targets in a zone that has not failed this query.
+// ownerFor returns the best owner of a shard's targets in a zone that has not failed this query, where there is a
+// choice one that has no attempt at the shard in flight, so that a hedge does not wait for the same VM.
 func (q *Query) ownerFor(s *shard, zone cassiaid.Zone) cassiaid.VMName {
+	var busy cassiaid.VMName
 	for _, owner := range q.view.Owners(q.request.Key, s.index, zone) {
-		if !q.avoided[owner] {
+		switch {
+		case q.avoided[owner]:
+		case !s.inFlightAt(owner):
 			return owner
+		case busy == "":
+			busy = owner
 		}
 	}
-	return ""
+	return busy
 }
 
 // targetsOf returns the replicas of a shard in the front's settings.
--- a/core/cassiaplan/shard.go
+++ b/core/cassiaplan/shard.go
@@ -47,6 +47,15 @@
 
 func (s *shard) waiting() bool { return s.inFlight() > 0 }
 
+func (s *shard) inFlightAt(owner cassiaid.VMName) bool {
+	for _, a := range s.attempts {
+		if a.open && a.owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *shard) mayHaveStarted() bool {
 	for _, a := range s.attempts {
 		if a.mayHaveStarted {
--- a/core/cassiaplan/timer.go
+++ b/core/cassiaplan/timer.go
@@ -5,8 +5,8 @@
 // replyMargin is how long before the query's deadline owners have to be done, so that their replies still arrive.
 const replyMargin = 5 * time.Millisecond
 
-// flushFraction is the part of the hedge delay after which owners send what they have.
-const flushFraction = 2
+// minFlushAfter bounds how many replies an owner splits its results into.
+const minFlushAfter = 5 * time.Millisecond
 
 // setTimer asks to be woken when something next becomes due.
 func (q *Query) setTimer(now time.Time) {
@@ -50,5 +50,5 @@
 
 // flushAfter returns when owners send the results that they have: before the entry decides on hedges.
 func (q *Query) flushAfter() time.Duration {
-	return q.view.HedgeAfter(q.request.Key) / flushFraction
+	return max(q.view.HedgeAfter(q.request.Key)/2, minFlushAfter)
 }
