Add membership: SWIM core and sealed UDP gossip

Change: core/cassiamember (probe, suspicion, refutation, piggyback, push, digest repair), io/cassiagossip (XChaCha20-Poly1305 seal, seeds, subscribers). Found by TestViewsConverge and mended: a stale accusation left unanswered splits views; groups started apart never met; an ended later run passed on an old address. Conclusion: go test -race ./core/cassiamember ./io/cassiagossip passes.

--- /dev/null
+++ b/core/cassiamember/digest.go
@@ -0,0 +1,79 @@
+package cassiamember
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+const (
+	// bucketCount is the number of parts in which views are compared.
+	bucketCount = 128
+	// bucketDigestBytes is the length of the digest of one bucket in a packet.
+	bucketDigestBytes = 2
+)
+
+// digest sums up a view of the live members bucket by bucket, whatever the order in which they were learned.
+type digest struct{ buckets [bucketCount]uint64 }
+
+// toggle adds a live member, or takes it out when it was added before.
+func (d *digest) toggle(member Member) {
+	if member.Live() {
+		d.buckets[bucketOf(member.Name)] ^= hashOf(member)
+	}
+}
+
+// root returns one number for the whole view.
+func (d *digest) root() uint64 {
+	var root uint64
+	for _, b := range d.buckets {
+		root ^= b
+	}
+	return root
+}
+
+// encode returns the digests of all buckets; the salt makes a collision differ the next time.
+func (d *digest) encode(salt uint64) []byte {
+	encoded := make([]byte, 0, bucketCount*bucketDigestBytes)
+	for _, b := range d.buckets {
+		encoded = binary.LittleEndian.AppendUint16(encoded, salted(b, salt))
+	}
+	return encoded
+}
+
+// differing returns the buckets in which an encoded digest differs from this one.
+func (d *digest) differing(encoded []byte, salt uint64) []uint32 {
+	var buckets []uint32
+	if len(encoded) != bucketCount*bucketDigestBytes {
+		return nil
+	}
+	for i, b := range d.buckets {
+		if binary.LittleEndian.Uint16(encoded[i*bucketDigestBytes:]) != salted(b, salt) {
+			buckets = append(buckets, uint32(i))
+		}
+	}
+	return buckets
+}
+
+func bucketOf(name cassiaid.VMName) uint32 {
+	return uint32(xxhash.Sum64String(string(name)) % bucketCount)
+}
+
+// hashOf returns a number for a member's incarnation; a suspect counts as alive, since a suspicion ends by itself.
+func hashOf(member Member) uint64 {
+	encoded := append([]byte(member.Name), byte(0))
+	if member.State == Leaving {
+		encoded = append(encoded, 1)
+	}
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(encoded, uint64(member.Incarnation)))
+}
+
+// salted returns the upper bits of a bucket's sum mixed with a salt.
+func salted(sum, salt uint64) uint16 {
+	var encoded [16]byte
+	binary.LittleEndian.PutUint64(encoded[:], sum)
+	binary.LittleEndian.PutUint64(encoded[8:], salt)
+	return uint16(xxhash.Sum64(encoded[:]) >> 48)
+}
--- /dev/null
+++ b/core/cassiamember/join.go
@@ -0,0 +1,87 @@
+package cassiamember
+
+import (
+	"time"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
+// joiner asks for members until this VM's view equals that of a peer.
+type joiner struct {
+	seeds []Seed
+	// joined is set once a peer had the same view.
+	joined bool
+	// next is when seeds are asked again and interval the time between such rounds.
+	next     time.Time
+	interval time.Duration
+	// asked is when members were asked last.
+	asked time.Time
+}
+
+// join asks known members for all members, or seeds, ever less often while none of them answers.
+func (m *Membership) join(now time.Time) {
+	j := &m.joiner
+	if m.Alone() {
+		j.joined = false
+		if !now.Before(j.next) {
+			j.interval = min(max(2*j.interval, m.tuning.JoinInterval), m.tuning.JoinIntervalMax)
+			j.next = now.Add(j.interval)
+			m.joinSeeds(j.seeds)
+		}
+		return
+	}
+	if j.interval = 0; j.joined || now.Before(j.asked.Add(m.tuning.JoinInterval)) || m.budget.left() == 0 {
+		return
+	}
+	j.asked = now
+	m.joinMembers()
+}
+
+// joinMembers asks some known members.
+func (m *Membership) joinMembers() {
+	for _, name := range m.pickMembers(m.tuning.JoinFanout, "") {
+		m.sendJoin(m.members[name].GossipAddress)
+	}
+}
+
+// joinSeeds asks some of the platform's VMs.
+func (m *Membership) joinSeeds(seeds []Seed) {
+	sent := 0
+	for _, i := range m.config.Random.Perm(len(seeds)) {
+		if sent == m.tuning.JoinFanout {
+			return
+		}
+		if seeds[i].Name != m.self.Name {
+			m.sendJoin(seeds[i].GossipAddress)
+			sent++
+		}
+	}
+}
+
+// probeStranger probes a VM that was listed as a seed and is not known here, so that groups that started apart meet.
+func (m *Membership) probeStranger() {
+	seeds := m.joiner.seeds
+	if m.Alone() || len(seeds) == 0 {
+		return
+	}
+	start := m.config.Random.IntN(len(seeds))
+	for i := range seeds {
+		s := seeds[(start+i)%len(seeds)]
+		if _, ok := m.members[s.Name]; ok || s.Name == m.self.Name {
+			continue
+		}
+		m.send(s.GossipAddress, &cassiaschema.GossipPacket{
+			Kind:     cassiaschema.GossipKind_ping,
+			Sequence: m.nextSequence(),
+			Updates:  []*cassiaschema.MemberUpdate{m.self.full()},
+		}, nil)
+		return
+	}
+}
+
+func (m *Membership) sendJoin(to Address) {
+	p := &cassiaschema.GossipPacket{Kind: cassiaschema.GossipKind_join, Updates: []*cassiaschema.MemberUpdate{m.self.full()}}
+	m.count(CountJoinSent)
+	m.askSync(p)
+	m.send(to, p, nil)
+}
--- /dev/null
+++ b/core/cassiamember/membership_test.go
@@ -0,0 +1,227 @@
+package cassiamember
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+// settle is the time within which views have to agree once nothing changes any more.
+const settle = 2 * time.Minute
+
+func assertAgree(t rapid.TB, n *network, group []*vm, what string) {
+	t.Helper()
+	if _, ok := n.runUntil(settle, func() bool { return agree(group) }); !ok {
+		for _, v := range group {
+			t.Logf("%s sees %s", v.Self().Name, differences(v, group))
+		}
+		t.Fatalf("%s: views differ after %v", what, settle)
+	}
+}
+
+// differences describes the members of a group that a VM sees otherwise than they are.
+func differences(v *vm, group []*vm) string {
+	seen := map[cassiaid.VMName]Member{}
+	for _, m := range v.Members() {
+		seen[m.Name] = m
+	}
+	text := ""
+	for _, other := range group {
+		self := other.Self()
+		if changed(self, seen[self.Name]) || self.Incarnation != seen[self.Name].Incarnation {
+			text += fmt.Sprintf("%v as %v; ", self, seen[self.Name])
+		}
+		delete(seen, self.Name)
+	}
+	return fmt.Sprintf("%sand %v that do not run", text, seen)
+}
+
+func TestJoinFindsAll(t *testing.T) {
+	for _, size := range []int{1, 2, 8, 64} {
+		n := newNetwork(1, Tuning{})
+		n.addAll(size, 4)
+		assertAgree(t, n, n.vms, fmt.Sprintf("%d VMs", size))
+	}
+}
+
+// TestViewsConverge checks that views agree after any schedule of loss, duplicates, reordering, cuts, stops and
+// restarts, once the faults end and without any further seeds.
+func TestViewsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(rapid.Uint64().Draw(t, "seed"), Tuning{})
+		zones := rapid.IntRange(1, 3).Draw(t, "zones")
+		n.addAll(rapid.IntRange(2, 12).Draw(t, "size"), zones)
+		n.run(10 * time.Second)
+		for step := range rapid.IntRange(1, 5).Draw(t, "steps") {
+			n.loss = rapid.SampledFrom([]float64{0, 0.01, 0.2, 0.6}).Draw(t, "loss")
+			n.duplicate = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "duplicate")
+			spread := rapid.SampledFrom([]time.Duration{1, 20, 900}).Draw(t, "spread") * time.Millisecond
+			n.delay = func() time.Duration { return time.Millisecond + time.Duration(n.random.Int64N(int64(spread))) }
+			cutZone := rapid.IntRange(-1, zones-1).Draw(t, "cut")
+			n.cut = func(from, to *vm) bool { return (from.index%zones == cutZone) != (to.index%zones == cutZone) }
+			disturb(t, n, zones, step)
+			n.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "seconds")) * time.Second)
+		}
+		n.loss, n.duplicate, n.cut, n.delay = 0, 0, nil, calmDelay
+		assertAgree(t, n, n.running(), "after the faults")
+	})
+}
+
+// disturb stops, replaces or adds a VM, or lets one leave.
+func disturb(t *rapid.T, n *network, zones, step int) {
+	running := n.running()
+	v := running[rapid.IntRange(0, len(running)-1).Draw(t, "vm")]
+	switch rapid.SampledFrom([]string{"nothing", "kill", "replace", "stop", "leave", "add"}).Draw(t, "disturbance") {
+	case "kill":
+		if len(running) > 1 {
+			n.stop(v)
+		}
+	case "replace":
+		if len(running) > 1 {
+			n.stop(v)
+			n.add(string(v.Self().Name), v.index%zones, n.seeds(3)...)
+		}
+	case "stop":
+		if len(running) > 1 {
+			n.update(v, Leave{})
+			n.run(time.Second)
+			n.update(v, Stop{})
+			n.stop(v)
+		}
+	case "leave":
+		n.update(v, Leave{})
+	case "add":
+		n.add(fmt.Sprintf("added-%d", step), rapid.IntRange(0, zones-1).Draw(t, "zone"), n.seeds(3)...)
+	}
+}
+
+// TestZoneCutHealsWithoutPlatform checks that both sides of a cut go on by themselves and find each other again.
+func TestZoneCutHealsWithoutPlatform(t *testing.T) {
+	n := newNetwork(3, Tuning{})
+	n.addAll(24, 4)
+	assertAgree(t, n, n.vms, "start")
+	var inside, outside []*vm
+	for _, v := range n.vms {
+		v.joiner.seeds = nil
+		if v.index%4 == 0 {
+			inside = append(inside, v)
+		} else {
+			outside = append(outside, v)
+		}
+	}
+	n.cut = func(from, to *vm) bool { return (from.index%4 == 0) != (to.index%4 == 0) }
+	assertAgree(t, n, inside, "inside the cut")
+	assertAgree(t, n, outside, "outside the cut")
+	n.run(time.Hour)
+	n.cut = nil
+	assertAgree(t, n, n.vms, "healed")
+}
+
+// TestFalselySuspectedRefutes checks that a live VM that one peer cannot reach is never declared dead.
+func TestFalselySuspectedRefutes(t *testing.T) {
+	n := newNetwork(4, Tuning{})
+	n.addAll(8, 2)
+	assertAgree(t, n, n.vms, "start")
+	accused := n.vms[3]
+	n.cut = func(from, to *vm) bool { return from == accused && to.index < 3 || to == accused && from.index < 3 }
+	n.run(5 * time.Minute)
+	for _, v := range n.vms {
+		qt.Check(t, v.counts[CountDeclaredDead], qt.Equals, 0, qt.Commentf("%s", v.Self().Name))
+	}
+	n.cut = nil
+	assertAgree(t, n, n.vms, "healed")
+}
+
+// TestPausedVMBlamesNobody checks that a VM that slept declares none of the others dead when it wakes.
+func TestPausedVMBlamesNobody(t *testing.T) {
+	n := newNetwork(5, Tuning{})
+	n.addAll(6, 2)
+	assertAgree(t, n, n.vms, "start")
+	paused := n.vms[0]
+	paused.nextTick = n.now.Add(time.Minute)
+	n.cut = func(from, to *vm) bool { return from == paused || to == paused }
+	n.run(time.Minute - time.Second)
+	n.cut = nil
+	assertAgree(t, n, n.vms, "awake")
+	qt.Assert(t, paused.counts[CountDeclaredDead], qt.Equals, 0)
+	qt.Assert(t, paused.counts[CountPaused], qt.Equals, 1)
+}
+
+// TestRestartReplaces checks that a VM started again under its name at a new address replaces its old run, also when
+// its clock is behind that of the old one.
+func TestRestartReplaces(t *testing.T) {
+	for _, behind := range []time.Duration{0, time.Hour} {
+		n := newNetwork(6, Tuning{})
+		n.addAll(6, 2)
+		assertAgree(t, n, n.vms, "start")
+		old := n.vms[2]
+		n.stop(old)
+		n.now = n.now.Add(-behind)
+		renewed := n.add(string(old.Self().Name), 0, n.seeds(2)...)
+		n.now = n.now.Add(behind)
+		renewed.nextTick = renewed.nextTick.Add(behind)
+		assertAgree(t, n, n.running(), "replaced")
+	}
+}
+
+// leavingLimit is the time within which a VM that leaves receives no new work.
+const leavingLimit = 3 * time.Second
+
+// TestLeavingSpreads checks that a planned stop is known everywhere in time.
+func TestLeavingSpreads(t *testing.T) {
+	n := newNetwork(7, Tuning{})
+	n.addAll(64, 4)
+	assertAgree(t, n, n.vms, "start")
+	n.run(time.Minute)
+	n.update(n.vms[5], Leave{})
+	took, ok := n.runUntil(leavingLimit, func() bool { return agree(n.vms) })
+	qt.Assert(t, ok, qt.IsTrue)
+	t.Logf("leaving known everywhere after %v", took)
+	qt.Assert(t, n.vms[5].Self().State, qt.Equals, Leaving)
+	n.update(n.vms[5], Stop{})
+	n.stop(n.vms[5])
+	took, ok = n.runUntil(leavingLimit, func() bool { return agree(n.running()) })
+	t.Logf("stop known everywhere after %v", took)
+	qt.Assert(t, ok, qt.IsTrue)
+}
+
+// TestNewsReachesAll checks that quarantines, leaving targets and their return reach each VM once, also under loss.
+func TestNewsReachesAll(t *testing.T) {
+	n := newNetwork(8, Tuning{})
+	n.addAll(32, 4)
+	assertAgree(t, n, n.vms, "start")
+	n.loss = 0.1
+	n.update(n.vms[0], QuarantineAdded{Fingerprint: 77, Remaining: time.Minute})
+	n.update(n.vms[1], TargetLeaving{Target: "target-1", Leaving: true, Remaining: time.Minute})
+	n.run(20 * time.Second)
+	n.update(n.vms[2], TargetLeaving{Target: "target-1", Leaving: false, Remaining: time.Minute})
+	n.update(n.vms[0], SettingsChanged{Generation: 9})
+	n.run(20 * time.Second)
+	for i, v := range n.vms {
+		seen := map[string]int{}
+		for _, effect := range v.learned {
+			switch effect := effect.(type) {
+			case QuarantineLearned:
+				seen["quarantine"]++
+			case TargetLearned:
+				seen[fmt.Sprintf("leaving=%v", effect.Leaving)]++
+			}
+		}
+		qt.Check(t, seen["quarantine"], qt.Equals, boolCount(i != 0), qt.Commentf("%s", v.Self().Name))
+		qt.Check(t, seen["leaving=true"], qt.Equals, boolCount(i != 1), qt.Commentf("%s", v.Self().Name))
+		qt.Check(t, seen["leaving=false"], qt.Equals, boolCount(i != 2), qt.Commentf("%s", v.Self().Name))
+	}
+	qt.Assert(t, n.vms[9].members[n.vms[0].Self().Name].SettingsGeneration <= cassiaid.Generation(9), qt.IsTrue)
+}
+
+func boolCount(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/core/cassiamember/packet.go
@@ -0,0 +1,159 @@
+package cassiamember
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// PacketOverhead is the number of bytes around an encoded packet: IP and UDP headers, format byte, nonce and seal.
+const PacketOverhead = 28 + 1 + 24 + 16
+
+// send completes a packet, attaches news where the budget allows, and sends it. The record is that of the receiver,
+// nil when it is not known.
+func (m *Membership) send(to Address, p *cassiaschema.GossipPacket, receiver *record) {
+	p.From = string(m.self.Name)
+	p.SettingsGeneration = uint64(m.self.SettingsGeneration)
+	p.Digest = m.digest.root()
+	p.SentUnixMillis = m.clock.Now().UnixMilli()
+	if receiver != nil && receiver.State != Alive {
+		p.Updates = append(p.Updates, receiver.brief())
+	}
+	if m.defence != nil {
+		p.Updates = append(p.Updates, m.defence)
+		m.defence = nil
+	} else if m.self.State != Alive {
+		p.Updates = append(p.Updates, m.self.brief())
+	}
+	size := proto.Size(p) + PacketOverhead
+	room := min(m.tuning.MaxPacketBytes, m.budget.left()) - size
+	filled := m.rumours.fill(p, room, m.tuning.retransmits(m.size()))
+	m.budget.spend(size + filled + m.remind(p, room-filled))
+	m.emit(SendPacket{To: to, Packet: p})
+}
+
+// nextSequence returns a number for a packet that expects an answer.
+func (m *Membership) nextSequence() uint64 {
+	m.sequence++
+	return m.sequence
+}
+
+// receive takes in a packet of a peer.
+func (m *Membership) receive(message Packet) {
+	p := message.Packet
+	from := cassiaid.VMName(p.GetFrom())
+	if from == "" || from == m.self.Name {
+		m.count(CountBadPacket)
+		return
+	}
+	m.catchingUp = p.GetKind() == cassiaschema.GossipKind_joinReply
+	for _, u := range p.GetUpdates() {
+		if u.GetName() == "" || u.GetState() > Dead {
+			m.count(CountBadPacket)
+			continue
+		}
+		m.learn(u)
+	}
+	m.learnNews(p)
+	m.hearFrom(from, cassiaid.Generation(p.GetSettingsGeneration()))
+	m.compareDigest(p.GetDigest())
+	m.answer(from, message.Source, p)
+	if m.defence != nil {
+		m.send(message.Source, &cassiaschema.GossipPacket{Kind: cassiaschema.GossipKind_push}, m.members[from])
+	}
+	m.catchingUp = false
+}
+
+// hearFrom notes first-hand news of a peer.
+func (m *Membership) hearFrom(name cassiaid.VMName, generation cassiaid.Generation) {
+	r, ok := m.members[name]
+	if !ok {
+		return
+	}
+	if r.State == Leaving {
+		r.suspectUntil = time.Time{}
+	}
+	if r.SettingsGeneration != generation {
+		r.SettingsGeneration = generation
+		m.emit(PeerSettings{Name: name, Generation: generation})
+	}
+}
+
+// answer does what the kind of a packet asks for.
+func (m *Membership) answer(from cassiaid.VMName, source Address, p *cassiaschema.GossipPacket) {
+	switch p.GetKind() {
+	case cassiaschema.GossipKind_ping:
+		m.answerPing(from, source, p)
+	case cassiaschema.GossipKind_ack:
+		m.takeAck(from, p)
+		if len(p.GetBucketDigests()) > 0 {
+			m.sendSync(from, source, cassiaschema.GossipKind_sync, p)
+		}
+	case cassiaschema.GossipKind_pingRequest:
+		m.relayProbe(source, p)
+	case cassiaschema.GossipKind_join:
+		m.sendSync(from, source, cassiaschema.GossipKind_joinReply, p)
+	case cassiaschema.GossipKind_joinReply, cassiaschema.GossipKind_sync:
+		m.answerSync(from, source, p)
+	case cassiaschema.GossipKind_push:
+	default:
+		m.count(CountBadPacket)
+	}
+}
+
+// answerPing acknowledges a probe, and asks for members where views have differed for some time.
+func (m *Membership) answerPing(from cassiaid.VMName, source Address, p *cassiaschema.GossipPacket) {
+	ack := &cassiaschema.GossipPacket{Kind: cassiaschema.GossipKind_ack, Sequence: p.GetSequence()}
+	receiver, known := m.members[from]
+	if !known || m.mismatches >= m.tuning.MismatchLimit {
+		m.askSync(ack)
+	}
+	m.send(source, ack, receiver)
+}
+
+// urgency tells how soon news has to go to other members.
+type urgency uint8
+
+const (
+	noNews urgency = iota
+	// routine news is pushed while the budget is well filled, and else rides on probes.
+	routine
+	// urgent news is pushed while any budget is left.
+	urgent
+)
+
+// pushNews sends what this Update learned to some members at once where the budget allows.
+func (m *Membership) pushNews() {
+	due := m.pushDue
+	m.pushDue = noNews
+	switch {
+	case due == noNews:
+		return
+	case due == routine && !m.budget.plenty(), m.budget.left() == 0:
+		m.count(CountPushSkipped)
+		return
+	}
+	for _, name := range m.pickMembers(m.tuning.PushFanout, "") {
+		m.push(name)
+	}
+}
+
+// push sends a member what is due without waiting for an answer.
+func (m *Membership) push(name cassiaid.VMName) {
+	m.count(CountPush)
+	m.send(m.members[name].GossipAddress, &cassiaschema.GossipPacket{Kind: cassiaschema.GossipKind_push}, m.members[name])
+}
+
+// pickMembers returns random live members of all zones.
+func (m *Membership) pickMembers(count int, except cassiaid.VMName) []cassiaid.VMName {
+	local := len(m.local.names)
+	return pick(local+len(m.remote.names), count, m.config.Random, except, func(i int) cassiaid.VMName {
+		if i < local {
+			return m.local.names[i]
+		}
+		return m.remote.names[i-local]
+	})
+}
--- /dev/null
+++ b/core/cassiamember/sync.go
@@ -0,0 +1,138 @@
+package cassiamember
+
+import (
+	"cmp"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// compareDigest counts how often in a row a peer's view differed from this one.
+func (m *Membership) compareDigest(root uint64) {
+	if root == m.digest.root() {
+		m.mismatches = 0
+		m.joiner.joined = !m.Alone()
+		return
+	}
+	m.mismatches++
+}
+
+// askSync makes a packet ask its receiver for the members of the buckets that differ.
+func (m *Membership) askSync(p *cassiaschema.GossipPacket) {
+	m.mismatches = 0
+	m.count(CountSyncAsked)
+	p.BucketDigests = m.digest.encode(p.GetSequence())
+}
+
+// sendSync sends members of the buckets that differ, as many as fit into a packet, beginning at a random bucket.
+func (m *Membership) sendSync(to cassiaid.VMName, address Address, kind cassiaschema.GossipKind, asked *cassiaschema.GossipPacket) {
+	p := &cassiaschema.GossipPacket{Kind: kind, Sequence: asked.GetSequence()}
+	differing := m.digest.differing(asked.GetBucketDigests(), asked.GetSequence())
+	room := m.syncRoom(kind, p)
+	if len(differing) > 0 {
+		start := m.config.Random.IntN(len(differing))
+		for i := range differing {
+			m.addBucket(p, differing[(start+i)%len(differing)], &room)
+		}
+	}
+	m.count(CountSyncSent)
+	m.send(address, p, m.members[to])
+}
+
+// reserveBytes is kept free in a packet for its own fields.
+const reserveBytes = 150
+
+// syncRoom returns the bytes for members; those of a joining VM may exceed the budget.
+func (m *Membership) syncRoom(kind cassiaschema.GossipKind, p *cassiaschema.GossipPacket) int {
+	room := m.tuning.MaxPacketBytes - PacketOverhead - reserveBytes - proto.Size(p)
+	if kind == cassiaschema.GossipKind_joinReply && !m.budget.overdrawn() {
+		return room
+	}
+	return min(room, m.budget.left())
+}
+
+// addBucket adds the live members of a bucket and marks it whole when all fitted.
+func (m *Membership) addBucket(p *cassiaschema.GossipPacket, bucket uint32, room *int) {
+	for _, member := range m.bucketMembers(bucket) {
+		u := member.full()
+		size := embeddedSize(u)
+		if size > *room {
+			return
+		}
+		*room -= size
+		p.Updates = append(p.Updates, u)
+	}
+	p.WholeBuckets = append(p.WholeBuckets, bucket)
+	*room -= 2
+}
+
+// bucketMembers returns the live members of a bucket, this VM with them, in the order of their names.
+func (m *Membership) bucketMembers(bucket uint32) []Member {
+	var members []Member
+	if bucketOf(m.self.Name) == bucket && m.self.Live() {
+		members = append(members, m.self)
+	}
+	for name, r := range m.members {
+		if r.Live() && bucketOf(name) == bucket {
+			members = append(members, r.Member)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
+// answerSync sends back what the sender of whole buckets lacks or has older.
+func (m *Membership) answerSync(from cassiaid.VMName, source Address, p *cassiaschema.GossipPacket) {
+	theirs := make(map[cassiaid.VMName]*cassiaschema.MemberUpdate, len(p.GetUpdates()))
+	for _, u := range p.GetUpdates() {
+		theirs[cassiaid.VMName(u.GetName())] = u
+	}
+	reply := &cassiaschema.GossipPacket{Kind: cassiaschema.GossipKind_push}
+	room := m.syncRoom(cassiaschema.GossipKind_sync, reply)
+	for _, bucket := range p.GetWholeBuckets() {
+		m.addMissing(reply, bucket, theirs, &room)
+	}
+	for _, u := range p.GetUpdates() {
+		m.addNewer(reply, u, &room)
+	}
+	if len(reply.GetUpdates()) > 0 {
+		m.count(CountSyncSent)
+		m.send(source, reply, m.members[from])
+	}
+}
+
+// addMissing adds the live members of a bucket that the peer did not list.
+func (m *Membership) addMissing(reply *cassiaschema.GossipPacket, bucket uint32, theirs map[cassiaid.VMName]*cassiaschema.MemberUpdate, room *int) {
+	for _, member := range m.bucketMembers(bucket) {
+		if theirs[member.Name] == nil {
+			addUpdate(reply, member.full(), room)
+		}
+	}
+}
+
+// addNewer adds what this VM knows of a member when it is newer than the peer's update.
+func (m *Membership) addNewer(reply *cassiaschema.GossipPacket, u *cassiaschema.MemberUpdate, room *int) {
+	if u.GetName() == string(m.self.Name) && Incarnation(u.GetIncarnation()) < m.self.Incarnation {
+		addUpdate(reply, m.self.full(), room)
+		return
+	}
+	known, ok := m.members[cassiaid.VMName(u.GetName())]
+	if !ok || !supersedes(known.brief(), memberOf(u)) {
+		return
+	}
+	if known.Live() {
+		addUpdate(reply, known.full(), room)
+	} else {
+		addUpdate(reply, known.brief(), room)
+	}
+}
+
+func addUpdate(p *cassiaschema.GossipPacket, u *cassiaschema.MemberUpdate, room *int) {
+	if size := embeddedSize(u); size <= *room {
+		*room -= size
+		p.Updates = append(p.Updates, u)
+	}
+}
--- /dev/null
+++ b/io/cassiagossip/keyring.go
@@ -0,0 +1,135 @@
+package cassiagossip
+
+import (
+	"bytes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/crypto/chacha20poly1305"
+)
+
+const (
+	// minKeyLength is the least number of characters of a cluster key.
+	minKeyLength = 32
+	// keyOverlap is how long a key that was taken out of the file still opens packets.
+	keyOverlap = 10 * time.Minute
+	// keyPurpose binds the derived key to membership packets.
+	keyPurpose = "cassiasaddle membership 1"
+)
+
+// ringKey is one key and until when it opens packets; a zero time has no end.
+type ringKey struct {
+	line  string
+	aead  cipher.AEAD
+	until time.Time
+}
+
+// keyring holds the keys of a file: the first line seals, each line opens.
+type keyring struct {
+	file string
+
+	mu      sync.Mutex
+	content []byte
+	keys    []ringKey
+}
+
+// newKeyring reads a key file.
+func newKeyring(file string, now time.Time) (*keyring, error) {
+	k := &keyring{file: file}
+	_, err := k.reload(now)
+	return k, err
+}
+
+// reload reads the file again and tells whether it changed; after an error the keys stay as they were.
+func (k *keyring) reload(now time.Time) (bool, error) {
+	content, err := os.ReadFile(k.file)
+	if err != nil {
+		return false, &KeyError{File: k.file, Reason: err.Error()}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.content != nil && bytes.Equal(content, k.content) {
+		return false, nil
+	}
+	keys, err := k.parse(string(content))
+	if err != nil {
+		return false, err
+	}
+	k.keys = append(keys, k.retired(keys, now)...)
+	k.content = content
+	return true, nil
+}
+
+// parse derives a key from each line.
+func (k *keyring) parse(content string) ([]ringKey, error) {
+	var keys []ringKey
+	for line := range strings.FieldsSeq(content) {
+		if len(line) < minKeyLength {
+			return nil, &KeyError{File: k.file, Reason: "a key is too short"}
+		}
+		derived, err := hkdf.Key(sha256.New, []byte(line), nil, keyPurpose, chacha20poly1305.KeySize)
+		if err != nil {
+			return nil, &KeyError{File: k.file, Reason: err.Error()}
+		}
+		aead, err := chacha20poly1305.NewX(derived)
+		if err != nil {
+			return nil, &KeyError{File: k.file, Reason: err.Error()}
+		}
+		keys = append(keys, ringKey{line: line, aead: aead})
+	}
+	if len(keys) == 0 {
+		return nil, &KeyError{File: k.file, Reason: "it holds no key"}
+	}
+	return keys, nil
+}
+
+// retired returns the keys that are no longer in the file and still open packets.
+func (k *keyring) retired(current []ringKey, now time.Time) []ringKey {
+	var old []ringKey
+	for _, key := range k.keys {
+		if contains(current, key.line) {
+			continue
+		}
+		if key.until.IsZero() {
+			key.until = now.Add(keyOverlap)
+		}
+		if now.Before(key.until) {
+			old = append(old, key)
+		}
+	}
+	return old
+}
+
+func contains(keys []ringKey, line string) bool {
+	for _, key := range keys {
+		if key.line == line {
+			return true
+		}
+	}
+	return false
+}
+
+// sealing returns the cipher that seals packets.
+func (k *keyring) sealing() cipher.AEAD {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.keys[0].aead
+}
+
+// opening returns the ciphers that open packets, the most likely first.
+func (k *keyring) opening(now time.Time) []cipher.AEAD {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ciphers := make([]cipher.AEAD, 0, len(k.keys))
+	for _, key := range k.keys {
+		if key.until.IsZero() || now.Before(key.until) {
+			ciphers = append(ciphers, key.aead)
+		}
+	}
+	return ciphers
+}
--- /dev/null
+++ b/io/cassiagossip/option.go
@@ -0,0 +1,40 @@
+package cassiagossip
+
+import (
+	"context"
+
+	"github.com/go-kit/log"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"cassiasaddle/core/cassiamember"
+)
+
+// Seeds lists VMs that may be asked to join, such as the platform's VM list.
+type Seeds interface {
+	Seeds(ctx context.Context) ([]cassiamember.Seed, error)
+}
+
+// SeedsFunc is a function that lists seeds.
+type SeedsFunc func(ctx context.Context) ([]cassiamember.Seed, error)
+
+// Seeds calls the function.
+func (f SeedsFunc) Seeds(ctx context.Context) ([]cassiamember.Seed, error) { return f(ctx) }
+
+// Option changes how a Gossip runs.
+type Option func(*Gossip)
+
+// WithSeeds sets where a VM that knows nobody finds others.
+func WithSeeds(seeds Seeds) Option { return func(g *Gossip) { g.seeds = seeds } }
+
+// WithLogger sets the logger.
+func WithLogger(logger log.Logger) Option { return func(g *Gossip) { g.logger = logger } }
+
+// WithMetrics sets the scope of the counters.
+func WithMetrics(scope tally.Scope) Option { return func(g *Gossip) { g.scope = scope } }
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option { return func(g *Gossip) { g.clock = clock } }
+
+// WithTuning sets intervals and limits of the protocol.
+func WithTuning(tuning cassiamember.Tuning) Option { return func(g *Gossip) { g.tuning = tuning } }
--- /dev/null
+++ b/io/cassiagossip/poll.go
@@ -0,0 +1,78 @@
+package cassiagossip
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiamember"
+)
+
+const (
+	// pollersPerZone is the number of VMs of a zone that go on asking for seeds once they know others.
+	pollersPerZone = 2
+	// pollInterval is the time between two looks at the seeds.
+	pollInterval = 15 * time.Second
+	// pollIntervalAlone is the time between two looks of a VM that knows nobody; it doubles up to pollInterval.
+	pollIntervalAlone = 500 * time.Millisecond
+)
+
+// pollSeeds asks for seeds while this VM knows nobody, or when it is one of its zone's pollers.
+func (g *Gossip) pollSeeds(ctx context.Context) error {
+	if g.seeds == nil {
+		return nil
+	}
+	wait := pollIntervalAlone
+	for {
+		alone := len(g.Members()) <= 1
+		if alone || g.polls() {
+			g.poll(ctx)
+		}
+		if wait = min(2*wait, pollInterval); !alone {
+			wait = pollInterval
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.clock.After(wait/2 + rand.N(wait)):
+		}
+	}
+}
+
+// poll asks for seeds once.
+func (g *Gossip) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollInterval)
+	defer cancel()
+	g.scope.Counter("seedPolls").Inc(1)
+	seeds, err := g.seeds.Seeds(ctx)
+	if err != nil {
+		g.scope.Counter("seedPollFailed").Inc(1)
+		_ = level.Warn(g.logger).Log("message", "seeds not read", "error", err)
+		return
+	}
+	g.update(cassiamember.SeedList{Seeds: seeds})
+}
+
+// polls tells whether this VM is one of its zone's pollers.
+func (g *Gossip) polls() bool {
+	g.mu.Lock()
+	self := g.core.Self()
+	g.mu.Unlock()
+	var zone []cassiaid.VMName
+	for _, member := range g.Members() {
+		if member.Zone == self.Zone {
+			zone = append(zone, member.Name)
+		}
+	}
+	slices.SortFunc(zone, func(a, b cassiaid.VMName) int { return cmp.Compare(rank(a), rank(b)) })
+	return slices.Contains(zone[:min(pollersPerZone, len(zone))], self.Name)
+}
+
+// rank orders the VMs of a zone as pollers.
+func rank(name cassiaid.VMName) uint64 { return xxhash.Sum64String("seeds " + string(name)) }
--- /dev/null
+++ b/io/cassiagossip/seal.go
@@ -0,0 +1,75 @@
+package cassiagossip
+
+import (
+	"crypto/rand"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	// packetFormat is the first byte of each datagram.
+	packetFormat = 1
+	// maxDatagramBytes bounds a datagram, so that it is not split on the way.
+	maxDatagramBytes = 1400
+	// clockTolerance is how far a sender's clock may be off; older packets are refused as replayed.
+	clockTolerance = 30 * time.Second
+)
+
+// seal encodes and encrypts a packet.
+func (k *keyring) seal(p *cassiaschema.GossipPacket) ([]byte, refusal) {
+	plain, err := proto.Marshal(p)
+	if err != nil {
+		return nil, badPacket
+	}
+	aead := k.sealing()
+	head := make([]byte, 1+aead.NonceSize(), 1+aead.NonceSize()+len(plain)+aead.Overhead())
+	head[0] = packetFormat
+	if _, err := rand.Read(head[1:]); err != nil {
+		return nil, badSeal
+	}
+	sealed := aead.Seal(head, head[1:], plain, head[:1])
+	if len(sealed) > maxDatagramBytes {
+		return nil, tooLarge
+	}
+	return sealed, accepted
+}
+
+// open decrypts and decodes a datagram, or tells why it is refused.
+func (k *keyring) open(datagram []byte, now time.Time) (*cassiaschema.GossipPacket, refusal) {
+	if len(datagram) > maxDatagramBytes {
+		return nil, tooLarge
+	}
+	if len(datagram) == 0 || datagram[0] != packetFormat {
+		return nil, badSeal
+	}
+	plain, ok := k.decrypt(datagram, now)
+	if !ok {
+		return nil, badSeal
+	}
+	p := &cassiaschema.GossipPacket{}
+	if proto.Unmarshal(plain, p) != nil {
+		return nil, badPacket
+	}
+	if age := now.Sub(time.UnixMilli(p.GetSentUnixMillis())); age > clockTolerance || age < -clockTolerance {
+		return nil, stale
+	}
+	return p, accepted
+}
+
+// decrypt tries each key that opens packets.
+func (k *keyring) decrypt(datagram []byte, now time.Time) ([]byte, bool) {
+	for _, aead := range k.opening(now) {
+		head := 1 + aead.NonceSize()
+		if len(datagram) < head+aead.Overhead() {
+			return nil, false
+		}
+		plain, err := aead.Open(nil, datagram[1:head], datagram[head:], datagram[:1])
+		if err == nil {
+			return plain, true
+		}
+	}
+	return nil, false
+}
