--- a/io/cassiapeer/node.go
+++ b/io/cassiapeer/node.go
@@ -18,6 +18,7 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiatls"
 )
 
 const (
@@ -51,11 +52,19 @@
 	PeerAddress(vm cassiaid.VMName) (string, bool)
 }
 
+// Identity proves this VM to others and checks theirs.
+type Identity interface {
+	// Server returns the configuration for connections that other VMs open.
+	Server() *tls.Config
+	// Client returns the configuration for a connection to a VM, which has to prove that it is that VM.
+	Client(peer cassiaid.VMName) *tls.Config
+}
+
 // Config holds what a Node needs.
 type Config struct {
 	Self     cassiaid.VMName
 	Address  string
-	TLS      *tls.Config
+	Identity Identity
 	Resolver Resolver
 	Handler  Handler
 	Logger   log.Logger
@@ -108,7 +117,7 @@
 		refused:        config.Scope.Counter("peerRefused"),
 		lost:           config.Scope.Counter("peerLost"),
 	}
-	listener, err := n.transport.Listen(withProtocol(config.TLS), quicConfig())
+	listener, err := n.transport.Listen(withProtocol(config.Identity.Server()), quicConfig())
 	if err != nil {
 		cancel()
 		return nil, errors.Join(eris.Wrap(err, "peer listener failed"), socket.Close())
@@ -152,8 +161,8 @@
 		if err != nil {
 			return eris.Wrap(err, "peer listener stopped")
 		}
-		name, ok := peerName(connection)
-		if !ok {
+		name, err := cassiatls.PeerName(connection.ConnectionState().TLS)
+		if err != nil {
 			n.refused.Inc(1)
 			connection.CloseWithError(1, "certificate names no VM") //nolint:errcheck // the peer is refused either way
 			continue
@@ -162,15 +171,6 @@
 	}
 }
 
-// peerName returns the VM name that the peer's verified certificate carries.
-func peerName(connection *quic.Conn) (cassiaid.VMName, bool) {
-	certificates := connection.ConnectionState().TLS.PeerCertificates
-	if len(certificates) == 0 || len(certificates[0].DNSNames) == 0 {
-		return "", false
-	}
-	return cassiaid.VMName(certificates[0].DNSNames[0]), true
-}
-
 // adopt starts serving a connection and remembers it as the newest way to the VM.
 func (n *Node) adopt(name cassiaid.VMName, connection *quic.Conn) *peer {
 	p := newPeer(n, name, connection)
@@ -239,9 +239,7 @@
 	}
 	ctx, cancel := context.WithTimeout(n.context, handshakeTimeout)
 	defer cancel()
-	config := withProtocol(n.config.TLS)
-	config.ServerName = string(vm)
-	connection, err := n.transport.Dial(ctx, udp, config, quicConfig())
+	connection, err := n.transport.Dial(ctx, udp, withProtocol(n.config.Identity.Client(vm)), quicConfig())
 	if err != nil {
 		d.err = errors.Join(ErrNotSent, err)
 		return
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -82,7 +82,7 @@
 	clock := clockwork.NewRealClock()
 	scope := s.metrics.Scope
 	s.store = cassiastore.NewClient(s.config.PlatformAddress, s.config.PlatformToken, scope)
-	identity, err := cassiatls.Load(s.config.GetTls(), s.logger, scope)
+	identity, err := cassiatls.New(s.config.GetTls(), cassiatls.WithLogger(s.logger), cassiatls.WithMetrics(scope))
 	if err != nil {
 		return err
 	}
@@ -99,7 +99,7 @@
 		Clock: clock, Logger: s.logger, Scope: scope,
 	})
 	s.node, err = cassiapeer.Listen(cassiapeer.Config{
-		Self: s.self, Address: s.config.PeerAddress, TLS: identity.Config(), Resolver: s.members, Handler: s,
+		Self: s.self, Address: s.config.PeerAddress, Identity: identity, Resolver: s.members, Handler: s,
 		Logger: s.logger, Scope: scope,
 	})
 	if err != nil {
