Add mutual TLS between VMs with files read again when replaced

Change: io/cassiatls (Credentials for server and client, refusal reasons, Directory that issues authority, VM certificates and cluster key). Ruled out: the standard verification by tls.Config alone, since it refuses before anything can be counted.

--- /dev/null
+++ b/io/cassiatls/authority.go
@@ -0,0 +1,230 @@
+package cassiatls
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	// DefaultLifetime is how long issued certificates are valid.
+	DefaultLifetime = 90 * 24 * time.Hour
+	// authorityLifetime is how long an authority is valid.
+	authorityLifetime = 10 * 365 * 24 * time.Hour
+	// backdate lets certificates be used by VMs whose clocks are behind.
+	backdate = time.Hour
+	// serialBits is the length of a certificate's serial number.
+	serialBits = 120
+	// clusterKeyBytes is the length of a new cluster key before it is written in letters.
+	clusterKeyBytes = 32
+
+	certificateBlock = "CERTIFICATE"
+	keyBlock         = "PRIVATE KEY"
+)
+
+// Authority signs the certificates of VMs.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// NewAuthority makes an authority with a new key.
+func NewAuthority(now time.Time) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "make the authority's key")
+	}
+	template, err := newTemplate("cassiasaddle authority", now, authorityLifetime)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, eris.Wrap(err, "sign the authority's certificate")
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return &Authority{certificate: certificate, key: key}, eris.Wrap(err, "read the authority's certificate")
+}
+
+func newTemplate(name string, now time.Time, lifetime time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, eris.Wrap(err, "draw a serial number")
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-backdate),
+		NotAfter:     now.Add(lifetime),
+	}, nil
+}
+
+// Issue returns a certificate and a key for a VM, in PEM.
+func (a *Authority) Issue(name cassiaid.VMName, now time.Time, lifetime time.Duration) (certificate, key []byte, err error) {
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "make a VM's key")
+	}
+	template, err := newTemplate(string(name), now, lifetime)
+	if err != nil {
+		return nil, nil, err
+	}
+	template.DNSNames = []string{string(name)}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, private.Public(), a.key)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "sign a VM's certificate")
+	}
+	key, err = encodeKey(private)
+	return pem.EncodeToMemory(&pem.Block{Type: certificateBlock, Bytes: der}), key, err
+}
+
+func encodeKey(key *ecdsa.PrivateKey) ([]byte, error) {
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode a key")
+	}
+	return pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: der}), nil
+}
+
+// Directory holds an authority, a cluster key and the certificates of VMs as files.
+type Directory string
+
+// Files returns the TLS files of a VM.
+func (d Directory) Files(name cassiaid.VMName) *cassiaschema.TlsFiles {
+	return &cassiaschema.TlsFiles{
+		Certificate: d.path(string(name) + ".pem"),
+		Key:         d.path(string(name) + "-key.pem"),
+		Authority:   d.path("authority.pem"),
+	}
+}
+
+// ClusterKeyFile returns the file of the cluster key.
+func (d Directory) ClusterKeyFile() string { return d.path("cluster.key") }
+
+func (d Directory) path(file string) string { return filepath.Join(string(d), file) }
+
+func (d Directory) authorityKeyFile() string { return d.path("authority-key.pem") }
+
+// Issue writes certificates for VMs, with the directory's authority and cluster key, which are made where missing.
+func (d Directory) Issue(now time.Time, lifetime time.Duration, names ...cassiaid.VMName) error {
+	if err := os.MkdirAll(string(d), 0o700); err != nil {
+		return &FileError{File: string(d), Cause: err}
+	}
+	authority, err := d.authority(now)
+	if err != nil {
+		return err
+	}
+	if err := d.ensureClusterKey(); err != nil {
+		return err
+	}
+	for _, name := range names {
+		certificate, key, err := authority.Issue(name, now, lifetime)
+		if err != nil {
+			return err
+		}
+		files := d.Files(name)
+		if err := writeFile(files.GetKey(), key); err != nil {
+			return err
+		}
+		if err := writeFile(files.GetCertificate(), certificate); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// authority reads the directory's authority, or makes one.
+func (d Directory) authority(now time.Time) (*Authority, error) {
+	file := d.Files("").GetAuthority()
+	if _, err := os.Stat(file); errors.Is(err, os.ErrNotExist) {
+		return d.newAuthority(now)
+	}
+	certificate, err := readBlock(file, certificateBlock, x509.ParseCertificate)
+	if err != nil {
+		return nil, err
+	}
+	key, err := readBlock(d.authorityKeyFile(), keyBlock, x509.ParsePKCS8PrivateKey)
+	if err != nil {
+		return nil, err
+	}
+	private, ok := key.(*ecdsa.PrivateKey)
+	if !ok || !private.PublicKey.Equal(certificate.PublicKey) {
+		return nil, &FileError{File: d.authorityKeyFile(), Cause: errors.New("it is not the key of authority.pem")}
+	}
+	return &Authority{certificate: certificate, key: private}, nil
+}
+
+func (d Directory) newAuthority(now time.Time) (*Authority, error) {
+	a, err := NewAuthority(now)
+	if err != nil {
+		return nil, err
+	}
+	key, err := encodeKey(a.key)
+	if err != nil {
+		return nil, err
+	}
+	if err := writeFile(d.authorityKeyFile(), key); err != nil {
+		return nil, err
+	}
+	encoded := pem.EncodeToMemory(&pem.Block{Type: certificateBlock, Bytes: a.certificate.Raw})
+	return a, writeFile(d.Files("").GetAuthority(), encoded)
+}
+
+// ensureClusterKey writes a cluster key where there is none.
+func (d Directory) ensureClusterKey() error {
+	if _, err := os.Stat(d.ClusterKeyFile()); err == nil {
+		return nil
+	}
+	key, err := NewClusterKey()
+	if err != nil {
+		return err
+	}
+	return writeFile(d.ClusterKeyFile(), []byte(key+"\n"))
+}
+
+// readBlock reads the first PEM block of a file.
+func readBlock[T any](file, kind string, parse func([]byte) (T, error)) (T, error) {
+	var parsed T
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return parsed, &FileError{File: file, Cause: err}
+	}
+	block, _ := pem.Decode(content)
+	if block == nil || block.Type != kind {
+		return parsed, &FileError{File: file, Cause: errors.New("no " + kind + " in it")}
+	}
+	if parsed, err = parse(block.Bytes); err != nil {
+		return parsed, &FileError{File: file, Cause: err}
+	}
+	return parsed, nil
+}
+
+// writeFile replaces a file in one step.
+func writeFile(file string, content []byte) error {
+	next := file + ".next"
+	if err := os.WriteFile(next, content, 0o600); err != nil {
+		return &FileError{File: file, Cause: err}
+	}
+	if err := os.Rename(next, file); err != nil {
+		return &FileError{File: file, Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/cassiatls/credentials.go
@@ -0,0 +1,207 @@
+package cassiatls
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/jonboulle/clockwork"
+	"github.com/uber-go/tally/v4"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	// Protocol is the application protocol that peers agree on.
+	Protocol = "cassiasaddle/1"
+	// checkInterval is the least time between two looks at the files.
+	checkInterval = time.Second
+)
+
+// Credentials are a VM's certificate and the authority that its peers must have.
+type Credentials struct {
+	files  *cassiaschema.TlsFiles
+	logger log.Logger
+	scope  tally.Scope
+	clock  clockwork.Clock
+
+	mu      sync.Mutex
+	checked time.Time
+	content [3]string
+	current loaded
+}
+
+// loaded is what the files held when they were read last.
+type loaded struct {
+	certificate tls.Certificate
+	authority   *x509.CertPool
+}
+
+// Option changes how Credentials work.
+type Option func(*Credentials)
+
+// WithLogger sets the logger.
+func WithLogger(logger log.Logger) Option { return func(c *Credentials) { c.logger = logger } }
+
+// WithMetrics sets the scope of the counters.
+func WithMetrics(scope tally.Scope) Option { return func(c *Credentials) { c.scope = scope } }
+
+// WithClock sets the clock.
+func WithClock(clock clockwork.Clock) Option { return func(c *Credentials) { c.clock = clock } }
+
+// New reads a VM's certificate files.
+func New(files *cassiaschema.TlsFiles, options ...Option) (*Credentials, error) {
+	c := &Credentials{files: files, logger: log.NewNopLogger(), scope: tally.NoopScope, clock: clockwork.NewRealClock()}
+	for _, option := range options {
+		option(c)
+	}
+	c.scope = c.scope.SubScope("tls")
+	c.checked = c.clock.Now()
+	if err := c.load(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// load reads the files; after an error what was read before stays in use.
+func (c *Credentials) load() error {
+	var content [3]string
+	for i, file := range []string{c.files.GetCertificate(), c.files.GetKey(), c.files.GetAuthority()} {
+		read, err := os.ReadFile(file)
+		if err != nil {
+			return &FileError{File: file, Cause: err}
+		}
+		content[i] = string(read)
+	}
+	if content == c.content {
+		return nil
+	}
+	certificate, err := tls.X509KeyPair([]byte(content[0]), []byte(content[1]))
+	if err != nil {
+		return &FileError{File: c.files.GetCertificate(), Cause: err}
+	}
+	if _, err := nameOf(certificate.Leaf); err != nil {
+		return &FileError{File: c.files.GetCertificate(), Cause: err}
+	}
+	authority := x509.NewCertPool()
+	if !authority.AppendCertsFromPEM([]byte(content[2])) {
+		return &FileError{File: c.files.GetAuthority(), Cause: errors.New("no certificate in it")}
+	}
+	c.content, c.current = content, loaded{certificate: certificate, authority: authority}
+	c.scope.Gauge("certificateExpiryUnixSeconds").Update(float64(certificate.Leaf.NotAfter.Unix()))
+	return nil
+}
+
+// latest returns what the files hold, and reads them again when that is due.
+func (c *Credentials) latest() loaded {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	if now.Sub(c.checked) < checkInterval {
+		return c.current
+	}
+	c.checked = now
+	if err := c.load(); err != nil {
+		c.scope.Counter("reloadFailed").Inc(1)
+		_ = level.Error(c.logger).Log("message", "TLS files not read again", "error", err)
+	}
+	return c.current
+}
+
+// Server returns the configuration to accept peers with.
+func (c *Credentials) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		NextProtos:             []string{Protocol},
+		SessionTicketsDisabled: true,
+		// The peer's certificate is verified by VerifyConnection, which counts refusals.
+		ClientAuth:     tls.RequestClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return c.certificate() },
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return c.verify(state, "", x509.ExtKeyUsageClientAuth)
+		},
+	}
+}
+
+// Client returns the configuration to call one peer with.
+func (c *Credentials) Client(peer cassiaid.VMName) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{Protocol},
+		ServerName: string(peer),
+		// The peer's certificate is verified by VerifyConnection, which counts refusals.
+		InsecureSkipVerify:   true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return c.certificate() },
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return c.verify(state, string(peer), x509.ExtKeyUsageServerAuth)
+		},
+	}
+}
+
+func (c *Credentials) certificate() (*tls.Certificate, error) {
+	certificate := c.latest().certificate
+	return &certificate, nil
+}
+
+// verify refuses a peer whose certificate is not of the authority, or not for the name that is expected.
+func (c *Credentials) verify(state tls.ConnectionState, expected string, usage x509.ExtKeyUsage) error {
+	err := c.check(state.PeerCertificates, expected, usage)
+	if err == nil {
+		return nil
+	}
+	c.scope.Tagged(map[string]string{"reason": string(err.Reason)}).Counter("peerRefused").Inc(1)
+	_ = level.Warn(c.logger).Log("message", "peer refused", "error", err)
+	return err
+}
+
+func (c *Credentials) check(chain []*x509.Certificate, expected string, usage x509.ExtKeyUsage) *PeerError {
+	if len(chain) == 0 {
+		return &PeerError{Reason: PeerNoCertificate, Cause: errors.New("it sent none")}
+	}
+	intermediates := x509.NewCertPool()
+	for _, certificate := range chain[1:] {
+		intermediates.AddCert(certificate)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots:         c.latest().authority,
+		Intermediates: intermediates,
+		CurrentTime:   c.clock.Now(),
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	if invalid := (x509.CertificateInvalidError{}); errors.As(err, &invalid) && invalid.Reason == x509.Expired {
+		return &PeerError{Reason: PeerExpired, Cause: err}
+	}
+	if err != nil {
+		return &PeerError{Reason: PeerUnknownAuthority, Cause: err}
+	}
+	name, err := nameOf(chain[0])
+	if err == nil && expected != "" && string(name) != expected {
+		err = errors.New("it is " + string(name) + " and not " + expected)
+	}
+	if err != nil {
+		return &PeerError{Reason: PeerWrongName, Cause: err}
+	}
+	return nil
+}
+
+// PeerName returns the name of the VM at the other end of a connection that was accepted or called with Credentials.
+func PeerName(state tls.ConnectionState) (cassiaid.VMName, error) {
+	if len(state.PeerCertificates) == 0 {
+		return "", &PeerError{Reason: PeerNoCertificate, Cause: errors.New("it sent none")}
+	}
+	return nameOf(state.PeerCertificates[0])
+}
+
+// nameOf returns the VM's name in a certificate, which is its first DNS name.
+func nameOf(certificate *x509.Certificate) (cassiaid.VMName, error) {
+	if len(certificate.DNSNames) == 0 {
+		return "", errors.New("the certificate has no DNS name")
+	}
+	return cassiaid.VMName(certificate.DNSNames[0]), nil
+}
