--- a/io/cassialog/metrics.go
+++ b/io/cassialog/metrics.go
@@ -25,9 +25,11 @@
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "cassiasaddle",
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:                 "cassiasaddle",
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
--- a/io/cassiaserver/members.go
+++ b/io/cassiaserver/members.go
@@ -81,7 +81,7 @@
 		}
 		list := make([]cassiamember.Seed, 0, len(vms))
 		for _, v := range vms {
-			list = append(list, cassiamember.Seed{Name: v.Name, Zone: v.AvailabilityZone, GossipAddress: cassiamember.Address(v.GossipAddress)})
+			list = append(list, cassiamember.Seed{Name: v.Name, GossipAddress: cassiamember.Address(v.GossipAddress)})
 		}
 		return list, nil
 	}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -163,8 +163,8 @@
   authority: %s
 logLevel: debug
 `, v.name, v.zone, v.callers, v.operators, v.peer, v.gossip, c.platform, hash(adminToken),
-		filepath.Join(c.dir, "cluster.key"), filepath.Join(c.dir, v.name+".crt"), filepath.Join(c.dir, v.name+".key"),
-		filepath.Join(c.dir, "authority.crt")))
+		filepath.Join(c.dir, "cluster.key"), filepath.Join(c.dir, v.name+".pem"), filepath.Join(c.dir, v.name+"-key.pem"),
+		filepath.Join(c.dir, "authority.pem")))
 	v.process = start(c.t, "cassiasaddle", "serve", "--config", v.config)
 	eventually(c.t, startTimeout, v.name+" is live", func() bool {
 		status, _ := c.tryGet("http://" + v.operators + "/livez")
