Find a target's slots by the attempts that wait there, measured against attempts that run alone

Ruled out: a slowly rising minimum as the base, which rises with the congestion that it should show. Change: the base is the latency of attempts that started alone, measured again every 2 s; the limit follows the estimated number that wait; attempts that can't end by their deadlines are refused before they start. Conclusion: 2 slots of which one is free are found within the bound of 4 connections.

--- a/core/cassialimit/adaptive.go
+++ b/core/cassialimit/adaptive.go
@@ -8,18 +8,25 @@
 
 const (
 	minLimit = 1
-	// congestedFactor and congestedMargin tell from which latency on a target queues work itself.
-	congestedFactor = 2
-	congestedMargin = time.Millisecond
+	// growBelow and shrinkAbove bound the attempts that wait at the target, as a number for small limits and as a
+	// share of large ones, whose estimates vary more.
+	growBelow        = 0.4
+	growBelowShare   = 0.12
+	shrinkAbove      = 0.8
+	shrinkAboveShare = 0.2
 	// latencyDecrease and shedDecrease are the factors of the limit after high latency and after a refusal.
 	latencyDecrease = 0.9
 	shedDecrease    = 0.6
 	// pauseBase and pauseMax bound the wait after refusals by a target that runs none of this VM's attempts.
 	pauseBase = 2 * time.Millisecond
 	pauseMax  = 100 * time.Millisecond
+	// probeEvery is how long the unloaded latency counts before probeSamples attempts run alone to measure it again.
+	probeEvery   = 2 * time.Second
+	probeSamples = 3
 )
 
-// adaptive finds how many attempts a target can run at once for this VM.
+// adaptive finds how many attempts a target can run at once for this VM: it keeps the number that wait at the target,
+// estimated from the latency beside that of attempts which run alone, near zero.
 type adaptive struct {
 	limit     float64
 	slowStart bool
@@ -28,6 +35,8 @@
 	steadyAt time.Time
 	sheds    int
 	pausedTo time.Time
+	// probes is how many attempts have still to run alone.
+	probes int
 }
 
 // reset starts again from the smallest limit, growing fast until the first sign of congestion.
@@ -37,32 +46,49 @@
 }
 
 // current returns the limit as a number of attempts.
-func (a *adaptive) current(bound int) int { return min(max(minLimit, int(a.limit)), bound) }
+func (a *adaptive) current(bound int) int {
+	if a.probes > 0 {
+		return minLimit
+	}
+	return min(max(minLimit, int(a.limit)), bound)
+}
 
-// done learns from an attempt that ended while busy told whether the limit was in use.
-func (a *adaptive) done(now time.Time, m Done, busy bool, bound int) {
+// done learns from an attempt; busy tells whether the limit was in use, alone whether it started with nothing else running.
+func (a *adaptive) done(now time.Time, m Done, busy, alone bool, bound int) {
 	switch m.Outcome {
 	case cassiaschema.ShardOutcome_answered:
 		a.sheds = 0
-		a.estimate.observe(m.Elapsed)
-		a.answered(now, busy, bound)
+		a.estimate.observe(now, m.Elapsed, alone)
+		a.answered(now, busy, alone, bound)
 	case cassiaschema.ShardOutcome_overloaded:
 		a.shed(now)
 	case cassiaschema.ShardOutcome_timedOut:
+		a.estimate.observeAtLeast(now, m.Elapsed)
 		a.shrink(now, latencyDecrease)
+	case cassiaschema.ShardOutcome_cancelled:
+		a.estimate.observeAtLeast(now, m.Elapsed)
 	}
 }
 
-func (a *adaptive) answered(now time.Time, busy bool, bound int) {
-	threshold := congestedFactor*a.estimate.unloaded() + congestedMargin
+func (a *adaptive) answered(now time.Time, busy, alone bool, bound int) {
+	if a.probes > 0 {
+		if alone {
+			a.probes--
+		}
+		return
+	}
+	waiting := a.estimate.queued(a.limit)
 	switch {
-	case a.estimate.typical() > threshold:
+	case busy && waiting > max(shrinkAbove, shrinkAboveShare*a.limit):
 		a.shrink(now, latencyDecrease)
 	case busy && a.slowStart:
 		a.limit = min(float64(bound), a.limit+1)
-	case busy:
+	case busy && waiting < max(growBelow, growBelowShare*a.limit):
 		a.limit = min(float64(bound), a.limit+1/a.limit)
 	}
+	if a.limit > minLimit && now.Sub(a.estimate.aloneAt) > probeEvery {
+		a.probes = probeSamples
+	}
 }
 
 func (a *adaptive) shed(now time.Time) {
@@ -81,5 +107,5 @@
 		return
 	}
 	a.limit = max(minLimit, a.limit*factor)
-	a.steadyAt = now.Add(a.estimate.typical())
+	a.steadyAt = now.Add(a.estimate.typical(now))
 }
--- a/core/cassialimit/estimate.go
+++ b/core/cassialimit/estimate.go
@@ -3,34 +3,63 @@
 import "time"
 
 const (
-	// recentWeight is the weight of the newest sample in the recent latency.
-	recentWeight = 0.2
-	// baseRise and baseFall are the weights of samples above and below the unloaded latency.
-	baseRise = 0.02
-	baseFall = 0.3
+	// recentWeight and baseWeight are the weights of the newest sample in the averages.
+	recentWeight = 0.1
+	baseWeight   = 0.15
+	// estimateLife is how long an estimate counts after its last sample.
+	estimateLife = time.Second
 )
 
-// estimate tracks a target's recent latency and its latency without a queue at the target.
+// estimate tracks a target's recent latency and its latency without others of this VM's attempts.
 type estimate struct {
 	recent, base float64
+	sampledAt    time.Time
+	// aloneAt is when the last attempt ended that had started with nothing else running.
+	aloneAt time.Time
 }
 
-func (e *estimate) observe(elapsed time.Duration) {
-	sample := float64(elapsed)
-	if e.recent == 0 {
-		e.recent, e.base = sample, sample
-		return
+// observe adds the time that an attempt took; alone is true when it started with nothing else running. The first
+// sample after a while replaces what was known before.
+func (e *estimate) observe(now time.Time, elapsed time.Duration, alone bool) {
+	if now.Sub(e.sampledAt) > estimateLife {
+		e.recent = 0
+	}
+	e.sampledAt = now
+	average(&e.recent, float64(elapsed), recentWeight)
+	if alone {
+		e.aloneAt = now
+		average(&e.base, float64(elapsed), baseWeight)
+	}
+}
+
+// observeAtLeast adds an attempt that was stopped early and would have taken longer.
+func (e *estimate) observeAtLeast(now time.Time, elapsed time.Duration) {
+	if float64(elapsed) > e.recent {
+		e.sampledAt = now
+		average(&e.recent, float64(elapsed), recentWeight)
 	}
-	e.recent += recentWeight * (sample - e.recent)
-	weight := baseRise
-	if sample < e.base {
-		weight = baseFall
+}
+
+func average(a *float64, sample, weight float64) {
+	if *a == 0 {
+		*a = sample
+		return
 	}
-	e.base += weight * (sample - e.base)
+	*a += weight * (sample - *a)
 }
 
-// typical returns the time that an attempt is expected to take.
-func (e *estimate) typical() time.Duration { return time.Duration(e.recent) }
+// typical returns the time that an attempt is expected to take, zero when nothing recent is known.
+func (e *estimate) typical(now time.Time) time.Duration {
+	if now.Sub(e.sampledAt) > estimateLife {
+		return 0
+	}
+	return time.Duration(e.recent)
+}
 
-// unloaded returns the time that an attempt takes without others before it.
-func (e *estimate) unloaded() time.Duration { return time.Duration(e.base) }
+// queued estimates how many of a number of attempts in flight wait at the target.
+func (e *estimate) queued(inFlight float64) float64 {
+	if e.recent <= e.base || e.base == 0 {
+		return 0
+	}
+	return inFlight * (1 - e.base/e.recent)
+}
--- a/core/cassialimit/limiter.go
+++ b/core/cassialimit/limiter.go
@@ -7,8 +7,12 @@
 	"cassiasaddle/core/cassiaplan"
 )
 
-// defaultQueue is the most attempts that wait for one target.
-const defaultQueue = 64
+const (
+	// defaultQueue is the most attempts that wait for one target.
+	defaultQueue = 64
+	// waitMargin is the factor on the estimated wait, so that few of the admitted attempts turn out to be too late.
+	waitMargin = 1.25
+)
 
 // Bounds are the fixed bounds of a limiter; zero values give the defaults.
 type Bounds struct {
@@ -24,16 +28,22 @@
 	bounds   Bounds
 	adaptive adaptive
 	queue    queue
-	running  map[cassiaid.AttemptID]bool
+	running  map[cassiaid.AttemptID]runningAttempt
 	// alone is true while an attempt runs that others must not run beside.
 	alone    bool
 	draining bool
 	wakeAt   time.Time
 }
 
+// runningAttempt tells how an attempt was started.
+type runningAttempt struct {
+	// alone is true when the attempt has to run alone; first when nothing else ran at its start.
+	alone, first bool
+}
+
 // NewLimiter returns the limiter of a target that no attempt has run on yet.
 func NewLimiter(clock cassiaplan.Clock, bounds Bounds) *Limiter {
-	l := &Limiter{clock: clock, running: make(map[cassiaid.AttemptID]bool)}
+	l := &Limiter{clock: clock, running: make(map[cassiaid.AttemptID]runningAttempt)}
 	l.setBounds(bounds)
 	l.adaptive.reset()
 	return l
@@ -98,7 +108,7 @@
 		return []Effect{Refuse{ID: o.ID, Reason: ReasonTimedOut}}
 	}
 	at := l.queue.position(o)
-	if now.Add(l.waitFor(now, at) + l.adaptive.estimate.unloaded()).After(o.Deadline) {
+	if now.Add(l.waitFor(now, at) + l.adaptive.estimate.typical(now)).After(o.Deadline) {
 		return []Effect{Refuse{ID: o.ID, Reason: ReasonOverloaded}}
 	}
 	l.queue.insert(at, o)
@@ -123,22 +133,23 @@
 	free := max(0, limit-len(l.running))
 	var wait time.Duration
 	if ahead >= free {
-		wait = time.Duration(ahead-free+1) * l.adaptive.estimate.typical() / time.Duration(limit)
+		typical := l.adaptive.estimate.typical(now)
+		wait = time.Duration(float64(ahead-free+1) * float64(typical) / float64(limit) * waitMargin)
 	}
 	return max(wait, l.adaptive.pausedTo.Sub(now))
 }
 
 func (l *Limiter) done(now time.Time, m Done) {
-	alone, ok := l.running[m.ID]
+	r, ok := l.running[m.ID]
 	if !ok {
 		return
 	}
 	busy := len(l.running) >= l.Limit()
 	delete(l.running, m.ID)
-	if alone {
+	if r.alone {
 		l.alone = false
 	}
-	l.adaptive.done(now, m, busy, l.bounds.Concurrency)
+	l.adaptive.done(now, m, busy, r.first, l.bounds.Concurrency)
 }
 
 func (l *Limiter) cancel(id cassiaid.AttemptID) []Effect {
@@ -162,12 +173,12 @@
 
 // advance refuses what came too late, starts what may start, and asks to be woken for the rest.
 func (l *Limiter) advance(now time.Time, effects []Effect) []Effect {
-	for _, o := range l.queue.expired(now, 0) {
+	for _, o := range l.queue.expired(now, l.adaptive.estimate.typical(now)) {
 		effects = append(effects, Refuse{ID: o.ID, Reason: ReasonTimedOut})
 	}
 	for len(l.queue.offers) > 0 && l.canStart(now, l.queue.offers[0]) {
 		o := l.queue.take()
-		l.running[o.ID] = o.Alone
+		l.running[o.ID] = runningAttempt{alone: o.Alone, first: len(l.running) == 0}
 		l.alone = l.alone || o.Alone
 		effects = append(effects, Start{ID: o.ID})
 	}
@@ -186,6 +197,9 @@
 
 func (l *Limiter) wake(now time.Time, effects []Effect) []Effect {
 	at := l.queue.firstDeadline()
+	if !at.IsZero() {
+		at = at.Add(-l.adaptive.estimate.typical(now))
+	}
 	if paused := l.adaptive.pausedTo; len(l.queue.offers) > 0 && now.Before(paused) && paused.Before(at) {
 		at = paused
 	}
--- /dev/null
+++ b/core/cassialimit/simulation_test.go
@@ -0,0 +1,205 @@
+package cassialimit
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// event is something that happens at a time of a simulation.
+type event struct {
+	at time.Time
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simulatedClock is a clock that a simulation sets.
+type simulatedClock struct{ now time.Time }
+
+func (c *simulatedClock) Now() time.Time { return c.now }
+
+// simulation offers attempts to a limiter before a target with a few slots, a queue and log-normal run times.
+type simulation struct {
+	clock   *simulatedClock
+	random  *rand.Rand
+	limiter *Limiter
+	events  events
+	// slots is how many attempts the target runs at once; those above shedAbove waiting are refused.
+	slots, shedAbove int
+	median           time.Duration
+	busy             int
+	waiting          []cassiaid.AttemptID
+	started          map[cassiaid.AttemptID]time.Time
+	deadlines        map[cassiaid.AttemptID]time.Time
+	next             cassiaid.AttemptID
+
+	answered, late, refused, shed, targetQueue, samples int
+}
+
+func newSimulation(bounds Bounds, slots int, median time.Duration) *simulation {
+	clock := &simulatedClock{now: origin}
+	return &simulation{
+		clock: clock, random: rand.New(rand.NewPCG(1, 2)), limiter: NewLimiter(clock, bounds),
+		slots: slots, shedAbove: 32, median: median,
+		started: map[cassiaid.AttemptID]time.Time{}, deadlines: map[cassiaid.AttemptID]time.Time{},
+	}
+}
+
+func (s *simulation) after(d time.Duration, do func()) {
+	heap.Push(&s.events, event{at: s.clock.Now().Add(d), do: do})
+}
+
+// run offers attempts at a mean interval for a time.
+func (s *simulation) run(interval, deadline, length time.Duration) {
+	end := s.clock.Now().Add(length)
+	var arrive func()
+	arrive = func() {
+		if !s.clock.Now().Before(end) {
+			return
+		}
+		s.next++
+		s.deadlines[s.next] = s.clock.Now().Add(deadline)
+		s.update(Offer{ID: s.next, Deadline: s.deadlines[s.next]})
+		s.after(time.Duration(s.random.ExpFloat64()*float64(interval)), arrive)
+	}
+	arrive()
+	for len(s.events) > 0 && s.events[0].at.Before(end) {
+		e := heap.Pop(&s.events).(event)
+		s.clock.now = e.at
+		e.do()
+	}
+}
+
+func (s *simulation) update(m Message) {
+	for _, e := range s.limiter.Update(m) {
+		switch e := e.(type) {
+		case Start:
+			s.arriveAtTarget(e.ID)
+		case Refuse:
+			s.refused++
+		case WakeAt:
+			s.after(e.Time.Sub(s.clock.Now()), func() { s.update(Tick{}) })
+		}
+	}
+}
+
+func (s *simulation) arriveAtTarget(id cassiaid.AttemptID) {
+	s.started[id] = s.clock.Now()
+	s.targetQueue += len(s.waiting)
+	s.samples++
+	switch {
+	case s.busy < s.slots:
+		s.serve(id)
+	case len(s.waiting) >= s.shedAbove:
+		s.shed++
+		s.after(time.Millisecond, func() { s.finish(id, cassiaschema.ShardOutcome_overloaded) })
+	default:
+		s.waiting = append(s.waiting, id)
+	}
+}
+
+func (s *simulation) serve(id cassiaid.AttemptID) {
+	s.busy++
+	const sigma = 0.35
+	runTime := time.Duration(float64(s.median) * math.Exp(sigma*s.random.NormFloat64()))
+	s.after(runTime, func() {
+		s.busy--
+		if len(s.waiting) > 0 {
+			next := s.waiting[0]
+			s.waiting = s.waiting[1:]
+			s.serve(next)
+		}
+		s.finish(id, cassiaschema.ShardOutcome_answered)
+	})
+}
+
+func (s *simulation) finish(id cassiaid.AttemptID, outcome cassiaschema.ShardOutcome) {
+	now := s.clock.Now()
+	if outcome == cassiaschema.ShardOutcome_answered {
+		s.answered++
+		if now.After(s.deadlines[id]) {
+			s.late++
+		}
+	}
+	s.update(Done{ID: id, Outcome: outcome, Elapsed: now.Sub(s.started[id])})
+}
+
+// TestLimiterFindsTheSlots overloads targets of several sizes and judges the work done and the queue left at the target.
+func TestLimiterFindsTheSlots(t *testing.T) {
+	const median, length = 8 * time.Millisecond, 10 * time.Second
+	tests := []struct {
+		name                        string
+		concurrency, slots, percent int
+	}{
+		{"one slot of two is free, calm", 4, 1, 60},
+		{"one slot of two is free, overload", 4, 1, 200},
+		{"two slots, overload", 4, 2, 200},
+		{"six slots, overload", 16, 6, 200},
+		{"sixteen slots, overload", 16, 16, 150},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newSimulation(Bounds{Concurrency: tt.concurrency}, tt.slots, median)
+			capacity := float64(tt.slots) * float64(length) / (1.063 * float64(median))
+			interval := time.Duration(float64(length) / (capacity * float64(tt.percent) / 100))
+			s.run(interval, 350*time.Millisecond, length)
+			utilised := float64(s.answered) / capacity
+			queue := float64(s.targetQueue) / float64(max(1, s.samples))
+			t.Logf("%.2f of capacity answered, %d late, %d refused, %d shed by the target, %.2f wait at the target",
+				utilised, s.late, s.refused, s.shed, queue)
+			c.Check(utilised > 0.85*min(1, float64(tt.percent)/100), qt.IsTrue)
+			c.Check(queue < 2, qt.IsTrue)
+			c.Check(float64(s.late) < 0.01*float64(s.answered), qt.IsTrue)
+		})
+	}
+}
+
+// TestLimiterBacksOffFromATargetThatSheds gives all slots to another system for a while.
+func TestLimiterBacksOffFromATargetThatSheds(t *testing.T) {
+	c := qt.New(t)
+	s := newSimulation(Bounds{Concurrency: 4}, 2, 8*time.Millisecond)
+	s.shedAbove = 0
+	s.run(8*time.Millisecond, 350*time.Millisecond, 5*time.Second)
+	t.Logf("free: %d answered, %d shed", s.answered, s.shed)
+	c.Check(s.shed < s.answered/5, qt.IsTrue)
+	s.slots, s.shed, s.answered = 0, 0, 0
+	s.run(8*time.Millisecond, 350*time.Millisecond, 5*time.Second)
+	t.Logf("taken: %d shed", s.shed)
+	c.Check(s.shed <= 5*int(time.Second/pauseMax)+10, qt.IsTrue)
+	s.slots, s.answered = 2, 0
+	s.run(8*time.Millisecond, 350*time.Millisecond, 5*time.Second)
+	t.Logf("free again: %d answered", s.answered)
+	c.Check(s.answered > 500, qt.IsTrue)
+}
+
+// TestLimiterRecoversFromASlowTarget makes a target slower than the deadline for a while.
+func TestLimiterRecoversFromASlowTarget(t *testing.T) {
+	c := qt.New(t)
+	s := newSimulation(Bounds{Concurrency: 4}, 2, 8*time.Millisecond)
+	s.run(20*time.Millisecond, 350*time.Millisecond, 5*time.Second)
+	s.median = 2 * time.Second
+	s.run(20*time.Millisecond, 350*time.Millisecond, 20*time.Second)
+	s.median, s.answered = 8*time.Millisecond, 0
+	s.run(20*time.Millisecond, 350*time.Millisecond, 10*time.Second)
+	t.Logf("%d answered of about 500", s.answered)
+	c.Check(s.answered > 250, qt.IsTrue)
+}
