--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -347,14 +347,17 @@
 	return len(targets)
 }
 
-// failsEverywhere tells whether several shards' targets of this VM were lost and none has answered the request, now
-// that none of its attempts runs any more.
+// failsEverywhere tells whether targets of different shards were lost and none has answered the request: either after
+// one that it ran on alone, or once none of its attempts runs any more among those that this VM has seen.
 func (q *Quarantine) failsEverywhere(now time.Time, f cassiaid.Fingerprint, s *suspect, needed int, ended cassiaid.AttemptID) bool {
-	seen := s.seen()
-	if differentTargets(seen) < needed || !onlyCommon(seen) || q.answered.has(now, Window, f) {
+	if q.answered.has(now, Window, f) {
 		return false
 	}
-	return !q.runs(f, ended)
+	if ranAlone(s.strikes) && differentTargets(s.strikes) >= needed && onlyCommon(s.strikes) {
+		return true
+	}
+	seen := s.seen()
+	return differentTargets(seen) >= needed && onlyCommon(seen) && !q.runs(f, ended)
 }
 
 // runs tells whether an attempt of the request runs on a target that is not lost.
