--- a/core/cassiaquarantine/quarantine_test.go
+++ b/core/cassiaquarantine/quarantine_test.go
@@ -21,6 +21,8 @@
 	crashes map[cassiaid.Fingerprint]int
 	refused map[cassiaid.Fingerprint]bool
 	next    cassiaid.AttemptID
+	// silent keeps losses from being shared, to show what the sharing is for.
+	silent bool
 }
 
 func newCluster(owners int, deadly ...cassiaid.Fingerprint) *cluster {
@@ -45,6 +47,9 @@
 		var shared Message
 		switch e := e.(type) {
 		case ShareLoss:
+			if k.silent {
+				continue
+			}
 			shared = LossLearned(e)
 		case ShareAnswer:
 			shared = AnswerLearned(e)
@@ -104,6 +109,16 @@
 	c.Assert(k.owners[5].Admit(2, 3), qt.Equals, VerdictRun)
 }
 
+// TestWithoutSharedLossesTheBoundFails shows that quarantines alone, however fast they spread, come too late.
+func TestWithoutSharedLossesTheBoundFails(t *testing.T) {
+	k := newCluster(8, 1)
+	k.silent = true
+	for i := range 100 {
+		k.run(i%8, 1, 0)
+	}
+	qt.Assert(t, k.crashes[1], qt.Equals, 9)
+}
+
 // TestDeadlyRequestOnChangingShards sends the request to another shard each time, as canaries do.
 func TestDeadlyRequestOnChangingShards(t *testing.T) {
 	c := qt.New(t)
