--- a/core/cassiasettings/simulation_test.go
+++ b/core/cassiasettings/simulation_test.go
@@ -51,7 +51,6 @@
 	edits   map[EditID]*cassiaschema.SettingsEdit
 	storeUp bool
 	cutZone cassiaid.Zone
-	watched int
 }
 
 func newWorld(t rapid.TB, vms, zones int, seed uint64) *world {
