--- a/test/thin_test.go
+++ b/test/thin_test.go
@@ -3,7 +3,8 @@
 import (
 	"testing"
 
-	qt "github.com/frankban/quicktest")
+	qt "github.com/frankban/quicktest"
+)
 
 // TestWholePath proves the path from settings to an answer and a planned stop, with every part a process of its own.
 func TestWholePath(t *testing.T) {
