Bench: workload, baseline client, checker, scenarios and reports

cause: the tier's promises and figures must be judged from outside. change: io/cassiabench, open loop, HdrHistogram, verdicts from execution logs and callers' bytes.

--- /dev/null
+++ b/io/cassiabench/baseline.go
@@ -0,0 +1,222 @@
+package cassiabench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/standin/cassiashard"
+)
+
+// baselineAttempts is one try and two retries, each with an equal part of the deadline as its timeout.
+const baselineAttempts = 3
+
+// baseline is a plain client: it sends each shard request straight to a random replica, with a fixed timeout and two
+// retries, without hedges, limits or a chosen snapshot.
+type baseline struct {
+	entries []baselineEntry
+	delays  delays
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// baselineEntry is one of the places that the baseline's callers reach.
+type baselineEntry struct {
+	zone   string
+	client *http.Client
+}
+
+// newBaseline returns a plain client with as many entries as there are VMs, in the same zones.
+func newBaseline(l *layout, d delays, seed uint64) *baseline {
+	b := &baseline{delays: d, random: rand.New(rand.NewPCG(seed, 2))}
+	zones := map[string]string{}
+	for _, team := range l.Teams {
+		for _, front := range team.GetFronts() {
+			for _, shard := range front.GetShards() {
+				for _, target := range shard.GetTargets() {
+					zones[target.GetAddress()] = target.GetAvailabilityZone()
+				}
+			}
+		}
+	}
+	for _, vm := range l.VMs {
+		b.entries = append(b.entries, baselineEntry{vm.GetAvailabilityZone(), d.client(vm.GetAvailabilityZone(), zones)})
+	}
+	return b
+}
+
+// Close ends the idle connections.
+func (b *baseline) Close() {
+	for _, e := range b.entries {
+		e.client.CloseIdleConnections()
+	}
+}
+
+// ask runs one request as a plain client does.
+func (b *baseline) ask(ctx context.Context, r *request) *reply {
+	result := &reply{Request: r, Sent: time.Now()}
+	entry := b.entries[r.Caller%len(b.entries)]
+	b.delays.toClient(ctx)
+	defer func() {
+		b.delays.toClient(ctx)
+		result.Finished = time.Now()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, r.deadline())
+	defer cancel()
+	shards := r.Front.GetShards()
+	if r.Front.GetFanout() == cassiaschema.Fanout_oneShardByKey {
+		hash := fnv.New32a()
+		_, _ = hash.Write([]byte(r.ShardKey))
+		at := int(hash.Sum32()) % len(shards)
+		shards = shards[at : at+1]
+	}
+	rows := make([]*cassiashard.Rows, len(shards))
+	var group errgroup.Group
+	for i, shard := range shards {
+		group.Go(func() error {
+			rows[i] = b.askShard(ctx, entry.client, r, shard)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	assembleBaseline(result, rows)
+	return result
+}
+
+// askShard tries random replicas of a shard.
+func (b *baseline) askShard(ctx context.Context, client *http.Client, r *request, shard *cassiaschema.Shard) *cassiashard.Rows {
+	for range baselineAttempts {
+		b.mu.Lock()
+		target := shard.GetTargets()[b.random.IntN(len(shard.GetTargets()))]
+		id := b.random.Uint64()
+		b.mu.Unlock()
+		if rows := askTarget(ctx, client, r, shard.GetName(), target.GetAddress(), id); rows != nil || ctx.Err() != nil {
+			return rows
+		}
+	}
+	return nil
+}
+
+// askTarget sends one attempt with the fixed timeout, and returns nil when it failed.
+func askTarget(ctx context.Context, client *http.Client, r *request, shard, address string, id uint64) *cassiashard.Rows {
+	timeout := r.deadline() / baselineAttempts
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/shard", bytes.NewReader(r.Body))
+	if err != nil {
+		return nil
+	}
+	call.Header.Set("Attempt-Id", strconv.FormatUint(id, 10))
+	call.Header.Set("Shard", shard)
+	call.Header.Set("Snapshot", "0")
+	call.Header.Set("Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
+	if r.Key != "" {
+		call.Header.Set("Idempotency-Key", r.Key)
+	}
+	response, err := client.Do(call)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return nil
+	}
+	rows := &cassiashard.Rows{}
+	if json.Unmarshal(content, rows) != nil {
+		return nil
+	}
+	return rows
+}
+
+// assembleBaseline merges the rows of all shards into an answer, or a refusal below the least coverage.
+func assembleBaseline(result *reply, rows []*cassiashard.Rows) {
+	a := &answer{Coverage: coverage{Asked: len(rows)}}
+	for _, r := range rows {
+		if r == nil {
+			a.Coverage.Missing = append(a.Coverage.Missing, missingShard{Reason: string(cassiaplan.MissingFailed)})
+			continue
+		}
+		a.Rows = append(a.Rows, *r)
+		a.Snapshot = max(a.Snapshot, r.Snapshot)
+	}
+	a.Coverage.Answered = len(a.Rows)
+	a.Coverage.Fraction = float64(len(a.Rows)) / float64(len(rows))
+	if a.Coverage.Answered == 0 || a.Coverage.Fraction < result.Request.Front.GetMinCoverage() {
+		result.Refusal = &refusal{Kind: cassiaplan.RefusalInsufficientCoverage, Ran: cassiaplan.RanUnknown}
+		return
+	}
+	result.Answer = a
+}
+
+// delays are the one-way delays of a deployment.
+type delays struct {
+	Zones   time.Duration
+	Clients time.Duration
+}
+
+// toClient waits for one way between a caller and the system.
+func (d delays) toClient(ctx context.Context) { wait(ctx, d.Clients) }
+
+// client returns an HTTP client in a zone; what it sends to other zones is delayed.
+func (d delays) client(zone string, zoneOf map[string]string) *http.Client {
+	dialer := &net.Dialer{}
+	away := func(address string) bool { return zoneOf[address] != zone }
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 16,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if away(address) {
+				wait(ctx, 2*d.Zones)
+			}
+			return dialer.DialContext(ctx, network, address)
+		},
+	}
+	return &http.Client{Transport: delayedTripper{transport, d.Zones, away}}
+}
+
+// delayedTripper delays requests to other zones and their replies.
+type delayedTripper struct {
+	next  *http.Transport
+	delay time.Duration
+	away  func(address string) bool
+}
+
+// RoundTrip sends a request one way later and returns its reply another way later.
+func (t delayedTripper) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !t.away(r.URL.Host) {
+		return t.next.RoundTrip(r)
+	}
+	wait(r.Context(), t.delay)
+	response, err := t.next.RoundTrip(r)
+	wait(r.Context(), t.delay)
+	return response, err
+}
+
+// CloseIdleConnections ends the idle connections.
+func (t delayedTripper) CloseIdleConnections() { t.next.CloseIdleConnections() }
+
+// wait returns after a time or when the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/cassiabench/caller.go
@@ -0,0 +1,135 @@
+package cassiabench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
+// patienceAfterDeadline is how long a caller waits beyond the deadline before it counts as left without an answer.
+const patienceAfterDeadline = 2 * time.Second
+
+// callers send requests to the VMs through a balancer that picks by caller and skips VMs that refuse connections.
+type callers struct {
+	delays delays
+	client *http.Client
+
+	mu  sync.Mutex
+	vms []*cassiaschema.VmConfig
+}
+
+func newCallers(vms []*cassiaschema.VmConfig, d delays) *callers {
+	return &callers{delays: d, vms: vms, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+// Close ends the idle connections.
+func (c *callers) Close() { c.client.CloseIdleConnections() }
+
+// remove takes a VM out of the balancer.
+func (c *callers) remove(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var kept []*cassiaschema.VmConfig
+	for _, vm := range c.vms {
+		if vm.GetName() != name {
+			kept = append(kept, vm)
+		}
+	}
+	c.vms = kept
+}
+
+// pick returns the VM for a caller's n-th try.
+func (c *callers) pick(caller, try int) *cassiaschema.VmConfig {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms[(caller+try)%len(c.vms)]
+}
+
+// ask sends one request and returns what the caller received.
+func (c *callers) ask(ctx context.Context, r *request) *reply {
+	result := &reply{Request: r, Sent: time.Now()}
+	ctx, cancel := context.WithTimeout(ctx, r.deadline()+patienceAfterDeadline)
+	defer cancel()
+	c.delays.toClient(ctx)
+	for try := range 3 {
+		vm := c.pick(r.Caller, try)
+		result.VM = vm.GetName()
+		refusedConnection := c.askVM(ctx, r, vm, result)
+		if !refusedConnection {
+			break
+		}
+	}
+	c.delays.toClient(ctx)
+	result.Finished = time.Now()
+	return result
+}
+
+// askVM sends a request to one VM, and tells whether the VM refused the connection, so that nothing was sent.
+func (c *callers) askVM(ctx context.Context, r *request, vm *cassiaschema.VmConfig, result *reply) bool {
+	url := "http://" + vm.GetCallerAddress() + "/v1/teams/" + r.Team + "/fronts/" + r.Front.GetName() + "/query"
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.Body))
+	if err != nil {
+		result.Failure = err.Error()
+		return false
+	}
+	call.GetBody = nil
+	requestID := uuid.NewString()
+	call.Header.Set("Content-Type", "application/json")
+	call.Header.Set("Request-Id", requestID)
+	if r.Key != "" {
+		call.Header.Set("Idempotency-Key", r.Key)
+	}
+	if r.ShardKey != "" {
+		call.Header.Set("Shard-Key", r.ShardKey)
+	}
+	response, err := c.client.Do(call)
+	if err != nil {
+		result.Failure = err.Error()
+		var dial *net.OpError
+		return errors.As(err, &dial) && dial.Op == "dial"
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		result.Failure = err.Error()
+		return false
+	}
+	result.Failure = ""
+	readReply(result, response.StatusCode, content, requestID)
+	return false
+}
+
+// readReply fills in what the bytes of a response say.
+func readReply(result *reply, status int, content []byte, requestID string) {
+	if status == http.StatusOK {
+		a := &answer{}
+		if err := json.Unmarshal(content, a); err != nil {
+			result.Failure = "answer is not readable: " + err.Error()
+			return
+		}
+		if a.RequestID != "" && a.RequestID != requestID {
+			result.Failure = failureForeignID
+		}
+		result.Answer = a
+		return
+	}
+	f := &refusal{}
+	if err := json.Unmarshal(content, f); err != nil || f.Kind == "" {
+		result.Failure = http.StatusText(status) + " without a typed refusal: " + string(content)
+		return
+	}
+	result.Refusal = f
+}
+
+// failureForeignID tells that an answer carries another request's identifier.
+const failureForeignID = "answer to another request"
--- /dev/null
+++ b/io/cassiabench/checker_test.go
@@ -0,0 +1,123 @@
+package cassiabench
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/standin/cassiashard"
+)
+
+// honestEvidence is one whole answer over two shards, as each broken promise below changes it.
+func honestEvidence(kind cassiaschema.RequestKind) evidence {
+	sent := time.Unix(100, 0)
+	front := &cassiaschema.Front{Name: "f", Kind: kind, Shards: []*cassiaschema.Shard{{Name: "s-1"}, {Name: "s-2"}}}
+	r := &request{Team: "t", Front: front, BodyHash: "own"}
+	if kind == cassiaschema.RequestKind_nonIdempotent {
+		r.Key = "key"
+	}
+	var executions []cassiashard.Execution
+	var rows []cassiashard.Rows
+	for _, shard := range []string{"s-1", "s-2"} {
+		rows = append(rows, cassiashard.Rows{Shard: shard, Snapshot: 7, BodyHash: "own"})
+		executions = append(executions, cassiashard.Execution{
+			Target: "target-" + shard, Shard: shard, Snapshot: 7, BodyHash: "own",
+			StartedUnixMicros: sent.Add(time.Millisecond).UnixMicro(), Outcome: cassiashard.OutcomeRan,
+		})
+	}
+	return evidence{
+		Replies: []*reply{{
+			Request: r, Sent: sent, Finished: sent.Add(10 * time.Millisecond),
+			Answer: &answer{Snapshot: 7, Rows: rows, Coverage: coverage{Asked: 2, Answered: 2, Fraction: 1}},
+		}},
+		Executions: executions, Leaving: map[string]time.Time{},
+	}
+}
+
+func TestCheckFindsEachBrokenPromise(t *testing.T) {
+	refuse := func(e *evidence) {
+		e.Replies[0].Answer, e.Replies[0].Refusal = nil, &refusal{Kind: cassiaplan.RefusalOverloaded, Ran: cassiaplan.RanNo}
+	}
+	sendAgain := func(e *evidence, after time.Duration) {
+		again := *e.Replies[0]
+		again.Sent = again.Sent.Add(after)
+		e.Replies = append(e.Replies, &again)
+	}
+	tests := []struct {
+		name  string
+		kind  cassiaschema.RequestKind
+		spoil func(*evidence)
+		want  Violations
+	}{
+		{"honest", 0, func(*evidence) {}, Violations{}},
+		{"mixed snapshot", 0, func(e *evidence) { e.Replies[0].Answer.Rows[1].Snapshot = 8 }, Violations{MixedSnapshot: 1}},
+		{"foreign rows", 0, func(e *evidence) {
+			e.Replies[0].Answer.Rows[1].BodyHash = "other"
+			e.Executions = append(e.Executions, cassiashard.Execution{Shard: "s-2", BodyHash: "other", Outcome: cassiashard.OutcomeRan})
+		}, Violations{ForeignAnswer: 1}},
+		{"foreign identifier", 0, func(e *evidence) { e.Replies[0].Failure = failureForeignID }, Violations{ForeignAnswer: 1}},
+		{"too much coverage stated", 0, func(e *evidence) {
+			e.Replies[0].Answer.Rows = e.Replies[0].Answer.Rows[:1]
+		}, Violations{FalseCoverage: 1}},
+		{"missing shard not named", 0, func(e *evidence) {
+			e.Replies[0].Answer.Rows = e.Replies[0].Answer.Rows[:1]
+			e.Replies[0].Answer.Coverage = coverage{Asked: 2, Answered: 1, Fraction: 0.5}
+		}, Violations{FalseCoverage: 1}},
+		{"one shard twice", 0, func(e *evidence) { e.Replies[0].Answer.Rows[1].Shard = "s-1" }, Violations{FalseCoverage: 1}},
+		{"rows that nobody ran", 0, func(e *evidence) {
+			e.Executions[1].Outcome = cassiashard.OutcomeCancelled
+		}, Violations{FalseCoverage: 1}},
+		{"refused as not run", 0, refuse, Violations{FalseNotRun: 1}},
+		{"refused as not run, next sending ran", 0, func(e *evidence) {
+			refuse(e)
+			sendAgain(e, 0)
+			e.Replies[1].Sent = e.Replies[0].Sent.Add(500 * time.Microsecond)
+			e.Replies[1].Refusal = &refusal{Ran: cassiaplan.RanUnknown}
+		}, Violations{}},
+		{"keyed request refused while its repeat ran", 1, func(e *evidence) {
+			refuse(e)
+			e.Executions = e.Executions[:1]
+		}, Violations{FalseNotRun: 1}},
+		{"ran twice", 1, func(e *evidence) { sendAgain(e, time.Millisecond) }, Violations{DoubleRun: 1}},
+		{"begun after the deadline", 0, func(e *evidence) {
+			e.Executions[0].StartedUnixMicros = e.Replies[0].Sent.Add(time.Second).UnixMicro()
+		}, Violations{LateWork: 1}},
+		{"begun on a leaving target", 0, func(e *evidence) {
+			e.Leaving["target-s-1"] = e.Replies[0].Sent.Add(-4 * time.Second)
+		}, Violations{LateWork: 1}},
+		{"begun soon after the first sign", 0, func(e *evidence) {
+			e.Leaving["target-s-1"] = e.Replies[0].Sent.Add(-2 * time.Second)
+		}, Violations{}},
+		{"unanswered", 0, func(e *evidence) { e.Replies[0].Answer, e.Replies[0].Failure = nil, "EOF" }, Violations{Unanswered: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := honestEvidence(test.kind)
+			test.spoil(&e)
+			got, examples := check(e)
+			qt.Assert(t, got, qt.Equals, test.want, qt.Commentf("%v", examples))
+		})
+	}
+}
+
+func TestMeasuresCountRefusalsAndExtraLoad(t *testing.T) {
+	c := qt.New(t)
+	e := honestEvidence(cassiaschema.RequestKind_idempotent)
+	e.Replies[0].Latency = 10 * time.Millisecond
+	refused := &reply{
+		Request: &request{Team: "t", Front: e.Replies[0].Request.Front, BodyHash: "refused"}, Latency: time.Millisecond,
+		Refusal: &refusal{Kind: cassiaplan.RefusalOverloaded, Ran: cassiaplan.RanNo},
+	}
+	hedge := e.Executions[0]
+	got := measure([]*reply{e.Replies[0], refused}, startedByShard(append(e.Executions, hedge)))
+	c.Assert(got.Queries, qt.Equals, 2)
+	c.Assert(got.CoverageMean, qt.Equals, 0.5)
+	c.Assert(got.FullAnswers, qt.Equals, 1)
+	c.Assert(got.ExtraLoad, qt.Equals, 0.5)
+	c.Assert(got.Refusals, qt.DeepEquals, map[string]int{"overloaded": 1})
+	c.Assert(got.P99Ms >= 350, qt.IsTrue, qt.Commentf("a refusal counts at least its deadline"))
+	c.Assert(got.P50Ms < 11, qt.IsTrue)
+}
--- /dev/null
+++ b/io/cassiabench/environment.go
@@ -0,0 +1,285 @@
+package cassiabench
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/standin/cassiaplatform"
+	"cassiasaddle/standin/cassiashard"
+)
+
+// Times of starting and stopping.
+const (
+	readHeaderTimeout = 30 * time.Second
+	startTimeout      = 20 * time.Second
+	pollPause         = 20 * time.Millisecond
+)
+
+// Load of the other system that shares the targets.
+const (
+	otherLoad = 0.3
+	// otherConnectionShare is the part of the connection cap that it holds.
+	otherConnectionShare = 0.5
+)
+
+// Tier is how the bench starts VMs and gives them settings.
+type Tier interface {
+	// RunVM runs one VM until the context ends and then stops it as planned.
+	RunVM(ctx context.Context, config *cassiaschema.VmConfig, delayTo func(peer net.Addr) time.Duration) error
+	// ApplyRoot puts the root settings in force through a VM.
+	ApplyRoot(ctx context.Context, vm *cassiaschema.VmConfig, yaml []byte) error
+	// ApplyTeam puts a team's settings in force through a VM.
+	ApplyTeam(ctx context.Context, vm *cassiaschema.VmConfig, team string, yaml []byte) error
+	// Ready tells whether a VM is ready to serve the fronts.
+	Ready(ctx context.Context, vm *cassiaschema.VmConfig) bool
+}
+
+// environment is the stand-ins and VMs of one run.
+type environment struct {
+	layout   *layout
+	fleet    *cassiashard.Fleet
+	platform *cassiaplatform.Platform
+	random   *rand.Rand
+	// tier, callers and vms are nil for the baseline.
+	tier    Tier
+	callers *callers
+	vms     map[string]context.CancelFunc
+
+	mu      sync.Mutex
+	leaving map[string]time.Time
+}
+
+// newEnvironment prepares the stand-ins of a scenario.
+func newEnvironment(s Scenario, seed uint64) (*environment, error) {
+	l, err := newLayout(s.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	if s.VMs > 0 && s.VMs < len(l.VMs) {
+		l.VMs = l.VMs[:s.VMs]
+	}
+	e := &environment{
+		layout:   l,
+		platform: cassiaplatform.New(cassiaplatform.Options{}),
+		random:   rand.New(rand.NewPCG(seed, 3)),
+		vms:      map[string]context.CancelFunc{},
+		leaving:  map[string]time.Time{},
+	}
+	behaviours := map[string]cassiashard.Behaviour{}
+	for team, patch := range l.Behaviour {
+		b, err := cassiashard.DefaultBehaviour().Merge(patch)
+		if err != nil {
+			return nil, err
+		}
+		b.BackgroundLoad = otherLoad
+		behaviours[team] = b
+	}
+	behaviourOf := func(team string) cassiashard.Behaviour { return behaviours[team] }
+	if e.fleet, err = cassiashard.NewFleet(l.Teams, behaviourOf, seed); err != nil {
+		return nil, err
+	}
+	e.fleet.Change(func(b *cassiashard.Behaviour) {
+		b.OtherConnections = int(float64(b.MaxConnections) * otherConnectionShare)
+	})
+	if s.Prepare != nil {
+		s.Prepare(e)
+	}
+	return e, nil
+}
+
+// Close gives back what the environment holds once all has stopped.
+func (e *environment) Close() error { return e.layout.Close() }
+
+// startStandins starts targets and platform in the group and returns when they listen.
+func (e *environment) startStandins(ctx context.Context, group *errgroup.Group) error {
+	listener, err := net.Listen("tcp", e.layout.VMs[0].GetPlatformAddress())
+	if err != nil {
+		return eris.Wrap(err, "the platform's address is taken; end other runs")
+	}
+	server := &http.Server{Handler: e.platform, ReadHeaderTimeout: readHeaderTimeout}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	ready := make(chan struct{})
+	group.Go(func() error { return e.fleet.Run(ctx, func() { close(ready) }) })
+	select {
+	case <-ready:
+		return nil
+	case <-ctx.Done():
+		return eris.New("the targets did not start")
+	}
+}
+
+// startVMs starts all VMs in the group, gives them the settings and returns when they are ready.
+func (e *environment) startVMs(ctx context.Context, group *errgroup.Group, tier Tier, d delays) error {
+	e.tier = tier
+	e.callers = newCallers(e.layout.VMs, d)
+	for _, vm := range e.layout.VMs {
+		e.platform.PutVM(platformRow(vm, "live"))
+	}
+	for _, vm := range e.layout.VMs {
+		running, stop := context.WithCancel(ctx)
+		e.vms[vm.GetName()] = stop
+		group.Go(func() error {
+			defer stop()
+			return eris.Wrapf(tier.RunVM(running, vm, e.delayFrom(vm, d)), "VM %s", vm.GetName())
+		})
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := e.applyAll(ctx); err != nil {
+		return err
+	}
+	for _, vm := range e.layout.VMs {
+		ready := func() error {
+			if tier.Ready(ctx, vm) {
+				return nil
+			}
+			return eris.Errorf("VM %s is not ready", vm.GetName())
+		}
+		if err := retry(ctx, ready); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// delayFrom returns how long a VM's packets to a peer take, by the peer's availability zone.
+func (e *environment) delayFrom(vm *cassiaschema.VmConfig, d delays) func(net.Addr) time.Duration {
+	away := map[string]bool{}
+	for _, other := range e.layout.VMs {
+		if other.GetAvailabilityZone() != vm.GetAvailabilityZone() {
+			away[other.GetPeerAddress()] = true
+			away[other.GetGossipAddress()] = true
+		}
+	}
+	return func(peer net.Addr) time.Duration {
+		if away[peer.String()] {
+			return d.Zones
+		}
+		return 0
+	}
+}
+
+// applyAll puts the root's and all teams' settings in force through the first VM.
+func (e *environment) applyAll(ctx context.Context) error {
+	vm := e.layout.VMs[0]
+	if err := retry(ctx, func() error { return e.tier.ApplyRoot(ctx, vm, e.layout.Files[""]) }); err != nil {
+		return err
+	}
+	for _, team := range e.layout.Teams {
+		text, err := toYAML(team)
+		if err != nil {
+			return err
+		}
+		if err := retry(ctx, func() error { return e.tier.ApplyTeam(ctx, vm, team.GetTeam(), text) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// retry calls something until it succeeds or the context ends.
+func retry(ctx context.Context, call func() error) error {
+	for {
+		err := call()
+		if err == nil {
+			return nil
+		}
+		wait(ctx, pollPause)
+		if ctx.Err() != nil {
+			return eris.Wrap(err, "not in time")
+		}
+	}
+}
+
+// platformRow returns a VM's row of the platform's list.
+func platformRow(vm *cassiaschema.VmConfig, state string) cassiaplatform.VM {
+	return cassiaplatform.VM{
+		Name: vm.GetName(), Region: vm.GetRegion(), AvailabilityZone: vm.GetAvailabilityZone(),
+		PeerAddress: vm.GetPeerAddress(), GossipAddress: vm.GetGossipAddress(), State: state,
+	}
+}
+
+// pick draws some targets.
+func (e *environment) pick(count int) []*cassiashard.Target {
+	targets := e.fleet.Targets()
+	picked := make([]*cassiashard.Target, 0, count)
+	for _, i := range e.random.Perm(len(targets))[:count] {
+		picked = append(picked, targets[i])
+	}
+	return picked
+}
+
+// shardCount returns how many shards the deployment has.
+func (e *environment) shardCount() int {
+	count := 0
+	for _, team := range e.layout.Teams {
+		count += len(team.GetFronts()[0].GetShards())
+	}
+	return count
+}
+
+// targetsOf returns the targets of a team.
+func (e *environment) targetsOf(team *cassiaschema.TeamSettings) []*cassiashard.Target {
+	var targets []*cassiashard.Target
+	for _, shard := range team.GetFronts()[0].GetShards() {
+		for _, target := range shard.GetTargets() {
+			targets = append(targets, e.fleet.Target(target.GetName()))
+		}
+	}
+	return targets
+}
+
+// announceLeaving makes the platform say that a target is about to be stopped.
+func (e *environment) announceLeaving(target string) {
+	e.platform.SetLeaving(target, true)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving[target] = time.Now()
+}
+
+// apply puts a team's changed settings in force; the baseline has none.
+func (e *environment) apply(team *cassiaschema.TeamSettings) error {
+	if e.tier == nil {
+		return nil
+	}
+	text, err := toYAML(team)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	return e.tier.ApplyTeam(ctx, e.layout.VMs[0], team.GetTeam(), text)
+}
+
+// stopVM stops a VM as planned; the baseline has none.
+func (e *environment) stopVM(vm *cassiaschema.VmConfig) {
+	if stop := e.vms[vm.GetName()]; stop != nil {
+		e.platform.PutVM(platformRow(vm, "leaving"))
+		stop()
+	}
+}
+
+// removeFromBalancer takes a VM out of the callers' balancer.
+func (e *environment) removeFromBalancer(vm string) {
+	if e.callers != nil {
+		e.callers.remove(vm)
+	}
+}
--- /dev/null
+++ b/io/cassiabench/hrafnsvik.go
@@ -0,0 +1,89 @@
+package cassiabench
+
+import (
+	"time"
+
+	cassiaexample "cassiasaddle/examples"
+	"cassiasaddle/standin/cassiashard"
+)
+
+// hrafnsvikDelays are the one-way delays in sudurland.
+var hrafnsvikDelays = delays{Zones: 4 * time.Millisecond, Clients: 3 * time.Millisecond}
+
+func hrafnsvikLoads() []load {
+	return []load{
+		{Team: "stilisti", Front: "outfit-search", Rate: 50},
+		{Team: "lager", Front: "stock-search", Rate: 50},
+		{Team: "askrift", Front: "fit-lookup", Rate: 40},
+		{Team: "sending", Front: "order-lookup", Rate: 20},
+	}
+}
+
+func hrafnsvik(name, about string) Scenario {
+	return Scenario{
+		Name: "hrafnsvik-" + name, About: about, Deployment: cassiaexample.Hrafnsvik,
+		Loads: hrafnsvikLoads(), Delays: hrafnsvikDelays,
+	}
+}
+
+func hrafnsvikScenarios() []Scenario {
+	calm := hrafnsvik("calm", "No faults.")
+
+	stragglers := hrafnsvik("stragglers", "One target in 20 is 20 times slower, and one attempt in 100 is 10 times slower.")
+	stragglers.Prepare = withStragglers
+
+	snapshots := hrafnsvik("snapshot-change", "All targets move to a new snapshot one by one and drop the old one, twice.")
+	snapshots.Events = changingSnapshots
+
+	repartition := hrafnsvik("repartition", "The shards of stilisti are repartitioned while queries run.")
+	repartition.Events = repartitioning("stilisti")
+
+	death := hrafnsvik("query-of-death", "One fit lookup crashes each target that runs it, and its caller sends it again and again.")
+	death.Loads = append(death.Loads, load{Team: "askrift", Front: "fit-lookup", Rate: 5, Crashing: true})
+	death.Prepare = func(e *environment) {
+		e.fleet.Change(func(b *cassiashard.Behaviour) { b.CrashMarker = crashMarker })
+	}
+
+	leaving := hrafnsvik("draining", "One target in 10 is announced as leaving, drains 4 s later and is gone after 6 s.")
+	leaving.Events = draining
+
+	bad := hrafnsvik("bad-replies", "Some replies are doubled, truncated, late, of another attempt or of another snapshot.")
+	bad.Prepare = badReplies
+
+	health := hrafnsvik("lying-health", "Health reports of half the targets claim that they drain; the others lag by 30 s.")
+	health.Prepare = lyingHealth
+
+	booking := hrafnsvik("booking", "Members book boxes; every fifth booking is sent a second time to another VM.")
+	booking.Loads = append(booking.Loads, load{
+		Team: "askrift", Front: "box-booking", Rate: 20, RepeatShare: 0.2, RepeatWithin: 500 * time.Millisecond,
+	})
+
+	pair := hrafnsvik("stragglers-and-lost-replica", "Stragglers as in hrafnsvik-stragglers while one shard in 5 loses a replica.")
+	pair.Prepare = withStragglers
+	pair.Events = losing(2 * time.Second)
+
+	return []Scenario{calm, stragglers, snapshots, repartition, death, leaving, bad, health, booking, pair}
+}
+
+// repartitioning raises a team's shard map epoch in the settings and within half a second on its targets.
+func repartitioning(team string) func(*environment) []event {
+	return func(e *environment) []event {
+		const at, spread = 4 * time.Second, 500 * time.Millisecond
+		settings := e.layout.team(team)
+		events := []event{{at, func(e *environment) error {
+			for _, front := range settings.GetFronts() {
+				front.ShardMapEpoch++
+			}
+			return e.apply(settings)
+		}}}
+		targets := e.targetsOf(settings)
+		for i, t := range targets {
+			step := spread * time.Duration(i) / time.Duration(len(targets))
+			events = append(events, event{at + step, func(*environment) error {
+				t.Change(func(b *cassiashard.Behaviour) { b.ShardMapEpoch++ })
+				return nil
+			}})
+		}
+		return events
+	}
+}
--- /dev/null
+++ b/io/cassiabench/manizales.go
@@ -0,0 +1,104 @@
+package cassiabench
+
+import (
+	"time"
+
+	cassiaexample "cassiasaddle/examples"
+	"cassiasaddle/standin/cassiaplatform"
+	"cassiasaddle/standin/cassiashard"
+)
+
+// manizalesDelays are the one-way delays in caldas.
+var manizalesDelays = delays{Zones: 5 * time.Millisecond, Clients: time.Millisecond}
+
+func manizalesLoads() []load {
+	return []load{
+		{Team: "catalogo", Front: "menu-search", Rate: 50},
+		{Team: "rutas", Front: "route-substitution", Rate: 50},
+		{Team: "portal-hogar", Front: "standing-order-lookup", Rate: 40},
+		{Team: "facturacion", Front: "invoice-lookup", Rate: 10},
+	}
+}
+
+func manizales(name, about string) Scenario {
+	return Scenario{
+		Name: "manizales-" + name, About: about, Deployment: cassiaexample.Manizales,
+		Loads: manizalesLoads(), Delays: manizalesDelays,
+	}
+}
+
+func manizalesScenarios() []Scenario {
+	calm := manizales("calm", "No faults.")
+
+	lost := manizales("lost-replica", "One shard in 5 loses a replica: most refuse connections, some never answer.")
+	lost.Events = losing(time.Second)
+
+	stragglers := manizales("stragglers", "One target in 20 is 20 times slower, and one attempt in 100 is 10 times slower.")
+	stragglers.Prepare = withStragglers
+
+	stop := manizales("vm-stop", "Two VMs are stopped as planned while queries run.")
+	stop.Events = func(e *environment) []event {
+		return append(stoppingVM(e, 0, 2*time.Second), stoppingVM(e, 4, 5*time.Second)...)
+	}
+
+	down := manizales("store-down", "The platform is out of reach for 6 s while queries and changes run.")
+	down.Loads = append(down.Loads, changes())
+	down.Events = func(*environment) []event {
+		return []event{
+			{2 * time.Second, platformFaults(cassiaplatform.Faults{Down: true})},
+			{8 * time.Second, platformFaults(cassiaplatform.Faults{})},
+		}
+	}
+
+	nonIdempotent := manizales("nonidempotent", "Standing orders change, every third change is sent a second time to another VM, "+
+		"replies of the store are lost, the store is down for a second and targets cut connections before their reply.")
+	nonIdempotent.Loads = append(nonIdempotent.Loads, changes())
+	nonIdempotent.Prepare = func(e *environment) {
+		for _, t := range e.targetsOf(e.layout.team("portal-hogar")) {
+			t.Change(func(b *cassiashard.Behaviour) { b.ReplyFaults.CutBeforeReply = 0.02 })
+		}
+	}
+	nonIdempotent.Events = func(*environment) []event {
+		return []event{
+			{time.Second, platformFaults(cassiaplatform.Faults{LoseReplies: 20})},
+			{4 * time.Second, platformFaults(cassiaplatform.Faults{Down: true})},
+			{5 * time.Second, platformFaults(cassiaplatform.Faults{LoseReplies: 20})},
+		}
+	}
+
+	cold := manizales("cold-start", "One target in 10 restarts, refuses as cold for a second and is slow for two more.")
+	cold.Events = coldStarts
+
+	snapshots := manizales("snapshot-change", "All targets move to a new snapshot one by one and drop the old one, twice.")
+	snapshots.Events = changingSnapshots
+
+	return []Scenario{calm, lost, stragglers, stop, down, nonIdempotent, cold, snapshots}
+}
+
+// changes is the load of standing-order changes.
+func changes() load {
+	return load{
+		Team: "portal-hogar", Front: "standing-order-change", Rate: 30,
+		RepeatShare: 0.33, RepeatWithin: 500 * time.Millisecond,
+	}
+}
+
+// platformFaults returns an event that sets the platform's faults.
+func platformFaults(faults cassiaplatform.Faults) func(*environment) error {
+	return func(e *environment) error {
+		e.platform.SetFaults(faults)
+		return nil
+	}
+}
+
+// balancerLag is how long after a VM began to stop the balancer takes it out.
+const balancerLag = 300 * time.Millisecond
+
+// stoppingVM stops a VM as planned; the balancer learns of it a little later.
+func stoppingVM(e *environment, number int, at time.Duration) []event {
+	vm := e.layout.VMs[number]
+	return []event{
+		{at, func(e *environment) error { e.stopVM(vm); return nil }},
+		{at + balancerLag, func(e *environment) error { e.removeFromBalancer(vm.GetName()); return nil }},
+	}
+}
--- /dev/null
+++ b/io/cassiabench/result.go
@@ -0,0 +1,166 @@
+package cassiabench
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cassiasaddle/standin/cassiashard"
+)
+
+// Bounds of the latency histogram.
+const (
+	minLatencyMicros = 1
+	maxLatencyMicros = 60_000_000
+	latencyDigits    = 3
+)
+
+// Result is what one policy did with a scenario's load.
+type Result struct {
+	Policy Policy `json:"policy"`
+	Measures
+	// ProcessCPUMsPerQuery is the processor time of VMs, stand-ins and callers together.
+	ProcessCPUMsPerQuery float64 `json:"processCpuMsPerQuery"`
+	// PeerMessagesPerQuery is present when the VMs' metrics give it.
+	PeerMessagesPerQuery *PeerMessages `json:"peerMessagesPerQuery,omitempty"`
+	TargetCrashes        int           `json:"targetCrashes"`
+	ConnectionsRefused   int           `json:"connectionsRefused"`
+	Violations           Violations    `json:"violations"`
+	// Examples tells some of the violations in words.
+	Examples []string            `json:"examples,omitempty"`
+	Fronts   map[string]Measures `json:"fronts"`
+	Phases   []PhaseMeasures     `json:"phases,omitempty"`
+}
+
+// PeerMessages is the number of messages between VMs for one query.
+type PeerMessages struct {
+	Out float64 `json:"out"`
+	In  float64 `json:"in"`
+}
+
+// PhaseMeasures are the measures of one part of the time.
+type PhaseMeasures struct {
+	Phase string `json:"phase"`
+	Measures
+}
+
+// Measures are the figures of a set of requests.
+type Measures struct {
+	Queries int `json:"queries"`
+	// Latencies count from the planned arrival; a request without an answer counts at least its deadline.
+	P50Ms  float64 `json:"p50Ms"`
+	P99Ms  float64 `json:"p99Ms"`
+	P999Ms float64 `json:"p999Ms"`
+	// CoverageMean counts a request without an answer as 0.
+	CoverageMean float64 `json:"coverageMean"`
+	FullAnswers  int     `json:"fullAnswers"`
+	// ExtraLoad is the share of executions beyond the first of each shard of each request.
+	ExtraLoad float64 `json:"extraLoad"`
+	// Refusals counts requests without an answer by their reason.
+	Refusals map[string]int `json:"refusals"`
+	// Missing counts missing shards of answers by their reason.
+	Missing map[string]int `json:"missing"`
+}
+
+// judge measures and checks a run.
+func judge(s Scenario, e evidence) *Result {
+	result := &Result{Fronts: map[string]Measures{}}
+	result.Violations, result.Examples = check(e)
+	started := startedByShard(e.Executions)
+	inTime := slices.DeleteFunc(slices.Clone(e.Replies), func(r *reply) bool { return r.Request.At < s.WarmUp })
+	result.Measures = measure(inTime, started)
+	for _, l := range s.Loads {
+		of := func(r *reply) bool { return r.Request.Team == l.Team && r.Request.Front.GetName() == l.Front }
+		result.Fronts[l.Team+"/"+l.Front] = measure(filter(inTime, of), started)
+	}
+	for _, p := range s.Phases {
+		of := func(r *reply) bool { return r.Request.At >= s.WarmUp+p.From && r.Request.At < s.WarmUp+p.To }
+		result.Phases = append(result.Phases, PhaseMeasures{p.Name, measure(filter(inTime, of), started)})
+	}
+	return result
+}
+
+func filter(replies []*reply, keep func(*reply) bool) []*reply {
+	return slices.DeleteFunc(slices.Clone(replies), func(r *reply) bool { return !keep(r) })
+}
+
+// startedByShard counts the executions begun for each body and shard.
+func startedByShard(executions []cassiashard.Execution) map[string]map[string]int {
+	counts := map[string]map[string]int{}
+	for _, x := range executions {
+		if !x.Started() {
+			continue
+		}
+		if counts[x.BodyHash] == nil {
+			counts[x.BodyHash] = map[string]int{}
+		}
+		counts[x.BodyHash][x.Shard]++
+	}
+	return counts
+}
+
+// measure returns the figures of some requests. Requests that crash targets are left out.
+func measure(replies []*reply, started map[string]map[string]int) Measures {
+	replies = filter(replies, func(r *reply) bool { return !r.Request.Crashing })
+	m := Measures{Queries: len(replies), Refusals: map[string]int{}, Missing: map[string]int{}}
+	latencies := hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)
+	sendings := map[string]int{}
+	covered := 0.0
+	for _, r := range replies {
+		sendings[r.Request.BodyHash]++
+		latency := r.Latency
+		if r.Answer == nil {
+			latency = max(latency, r.Request.deadline())
+			m.Refusals[reasonOf(r)]++
+		} else {
+			fraction := float64(len(r.Answer.Rows)) / float64(r.Request.shards())
+			covered += fraction
+			if fraction == 1 {
+				m.FullAnswers++
+			}
+			for _, missing := range r.Answer.Coverage.Missing {
+				m.Missing[missing.Reason]++
+			}
+		}
+		_ = latencies.RecordValue(min(max(latency.Microseconds(), minLatencyMicros), maxLatencyMicros))
+	}
+	m.ExtraLoad = roundTo(extraLoad(sendings, started), 4)
+	if len(replies) > 0 {
+		m.CoverageMean = roundTo(covered/float64(len(replies)), 5)
+		m.P50Ms, m.P99Ms, m.P999Ms = quantile(latencies, 0.5), quantile(latencies, 0.99), quantile(latencies, 0.999)
+	}
+	return m
+}
+
+func reasonOf(r *reply) string {
+	if r.Refusal != nil {
+		return string(r.Refusal.Kind)
+	}
+	return "unanswered"
+}
+
+// extraLoad returns the share of executions beyond one for each sending and shard.
+func extraLoad(sendings map[string]int, started map[string]map[string]int) float64 {
+	needed, extra := 0, 0
+	for body, sent := range sendings {
+		for _, count := range started[body] {
+			needed += min(count, sent)
+			extra += max(0, count-sent)
+		}
+	}
+	if needed == 0 {
+		return 0
+	}
+	return float64(extra) / float64(needed)
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return roundTo(float64(h.ValueAtQuantile(q*100))/float64(time.Millisecond/time.Microsecond), 3)
+}
+
+func roundTo(value float64, digits int) float64 {
+	scale := math.Pow10(digits)
+	return math.Round(value*scale) / scale
+}
--- /dev/null
+++ b/io/cassiabench/run.go
@@ -0,0 +1,135 @@
+package cassiabench
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// settleTime is how long after the last answer a run waits for late work to show.
+const settleTime = 500 * time.Millisecond
+
+// Policy is the way in which requests are answered.
+type Policy string
+
+// Policies.
+const (
+	// PolicyTuned answers through the VMs.
+	PolicyTuned Policy = "tuned"
+	// PolicyBaseline answers by a plain client.
+	PolicyBaseline Policy = "baseline"
+)
+
+// asker sends one request and returns what its caller received.
+type asker func(ctx context.Context, r *request) *reply
+
+// Run runs a scenario with one policy.
+func Run(ctx context.Context, s Scenario, policy Policy, seed uint64, tier Tier) (*Result, error) {
+	s = s.withTimes()
+	e, err := newEnvironment(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	group, ctx := errgroup.WithContext(ctx)
+	result, err := e.run(ctx, group, s, policy, seed, tier)
+	stop()
+	if ended := group.Wait(); err == nil {
+		err = ended
+	}
+	if closed := e.Close(); err == nil {
+		err = closed
+	}
+	return result, err
+}
+
+// run starts everything, drives the load and judges it.
+func (e *environment) run(ctx context.Context, group *errgroup.Group, s Scenario, policy Policy, seed uint64, tier Tier) (*Result, error) {
+	if err := e.startStandins(ctx, group); err != nil {
+		return nil, err
+	}
+	var ask asker
+	if policy == PolicyBaseline {
+		plain := newBaseline(e.layout, s.Delays, seed)
+		defer plain.Close()
+		ask = plain.ask
+	} else {
+		if err := e.startVMs(ctx, group, tier, s.Delays); err != nil {
+			return nil, err
+		}
+		defer e.callers.Close()
+		ask = e.callers.ask
+	}
+	requests := workload(s.Loads, e.layout.fronts(), s.WarmUp+s.Measured, seed)
+	if err := stampKeys(requests); err != nil {
+		return nil, err
+	}
+	before := processorTime()
+	replies, err := e.drive(ctx, s, requests, ask)
+	if err != nil {
+		return nil, err
+	}
+	used := processorTime() - before
+	wait(ctx, settleTime)
+	result := judge(s, evidence{Replies: replies, Executions: e.fleet.Log(), Leaving: e.leaving})
+	result.Policy = policy
+	result.ProcessCPUMsPerQuery = roundTo(used.Seconds()*1000/float64(len(requests)), 3)
+	counters := e.fleet.Counters()
+	result.TargetCrashes, result.ConnectionsRefused = counters.Crashes, counters.ConnectionsRefused
+	return result, nil
+}
+
+// drive sends all requests at their times, whatever became of earlier ones, and plays the events.
+func (e *environment) drive(ctx context.Context, s Scenario, requests []*request, ask asker) ([]*reply, error) {
+	var events []event
+	if s.Events != nil {
+		events = s.Events(e)
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return int(a.At - b.At) })
+	var mu sync.Mutex
+	var replies []*reply
+	group, ctx := errgroup.WithContext(ctx)
+	start := time.Now()
+	group.Go(func() error {
+		for _, v := range events {
+			wait(ctx, time.Until(start.Add(s.WarmUp+v.At)))
+			if err := v.Do(e); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	group.Go(func() error {
+		for _, r := range requests {
+			planned := start.Add(r.At)
+			wait(ctx, time.Until(planned))
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			group.Go(func() error {
+				received := ask(ctx, r)
+				received.Latency = received.Finished.Sub(planned)
+				mu.Lock()
+				defer mu.Unlock()
+				replies = append(replies, received)
+				return nil
+			})
+		}
+		return nil
+	})
+	err := group.Wait()
+	return replies, err
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/standin/cassiashard/behaviour.go
+++ b/standin/cassiashard/behaviour.go
@@ -16,6 +16,8 @@
 	Slots int `json:"slots"`
 	// MaxConnections is the cap over all clients; a connection over it is closed at once.
 	MaxConnections int `json:"maxConnections"`
+	// OtherConnections is how many connections under the cap another system holds.
+	OtherConnections int `json:"otherConnections"`
 	// ConnectMs is what each new connection costs before its first reply; connections are set up one after another.
 	ConnectMs float64 `json:"connectMs"`
 	// MedianMs is the median time that an attempt runs.
--- a/standin/cassiashard/target.go
+++ b/standin/cassiashard/target.go
@@ -247,7 +247,7 @@
 func (t *Target) admit(conn net.Conn) *admittedConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if maximum := t.behaviour.MaxConnections; maximum > 0 && len(t.conns) >= maximum {
+	if maximum := t.behaviour.MaxConnections; maximum > 0 && len(t.conns)+t.behaviour.OtherConnections >= maximum {
 		t.counters.ConnectionsRefused++
 		return nil
 	}
