--- a/io/cassiabench/caller.go
+++ b/io/cassiabench/caller.go
@@ -21,15 +21,15 @@
 
 // callers send requests to the VMs through a balancer that picks by caller and skips VMs that refuse connections.
 type callers struct {
-	delays delays
+	links  *links
 	client *http.Client
 
 	mu  sync.Mutex
 	vms []*cassiaschema.VmConfig
 }
 
-func newCallers(vms []*cassiaschema.VmConfig, d delays) *callers {
-	return &callers{delays: d, vms: vms, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+func newCallers(vms []*cassiaschema.VmConfig, k *links) *callers {
+	return &callers{links: k, vms: vms, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 }
 
 // Close ends the idle connections.
@@ -60,7 +60,7 @@
 	result := &reply{Request: r, Sent: time.Now()}
 	ctx, cancel := context.WithTimeout(ctx, r.deadline()+patienceAfterDeadline)
 	defer cancel()
-	c.delays.toClient(ctx)
+	c.links.toClient(ctx)
 	for try := range 3 {
 		vm := c.pick(r.Caller, try)
 		result.VM = vm.GetName()
@@ -69,7 +69,7 @@
 			break
 		}
 	}
-	c.delays.toClient(ctx)
+	c.links.toClient(ctx)
 	result.Finished = time.Now()
 	return result
 }
--- a/io/cassiabench/manizales.go
+++ b/io/cassiabench/manizales.go
@@ -9,7 +9,7 @@
 )
 
 // manizalesDelays are the one-way delays in caldas.
-var manizalesDelays = delays{Zones: 5 * time.Millisecond, Clients: time.Millisecond}
+var manizalesDelays = delays{Zones: 5 * time.Millisecond, Clients: time.Millisecond, Jitter: time.Millisecond}
 
 func manizalesLoads() []load {
 	return []load{
