--- /dev/null
+++ b/io/cassiabench/demo.go
@@ -0,0 +1,58 @@
+package cassiabench
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"cassiasaddle/standin/cassiashard"
+)
+
+// Times of the demonstration.
+const (
+	demoWarmUp = time.Second
+	demoPhase  = 3 * time.Second
+)
+
+// Demo returns the scenario of the demonstration: calm, then a straggler, then a lost replica too.
+func Demo() Scenario {
+	s := hrafnsvik("demo", "Queries over 20 and 30 shards through 4 VMs: calm, then a straggler, then a lost replica as well.")
+	s.WarmUp, s.Measured, s.VMsPerZone = demoWarmUp, 3*demoPhase, 1
+	s.Phases = []phase{
+		{"calm", 0, demoPhase},
+		{"straggler", demoPhase, 2 * demoPhase},
+		{"straggler and lost replica", 2 * demoPhase, 3 * demoPhase},
+	}
+	s.Events = func(e *environment) []event {
+		targets := e.targetsOf(e.layout.team("stilisti"))
+		return []event{
+			{demoPhase, func(*environment) error {
+				targets[0].Change(func(b *cassiashard.Behaviour) { b.StragglerFactor = stragglerFactor })
+				return nil
+			}},
+			{2 * demoPhase, func(*environment) error {
+				targets[len(targets)-1].Change(func(b *cassiashard.Behaviour) { b.Lost = true })
+				return nil
+			}},
+		}
+	}
+	return s
+}
+
+// WriteDemo writes the short report of a demonstration.
+func WriteDemo(w io.Writer, result *Result) error {
+	fmt.Fprintf(w, "%d queries answered over real sockets on loopback\n", result.Queries)
+	for _, p := range result.Phases {
+		fmt.Fprintf(w, "%-28s p50 %5.1f ms  p99 %5.1f ms  coverage %.4f  whole answers %d of %d  extra load %.1f%%\n",
+			p.Phase, p.P50Ms, p.P99Ms, p.CoverageMean, p.FullAnswers, p.Queries, p.ExtraLoad*100)
+	}
+	if len(result.Refusals) > 0 {
+		fmt.Fprintf(w, "refused: %v\n", result.Refusals)
+	}
+	if result.Violations.Any() {
+		_, err := fmt.Fprintf(w, "broken promises: %+v\n", result.Violations)
+		return err
+	}
+	_, err := fmt.Fprintln(w, "no promise broken: one snapshot an answer, true coverage, no foreign rows, no false refusal")
+	return err
+}
--- a/io/cassiabench/environment.go
+++ b/io/cassiabench/environment.go
@@ -66,8 +66,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.VMs > 0 && s.VMs < len(l.VMs) {
-		l.VMs = l.VMs[:s.VMs]
+	if s.VMsPerZone > 0 {
+		l.limitVMs(s.VMsPerZone)
 	}
 	e := &environment{
 		layout:   l,
--- a/io/cassiabench/layout.go
+++ b/io/cassiabench/layout.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 
 	"buf.build/go/protoyaml"
@@ -95,6 +96,15 @@
 	}
 }
 
+// limitVMs keeps the first VMs of each availability zone.
+func (l *layout) limitVMs(perZone int) {
+	kept := map[string]int{}
+	l.VMs = slices.DeleteFunc(l.VMs, func(vm *cassiaschema.VmConfig) bool {
+		kept[vm.GetAvailabilityZone()]++
+		return kept[vm.GetAvailabilityZone()] > perZone
+	})
+}
+
 // fronts returns all fronts by team/front.
 func (l *layout) fronts() map[string]*cassiaschema.Front {
 	fronts := map[string]*cassiaschema.Front{}
--- a/io/cassiabench/report.go
+++ b/io/cassiabench/report.go
@@ -40,9 +40,10 @@
 
 // Write writes the report as text, json or html.
 func (r *Report) Write(w io.Writer, format string) error {
+	if err := CheckFormat(format); err != nil {
+		return err
+	}
 	switch format {
-	case "text":
-		return r.writeText(w)
 	case "json":
 		encoder := json.NewEncoder(w)
 		encoder.SetIndent("", "  ")
@@ -50,6 +51,14 @@
 	case "html":
 		return page.Execute(w, r)
 	}
+	return r.writeText(w)
+}
+
+// CheckFormat returns an error for a format that Write does not know.
+func CheckFormat(format string) error {
+	if slices.Contains([]string{"text", "json", "html"}, format) {
+		return nil
+	}
 	return eris.Errorf("report format %q is not known; use text, json or html", format)
 }
 
--- a/io/cassiabench/scenario.go
+++ b/io/cassiabench/scenario.go
@@ -34,8 +34,8 @@
 	WarmUp time.Duration
 	// Measured is the part of the load that is measured.
 	Measured time.Duration
-	// VMs bounds the number of VMs when above 0.
-	VMs int
+	// VMsPerZone bounds the number of VMs in an availability zone when above 0.
+	VMsPerZone int
 }
 
 // withTimes returns the scenario with the default times where it has none.
