Platform stand-in: rates of the real service as an option; handlers in a file of their own

cause: the platform handles several hundred writes and two thousand reads a second. change: calls beyond a rate wait. conclusion: go test -race -count=10 passes.

--- a/cmd/cassiastandin/platform.go
+++ b/cmd/cassiastandin/platform.go
@@ -24,13 +24,19 @@
 			&cli.StringFlag{Name: "listen", Required: true, Usage: "`ADDRESS` to serve on"},
 			&cli.StringFlag{Name: "vms", Usage: "JSON `FILE` with the first VM list: {\"vms\":[{\"name\":...}]}"},
 			&cli.StringFlag{Name: "token", Usage: "bearer `TOKEN` that VMs must send"},
+			&cli.FloatFlag{Name: "writes-per-second", Usage: "`RATE` beyond which writes are slowed down; 0 for none"},
+			&cli.FloatFlag{Name: "reads-per-second", Usage: "`RATE` beyond which reads are slowed down; 0 for none"},
 		},
 		Action: runPlatform,
 	}
 }
 
 func runPlatform(ctx context.Context, command *cli.Command) error {
-	platform := cassiaplatform.New(cassiaplatform.Options{Token: command.String("token")})
+	platform := cassiaplatform.New(cassiaplatform.Options{
+		Token:           command.String("token"),
+		WritesPerSecond: command.Float("writes-per-second"),
+		ReadsPerSecond:  command.Float("reads-per-second"),
+	})
 	if file := command.String("vms"); file != "" {
 		if err := loadVMs(platform, file); err != nil {
 			return err
--- a/standin/cassiaplatform/platform.go
+++ b/standin/cassiaplatform/platform.go
@@ -1,26 +1,20 @@
 package cassiaplatform
 
 import (
-	"encoding/json"
-	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 )
 
 // MaxValueBytes bounds a value of the key-value service.
 const MaxValueBytes = 1 << 20
 
-// maxWatchWait bounds how long a watch waits.
-const maxWatchWait = 5 * time.Minute
-
 // VM is one row of the platform's list of VMs.
 type VM struct {
 	Name             string `json:"name"`
@@ -50,6 +44,8 @@
 	Clock clockwork.Clock
 	// Token must be presented by VMs as a bearer token when it is not empty.
 	Token string
+	// WritesPerSecond and ReadsPerSecond slow calls beyond these rates down; 0 means no limit. A watch is a read.
+	WritesPerSecond, ReadsPerSecond float64
 }
 
 // Platform is the stand-in; it is an http.Handler to be served by the caller.
@@ -58,6 +54,8 @@
 	token string
 	store *store
 	mux   *http.ServeMux
+	// writes and reads are nil without a limit.
+	writes, reads *rate.Limiter
 
 	mu       sync.Mutex
 	faults   Faults
@@ -80,11 +78,21 @@
 		vms:      map[string]VM{},
 		leaving:  map[string]bool{},
 		counters: map[string]int{},
+		writes:   newLimiter(options.WritesPerSecond),
+		reads:    newLimiter(options.ReadsPerSecond),
 	}
 	p.routes()
 	return p
 }
 
+// newLimiter returns a limiter that allows a tenth of a second's calls at once, nil without a limit.
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
+}
+
 // ServeHTTP answers one call.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
 
@@ -176,9 +184,7 @@
 		p.counters["total"]++
 		faults := p.faults
 		p.mu.Unlock()
-		if faults.DelayMs > 0 {
-			p.wait(r, time.Duration(faults.DelayMs)*time.Millisecond)
-		}
+		p.wait(r, time.Duration(faults.DelayMs)*time.Millisecond+p.rateDelay(r.Method))
 		p.abortIfDown()
 		if p.token != "" && strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ") != p.token {
 			writeProblem(w, http.StatusUnauthorized, "send the platform token as a bearer token")
@@ -195,7 +201,23 @@
 	}
 }
 
+// rateDelay returns how long a call waits because of the calls before it.
+func (p *Platform) rateDelay(method string) time.Duration {
+	limiter := p.writes
+	if method == http.MethodGet {
+		limiter = p.reads
+	}
+	if limiter == nil {
+		return 0
+	}
+	now := p.clock.Now()
+	return limiter.ReserveN(now, 1).DelayFrom(now)
+}
+
 func (p *Platform) wait(r *http.Request, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-p.clock.After(d):
 	case <-r.Context().Done():
@@ -217,115 +239,6 @@
 	writeJSON(w, status, body)
 }
 
-type revisionReply struct {
-	Revision uint64 `json:"revision"`
-}
-
-func (p *Platform) getKey(w http.ResponseWriter, r *http.Request) {
-	e := p.store.get(r.PathValue("key"))
-	if e.Revision == 0 {
-		writeProblem(w, http.StatusNotFound, "no such key")
-		return
-	}
-	writeJSON(w, http.StatusOK, e)
-}
-
-func (p *Platform) putKey(w http.ResponseWriter, r *http.Request) {
-	when, err := readCondition(r)
-	if err != nil {
-		writeProblem(w, http.StatusBadRequest, "ifRevision must be a whole number")
-		return
-	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeProblem(w, http.StatusRequestEntityTooLarge, "a value holds at most 1 MiB")
-		return
-	}
-	if err != nil {
-		writeProblem(w, http.StatusBadRequest, "the value broke off; send it again")
-		return
-	}
-	revision, done := p.store.put(r.PathValue("key"), value, when, r.URL.Query().Get("lease"))
-	if !done {
-		writeJSON(w, http.StatusConflict, revisionReply{revision})
-		return
-	}
-	p.replyToWrite(w, http.StatusOK, revisionReply{revision})
-}
-
-func (p *Platform) deleteKey(w http.ResponseWriter, r *http.Request) {
-	when, err := readCondition(r)
-	if err != nil {
-		writeProblem(w, http.StatusBadRequest, "ifRevision must be a whole number")
-		return
-	}
-	revision, done := p.store.remove(r.PathValue("key"), when)
-	if !done {
-		writeJSON(w, http.StatusConflict, revisionReply{revision})
-		return
-	}
-	p.replyToWrite(w, http.StatusOK, revisionReply{revision})
-}
-
-func (p *Platform) watchKey(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	after, errAfter := parseUint(query.Get("after"))
-	waitMs, errWait := parseUint(query.Get("waitMs"))
-	if errAfter != nil || errWait != nil {
-		writeProblem(w, http.StatusBadRequest, "after and waitMs must be whole numbers")
-		return
-	}
-	end := p.clock.NewTimer(min(time.Duration(waitMs)*time.Millisecond, maxWatchWait))
-	defer end.Stop()
-	for {
-		e, changed := p.store.getOrChange(r.PathValue("key"))
-		if e.Revision > after {
-			writeJSON(w, http.StatusOK, e)
-			return
-		}
-		select {
-		case <-changed:
-			p.abortIfDown()
-		case <-end.Chan():
-			w.WriteHeader(http.StatusNoContent)
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func (p *Platform) grantLease(w http.ResponseWriter, r *http.Request) {
-	var request struct {
-		TTLMs int `json:"ttlMs"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || request.TTLMs <= 0 {
-		writeProblem(w, http.StatusBadRequest, "send a positive ttlMs")
-		return
-	}
-	id := p.store.grant(time.Duration(request.TTLMs) * time.Millisecond)
-	p.replyToWrite(w, http.StatusOK, map[string]string{"leaseId": id})
-}
-
-func (p *Platform) keepLease(w http.ResponseWriter, r *http.Request) {
-	if !p.store.keepAlive(r.PathValue("id")) {
-		writeProblem(w, http.StatusNotFound, "the lease has lapsed; ask for a new one")
-		return
-	}
-	p.replyToWrite(w, http.StatusOK, struct{}{})
-}
-
-func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	vms := p.frozen
-	if !p.faults.FreezeVMs {
-		vms = p.sortedVMs()
-	}
-	p.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string][]VM{"vms": vms})
-}
-
 // sortedVMs returns the VM list by name; the caller holds the lock.
 func (p *Platform) sortedVMs() []VM {
 	vms := make([]VM, 0, len(p.vms))
@@ -334,82 +247,3 @@
 	}
 	return vms
 }
-
-func (p *Platform) listLeaving(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	targets := slices.Sorted(maps.Keys(p.leaving))
-	p.mu.Unlock()
-	if targets == nil {
-		targets = []string{}
-	}
-	writeJSON(w, http.StatusOK, map[string][]string{"targets": targets})
-}
-
-func (p *Platform) putVM(w http.ResponseWriter, r *http.Request) {
-	var vm VM
-	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
-		writeProblem(w, http.StatusBadRequest, "send one VM as JSON")
-		return
-	}
-	vm.Name = r.PathValue("name")
-	p.PutVM(vm)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (p *Platform) deleteVM(w http.ResponseWriter, r *http.Request) {
-	p.RemoveVM(r.PathValue("name"))
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (p *Platform) putLeaving(w http.ResponseWriter, r *http.Request) {
-	p.SetLeaving(r.PathValue("name"), true)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (p *Platform) deleteLeaving(w http.ResponseWriter, r *http.Request) {
-	p.SetLeaving(r.PathValue("name"), false)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (p *Platform) postFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&faults); err != nil {
-		writeProblem(w, http.StatusBadRequest, "send down, delayMs, loseReplies or freezeVms as JSON")
-		return
-	}
-	p.SetFaults(faults)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (p *Platform) getCounters(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, p.Counters())
-}
-
-func readCondition(r *http.Request) (condition, error) {
-	query := r.URL.Query()
-	if !query.Has("ifRevision") {
-		return condition{}, nil
-	}
-	revision, err := strconv.ParseUint(query.Get("ifRevision"), 10, 64)
-	return condition{set: true, revision: revision}, err
-}
-
-// parseUint reads a whole number; an empty text is 0.
-func parseUint(text string) (uint64, error) {
-	if text == "" {
-		return 0, nil
-	}
-	return strconv.ParseUint(text, 10, 63)
-}
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
-}
-
-func writeProblem(w http.ResponseWriter, status int, message string) {
-	writeJSON(w, status, map[string]string{"message": message})
-}
--- a/standin/cassiaplatform/platform_test.go
+++ b/standin/cassiaplatform/platform_test.go
@@ -154,3 +154,26 @@
 	_, reply = c.call("GET", "/standin/counters", "")
 	c.Assert(reply, qt.Contains, `"vms":3`)
 }
+
+func TestCallsBeyondTheRateWait(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := New(Options{Clock: clock, WritesPerSecond: 10})
+	c := serve(t, p)
+	status, _ := c.call("PUT", "/v1/kv/k", "1")
+	c.Assert(status, qt.Equals, 200)
+	status, _ = c.call("GET", "/v1/kv/k", "")
+	c.Assert(status, qt.Equals, 200)
+
+	var group errgroup.Group
+	group.Go(func() error {
+		p.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("PUT", "/v1/kv/k", strings.NewReader("2")))
+		return nil
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c.Assert(clock.BlockUntilContext(ctx, 1), qt.IsNil)
+	c.Assert(string(p.Get("k").Value), qt.Equals, "1")
+	clock.Advance(100 * time.Millisecond)
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Assert(string(p.Get("k").Value), qt.Equals, "2")
+}
