--- a/io/cassiabench/environment.go
+++ b/io/cassiabench/environment.go
@@ -25,6 +25,12 @@
 	pollPause         = 20 * time.Millisecond
 )
 
+// Rates of the platform's key-value service, in calls a second.
+const (
+	platformWrites = 300
+	platformReads  = 2000
+)
+
 // Load of the other system that shares the targets.
 const (
 	otherLoad = 0.3
@@ -71,7 +77,7 @@
 	}
 	e := &environment{
 		layout:   l,
-		platform: cassiaplatform.New(cassiaplatform.Options{}),
+		platform: cassiaplatform.New(cassiaplatform.Options{WritesPerSecond: platformWrites, ReadsPerSecond: platformReads}),
 		random:   rand.New(rand.NewPCG(seed, 3)),
 		links:    newLinks(s.Delays, seed),
 		vms:      map[string]context.CancelFunc{},
