--- a/core/cassiaroute/evidence.go
+++ b/core/cassiaroute/evidence.go
@@ -160,7 +160,7 @@
 	if !left {
 		return nil
 	}
-	return []Effect{ShareLeaving{Target: s.name}}
+	return []Effect{ShareLeaving{Target: s.name, Remaining: leavingHold}}
 }
 
 func (t *Table) markLeaving(now time.Time, m TargetLeaving) []Effect {
--- /dev/null
+++ b/test/routing_test.go
@@ -0,0 +1,188 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/standin/cassiashard"
+)
+
+const (
+	// drainBound is the stated time from the first sign of a target's leaving until it gets no new work.
+	drainBound = 3 * time.Second
+	// crashBound is the stated number of targets that one request may crash within a window.
+	crashBound = 2
+)
+
+// load asks a front on all VMs in turn until it is stopped, and counts what the callers got.
+type load struct {
+	group                  errgroup.Group
+	stopped                atomic.Bool
+	next                   atomic.Int64
+	whole, partial, failed atomic.Int64
+	// lastFailure describes the last call that failed.
+	lastFailure atomic.Value
+}
+
+func (c *cluster) startLoad(front string, callers int) *load {
+	l := &load{}
+	for range callers {
+		l.group.Go(func() error {
+			for !l.stopped.Load() {
+				n := l.next.Add(1)
+				a, err := tryAsk(c.vms[int(n)%len(c.vms)], front, fmt.Sprintf(`{"n":%d}`, n))
+				switch {
+				case err != nil || a.Status != http.StatusOK:
+					l.failed.Add(1)
+					l.lastFailure.Store(fmt.Sprintf("call %d: %v %s %s", n, err, a.Kind, a.Message))
+				case a.Coverage.Answered < a.Coverage.Asked:
+					l.partial.Add(1)
+				default:
+					l.whole.Add(1)
+				}
+			}
+			return nil
+		})
+	}
+	return l
+}
+
+// stop ends the load after at least a number of further whole answers.
+func (l *load) stop(t *testing.T, further int64) {
+	t.Helper()
+	enough := l.whole.Load() + further
+	eventually(t, startTimeout, "more answers", func() bool { return l.whole.Load() >= enough })
+	l.stopped.Store(true)
+	_ = l.group.Wait()
+	t.Logf("whole %d, partial %d, failed %d, %v", l.whole.Load(), l.partial.Load(), l.failed.Load(), l.lastFailure.Load())
+}
+
+// runsOf returns the executions of one target that match.
+func (c *cluster) runsOf(target string, match func(cassiashard.Execution) bool) []cassiashard.Execution {
+	var found []cassiashard.Execution
+	for _, e := range c.executions() {
+		if e.Target == target && match(e) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// startedAfter matches executions that began after a time.
+func startedAfter(at time.Time) func(cassiashard.Execution) bool {
+	return func(e cassiashard.Execution) bool { return e.Started() && e.StartedUnixMicros > at.UnixMicro() }
+}
+
+// TestLeavingTargetGetsNoNewWork gives the sign that a target leaves through each source by itself, under load.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	zones := []string{"zone-a", "zone-b"}
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", 8, zones)}})
+	signs := []struct {
+		name string
+		give func(target string)
+	}{
+		{"reply", func(target string) { cl.behave(target, `{"draining":true,"healthState":"ready"}`) }},
+		{"health", func(target string) { cl.behave(target, `{"healthState":"draining"}`) }},
+		{"platform", func(target string) {
+			cl.send(http.MethodPut, "http://"+cl.platform+"/v1/targets/leaving/"+target, struct{}{})
+		}},
+	}
+	for i, sign := range signs {
+		t.Run(sign.name, func(t *testing.T) {
+			c := qt.New(t)
+			target := cl.layout.fronts[0].Shards[i].Targets[0].Name
+			l := cl.startLoad("search", 4)
+			eventually(t, startTimeout, "the target works", func() bool {
+				return len(cl.runsOf(target, startedAfter(time.Time{}))) > 10
+			})
+			given := time.Now()
+			sign.give(target)
+			eventually(t, startTimeout, "the bound is over", func() bool { return time.Since(given) > drainBound })
+			l.stop(t, 200)
+			c.Check(cl.runsOf(target, startedAfter(given.Add(drainBound))), qt.HasLen, 0)
+			c.Check(l.partial.Load()+l.failed.Load(), qt.Equals, int64(0))
+		})
+	}
+}
+
+// TestMisleadingHealthDoesNotEmptyAShard has the health endpoint of every target say that it is leaving.
+func TestMisleadingHealthDoesNotEmptyAShard(t *testing.T) {
+	c := qt.New(t)
+	zones := []string{"zone-a", "zone-b"}
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", 8, zones)}})
+	cl.behave("all", `{"healthState":"draining"}`)
+	given := time.Now()
+	l := cl.startLoad("search", 4)
+	eventually(t, startTimeout, "the bound is over", func() bool { return time.Since(given) > drainBound })
+	l.stop(t, 200)
+	c.Check(l.partial.Load()+l.failed.Load(), qt.Equals, int64(0))
+}
+
+// TestDeadlyRequestCrashesFewTargets sends a request that crashes its targets to VM after VM, between innocent ones.
+func TestDeadlyRequestCrashesFewTargets(t *testing.T) {
+	c := qt.New(t)
+	zones := []string{"zone-a", "zone-b"}
+	front := newFront("lookup", 4, zones)
+	front.Fanout = cassiaschema.Fanout_oneShardByKey
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front},
+		behaviour: `{"crashMarker":"deadly","restartMs":300}`})
+	const key = "household-7"
+	innocent := func(n int) answer {
+		return cl.ask(cl.vms[n%len(cl.vms)], "lookup", fmt.Sprintf(`{"n":%d}`, n), "Shard-Key", key)
+	}
+	for n := range 20 {
+		c.Assert(innocent(n).Status, qt.Equals, http.StatusOK)
+	}
+	refused := 0
+	for n := range 40 {
+		a := cl.ask(cl.vms[n%len(cl.vms)], "lookup", `{"deadly":true}`, "Shard-Key", key)
+		c.Assert(a.Status == http.StatusOK, qt.IsFalse)
+		if a.Kind == "quarantined" {
+			refused++
+		}
+	}
+	crashes := 0
+	for _, e := range cl.executions() {
+		if e.Outcome == cassiashard.OutcomeCrashed && e.BodyHash == cassiashard.BodyHash([]byte(`{"deadly":true}`)) {
+			crashes++
+		}
+	}
+	t.Logf("%d targets crashed, %d of 40 calls refused as quarantined", crashes, refused)
+	c.Check(crashes > 0 && crashes <= crashBound, qt.IsTrue)
+	c.Check(refused > 30, qt.IsTrue)
+	eventually(t, startTimeout, "innocent requests are answered again", func() bool { return innocent(100).Status == http.StatusOK })
+	for n := range 20 {
+		c.Check(innocent(n).Kind, qt.Not(qt.Equals), "quarantined")
+	}
+}
+
+// TestDeadlyFanOut sends a request that crashes its targets to every shard, again and again, to VM after VM.
+func TestDeadlyFanOut(t *testing.T) {
+	c := qt.New(t)
+	zones := []string{"zone-a", "zone-b"}
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", 20, zones)},
+		behaviour: `{"crashMarker":"deadly","restartMs":300}`})
+	for n := range 20 {
+		c.Assert(cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"n":%d}`, n)).Status, qt.Equals, http.StatusOK)
+	}
+	for n := range 40 {
+		a := cl.ask(cl.vms[n%len(cl.vms)], "search", `{"deadly":true}`)
+		if n < 5 {
+			t.Logf("%d %s %s", a.Status, a.Kind, a.Message)
+		}
+	}
+	crashes := 0
+	for _, e := range cl.executions() {
+		if e.Outcome == cassiashard.OutcomeCrashed && e.BodyHash == cassiashard.BodyHash([]byte(`{"deadly":true}`)) {
+			crashes++
+		}
+	}
+	t.Logf("%d targets crashed", crashes)
+}
