Let one shard answer before the others are asked when the request wants a canary

Ruled out: a query of its own as the canary, whose rows are thrown away and which adds an attempt to each fan-out. Change: Request.Canary; the canary's rows count; the others go ahead after the hedge delay when nothing was lost. Figures: TestCanaryBoundsTheTargetsLost: 2 targets lost with and without a retry budget.

--- /dev/null
+++ b/core/cassiaplan/canary_test.go
@@ -0,0 +1,90 @@
+package cassiaplan
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
+// beginCanary starts the query with a canary and returns its first effects.
+func (w *world) beginCanary() []Effect {
+	request := Request{Front: w.front, ShardKey: testKey, Deadline: epochStart.Add(300 * time.Millisecond), Canary: true}
+	w.query = NewQuery(request, w, &w.clock, rand.New(rand.NewPCG(1, 2)))
+	return w.query.Update(Begin{})
+}
+
+func attempts(effects []Effect) int {
+	n := 0
+	for _, b := range effectsOf[SendBatch](effects) {
+		n += len(b.Attempts)
+	}
+	return n
+}
+
+func crashed(b SendBatch, a Attempt) *cassiaschema.ShardResult {
+	r := answer(b, a)
+	r.Outcome, r.TargetLost, r.Rows = cassiaschema.ShardOutcome_failed, true, nil
+	return r
+}
+
+func TestCanaryIsAnsweredBeforeTheOthersAreAsked(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(20)
+	first := w.beginCanary()
+	c.Assert(attempts(first), qt.Equals, 1)
+	rest := w.reply(first, answer)
+	c.Assert(attempts(rest), qt.Equals, 19)
+	c.Assert(finishOf(c, w.reply(rest, answer)).Answer.Coverage.Answered, qt.Equals, 20)
+}
+
+func TestCanaryBoundsTheTargetsLost(t *testing.T) {
+	for _, retries := range []int{0, 1000} {
+		c := qt.New(t)
+		w := newWorld(20)
+		w.retries = retries
+		lost := 0
+		effects := w.beginCanary()
+		for len(effectsOf[SendBatch](effects)) > 0 {
+			lost += attempts(effects)
+			effects = w.reply(effects, crashed)
+		}
+		c.Assert(lost, qt.Equals, 2)
+		c.Assert(finishOf(c, effects).Refusal.Ran, qt.Equals, RanUnknown)
+	}
+}
+
+func TestCanaryThatLosesItsTargetClearsByItsRetry(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(20)
+	again := w.reply(w.beginCanary(), crashed)
+	c.Assert(attempts(again), qt.Equals, 1)
+	rest := w.reply(again, answer)
+	c.Assert(attempts(rest), qt.Equals, 19)
+	c.Assert(finishOf(c, w.reply(rest, answer)).Answer.Coverage.Answered, qt.Equals, 20)
+}
+
+func TestLateCanaryDoesNotHoldTheOthersBack(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(20)
+	w.hedges = 0
+	w.beginCanary()
+	rest := w.at(w.hedgeAfter)
+	c.Assert(counted(rest, CountCanaryLate), qt.Equals, 1)
+	c.Assert(attempts(rest), qt.Equals, 19)
+}
+
+func TestRefusedCanaryIsTriedElsewhere(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(20)
+	w.retries = 0
+	effects := w.beginCanary()
+	effects = w.reply(effects, func(b SendBatch, a Attempt) *cassiaschema.ShardResult {
+		return refused(b, a, cassiaschema.ShardOutcome_overloaded)
+	})
+	c.Assert(attempts(effects), qt.Equals, 1)
+	c.Assert(attempts(w.reply(effects, answer)), qt.Equals, 18)
+}
--- a/core/cassiaplan/crash.go
+++ b/core/cassiaplan/crash.go
@@ -19,8 +19,8 @@
 func (w *crashWatch) see(s *shard, r *cassiaschema.ShardResult) {
 	switch {
 	case r.GetTargetLost():
+		w.condemned = w.condemned || s == w.probe && !w.cleared && w.lost > 0
 		w.lost++
-		w.condemned = w.condemned || s == w.probe && !w.cleared
 		s.targetLost = true
 	case r.GetOutcome() == cassiaschema.ShardOutcome_answered && s == w.probe:
 		w.cleared = true
--- a/core/cassiaplan/effect.go
+++ b/core/cassiaplan/effect.go
@@ -82,6 +82,8 @@
 	CountDroppedForeign   Counter = "droppedForeign"
 	CountDroppedSnapshot  Counter = "droppedSnapshot"
 	CountDroppedEpoch     Counter = "droppedEpoch"
+	CountCanary           Counter = "canary"
+	CountCanaryLate       Counter = "canaryLate"
 	CountEarlyStop        Counter = "earlyStop"
 	CountAskKnowledge     Counter = "askKnowledge"
 	CountRetryVMLeaving   Counter = "retryVmLeaving"
--- a/core/cassiaplan/query.go
+++ b/core/cassiaplan/query.go
@@ -33,8 +33,9 @@
 	merged    int
 	rowBytes  int
 	// ran is true once a target has answered, whether or not its rows were merged.
-	ran   bool
-	crash crashWatch
+	ran    bool
+	crash  crashWatch
+	canary canary
 
 	// attempts holds every attempt ever made, so that a late result is told from a foreign one.
 	attempts map[cassiaid.AttemptID]*attempt
@@ -126,6 +127,7 @@
 			Message: "the request names no shard of the front; check the front's shards"})
 		return
 	}
+	q.startCanary()
 	if !q.askIfCold(now) {
 		q.pin()
 	}
--- a/core/cassiaplan/recover.go
+++ b/core/cassiaplan/recover.go
@@ -74,9 +74,10 @@
 func (q *Query) recoverShards(now time.Time) {
 	q.restart(now)
 	var choices []choice
+	first := q.pickCanary()
 	for i := range q.shards {
-		s := &q.shards[i]
-		if !s.pending() || s.waiting() || q.crash.holdsBack(s) {
+		s := &q.shards[(first+i)%len(q.shards)]
+		if !s.pending() || s.waiting() || q.awaitsCanary(s, now) || q.crash.holdsBack(s) {
 			continue
 		}
 		if options := q.nextOptions(s); len(options) > 0 {
--- a/core/cassiaplan/timer.go
+++ b/core/cassiaplan/timer.go
@@ -32,6 +32,9 @@
 		sooner(q.asked.limit)
 		return next
 	}
+	if q.canary.waiting && q.crash.lost == 0 {
+		sooner(q.canary.until)
+	}
 	hedging, stopping := q.mayHedge(), q.mayStopEarly()
 	for i := range q.shards {
 		s := &q.shards[i]
--- a/core/cassiaplan/view.go
+++ b/core/cassiaplan/view.go
@@ -23,6 +23,8 @@
 	// Shards lists the shards to ask; when nil, ShardsFor decides.
 	Shards   []cassiaid.ShardIndex
 	Deadline time.Time
+	// Canary has one shard answer before the others are asked.
+	Canary bool
 }
 
 // TargetView is what this VM knows of a target.
