Add the ledger of at-most-once claims

Cause: a repeat of a non-idempotent request to another VM must not run it again. Ruled out: deleting expired buckets, since a key near the edge of the retention could then be claimed again by a VM with another clock; buckets are reused in a ring instead and the number of their window refuses older keys for good. Change: Ledger with grouped compare-and-swap writes, read-back by nonce, release of claims that were not used, outcomes and small answers for repeats, refusal at once in an outage. Conclusion: a claim is won once under lost, delayed and doubled writes, crashes, skewed clocks and reuse of buckets.

--- /dev/null
+++ b/core/cassiaclaim/key.go
@@ -0,0 +1,72 @@
+package cassiaclaim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+// Layout of the buckets. All VMs have to agree on it, so it is not a setting.
+const (
+	bucketHashes = 8
+	windowLength = 2 * time.Second
+	// ringSlots windows fit into the ring before a bucket is reused: 17 minutes.
+	ringSlots = 512
+)
+
+// Bounds on the time of a key.
+const (
+	// MaxRetention is the longest time after its key's time that a claim is kept for certain.
+	MaxRetention = 15 * time.Minute
+	// maxAhead is how far a key's time may be ahead of this VM's clock.
+	maxAhead = time.Minute
+)
+
+// uuidVersion is the version of UUID that carries its time.
+const uuidVersion = 7
+
+// Key is an idempotency key within its front, with the time that it carries.
+type Key struct {
+	Scoped string
+	Time   time.Time
+}
+
+// ParseKey reads a caller's idempotency key, a UUID of version 7, for one front.
+func ParseKey(front cassiaid.FrontKey, text string) (Key, error) {
+	id, err := uuid.Parse(text)
+	if err != nil {
+		return Key{}, fmt.Errorf("%w; send a UUID of version 7 as Idempotency-Key", err)
+	}
+	if id.Version() != uuidVersion {
+		return Key{}, fmt.Errorf("the UUID has version %d; send one of version 7 as Idempotency-Key", id.Version())
+	}
+	seconds, nanos := id.Time().UnixTime()
+	return Key{Scoped: front.String() + "/" + id.String(), Time: time.Unix(seconds, nanos)}, nil
+}
+
+// window numbers the span of time that a key's time lies in.
+func (k Key) window() int64 { return k.Time.UnixMilli() / windowLength.Milliseconds() }
+
+// bucket returns the bucket that holds the key's claim.
+func (k Key) bucket() BucketID {
+	slot := (k.window()%ringSlots + ringSlots) % ringSlots
+	return BucketID{Hash: uint32(xxhash.Sum64String(k.Scoped) % bucketHashes), Slot: uint32(slot)}
+}
+
+// BucketID names a bucket by the hash of its keys and its place in the ring of windows.
+type BucketID struct{ Hash, Slot uint32 }
+
+// String returns the bucket's key in the key-value service.
+func (b BucketID) String() string { return fmt.Sprintf("claims/%d-%d", b.Hash, b.Slot) }
+
+// Retention returns the retention in force for a setting; zero gives the longest.
+func Retention(setting time.Duration) time.Duration {
+	if setting <= 0 || setting > MaxRetention {
+		return MaxRetention
+	}
+	return setting
+}
--- /dev/null
+++ b/core/cassiaclaim/ledger_test.go
@@ -0,0 +1,156 @@
+package cassiaclaim
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
+)
+
+func TestParseKey(t *testing.T) {
+	c := qt.New(t)
+	front := cassiaid.FrontKey{Team: "team", Front: "front"}
+	k, err := ParseKey(front, "019B76DA-A800-7000-8000-000000000001")
+	c.Assert(err, qt.IsNil)
+	c.Assert(k.Scoped, qt.Equals, "team/front/019b76da-a800-7000-8000-000000000001")
+	c.Assert(k.Time.UTC(), qt.Equals, start)
+	_, err = ParseKey(front, "a3bb189e-8bf9-4c2c-9b4a-0a8f4f2d6a11")
+	c.Assert(err, qt.ErrorMatches, ".*version 4; send one of version 7.*")
+	_, err = ParseKey(front, "order 7")
+	c.Assert(err, qt.ErrorMatches, ".*send a UUID of version 7.*")
+}
+
+func TestFirstSendWinsAndRepeatLearnsTheAnswer(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(0, 0)
+	k := key(1, start)
+	first := w.ask(w.claimers[0], k, 5, time.Second)
+	second := w.ask(w.claimers[1], k, 5, time.Second)
+	w.settle()
+	c.Assert(denial(w.claimers[0].last[first]), qt.Equals, [2]string{"cassiaclaim.Granted"})
+	c.Assert(denial(w.claimers[1].last[second]), qt.Equals, denied(cassiaplan.RefusalOutcomeUnknown, cassiaplan.RanUnknown))
+	w.run(w.claimers[0], w.claimers[0].held[0])
+	w.settle()
+	again := w.ask(w.claimers[1], k, 5, time.Second)
+	other := w.ask(w.claimers[1], k, 6, time.Second)
+	w.settle()
+	c.Assert(w.claimers[1].last[again], qt.DeepEquals, Effect(Remembered{ID: again, Answer: []byte("answer of team/front/1")}))
+	c.Assert(denial(w.claimers[1].last[other]), qt.Equals, denied(cassiaplan.RefusalBadRequest, cassiaplan.RanNo))
+}
+
+func TestOneWriteCarriesTheClaimsOfAGroup(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(0)
+	for i := range 100 {
+		w.ask(w.claimers[0], key(i, start), 5, time.Second)
+	}
+	w.settle()
+	c.Assert(w.claimers[0].held, qt.HasLen, 100)
+	c.Assert(w.store.revision <= 2*bucketHashes, qt.IsTrue)
+}
+
+func TestLostReplyIsResolvedByReadingBack(t *testing.T) {
+	for _, f := range []fault{replyLost, requestLost, delayed, sentTwice} {
+		c := qt.New(t)
+		w := newWorld(0)
+		id := w.ask(w.claimers[0], key(1, start), 5, time.Second)
+		w.answer(w.claimers[0], noFault)
+		w.answer(w.claimers[0], f)
+		w.settle()
+		c.Assert(denial(w.claimers[0].last[id]), qt.Equals, [2]string{"cassiaclaim.Granted"})
+	}
+}
+
+func TestClaimWithoutDispatchIsGivenBack(t *testing.T) {
+	for _, f := range []fault{replyLost, requestLost, delayed} {
+		c := qt.New(t)
+		w := newWorld(0, 0)
+		k := key(1, start)
+		first := w.ask(w.claimers[0], k, 5, 50*time.Millisecond)
+		w.answer(w.claimers[0], noFault)
+		w.answer(w.claimers[0], f)
+		w.now = w.now.Add(60 * time.Millisecond)
+		w.claimers[0].update(Tick{})
+		c.Assert(denial(w.claimers[0].last[first]), qt.Equals, denied(cassiaplan.RefusalNotRun, cassiaplan.RanNo))
+		w.settle()
+		for _, g := range w.ghosts {
+			w.store.swap(g)
+		}
+		second := w.ask(w.claimers[1], k, 5, time.Second)
+		w.settle()
+		c.Assert(denial(w.claimers[1].last[second]), qt.Equals, [2]string{"cassiaclaim.Granted"})
+	}
+}
+
+func TestOutageRefusesAtOnceAndEnds(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(0)
+	first := w.ask(w.claimers[0], key(1, start), 5, 10*time.Second)
+	for range 500 {
+		w.now = w.now.Add(time.Millisecond)
+		w.claimers[0].update(Tick{})
+		if len(w.claimers[0].calls) > 0 {
+			w.answer(w.claimers[0], requestLost)
+		}
+		if w.claimers[0].ended[first] > 0 {
+			break
+		}
+	}
+	c.Assert(denial(w.claimers[0].last[first]), qt.Equals, denied(cassiaplan.RefusalNotRun, cassiaplan.RanNo))
+	second := w.ask(w.claimers[0], key(2, start), 5, 10*time.Second)
+	d := w.claimers[0].last[second].(Denied)
+	c.Assert(denial(d), qt.Equals, denied(cassiaplan.RefusalNotRun, cassiaplan.RanNo))
+	c.Assert(d.Refusal.RetryAfter >= time.Second, qt.IsTrue)
+	w.now = w.now.Add(maxBackoff)
+	third := w.ask(w.claimers[0], key(3, start), 5, 10*time.Second)
+	w.settle()
+	c.Assert(denial(w.claimers[0].last[third]), qt.Equals, [2]string{"cassiaclaim.Granted"})
+}
+
+func TestExpiryNeverOpensAClaimAgain(t *testing.T) {
+	c := qt.New(t)
+	ring := ringSlots * windowLength
+	w := newWorld(0, -2*ring)
+	k := key(1, start)
+	w.ask(w.claimers[0], k, 5, time.Second)
+	w.settle()
+	w.run(w.claimers[0], w.claimers[0].held[0])
+	w.settle()
+	w.now = start.Add(ring)
+	// Each hash of the window that reuses the slot gets a claim.
+	for i := range 50 {
+		w.ask(w.claimers[0], key(i, w.now), 5, time.Second)
+	}
+	w.settle()
+	reused := w.store.buckets[k.bucket()].value
+	c.Assert(reused.Window, qt.Equals, key(1, w.now).window())
+	for _, claim := range reused.Claims {
+		c.Assert(claim.ClaimedUnixMillis >= w.now.Add(-time.Second).UnixMilli(), qt.IsTrue)
+	}
+	slow := w.ask(w.claimers[1], k, 5, time.Second)
+	w.settle()
+	c.Assert(denial(w.claimers[1].last[slow]), qt.Equals, denied(cassiaplan.RefusalNotRun, cassiaplan.RanNo))
+	onTime := w.ask(w.claimers[0], k, 5, time.Second)
+	c.Assert(denial(w.claimers[0].last[onTime]), qt.Equals, denied(cassiaplan.RefusalNotRun, cassiaplan.RanNo))
+	ahead := w.ask(w.claimers[0], key(1, w.now.Add(2*maxAhead)), 5, time.Second)
+	c.Assert(denial(w.claimers[0].last[ahead]), qt.Equals, denied(cassiaplan.RefusalNotRun, cassiaplan.RanNo))
+	c.Assert(len(w.store.buckets) <= bucketHashes*2, qt.IsTrue)
+}
+
+func TestBucketStaysFarBelowAMegabyte(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(0)
+	b := &cassiaschema.ClaimBucket{Window: key(1, start).window()}
+	for size := 0; size < maxBucketBytes; size += 1 << 10 {
+		b.Claims = append(b.Claims, &cassiaschema.Claim{Key: "another", Answer: make([]byte, 1<<10)})
+	}
+	w.store.buckets[key(1, start).bucket()] = stored{value: b, revision: 1}
+	w.store.revision = 1
+	id := w.ask(w.claimers[0], key(1, start), 5, time.Second)
+	w.settle()
+	c.Assert(denial(w.claimers[0].last[id]), qt.Equals, denied(cassiaplan.RefusalOverloaded, cassiaplan.RanNo))
+}
--- /dev/null
+++ b/core/cassiaclaim/schedule_test.go
@@ -0,0 +1,145 @@
+package cassiaclaim
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// uniform draws a number below 32 without the preference for small ones that integers have.
+func uniform(t *rapid.T, label string) int {
+	n := 0
+	for range 5 {
+		n *= 2
+		if rapid.Bool().Draw(t, label) {
+			n++
+		}
+	}
+	return n
+}
+
+// ringTurn is the time after which a bucket is reused.
+const ringTurn = ringSlots * windowLength
+
+// keysOfOneBucket are keys of two windows, a whole turn of the ring apart, that share a bucket.
+var keysOfOneBucket = func() []Key {
+	keys := []Key{key(0, start)}
+	for n := 1; len(keys) < 6; n++ {
+		k := key(n, start.Add(time.Duration(len(keys)/3)*ringTurn))
+		if k.bucket() == keys[0].bucket() {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}()
+
+// drawStep does one thing that can happen.
+func drawStep(t *rapid.T, w *world) {
+	i := uniform(t, "claimer") % len(w.claimers)
+	c := w.claimers[i]
+	switch n := uniform(t, "step"); {
+	case n < 8:
+		k := keysOfOneBucket[uniform(t, "key")%len(keysOfOneBucket)]
+		w.ask(c, k, 5, time.Duration(10*(1+uniform(t, "within")))*time.Millisecond)
+	case n < 18 && len(c.calls) > 0:
+		w.answer(c, drawFault(t))
+	case n < 22 && len(c.held) > 0:
+		h := c.held[0]
+		c.held = c.held[1:]
+		w.endHeld(t, c, h)
+	case n == 22 && len(w.ghosts) > 0:
+		w.store.swap(w.ghosts[0])
+		w.ghosts = w.ghosts[1:]
+	case n == 23 && len(c.asks) > 0:
+		w.abandon(t, c)
+	case n == 24:
+		w.claimers[i] = w.crash(c)
+	case n == 25 && uniform(t, "leap") == 0:
+		w.now = w.now.Add(ringTurn / 2)
+	default:
+		w.now = w.now.Add(time.Duration(1+uniform(t, "pause")) * time.Millisecond)
+		c.update(Tick{})
+	}
+}
+
+// drawFault draws a fault for one call in three.
+func drawFault(t *rapid.T) fault {
+	n := uniform(t, "fault")
+	if n >= 12 {
+		return noFault
+	}
+	return fault(1 + n%4)
+}
+
+func (w *world) abandon(t *rapid.T, c *claimer) {
+	id := ClaimID(rapid.IntRange(1, int(w.nextID)).Draw(t, "abandoned"))
+	if _, own := c.asks[id]; own && c.ended[id] == 0 {
+		c.ended[id]++
+		c.update(Abandon{ID: id})
+	}
+}
+
+// crash replaces a claimer; its writes may still land.
+func (w *world) crash(c *claimer) *claimer {
+	for _, call := range c.calls {
+		if write, ok := call.(WriteBucket); ok {
+			w.ghosts = append(w.ghosts, write)
+		}
+	}
+	return w.newClaimer(c.ledger.clock.(skewedClock).skew)
+}
+
+// endHeld runs a granted claim, even when it is late, or gives it back.
+func (w *world) endHeld(t *rapid.T, c *claimer, h held) {
+	if rapid.Bool().Draw(t, "run") {
+		w.run(c, h)
+		return
+	}
+	c.update(Settle{Key: h.ask.Key, BodyHash: h.ask.BodyHash, Nonce: h.nonce, Outcome: 2})
+}
+
+func checkSchedule(t *rapid.T) {
+	skew := rapid.SampledFrom([]time.Duration{ringTurn, 0, -5 * time.Minute}).Draw(t, "skew")
+	w := newWorld(0, 0, skew)
+	for range 20 * rapid.IntRange(0, 12).Draw(t, "steps") {
+		drawStep(t, w)
+		w.check(t)
+	}
+	w.settle()
+	w.check(t)
+	for _, c := range w.claimers {
+		for id := range c.asks {
+			if c.ended[id] != 1 {
+				t.Fatalf("ask %d ended %d times", id, c.ended[id])
+			}
+		}
+	}
+}
+
+func (w *world) check(t *rapid.T) {
+	for k, n := range w.runs {
+		if n > 1 {
+			t.Fatalf("%s ran %d times", k, n)
+		}
+	}
+	for _, c := range w.claimers {
+		for id, e := range c.last {
+			if _, ok := e.(Remembered); ok && w.runs[c.asks[id].Key.Scoped] == 0 {
+				t.Fatalf("an answer is remembered of %s, which never ran", c.asks[id].Key.Scoped)
+			}
+			if c.ended[id] > 1 {
+				t.Fatalf("ask %d ended twice", id)
+			}
+		}
+	}
+}
+
+func TestAnySchedule(t *testing.T) { rapid.Check(t, checkSchedule) }
+
+func FuzzSchedule(f *testing.F) {
+	for _, seed := range []string{"", "cassiasaddle", "\x04\x00\x10\x20\x40\x80\xff\x01\x02\x03\x05\x08\x0d\x15\x22\x37"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(rapid.MakeFuzz(checkSchedule))
+}
--- /dev/null
+++ b/core/cassiaclaim/world_test.go
@@ -0,0 +1,203 @@
+package cassiaclaim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+type skewedClock struct {
+	now  *time.Time
+	skew time.Duration
+}
+
+func (s skewedClock) Now() time.Time { return s.now.Add(s.skew) }
+
+type stored struct {
+	value    *cassiaschema.ClaimBucket
+	revision Revision
+}
+
+// store is a key-value service with compare-and-swap.
+type store struct {
+	buckets  map[BucketID]stored
+	revision Revision
+}
+
+func (s *store) swap(w WriteBucket) (Revision, bool) {
+	if s.buckets[w.Bucket].revision != w.IfRevision {
+		return 0, false
+	}
+	s.revision++
+	s.buckets[w.Bucket] = stored{value: proto.CloneOf(w.Value), revision: s.revision}
+	return s.revision, true
+}
+
+func (s *store) read(id BucketID) BucketRead {
+	b := s.buckets[id]
+	return BucketRead{Bucket: id, Value: proto.CloneOf(b.value), Revision: b.revision}
+}
+
+// claimer is a ledger with the calls that it waits for and the claims that it was granted.
+type claimer struct {
+	ledger *Ledger
+	calls  []Effect
+	asks   map[ClaimID]Ask
+	held   []held
+	ended  map[ClaimID]int
+	last   map[ClaimID]Effect
+}
+
+// held is a granted claim that is neither run nor given back.
+type held struct {
+	ask   Ask
+	nonce Nonce
+}
+
+// world is a store, the claimers around it and a count of what ran.
+type world struct {
+	now      time.Time
+	store    store
+	claimers []*claimer
+	ghosts   []WriteBucket
+	runs     map[string]int
+	nextID   ClaimID
+	seed     uint64
+}
+
+func newWorld(skews ...time.Duration) *world {
+	w := &world{now: start, store: store{buckets: map[BucketID]stored{}}, runs: map[string]int{}}
+	for _, skew := range skews {
+		w.claimers = append(w.claimers, w.newClaimer(skew))
+	}
+	return w
+}
+
+func (w *world) newClaimer(skew time.Duration) *claimer {
+	w.seed++
+	return &claimer{
+		ledger: NewLedger(skewedClock{now: &w.now, skew: skew}, rand.New(rand.NewPCG(w.seed, 7))),
+		asks:   map[ClaimID]Ask{}, ended: map[ClaimID]int{}, last: map[ClaimID]Effect{},
+	}
+}
+
+func (c *claimer) update(m Message) []Effect {
+	effects := c.ledger.Update(m)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case ReadBucket, WriteBucket:
+			c.calls = append(c.calls, e)
+		case Granted:
+			c.end(e.ID, e)
+			c.held = append(c.held, held{ask: c.asks[e.ID], nonce: e.Nonce})
+		case Remembered:
+			c.end(e.ID, e)
+		case Denied:
+			c.end(e.ID, e)
+		}
+	}
+	return effects
+}
+
+func (c *claimer) end(id ClaimID, e Effect) {
+	c.ended[id]++
+	c.last[id] = e
+}
+
+// ask sends an Ask with a deadline after the present time and returns its identifier.
+func (w *world) ask(c *claimer, k Key, body uint64, within time.Duration) ClaimID {
+	w.nextID++
+	m := Ask{ID: w.nextID, Key: k, BodyHash: body, Deadline: c.ledger.clock.Now().Add(within)}
+	c.asks[m.ID] = m
+	c.update(m)
+	return m.ID
+}
+
+// fault is what happens to a call.
+type fault int
+
+const (
+	noFault fault = iota
+	// replyLost lets the call take effect and loses its reply.
+	replyLost
+	// requestLost loses the call.
+	requestLost
+	// delayed loses the reply and lets a write take effect later.
+	delayed
+	// sentTwice lets a write take effect and reports the conflict of its repetition.
+	sentTwice
+)
+
+// answer ends the oldest call of a claimer.
+func (w *world) answer(c *claimer, f fault) {
+	call := c.calls[0]
+	c.calls = c.calls[1:]
+	if r, ok := call.(ReadBucket); ok {
+		if f == noFault {
+			c.update(w.store.read(r.Bucket))
+		} else {
+			c.update(ReadFailed(r))
+		}
+		return
+	}
+	write := call.(WriteBucket)
+	switch f {
+	case requestLost:
+		c.update(WriteUnknown{Bucket: write.Bucket})
+		return
+	case delayed:
+		w.ghosts = append(w.ghosts, write)
+		c.update(WriteUnknown{Bucket: write.Bucket})
+		return
+	}
+	revision, done := w.store.swap(write)
+	switch {
+	case f == replyLost:
+		c.update(WriteUnknown{Bucket: write.Bucket})
+	case !done || f == sentTwice:
+		c.update(WriteConflict{Bucket: write.Bucket})
+	default:
+		c.update(WriteDone{Bucket: write.Bucket, Revision: revision})
+	}
+}
+
+// settle answers all calls without faults, with time passing, until the claimers are quiet.
+func (w *world) settle() {
+	for range 400 {
+		w.now = w.now.Add(time.Millisecond)
+		for _, c := range w.claimers {
+			c.update(Tick{})
+			for len(c.calls) > 0 {
+				w.answer(c, noFault)
+			}
+		}
+	}
+}
+
+// run lets the holder of a claim run its request.
+func (w *world) run(c *claimer, h held) {
+	w.runs[h.ask.Key.Scoped]++
+	c.update(Settle{Key: h.ask.Key, BodyHash: h.ask.BodyHash, Nonce: h.nonce,
+		Outcome: cassiaschema.ClaimOutcome_finished, Answer: []byte("answer of " + h.ask.Key.Scoped)})
+}
+
+func key(n int, at time.Time) Key { return Key{Scoped: fmt.Sprintf("team/front/%d", n), Time: at} }
+
+func denial(e Effect) [2]string {
+	d, ok := e.(Denied)
+	if !ok {
+		return [2]string{fmt.Sprintf("%T", e)}
+	}
+	return [2]string{string(d.Refusal.Kind), string(d.Refusal.Ran)}
+}
+
+func denied(kind cassiaplan.RefusalKind, ran cassiaplan.Ran) [2]string {
+	return [2]string{string(kind), string(ran)}
+}
