Take the planner's canary; tell lost targets from closed connections; let sockets be wrapped

Cause: a connection closed by a target's cap, or after long idleness, looked like a crash and would raise suspicion on an innocent request; the standard log wrote past the structured one. Change: a loss counts only when the target takes no new connection; the canary is the planner's, so that its rows count; an option puts a layer around the VM's UDP sockets; the standard log goes through the structured one at debug level.

--- a/cmd/cassiasaddle/serve.go
+++ b/cmd/cassiasaddle/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"os"
 
 	"github.com/go-kit/log"
@@ -39,6 +40,8 @@
 		return eris.Wrapf(err, "%s: logLevel", path)
 	}
 	logger = log.With(logger, "vm", config.Name, "availabilityZone", config.AvailabilityZone)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.NewStdlibAdapter(level.Debug(logger)))
 	level.Info(logger).Log("msg", "starting", "version", version)
 	if err := cassiaserver.Run(ctx, config, cassiaserver.WithLogger(logger)); err != nil {
 		return err
--- a/io/cassiagossip/gossip.go
+++ b/io/cassiagossip/gossip.go
@@ -37,7 +37,8 @@
 	scope  tally.Scope
 	clock  clockwork.Clock
 	tuning cassiamember.Tuning
-	conn   *net.UDPConn
+	conn   net.PacketConn
+	wrap   func(net.PacketConn) net.PacketConn
 	keys   *keyring
 	random *rand.Rand
 
@@ -95,10 +96,14 @@
 	if err != nil {
 		return &AddressError{Address: address, Cause: err}
 	}
-	g.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(bound))
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(bound))
 	if err != nil {
 		return &AddressError{Address: address, Cause: err}
 	}
+	g.conn = conn
+	if g.wrap != nil {
+		g.conn = g.wrap(conn)
+	}
 	return nil
 }
 
@@ -194,7 +199,7 @@
 		g.refuse(refused)
 		return
 	}
-	if _, err := g.conn.WriteToUDPAddrPort(sealed, to); err != nil {
+	if _, err := g.conn.WriteTo(sealed, net.UDPAddrFromAddrPort(to)); err != nil {
 		g.refuse(sendFailed)
 		return
 	}
@@ -210,13 +215,14 @@
 func (g *Gossip) receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagramBytes+1)
 	for {
-		length, source, err := g.conn.ReadFromUDPAddrPort(buffer)
+		length, from, err := g.conn.ReadFrom(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
 			return eris.Wrap(err, "read gossip datagram; restart the VM")
 		}
+		source := addressOf(from)
 		g.scope.Counter("packetsReceived").Inc(1)
 		g.scope.Counter("bytesReceived").Inc(int64(length))
 		p, refused := g.keys.open(buffer[:length], g.clock.Now())
@@ -225,11 +231,20 @@
 			_ = level.Debug(g.logger).Log("message", "gossip datagram refused", "reason", string(refused), "source", source.String())
 			continue
 		}
-		source = netip.AddrPortFrom(source.Addr().Unmap(), source.Port())
 		g.update(cassiamember.Packet{Source: cassiamember.Address(source.String()), Packet: p})
 	}
 }
 
+// addressOf returns where a datagram came from.
+func addressOf(from net.Addr) netip.AddrPort {
+	udp, ok := from.(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	source := udp.AddrPort()
+	return netip.AddrPortFrom(source.Addr().Unmap(), source.Port())
+}
+
 // tick passes the time to the core.
 func (g *Gossip) tick(ctx context.Context) error {
 	ticker := g.clock.NewTicker(cassiamember.TickInterval)
--- a/io/cassiagossip/option.go
+++ b/io/cassiagossip/option.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"github.com/go-kit/log"
 	"github.com/jonboulle/clockwork"
@@ -38,3 +39,8 @@
 
 // WithTuning sets intervals and limits of the protocol.
 func WithTuning(tuning cassiamember.Tuning) Option { return func(g *Gossip) { g.tuning = tuning } }
+
+// WithPacketConn sets a function that puts a layer around the UDP socket, such as one that injects faults.
+func WithPacketConn(wrap func(net.PacketConn) net.PacketConn) Option {
+	return func(g *Gossip) { g.wrap = wrap }
+}
--- a/io/cassiaowner/quarantine.go
+++ b/io/cassiaowner/quarantine.go
@@ -82,10 +82,21 @@
 }
 
 // Canary tells whether one shard has to answer a request before it goes to the others.
-func (q *Quarantine) Canary(fingerprint cassiaid.Fingerprint) bool {
+func (q *Quarantine) Canary(fingerprint cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.core.Canary(fingerprint, cassiaquarantine.CanaryAfterLosses)
+	return q.core.Canary(fingerprint, policyOf(policy))
+}
+
+func policyOf(policy cassiaschema.Canary) cassiaquarantine.CanaryPolicy {
+	switch policy {
+	case cassiaschema.Canary_afterLosses:
+		return cassiaquarantine.CanaryAfterLosses
+	case cassiaschema.Canary_never:
+		return cassiaquarantine.CanaryNever
+	default:
+		return cassiaquarantine.CanaryAlways
+	}
 }
 
 // Answered notes that a request was answered by a shard.
--- a/io/cassiapeer/node.go
+++ b/io/cassiapeer/node.go
@@ -67,8 +67,17 @@
 	Identity Identity
 	Resolver Resolver
 	Handler  Handler
-	Logger   log.Logger
-	Scope    tally.Scope
+	// Wrap puts a layer around the UDP socket, such as one that injects faults; nil leaves it as it is.
+	Wrap   func(net.PacketConn) net.PacketConn
+	Logger log.Logger
+	Scope  tally.Scope
+}
+
+func (c Config) wrap(socket *net.UDPConn) net.PacketConn {
+	if c.Wrap == nil {
+		return socket
+	}
+	return c.Wrap(socket)
 }
 
 // Node is this VM's end of all peer connections.
@@ -107,7 +116,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	n := &Node{
-		config: config, transport: &quic.Transport{Conn: socket}, group: group, context: ctx, cancel: cancel,
+		config: config, transport: &quic.Transport{Conn: config.wrap(socket)}, group: group, context: ctx, cancel: cancel,
 		peers:   make(map[cassiaid.VMName]*peer),
 		dials:   make(map[cassiaid.VMName]*dial),
 		pending: make(map[uint64]chan *cassiaschema.PeerFrame),
--- a/io/cassiaserver/option.go
+++ b/io/cassiaserver/option.go
@@ -1,6 +1,7 @@
 package cassiaserver
 
 import (
+	"net"
 	"time"
 
 	"github.com/go-kit/log"
@@ -14,6 +15,7 @@
 	logger      log.Logger
 	stopTimeout time.Duration
 	ready       func(Endpoints)
+	wrap        func(net.PacketConn) net.PacketConn
 }
 
 // Option changes how Run works.
@@ -36,6 +38,11 @@
 // WithReady sets a function that is called once when the VM listens.
 func WithReady(ready func(Endpoints)) Option { return func(o *options) { o.ready = ready } }
 
+// WithPacketConn sets a function that puts a layer around the VM's UDP sockets, such as one that injects faults.
+func WithPacketConn(wrap func(net.PacketConn) net.PacketConn) Option {
+	return func(o *options) { o.wrap = wrap }
+}
+
 func newOptions(chosen []Option) options {
 	o := options{logger: log.NewNopLogger(), stopTimeout: defaultStopTimeout}
 	for _, option := range chosen {
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -26,7 +26,9 @@
 	// cancelGrace is how long a cancelled attempt may take to end before its connection is closed.
 	cancelGrace   = 250 * time.Millisecond
 	cancelTimeout = 500 * time.Millisecond
-	healthTimeout = time.Second
+	// confirmTimeout bounds the connection that tells a lost target from a lost connection.
+	confirmTimeout = 100 * time.Millisecond
+	healthTimeout  = time.Second
 	// maxRowsBytes bounds the rows of one shard.
 	maxRowsBytes = 8 << 20
 	// maxHealthBytes bounds a health reply.
@@ -164,10 +166,21 @@
 		result.Outcome = cassiaschema.ShardOutcome_unreachable
 	default:
 		result.Outcome = cassiaschema.ShardOutcome_failed
-		result.TargetLost = true
+		result.TargetLost = !c.listens()
 	}
 }
 
+// listens tells whether the target still takes connections. A connection that ends before its reply while it does was
+// idle for too long or over the target's cap, and says nothing about the request.
+func (c *Client) listens() bool {
+	connection, err := net.DialTimeout("tcp", c.address, confirmTimeout)
+	if err != nil {
+		return false
+	}
+	connection.Close() //nolint:errcheck // it was opened only to see whether that works
+	return true
+}
+
 // judgeReply fills in the result from a reply that has a status and headers.
 func (c *Client) judgeReply(ctx context.Context, result *cassiaschema.ShardResult, call Call, reply *http.Response) {
 	defer discard(reply)
