--- /dev/null
+++ b/test/thin_test.go
@@ -0,0 +1,22 @@
+package test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestWholePath proves the path from settings to an answer and a planned stop, with every part a process of its own.
+func TestWholePath(t *testing.T) {
+	c := qt.New(t)
+	cl := startCluster(t, searchLayout(20))
+	for _, v := range cl.vms {
+		checkWhole(c, cl.ask(v, "search", `{"fit":"slim"}`), 20)
+	}
+	for _, e := range cl.executions() {
+		c.Assert(e.ShardMapEpoch, qt.Equals, uint64(1))
+	}
+	for _, v := range cl.vms {
+		cl.stop(v)
+	}
+}
