--- a/io/cassiagossip/gossip.go
+++ b/io/cassiagossip/gossip.go
@@ -37,7 +37,8 @@
 	scope  tally.Scope
 	clock  clockwork.Clock
 	tuning cassiamember.Tuning
-	conn   *net.UDPConn
+	conn   Socket
+	wrap   func(Socket) Socket
 	keys   *keyring
 	random *rand.Rand
 
@@ -95,10 +96,14 @@
 	if err != nil {
 		return &AddressError{Address: address, Cause: err}
 	}
-	g.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(bound))
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(bound))
 	if err != nil {
 		return &AddressError{Address: address, Cause: err}
 	}
+	g.conn = socket
+	if g.wrap != nil {
+		g.conn = g.wrap(socket)
+	}
 	return nil
 }
 
--- a/io/cassiagossip/option.go
+++ b/io/cassiagossip/option.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/netip"
 
 	"github.com/go-kit/log"
 	"github.com/jonboulle/clockwork"
@@ -38,3 +40,14 @@
 
 // WithTuning sets intervals and limits of the protocol.
 func WithTuning(tuning cassiamember.Tuning) Option { return func(g *Gossip) { g.tuning = tuning } }
+
+// Socket is the part of a UDP socket that gossip uses.
+type Socket interface {
+	ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(content []byte, to netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
+}
+
+// WithSocketWrapper replaces the UDP socket by one around it, such as one that plays the faults of a link.
+func WithSocketWrapper(wrap func(Socket) Socket) Option { return func(g *Gossip) { g.wrap = wrap } }
--- a/io/cassiapeer/node.go
+++ b/io/cassiapeer/node.go
@@ -69,6 +69,8 @@
 	Handler  Handler
 	Logger   log.Logger
 	Scope    tally.Scope
+	// WrapSocket replaces the UDP socket by one around it, when it is set.
+	WrapSocket func(net.PacketConn) net.PacketConn
 }
 
 // Node is this VM's end of all peer connections.
@@ -104,10 +106,14 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "peerAddress %q can't be opened; free it or configure another", config.Address)
 	}
+	var conn net.PacketConn = socket
+	if config.WrapSocket != nil {
+		conn = config.WrapSocket(socket)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	n := &Node{
-		config: config, transport: &quic.Transport{Conn: socket}, group: group, context: ctx, cancel: cancel,
+		config: config, transport: &quic.Transport{Conn: conn}, group: group, context: ctx, cancel: cancel,
 		peers:   make(map[cassiaid.VMName]*peer),
 		dials:   make(map[cassiaid.VMName]*dial),
 		pending: make(map[uint64]chan *cassiaschema.PeerFrame),
@@ -120,7 +126,7 @@
 	listener, err := n.transport.Listen(withProtocol(config.Identity.Server()), quicConfig())
 	if err != nil {
 		cancel()
-		return nil, errors.Join(eris.Wrap(err, "peer listener failed"), socket.Close())
+		return nil, errors.Join(eris.Wrap(err, "peer listener failed"), conn.Close())
 	}
 	group.Go(func() error { return n.accept(listener) })
 	return n, nil
--- a/io/cassiaserver/option.go
+++ b/io/cassiaserver/option.go
@@ -1,9 +1,12 @@
 package cassiaserver
 
 import (
+	"net"
 	"time"
 
 	"github.com/go-kit/log"
+
+	"cassiasaddle/io/cassiagossip"
 )
 
 // defaultStopTimeout bounds how long a planned stop waits for what runs.
@@ -14,6 +17,8 @@
 	logger      log.Logger
 	stopTimeout time.Duration
 	ready       func(Endpoints)
+	wrapPeers   func(net.PacketConn) net.PacketConn
+	wrapGossip  func(cassiagossip.Socket) cassiagossip.Socket
 }
 
 // Option changes how Run works.
@@ -27,6 +32,12 @@
 	return func(o *options) { o.stopTimeout = timeout }
 }
 
+// WithSocketWrappers replaces the UDP sockets for peers and for gossip by ones around them, such as ones that play the
+// faults of a link.
+func WithSocketWrappers(peers func(net.PacketConn) net.PacketConn, gossip func(cassiagossip.Socket) cassiagossip.Socket) Option {
+	return func(o *options) { o.wrapPeers, o.wrapGossip = peers, gossip }
+}
+
 // Endpoints are the addresses that a VM listens on.
 type Endpoints struct {
 	Caller   string
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -87,7 +87,8 @@
 		return err
 	}
 	s.gossip, err = cassiagossip.New(s.gossipConfig(),
-		cassiagossip.WithLogger(s.logger), cassiagossip.WithMetrics(scope), cassiagossip.WithSeeds(seeds(s.store)))
+		cassiagossip.WithLogger(s.logger), cassiagossip.WithMetrics(scope), cassiagossip.WithSeeds(seeds(s.store)),
+		cassiagossip.WithSocketWrapper(s.options.wrapGossip))
 	if err != nil {
 		return err
 	}
@@ -100,7 +101,7 @@
 	})
 	s.node, err = cassiapeer.Listen(cassiapeer.Config{
 		Self: s.self, Address: s.config.PeerAddress, Identity: identity, Resolver: s.members, Handler: s,
-		Logger: s.logger, Scope: scope,
+		Logger: s.logger, Scope: scope, WrapSocket: s.options.wrapPeers,
 	})
 	if err != nil {
 		return err
--- a/standin/cassiarelay/packetconn.go
+++ b/standin/cassiarelay/packetconn.go
@@ -4,8 +4,10 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -14,19 +16,17 @@
 	net.PacketConn
 	faultsTo func(peer net.Addr) Faults
 	policy   policy
-	ctx      context.Context
-	stop     context.CancelFunc
 	group    errgroup.Group
 
-	mu    sync.Mutex
-	lines map[string]*line
+	mu     sync.Mutex
+	lines  map[string]*line
+	closed bool
 }
 
 // WrapPacketConn returns a socket that plays the faults which faultsTo gives for each destination. Delays apply one
 // way, so both ends of a link are to be wrapped.
 func WrapPacketConn(conn net.PacketConn, faultsTo func(peer net.Addr) Faults, seed uint64) *PacketConn {
-	ctx, stop := context.WithCancel(context.Background())
-	c := &PacketConn{PacketConn: conn, faultsTo: faultsTo, ctx: ctx, stop: stop, lines: map[string]*line{}}
+	c := &PacketConn{PacketConn: conn, faultsTo: faultsTo, lines: map[string]*line{}}
 	c.policy.random = rand.New(rand.NewPCG(seed, 1))
 	c.policy.changed = func() {}
 	return c
@@ -44,6 +44,24 @@
 	return len(content), nil
 }
 
+// WriteToUDPAddrPort does as WriteTo.
+func (c *PacketConn) WriteToUDPAddrPort(content []byte, to netip.AddrPort) (int, error) {
+	return c.WriteTo(content, net.UDPAddrFromAddrPort(to))
+}
+
+// ReadFromUDPAddrPort reads a datagram and its sender.
+func (c *PacketConn) ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error) {
+	n, sender, err := c.ReadFrom(buffer)
+	if err != nil {
+		return n, netip.AddrPort{}, err
+	}
+	from, ok := sender.(*net.UDPAddr)
+	if !ok {
+		return n, netip.AddrPort{}, eris.Errorf("%v is no UDP address", sender)
+	}
+	return n, from.AddrPort(), nil
+}
+
 // lineTo returns the line to a destination, a new one at its first use.
 func (c *PacketConn) lineTo(peer net.Addr) *line {
 	c.mu.Lock()
@@ -51,12 +69,12 @@
 	l := c.lines[peer.String()]
 	if l == nil {
 		l = newLine(false)
-		if c.ctx.Err() != nil {
+		if c.closed {
 			return l
 		}
 		c.lines[peer.String()] = l
 		c.group.Go(func() error {
-			l.run(c.ctx, func(content []byte) error {
+			l.run(context.Background(), func(content []byte) error {
 				_, _ = c.PacketConn.WriteTo(content, peer)
 				return nil
 			})
@@ -66,12 +84,14 @@
 	return l
 }
 
-// Close closes the socket; datagrams on their way are lost.
+// Close delivers the datagrams on their way and closes the socket.
 func (c *PacketConn) Close() error {
 	c.mu.Lock()
-	c.stop()
+	c.closed = true
+	for _, l := range c.lines {
+		l.end()
+	}
 	c.mu.Unlock()
-	err := c.PacketConn.Close()
 	_ = c.group.Wait()
-	return err
+	return c.PacketConn.Close()
 }
