--- /dev/null
+++ b/cmd/cassiasaddle/bench.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"cassiasaddle/io/cassiabench"
+)
+
+// policyBoth runs the tuned and the baseline policy one after the other.
+const policyBoth = "both"
+
+// exitViolation is the exit status when a promise was broken.
+const exitViolation = exitFailed
+
+func benchCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "bench",
+		Usage: "run a scenario's load and faults on loopback and judge what happened; exit status 1 on a violation",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "scenario", Required: true, Usage: "`NAME` of the scenario, or list to name them all"},
+			&cli.StringFlag{Name: "policy", Value: policyBoth, Usage: "`POLICY` tuned, baseline or both"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of arrival times, faults and run times"},
+			&cli.StringFlag{Name: "report", Value: "text", Usage: "`FORMAT` text, json or html"},
+		},
+		Action: runBench,
+	}
+}
+
+// quietLibraries drops what HTTP and QUIC libraries log by themselves about the faults that a run plays.
+func quietLibraries() { log.SetOutput(io.Discard) }
+
+func runBench(ctx context.Context, command *cli.Command) error {
+	quietLibraries()
+	out := command.Root().Writer
+	if command.String("scenario") == "list" {
+		return listScenarios(out)
+	}
+	scenario, err := cassiabench.FindScenario(command.String("scenario"))
+	if err != nil {
+		return err
+	}
+	policies, err := policiesOf(command.String("policy"))
+	if err != nil {
+		return err
+	}
+	if err := cassiabench.CheckFormat(command.String("report")); err != nil {
+		return err
+	}
+	seed := command.Uint64("seed")
+	report := &cassiabench.Report{Scenario: scenario.Name, About: scenario.About, Seed: seed}
+	for _, policy := range policies {
+		result, err := cassiabench.Run(ctx, scenario, policy, seed)
+		if err != nil {
+			return err
+		}
+		report.Add(result)
+	}
+	if err := report.Write(out, command.String("report")); err != nil {
+		return err
+	}
+	if report.Violated() {
+		return cli.Exit("a promise was broken; see the violations in the report", exitViolation)
+	}
+	return nil
+}
+
+func listScenarios(out io.Writer) error {
+	for _, s := range cassiabench.Scenarios() {
+		if _, err := fmt.Fprintf(out, "%-36s %s\n", s.Name, s.About); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// policiesOf returns the policies that a flag names.
+func policiesOf(name string) ([]cassiabench.Policy, error) {
+	switch name {
+	case policyBoth:
+		return []cassiabench.Policy{cassiabench.PolicyTuned, cassiabench.PolicyBaseline}, nil
+	case string(cassiabench.PolicyTuned), string(cassiabench.PolicyBaseline):
+		return []cassiabench.Policy{cassiabench.Policy(name)}, nil
+	}
+	return nil, eris.Errorf("policy %q is not known; use tuned, baseline or both", name)
+}
--- /dev/null
+++ b/cmd/cassiasaddle/demo.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cassiasaddle/io/cassiabench"
+)
+
+// demoTimeout bounds the whole demonstration.
+const demoTimeout = 30 * time.Second
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "demo",
+		Usage:  "run VMs and stand-ins on loopback, send queries through a straggler and a lost replica, and report",
+		Action: runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, command *cli.Command) error {
+	quietLibraries()
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	const seed = 1
+	result, err := cassiabench.Run(ctx, cassiabench.Demo(), cassiabench.PolicyTuned, seed)
+	if err != nil {
+		return err
+	}
+	if err := cassiabench.WriteDemo(command.Root().Writer, result); err != nil {
+		return err
+	}
+	if result.Violations.Any() {
+		return cli.Exit("a promise was broken", exitViolation)
+	}
+	return nil
+}
--- a/cmd/cassiasaddle/main.go
+++ b/cmd/cassiasaddle/main.go
@@ -51,6 +51,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(), settingsCommand(), statusCommand(), queryCommand(), keysCommand(), versionCommand(),
+			benchCommand(), demoCommand(),
 		},
 	}
 }
--- a/io/cassiabench/environment.go
+++ b/io/cassiabench/environment.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/core/cassiasettings"
 	"cassiasaddle/standin/cassiaplatform"
 	"cassiasaddle/standin/cassiarelay"
 	"cassiasaddle/standin/cassiashard"
@@ -38,18 +39,6 @@
 	otherConnectionShare = 0.5
 )
 
-// Tier is how the bench starts VMs and gives them settings.
-type Tier interface {
-	// RunVM runs one VM until the context ends and then stops it as planned.
-	RunVM(ctx context.Context, config *cassiaschema.VmConfig, faultsTo func(peer net.Addr) cassiarelay.Faults) error
-	// ApplyRoot puts the root settings in force through a VM.
-	ApplyRoot(ctx context.Context, vm *cassiaschema.VmConfig, yaml []byte) error
-	// ApplyTeam puts a team's settings in force through a VM.
-	ApplyTeam(ctx context.Context, vm *cassiaschema.VmConfig, team string, yaml []byte) error
-	// Ready tells whether a VM is ready to serve the fronts.
-	Ready(ctx context.Context, vm *cassiaschema.VmConfig) bool
-}
-
 // environment is the stand-ins and VMs of one run.
 type environment struct {
 	layout   *layout
@@ -57,10 +46,9 @@
 	platform *cassiaplatform.Platform
 	random   *rand.Rand
 	links    *links
-	// tier, callers and vms are nil for the baseline.
-	tier    Tier
+	// tier and callers are nil for the baseline.
+	tier    *tier
 	callers *callers
-	vms     map[string]context.CancelFunc
 
 	mu      sync.Mutex
 	leaving map[string]time.Time
@@ -80,7 +68,6 @@
 		platform: cassiaplatform.New(cassiaplatform.Options{WritesPerSecond: platformWrites, ReadsPerSecond: platformReads}),
 		random:   rand.New(rand.NewPCG(seed, 3)),
 		links:    newLinks(s.Delays, seed),
-		vms:      map[string]context.CancelFunc{},
 		leaving:  map[string]time.Time{},
 	}
 	behaviours := map[string]cassiashard.Behaviour{}
@@ -106,7 +93,13 @@
 }
 
 // Close gives back what the environment holds once all has stopped.
-func (e *environment) Close() error { return e.layout.Close() }
+func (e *environment) Close() error {
+	err := e.layout.Close()
+	if e.tier != nil {
+		err = errors.Join(err, e.tier.Close())
+	}
+	return err
+}
 
 // startStandins starts targets and platform in the group and returns when they listen.
 func (e *environment) startStandins(ctx context.Context, group *errgroup.Group) error {
@@ -136,37 +129,38 @@
 }
 
 // startVMs starts all VMs in the group, gives them the settings and returns when they are ready.
-func (e *environment) startVMs(ctx context.Context, group *errgroup.Group, tier Tier) error {
-	e.tier = tier
+func (e *environment) startVMs(ctx context.Context, group *errgroup.Group, seed uint64) error {
 	e.callers = newCallers(e.layout.VMs, e.links)
 	for _, vm := range e.layout.VMs {
 		e.platform.PutVM(platformRow(vm, "live"))
 	}
-	for _, vm := range e.layout.VMs {
-		running, stop := context.WithCancel(ctx)
-		e.vms[vm.GetName()] = stop
-		group.Go(func() error {
-			defer stop()
-			return eris.Wrapf(tier.RunVM(running, vm, e.faultsFrom(vm)), "VM %s", vm.GetName())
-		})
+	var err error
+	if e.tier, err = newTier(e.layout.VMs); err != nil {
+		return err
+	}
+	for i, vm := range e.layout.VMs {
+		e.tier.start(ctx, group, vm, e.faultsFrom(vm), seed+uint64(i))
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := e.applyAll(ctx); err != nil {
+	if err := e.tier.apply(ctx, cassiasettings.RootSubtree, adminToken, e.layout.Files[""]); err != nil {
 		return err
 	}
-	for _, vm := range e.layout.VMs {
-		ready := func() error {
-			if tier.Ready(ctx, vm) {
-				return nil
-			}
-			return eris.Errorf("VM %s is not ready", vm.GetName())
-		}
-		if err := retry(ctx, ready); err != nil {
+	for _, team := range e.layout.Teams {
+		if err := e.applyTeam(ctx, team); err != nil {
 			return err
 		}
 	}
-	return nil
+	return e.tier.waitReady(ctx)
+}
+
+// applyTeam puts a team's settings in force.
+func (e *environment) applyTeam(ctx context.Context, team *cassiaschema.TeamSettings) error {
+	text, err := toYAML(team)
+	if err != nil {
+		return err
+	}
+	return e.tier.apply(ctx, cassiasettings.Subtree(team.GetTeam()), team.GetTeam()+teamTokenSuffix, text)
 }
 
 // faultsFrom returns what happens to a VM's datagrams by their destination.
@@ -185,24 +179,6 @@
 	}
 }
 
-// applyAll puts the root's and all teams' settings in force through the first VM.
-func (e *environment) applyAll(ctx context.Context) error {
-	vm := e.layout.VMs[0]
-	if err := retry(ctx, func() error { return e.tier.ApplyRoot(ctx, vm, e.layout.Files[""]) }); err != nil {
-		return err
-	}
-	for _, team := range e.layout.Teams {
-		text, err := toYAML(team)
-		if err != nil {
-			return err
-		}
-		if err := retry(ctx, func() error { return e.tier.ApplyTeam(ctx, vm, team.GetTeam(), text) }); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // retry calls something until it succeeds or the context ends.
 func retry(ctx context.Context, call func() error) error {
 	for {
@@ -268,20 +244,16 @@
 	if e.tier == nil {
 		return nil
 	}
-	text, err := toYAML(team)
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	return e.tier.ApplyTeam(ctx, e.layout.VMs[0], team.GetTeam(), text)
+	return e.applyTeam(ctx, team)
 }
 
 // stopVM stops a VM as planned; the baseline has none.
 func (e *environment) stopVM(vm *cassiaschema.VmConfig) {
-	if stop := e.vms[vm.GetName()]; stop != nil {
+	if e.tier != nil {
 		e.platform.PutVM(platformRow(vm, "leaving"))
-		stop()
+		e.tier.stop(vm)
 	}
 }
 
--- a/io/cassiabench/run.go
+++ b/io/cassiabench/run.go
@@ -28,7 +28,7 @@
 type asker func(ctx context.Context, r *request) *reply
 
 // Run runs a scenario with one policy.
-func Run(ctx context.Context, s Scenario, policy Policy, seed uint64, tier Tier) (*Result, error) {
+func Run(ctx context.Context, s Scenario, policy Policy, seed uint64) (*Result, error) {
 	s = s.withTimes()
 	e, err := newEnvironment(s, seed)
 	if err != nil {
@@ -36,7 +36,7 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
-	result, err := e.run(ctx, group, s, policy, seed, tier)
+	result, err := e.run(ctx, group, s, policy, seed)
 	stop()
 	if ended := group.Wait(); err == nil {
 		err = ended
@@ -48,7 +48,7 @@
 }
 
 // run starts everything, drives the load and judges it.
-func (e *environment) run(ctx context.Context, group *errgroup.Group, s Scenario, policy Policy, seed uint64, tier Tier) (*Result, error) {
+func (e *environment) run(ctx context.Context, group *errgroup.Group, s Scenario, policy Policy, seed uint64) (*Result, error) {
 	if err := e.startStandins(ctx, group); err != nil {
 		return nil, err
 	}
@@ -58,7 +58,7 @@
 		defer plain.Close()
 		ask = plain.ask
 	} else {
-		if err := e.startVMs(ctx, group, tier); err != nil {
+		if err := e.startVMs(ctx, group, seed); err != nil {
 			return nil, err
 		}
 		defer e.callers.Close()
--- a/io/cassiabench/run_test.go
+++ b/io/cassiabench/run_test.go
@@ -49,7 +49,7 @@
 	s, err := FindScenario("manizales-calm")
 	c.Assert(err, qt.IsNil)
 	s.WarmUp, s.Measured = 500*time.Millisecond, time.Second
-	result, err := Run(context.Background(), s, PolicyBaseline, 1, nil)
+	result, err := Run(context.Background(), s, PolicyBaseline, 1)
 	c.Assert(err, qt.IsNil)
 	c.Assert(result.Queries > 50, qt.IsTrue)
 	c.Assert(result.CoverageMean > 0, qt.IsTrue)
--- /dev/null
+++ b/io/cassiabench/tier.go
@@ -0,0 +1,147 @@
+package cassiabench
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/core/cassiasettings"
+	"cassiasaddle/io/cassiagossip"
+	"cassiasaddle/io/cassiaserver"
+	"cassiasaddle/io/cassiatls"
+	"cassiasaddle/io/cassiatree"
+	"cassiasaddle/standin/cassiarelay"
+)
+
+// Tokens of the example settings.
+const (
+	adminToken      = "admin-token"
+	teamTokenSuffix = "-token"
+)
+
+// certificateLifetime is more than any run takes.
+const certificateLifetime = time.Hour
+
+// tier is the VMs of a run, all in this process.
+type tier struct {
+	vms       []*cassiaschema.VmConfig
+	directory string
+	stops     map[string]context.CancelFunc
+	revisions map[cassiasettings.Subtree]cassiaid.Revision
+}
+
+// newTier issues certificates and a cluster key for the VMs.
+func newTier(vms []*cassiaschema.VmConfig) (*tier, error) {
+	directory, err := os.MkdirTemp("", "cassiasaddle-bench-")
+	if err != nil {
+		return nil, eris.Wrap(err, "no place for certificates; make the temporary directory writable")
+	}
+	t := &tier{
+		vms: vms, directory: directory,
+		stops: map[string]context.CancelFunc{}, revisions: map[cassiasettings.Subtree]cassiaid.Revision{},
+	}
+	keys := cassiatls.Directory(directory)
+	var names []cassiaid.VMName
+	for _, vm := range vms {
+		name := cassiaid.VMName(vm.GetName())
+		names = append(names, name)
+		vm.Tls, vm.ClusterKeyFile = keys.Files(name), keys.ClusterKeyFile()
+	}
+	if err := keys.Issue(time.Now(), certificateLifetime, names...); err != nil {
+		return nil, errors.Join(err, t.Close())
+	}
+	return t, nil
+}
+
+// Close removes the certificates.
+func (t *tier) Close() error { return os.RemoveAll(t.directory) }
+
+// start runs a VM in the group until the context ends or the VM is stopped; its datagrams suffer faults.
+func (t *tier) start(ctx context.Context, group *errgroup.Group, vm *cassiaschema.VmConfig,
+	faultsTo func(net.Addr) cassiarelay.Faults, seed uint64) {
+	ctx, stop := context.WithCancel(ctx)
+	t.stops[vm.GetName()] = stop
+	wrappers := cassiaserver.WithSocketWrappers(
+		func(conn net.PacketConn) net.PacketConn { return cassiarelay.WrapPacketConn(conn, faultsTo, seed) },
+		func(socket cassiagossip.Socket) cassiagossip.Socket {
+			conn, ok := socket.(net.PacketConn)
+			if !ok {
+				return socket
+			}
+			return cassiarelay.WrapPacketConn(conn, faultsTo, seed)
+		})
+	group.Go(func() error {
+		defer stop()
+		return eris.Wrapf(cassiaserver.Run(ctx, vm, wrappers), "VM %s", vm.GetName())
+	})
+}
+
+// stop stops a VM as planned.
+func (t *tier) stop(vm *cassiaschema.VmConfig) { t.stops[vm.GetName()]() }
+
+// apply puts a subtree's settings in force through the first VM.
+func (t *tier) apply(ctx context.Context, subtree cassiasettings.Subtree, token string, yaml []byte) error {
+	client := &cassiatree.OperatorClient{Address: t.vms[0].GetOperatorAddress(), Token: token}
+	edit := cassiatree.EditRequest{
+		YAML: string(yaml), BaseRevision: t.revisions[subtree],
+		EditID: cassiasettings.EditID(uuid.NewString()), Author: "bench",
+	}
+	return retry(ctx, func() error {
+		accepted, err := client.Apply(ctx, subtree, edit)
+		if err == nil {
+			t.revisions[subtree] = accepted.Revision
+		}
+		return err
+	})
+}
+
+// waitReady returns when every VM is ready, knows all others and sees an owner of every slice.
+func (t *tier) waitReady(ctx context.Context) error {
+	for _, vm := range t.vms {
+		if err := retry(ctx, func() error { return t.ready(ctx, vm) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *tier) ready(ctx context.Context, vm *cassiaschema.VmConfig) error {
+	status, err := readStatus(ctx, vm)
+	if err != nil {
+		return err
+	}
+	owned := len(status.Owners) > 0
+	for _, o := range status.Owners {
+		owned = owned && len(o.Owners) > 0
+	}
+	if !status.Ready || len(status.Members) != len(t.vms) || !owned {
+		return eris.Errorf("VM %s is not ready: ready %t, %d members, owners known %t",
+			vm.GetName(), status.Ready, len(status.Members), owned)
+	}
+	return nil
+}
+
+// readStatus asks a VM for its status.
+func readStatus(ctx context.Context, vm *cassiaschema.VmConfig) (cassiaserver.Status, error) {
+	var status cassiaserver.Status
+	call, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.GetOperatorAddress()+"/v1/status", nil)
+	if err != nil {
+		return status, err
+	}
+	response, err := http.DefaultClient.Do(call)
+	if err != nil {
+		return status, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
