--- a/core/cassiaquarantine/admit.go
+++ b/core/cassiaquarantine/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
 )
 
 // Verdict tells whether an attempt may go to a target.
@@ -63,26 +64,13 @@
 	return len(s.strikes) > 0 && !q.answered.has(now, Window, f)
 }
 
-// CanaryPolicy tells which fan-outs wait for a first shard's answer.
-type CanaryPolicy int
-
-// Policies for canaries.
-const (
-	// CanaryAfterLosses sends a canary for requests not answered lately while targets are being lost.
-	CanaryAfterLosses CanaryPolicy = iota
-	// CanaryAlways sends a canary for each request not answered lately.
-	CanaryAlways
-	// CanaryNever sends none.
-	CanaryNever
-)
-
 // Canary tells whether a request over many shards has to be answered by one of them before it goes to the others.
-func (q *Quarantine) Canary(f cassiaid.Fingerprint, policy CanaryPolicy) bool {
+func (q *Quarantine) Canary(f cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
 	now := q.clock.Now()
-	if policy == CanaryNever || q.answered.has(now, Window, f) {
+	if policy == cassiaschema.Canary_never || q.answered.has(now, Window, f) {
 		return false
 	}
-	return policy == CanaryAlways || q.losing(now) || q.onParole(now, f)
+	return policy == cassiaschema.Canary_always || q.losing(now) || q.onParole(now, f)
 }
 
 // losing tells whether a target was lost within the window.
--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -57,7 +57,7 @@
 	// Remaining returns how long a fingerprint stays refused, 0 when it is not.
 	Remaining(fingerprint cassiaid.Fingerprint) time.Duration
 	// Canary tells whether one shard has to answer a request before it goes to the others.
-	Canary(fingerprint cassiaid.Fingerprint) bool
+	Canary(fingerprint cassiaid.Fingerprint, policy cassiaschema.Canary) bool
 	// Answered notes that a request was answered by a shard.
 	Answered(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex)
 }
@@ -134,13 +134,13 @@
 		return nil, refusal
 	}
 	defer e.exit()
-	sentCanary, refusal := e.askCanary(ctx, question, fingerprint)
-	if refusal != nil {
-		return nil, refusal
-	}
-	r, finish := e.run(ctx, question, fingerprint, nil)
+	canary := e.wantsCanary(question, fingerprint)
+	r, finish := e.run(ctx, question, fingerprint, canary)
 	if finish.Refusal != nil {
-		return nil, afterCanary(sentCanary, finish.Refusal)
+		return nil, finish.Refusal
+	}
+	if canary {
+		e.config.Quarantine.Answered(fingerprint, finish.Answer.Rows[0].Shard)
 	}
 	answer, err := cassiahttp.EncodeAnswer(question.RequestID, r.answeredFront(finish.Answer), finish.Answer)
 	if err != nil {
@@ -152,38 +152,16 @@
 	return answer, nil
 }
 
-// askCanary lets one shard answer first while targets are being lost, so that a request which crashes its target does
-// not reach all targets at once.
-func (e *Entry) askCanary(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) (bool, *cassiaplan.Refusal) {
-	shards := cassiaplan.ShardsFor(question.Front, question.ShardKey)
-	if len(shards) < 2 || question.Front.Kind != cassiaschema.RequestKind_idempotent || !e.config.Quarantine.Canary(fingerprint) {
-		return false, nil
-	}
-	e.count("canary")
-	shard := shards[rand.IntN(len(shards))]
-	_, finish := e.run(ctx, question, fingerprint, []cassiaid.ShardIndex{shard})
-	if finish.Refusal != nil {
-		return true, finish.Refusal
-	}
-	e.config.Quarantine.Answered(fingerprint, shard)
-	return true, nil
-}
-
-// afterCanary corrects a refusal of the rest of a request that one shard has run already.
-func afterCanary(sentCanary bool, refusal *cassiaplan.Refusal) *cassiaplan.Refusal {
-	if !sentCanary || refusal.Ran != cassiaplan.RanNo {
-		return refusal
-	}
-	corrected := *refusal
-	corrected.Ran = cassiaplan.RanYes
-	if corrected.Kind == cassiaplan.RefusalNotRun {
-		corrected.Kind = cassiaplan.RefusalOverloaded
+// wantsCanary tells whether one shard has to answer a question before the others are asked.
+func (e *Entry) wantsCanary(question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) bool {
+	if question.Front.Kind != cassiaschema.RequestKind_idempotent || len(cassiaplan.ShardsFor(question.Front, question.ShardKey)) < 2 {
+		return false
 	}
-	return &corrected
+	return e.config.Quarantine.Canary(fingerprint, question.Front.Canary)
 }
 
-// run carries one planner from Begin to Finish; nil shards ask all that the question is for.
-func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, shards []cassiaid.ShardIndex) (*run, *cassiaplan.Finish) {
+// run carries one planner from Begin to Finish.
+func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, canary bool) (*run, *cassiaplan.Finish) {
 	r := &run{
 		entry: e, id: cassiaid.QueryID(uuid.New()), question: question, fingerprint: fingerprint,
 		events: newMailbox[event](),
@@ -191,8 +169,8 @@
 		asked:  make(map[cassiaid.ShardIndex]bool),
 	}
 	request := cassiaplan.Request{
-		ID: r.id, Key: question.Key, Front: question.Front, ShardKey: question.ShardKey, Shards: shards,
-		Deadline: question.Deadline,
+		ID: r.id, Key: question.Key, Front: question.Front, ShardKey: question.ShardKey,
+		Deadline: question.Deadline, Canary: canary,
 	}
 	e.config.Routes.With(func(t *cassiaroute.Table) {
 		r.query = cassiaplan.NewQuery(request, t, e.config.Clock, randomSource{})
--- a/io/cassiaowner/quarantine.go
+++ b/io/cassiaowner/quarantine.go
@@ -82,10 +82,10 @@
 }
 
 // Canary tells whether one shard has to answer a request before it goes to the others.
-func (q *Quarantine) Canary(fingerprint cassiaid.Fingerprint) bool {
+func (q *Quarantine) Canary(fingerprint cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.core.Canary(fingerprint, cassiaquarantine.CanaryAfterLosses)
+	return q.core.Canary(fingerprint, policy)
 }
 
 // Answered notes that a request was answered by a shard.
--- a/test/routing_test.go
+++ b/test/routing_test.go
@@ -75,6 +75,17 @@
 	return found
 }
 
+// crashesUnder counts the targets that crashed while they ran a body.
+func (c *cluster) crashesUnder(body string) int {
+	crashes := 0
+	for _, e := range c.executions() {
+		if e.Outcome == cassiashard.OutcomeCrashed && e.BodyHash == cassiashard.BodyHash([]byte(body)) {
+			crashes++
+		}
+	}
+	return crashes
+}
+
 // startedAfter matches executions that began after a time.
 func startedAfter(at time.Time) func(cassiashard.Execution) bool {
 	return func(e cassiashard.Execution) bool { return e.Started() && e.StartedUnixMicros > at.UnixMicro() }
@@ -148,12 +159,7 @@
 			refused++
 		}
 	}
-	crashes := 0
-	for _, e := range cl.executions() {
-		if e.Outcome == cassiashard.OutcomeCrashed && e.BodyHash == cassiashard.BodyHash([]byte(`{"deadly":true}`)) {
-			crashes++
-		}
-	}
+	crashes := cl.crashesUnder(`{"deadly":true}`)
 	t.Logf("%d targets crashed, %d of 40 calls refused as quarantined", crashes, refused)
 	c.Check(crashes > 0 && crashes <= crashBound, qt.IsTrue)
 	c.Check(refused > 30, qt.IsTrue)
@@ -163,26 +169,32 @@
 	}
 }
 
-// TestDeadlyFanOut sends a request that crashes its targets to every shard, again and again, to VM after VM.
+// TestDeadlyFanOut sends a request that crashes its targets to every shard, again and again, to VM after VM, with and
+// without the canary that bounds the targets it can crash.
 func TestDeadlyFanOut(t *testing.T) {
-	c := qt.New(t)
-	zones := []string{"zone-a", "zone-b"}
-	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", 20, zones)},
-		behaviour: `{"crashMarker":"deadly","restartMs":300}`})
-	for n := range 20 {
-		c.Assert(cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"n":%d}`, n)).Status, qt.Equals, http.StatusOK)
-	}
-	for n := range 40 {
-		a := cl.ask(cl.vms[n%len(cl.vms)], "search", `{"deadly":true}`)
-		if n < 5 {
-			t.Logf("%d %s %s", a.Status, a.Kind, a.Message)
-		}
-	}
-	crashes := 0
-	for _, e := range cl.executions() {
-		if e.Outcome == cassiashard.OutcomeCrashed && e.BodyHash == cassiashard.BodyHash([]byte(`{"deadly":true}`)) {
-			crashes++
-		}
+	for _, canary := range []cassiaschema.Canary{cassiaschema.Canary_always, cassiaschema.Canary_never} {
+		t.Run(canary.String(), func(t *testing.T) {
+			c := qt.New(t)
+			zones := []string{"zone-a", "zone-b"}
+			front := newFront("search", 20, zones)
+			front.Canary = canary
+			cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front},
+				behaviour: `{"crashMarker":"deadly","restartMs":300}`})
+			for n := range 20 {
+				checkWhole(c, cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"n":%d}`, n)), 20)
+			}
+			for n := range 40 {
+				a := cl.ask(cl.vms[n%len(cl.vms)], "search", `{"deadly":true}`)
+				c.Assert(a.Status == http.StatusOK, qt.IsFalse)
+			}
+			crashes := cl.crashesUnder(`{"deadly":true}`)
+			t.Logf("%d targets crashed", crashes)
+			c.Check(crashes > 0, qt.IsTrue)
+			c.Check(crashes <= crashBound, qt.Equals, canary == cassiaschema.Canary_always)
+			eventually(t, startTimeout, "a whole answer", func() bool {
+				a := cl.ask(cl.vms[0], "search", `{"innocent":true}`)
+				return a.Status == http.StatusOK && a.Coverage.Answered == 20
+			})
+		})
 	}
-	t.Logf("%d targets crashed", crashes)
 }
