Bound retransmission in storms; measure membership in memory

Change: fewer repeats while more than 32 updates wait; suspects counted, so that a tick without any scans nothing.

--- a/core/cassiamember/config.go
+++ b/core/cassiamember/config.go
@@ -73,7 +73,7 @@
 	defaultForgetAfter       = 24 * time.Hour
 	defaultMismatchLimit     = 3
 	defaultBytesPerSecond    = 1600
-	defaultBurstBytes        = 16 << 10
+	defaultBurstBytes        = 64 << 10
 	defaultMaxPacketBytes    = 1100
 )
 
@@ -111,7 +111,18 @@
 	return time.Duration(t.SuspicionFactor * scale * float64(t.ProbeInterval))
 }
 
-// retransmits returns how often an update is sent on among a number of members.
-func (t Tuning) retransmits(members int) int {
-	return int(math.Ceil(t.RetransmitFactor * math.Log(float64(members+1))))
+const (
+	// longQueue is the number of updates beyond which each is sent on less often, since digests repair what is missed.
+	longQueue = 32
+	// minRetransmits is the least number of times that an update is sent on.
+	minRetransmits = 3
+)
+
+// retransmits returns how often an update is sent on among a number of members while others wait.
+func (t Tuning) retransmits(members, waiting int) int {
+	limit := t.RetransmitFactor * math.Log(float64(members+1))
+	if waiting > longQueue {
+		limit *= longQueue / float64(waiting)
+	}
+	return max(minRetransmits, int(math.Ceil(limit)))
 }
--- /dev/null
+++ b/core/cassiamember/measure_test.go
@@ -0,0 +1,155 @@
+package cassiamember
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// Events of an ordinary day at the full size.
+const (
+	fullSize       = 590
+	zonesAtFull    = 8
+	failuresADay   = 22
+	restartsADay   = 580
+	measuredLength = 10 * time.Minute
+	secondsADay    = 24 * 60 * 60
+)
+
+// BenchmarkMembership drives the core in memory and reports, for each VM: bytes (with IP, UDP and seal) and packets a
+// second in both directions, processor time and heap, on an ordinary day and through the loss of a zone, and the time
+// until news is known everywhere. Run it with -benchtime 1x.
+func BenchmarkMembership(b *testing.B) {
+	for _, size := range []int{8, 64, 128, 256, fullSize} {
+		b.Run(fmt.Sprintf("size=%d", size), func(b *testing.B) {
+			for range b.N {
+				measure(b, size)
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, size int) {
+	before := heapBytes()
+	n := newNetwork(uint64(size), Tuning{})
+	n.addAll(size, zonesAtFull)
+	began, _ := n.runUntil(10*time.Minute, func() bool { return agree(n.vms) })
+	b.ReportMetric(began.Seconds(), "s-coldStart")
+	n.run(time.Minute)
+	b.ReportMetric((heapBytes()-before)/float64(size), "heapB/VM")
+	measureDay(b, n)
+	measureNews(b, n)
+	measureZoneLoss(b, n)
+}
+
+// measureDay lets an ordinary day's share of failures and restarts happen.
+func measureDay(b *testing.B, n *network) {
+	size := len(n.running())
+	gap := time.Duration(float64(secondsADay*time.Second) * fullSize / float64((failuresADay+restartsADay)*size))
+	n.resetCounts()
+	began := n.now
+	for next := began; n.now.Sub(began) < measuredLength; n.run(time.Second) {
+		if !n.now.Before(next) {
+			next = next.Add(gap)
+			n.restart(n.running()[n.random.IntN(size)])
+		}
+	}
+	n.report(b, "", n.now.Sub(began))
+}
+
+// restart replaces a VM by a planned stop.
+func (n *network) restart(v *vm) {
+	n.update(v, Leave{})
+	n.run(2 * time.Second)
+	n.update(v, Stop{})
+	n.stop(v)
+	n.run(2 * time.Second)
+	n.add(string(v.Self().Name), v.index%zonesAtFull, n.seeds(fullSize)...)
+}
+
+// measureNews reports how long a failure, a leave and a quarantine take until they are known everywhere.
+func measureNews(b *testing.B, n *network) {
+	n.run(time.Minute)
+	running := n.running()
+	failed := running[3]
+	n.stop(failed)
+	took, _ := n.runUntil(5*time.Minute, func() bool { return agree(n.running()) })
+	b.ReportMetric(took.Seconds(), "s-failureKnown")
+	n.run(time.Minute)
+	leaving := running[5]
+	n.update(leaving, Leave{})
+	took, _ = n.runUntil(5*time.Minute, func() bool { return agree(n.running()) })
+	b.ReportMetric(took.Seconds(), "s-leaveKnown")
+	n.run(time.Minute)
+	n.update(running[6], QuarantineAdded{Fingerprint: 7, Remaining: time.Hour})
+	took, _ = n.runUntil(5*time.Minute, func() bool {
+		for _, v := range n.running() {
+			if len(v.quarantines.notices) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	b.ReportMetric(took.Seconds(), "s-quarantineKnown")
+}
+
+// measureZoneLoss cuts one zone off for ten minutes and heals it.
+func measureZoneLoss(b *testing.B, n *network) {
+	n.run(time.Minute)
+	n.resetCounts()
+	inside := func(v *vm) bool { return v.index%zonesAtFull == 0 }
+	var lost, rest []*vm
+	for _, v := range n.running() {
+		if inside(v) {
+			lost = append(lost, v)
+		} else {
+			rest = append(rest, v)
+		}
+	}
+	n.cut = func(from, to *vm) bool { return inside(from) != inside(to) }
+	took, _ := n.runUntil(5*time.Minute, func() bool { return agree(rest) })
+	b.ReportMetric(took.Seconds(), "s-zoneLossKnown")
+	n.run(time.Minute)
+	n.report(b, "Cut", took+time.Minute)
+	n.resetCounts()
+	n.cut = nil
+	took, _ = n.runUntil(10*time.Minute, func() bool { return agree(n.running()) })
+	b.ReportMetric(took.Seconds(), "s-zoneHealed")
+	n.report(b, "Heal", took)
+}
+
+// report reports the mean of a VM and the largest one.
+func (n *network) report(b *testing.B, when string, length time.Duration) {
+	var sent, received, packets, remote, mostSent, mostReceived, busy float64
+	running := n.running()
+	for _, v := range running {
+		sent += float64(v.bytesOut)
+		received += float64(v.bytesIn)
+		packets += float64(v.packetsOut)
+		remote += float64(v.remoteOut)
+		busy += float64(v.busy.Nanoseconds())
+		mostSent, mostReceived = max(mostSent, float64(v.bytesOut)), max(mostReceived, float64(v.bytesIn))
+	}
+	each := float64(len(running)) * length.Seconds()
+	b.ReportMetric(sent/each, "sentB/s"+when)
+	b.ReportMetric(received/each, "receivedB/s"+when)
+	b.ReportMetric(mostSent/length.Seconds(), "mostSentB/s"+when)
+	b.ReportMetric(mostReceived/length.Seconds(), "mostReceivedB/s"+when)
+	b.ReportMetric(packets/each, "packets/s"+when)
+	b.ReportMetric(remote/sent, "crossZone"+when)
+	b.ReportMetric(busy/each, "busyNs/s"+when)
+}
+
+func (n *network) resetCounts() {
+	for _, v := range n.vms {
+		v.bytesIn, v.bytesOut, v.packetsIn, v.packetsOut, v.remoteOut, v.busy = 0, 0, 0, 0, 0, 0
+	}
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
--- a/core/cassiamember/membership.go
+++ b/core/cassiamember/membership.go
@@ -37,6 +37,9 @@
 	targets             board[cassiaid.TargetName]
 	sequence            uint64
 	lastTick            time.Time
+	nextForget          time.Time
+	// suspects is the number of records with a time until which they have to refute.
+	suspects int
 	// pushDue tells how soon the news of this Update has to go to other members.
 	pushDue urgency
 	// catchingUp is set while members are taken in that a peer has known for long.
@@ -124,8 +127,13 @@
 func (m *Membership) tick() {
 	now := m.clock.Now()
 	m.skipPause(now)
-	m.expireSuspects(now)
-	m.forgetDead(now)
+	if m.suspects > 0 {
+		m.expireSuspects(now)
+	}
+	if len(m.dead.names) > 0 && !now.Before(m.nextForget) {
+		m.nextForget = now.Add(m.tuning.ReviveInterval)
+		m.forgetDead(now)
+	}
 	m.quarantines.expire(now)
 	m.targets.expire(now)
 	m.join(now)
@@ -250,19 +258,30 @@
 
 // track enters a record into the rings, the digest and the timers that its state asks for.
 func (m *Membership) track(r *record) {
-	r.suspectUntil, r.deadSince = time.Time{}, time.Time{}
+	m.setSuspectUntil(r, time.Time{})
+	r.deadSince = time.Time{}
 	if r.State == Dead {
 		r.deadSince = m.clock.Now()
 		m.dead.insert(r.Name, m.config.Random)
 		return
 	}
 	if r.State == Suspect {
-		r.suspectUntil = m.clock.Now().Add(m.tuning.suspicionTimeout(m.size()))
+		m.setSuspectUntil(r, m.clock.Now().Add(m.tuning.suspicionTimeout(m.size())))
 	}
 	m.ringOf(r.Member).insert(r.Name, m.config.Random)
 	m.digest.toggle(r.Member)
 }
 
+// setSuspectUntil sets when a member is declared dead; a zero time calls that off.
+func (m *Membership) setSuspectUntil(r *record, until time.Time) {
+	if !r.suspectUntil.IsZero() {
+		m.suspects--
+	}
+	if r.suspectUntil = until; !until.IsZero() {
+		m.suspects++
+	}
+}
+
 // untrack takes a record out of the rings and the digest.
 func (m *Membership) untrack(r *record) {
 	if r.State == Dead {
--- a/core/cassiamember/network_test.go
+++ b/core/cassiamember/network_test.go
@@ -41,7 +41,9 @@
 	counts   map[Counter]int
 	// bytesIn, bytesOut, packetsIn and packetsOut count datagrams with their headers.
 	bytesIn, bytesOut, packetsIn, packetsOut int
-	busy                                     time.Duration
+	// remoteOut counts the bytes sent to other zones.
+	remoteOut int
+	busy      time.Duration
 }
 
 // delivery is a datagram on its way.
@@ -159,6 +161,9 @@
 	from.packetsOut++
 	from.bytesOut += len(encoded) + PacketOverhead
 	to, ok := n.byName[effect.To]
+	if ok && to.self.Zone != from.self.Zone {
+		from.remoteOut += len(encoded) + PacketOverhead
+	}
 	if !ok || n.cut != nil && n.cut(from, to) {
 		return
 	}
@@ -233,6 +238,11 @@
 
 // agree tells whether each VM of a group knows exactly the group's VMs, at their own incarnations and in no worse state.
 func agree(group []*vm) bool {
+	for _, v := range group {
+		if v.digest != group[0].digest {
+			return false
+		}
+	}
 	for _, v := range group {
 		if len(v.local.names)+len(v.remote.names) != len(group)-1 {
 			return false
--- a/core/cassiamember/packet.go
+++ b/core/cassiamember/packet.go
@@ -30,7 +30,7 @@
 	}
 	size := proto.Size(p) + PacketOverhead
 	room := min(m.tuning.MaxPacketBytes, m.budget.left()) - size
-	filled := m.rumours.fill(p, room, m.tuning.retransmits(m.size()))
+	filled := m.rumours.fill(p, room, m.tuning.retransmits(m.size(), len(m.rumours.queue)))
 	m.budget.spend(size + filled + m.remind(p, room-filled))
 	m.emit(SendPacket{To: to, Packet: p})
 }
@@ -74,7 +74,7 @@
 		return
 	}
 	if r.State == Leaving {
-		r.suspectUntil = time.Time{}
+		m.setSuspectUntil(r, time.Time{})
 	}
 	if r.SettingsGeneration != generation {
 		r.SettingsGeneration = generation
--- a/core/cassiamember/probe.go
+++ b/core/cassiamember/probe.go
@@ -104,7 +104,7 @@
 		m.learn(u)
 	case Leaving:
 		if r.suspectUntil.IsZero() {
-			r.suspectUntil = m.clock.Now().Add(m.tuning.suspicionTimeout(m.size()))
+			m.setSuspectUntil(r, m.clock.Now().Add(m.tuning.suspicionTimeout(m.size())))
 		}
 	}
 }
