Test how targets' replies are judged

Cause: nothing induced the faults that the client is made for. Change: tables of replies, lost and live targets, reused connections that die, cancellation.

--- /dev/null
+++ b/io/cassiatarget/client_test.go
@@ -0,0 +1,182 @@
+package cassiatarget
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
+const testDeadline = 5 * time.Second
+
+// reply is a script of one reply.
+type reply func(w http.ResponseWriter, r *http.Request)
+
+func answerOf(change func(h http.Header)) reply {
+	return func(w http.ResponseWriter, r *http.Request) {
+		h := w.Header()
+		h.Set(headerAttempt, r.Header.Get(headerAttempt))
+		h.Set(headerShard, r.Header.Get(headerShard))
+		h.Set(headerSnapshot, "42")
+		h.Set(headerEpoch, "7")
+		h.Set(headerHeld, "41, 42")
+		change(h)
+		w.Write([]byte(`{"row":1}`)) //nolint:errcheck // the test sees what the client gets
+	}
+}
+
+func refusalOf(status int, reason string) reply {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if reason != "" {
+			w.Header().Set(headerNotStarted, reason)
+		}
+		w.WriteHeader(status)
+	}
+}
+
+// dropConnection ends the connection without a reply.
+func dropConnection(w http.ResponseWriter, _ *http.Request) {
+	connection, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		connection.Close() //nolint:errcheck // it is dropped on purpose
+	}
+}
+
+func callOf(attempt uint64) Call {
+	return Call{Attempt: 5, ShardName: "s", Snapshot: 42, Epoch: 7, Deadline: time.Now().Add(testDeadline), Body: []byte(`{}`),
+		IdempotencyKey: strconv.FormatUint(attempt, 10)}
+}
+
+func TestReplies(t *testing.T) {
+	same := func(http.Header) {}
+	for _, test := range []struct {
+		name     string
+		reply    reply
+		outcome  cassiaschema.ShardOutcome
+		started  bool
+		draining bool
+	}{
+		{"answered", answerOf(same), cassiaschema.ShardOutcome_answered, true, false},
+		{"answered while draining", answerOf(func(h http.Header) { h.Set(headerDraining, "true") }), cassiaschema.ShardOutcome_answered, true, true},
+		{"foreign attempt", answerOf(func(h http.Header) { h.Set(headerAttempt, "6") }), cassiaschema.ShardOutcome_badReply, true, false},
+		{"foreign shard", answerOf(func(h http.Header) { h.Set(headerShard, "other") }), cassiaschema.ShardOutcome_badReply, true, false},
+		{"truncated", answerOf(func(h http.Header) { h.Set("Content-Length", "100") }), cassiaschema.ShardOutcome_badReply, true, false},
+		{"overloaded", refusalOf(503, "overloaded"), cassiaschema.ShardOutcome_overloaded, false, false},
+		{"cold", refusalOf(503, "cold"), cassiaschema.ShardOutcome_overloaded, false, false},
+		{"draining", refusalOf(503, "draining"), cassiaschema.ShardOutcome_draining, false, true},
+		{"unavailable without proof", refusalOf(503, ""), cassiaschema.ShardOutcome_overloaded, true, false},
+		{"snapshot gone", refusalOf(410, "snapshotGone"), cassiaschema.ShardOutcome_snapshotGone, false, false},
+		{"repartitioned", refusalOf(409, "repartitioned"), cassiaschema.ShardOutcome_repartitioned, false, false},
+		{"timed out", refusalOf(504, ""), cassiaschema.ShardOutcome_timedOut, true, false},
+		{"internal error", refusalOf(500, ""), cassiaschema.ShardOutcome_failed, true, false},
+		{"connection dropped by a live target", dropConnection, cassiaschema.ShardOutcome_failed, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(test.reply))
+			defer server.Close()
+			client := New("t", server.Listener.Addr().String(), 2)
+			defer client.Close()
+			result := client.Run(context.Background(), callOf(1))
+			c.Check(result.Outcome, qt.Equals, test.outcome)
+			c.Check(result.Started, qt.Equals, test.started)
+			c.Check(result.Draining, qt.Equals, test.draining)
+			c.Check(result.TargetLost, qt.IsFalse)
+			if test.outcome == cassiaschema.ShardOutcome_answered {
+				c.Check(result.HeldSnapshots, qt.DeepEquals, []uint64{41, 42})
+				c.Check(string(result.Rows), qt.Equals, `{"row":1}`)
+			}
+		})
+	}
+}
+
+// TestLostTarget: a target that drops the connection and takes no new one counts as lost.
+func TestLostTarget(t *testing.T) {
+	c := qt.New(t)
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server.Listener.Close() //nolint:errcheck // the target crashes
+		dropConnection(w, r)
+	}))
+	defer server.Close()
+	client := New("t", server.Listener.Addr().String(), 2)
+	result := client.Run(context.Background(), callOf(1))
+	c.Check(result.TargetLost, qt.IsTrue)
+	c.Check(result.Started, qt.IsTrue)
+}
+
+func TestUnreachableTargetDidNotStart(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := listener.Addr().String()
+	c.Assert(listener.Close(), qt.IsNil)
+	result := New("t", address, 2).Run(context.Background(), callOf(1))
+	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_unreachable)
+	c.Check(result.Started, qt.IsFalse)
+}
+
+// TestNeverSentTwice: a reused connection that dies before the reply makes HTTP clients send again a request that has
+// an idempotency key; here the target must see each request once.
+func TestNeverSentTwice(t *testing.T) {
+	c := qt.New(t)
+	var seen atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if seen.Add(1) == 1 {
+			answerOf(func(http.Header) {})(w, r)
+			return
+		}
+		dropConnection(w, r)
+	}))
+	defer server.Close()
+	client := New("t", server.Listener.Addr().String(), 1)
+	c.Assert(client.Run(context.Background(), callOf(1)).Outcome, qt.Equals, cassiaschema.ShardOutcome_answered)
+	c.Assert(client.Run(context.Background(), callOf(2)).Outcome, qt.Equals, cassiaschema.ShardOutcome_failed)
+	c.Assert(seen.Load(), qt.Equals, int64(2))
+}
+
+// TestCancelKeepsTheConnection: a cancelled attempt ends by a message to the target and not by closing the connection.
+func TestCancelKeepsTheConnection(t *testing.T) {
+	c := qt.New(t)
+	running, cancelled := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/cancel" {
+			close(cancelled)
+			return
+		}
+		close(running)
+		<-cancelled
+		refusalOf(499, "")(w, r)
+	}))
+	defer server.Close()
+	client := New("t", server.Listener.Addr().String(), 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		<-running
+		cancel()
+		return nil
+	})
+	result := client.Run(ctx, callOf(1))
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_cancelled)
+	c.Check(result.Started, qt.IsTrue)
+}
+
+func TestPastDeadlineIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	call := callOf(1)
+	call.Deadline = time.Now()
+	result := New("t", "127.0.0.1:1", 1).Run(context.Background(), call)
+	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_timedOut)
+	c.Check(result.Started, qt.IsFalse)
+}
