--- /dev/null
+++ b/io/cassiahttp/handler_test.go
@@ -0,0 +1,128 @@
+package cassiahttp
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// fakeAsker answers every question by its body and keeps the last one.
+type fakeAsker struct {
+	last    *Question
+	refusal *cassiaplan.Refusal
+	leaving bool
+}
+
+var fakeFronts = map[string]*cassiaschema.Front{
+	"search": {Name: "search", MaxBodyBytes: 32},
+	"lookup": {Name: "lookup", Fanout: cassiaschema.Fanout_oneShardByKey},
+	"book":   {Name: "book", Kind: cassiaschema.RequestKind_nonIdempotent},
+}
+
+func (f *fakeAsker) Front(key cassiaid.FrontKey) (*cassiaschema.Front, *cassiaplan.Refusal) {
+	if front := fakeFronts[string(key.Front)]; front != nil {
+		return front, nil
+	}
+	return nil, &cassiaplan.Refusal{Kind: cassiaplan.RefusalNotFound, Ran: cassiaplan.RanNo, Message: "no such front; correct the path"}
+}
+
+func (f *fakeAsker) Ask(_ context.Context, question *Question) ([]byte, *cassiaplan.Refusal) {
+	f.last = question
+	return question.Body, f.refusal
+}
+
+func (f *fakeAsker) Leaving() bool { return f.leaving }
+
+func newServer(c *qt.C, asker *fakeAsker) *httptest.Server {
+	handler, err := New(asker, log.NewNopLogger(), tally.NoopScope)
+	c.Assert(err, qt.IsNil)
+	server := httptest.NewServer(handler)
+	c.Cleanup(server.Close)
+	return server
+}
+
+func post(c *qt.C, server *httptest.Server, path, body string, headers ...string) (*http.Response, refusalBody) {
+	request, err := http.NewRequest(http.MethodPost, server.URL+path, strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	reply, err := server.Client().Do(request)
+	c.Assert(err, qt.IsNil)
+	defer reply.Body.Close()
+	var refusal refusalBody
+	c.Assert(json.NewDecoder(reply.Body).Decode(&refusal), qt.IsNil)
+	return reply, refusal
+}
+
+const teamPath = "/v1/teams/salon/fronts/"
+
+func TestBadInput(t *testing.T) {
+	for _, test := range []struct {
+		name, path, body string
+		headers          []string
+		status           int
+		kind             cassiaplan.RefusalKind
+	}{
+		{"unknown front", teamPath + "none/query", `{}`, nil, 404, cassiaplan.RefusalNotFound},
+		{"unknown path", "/v2", `{}`, nil, 404, cassiaplan.RefusalNotFound},
+		{"no JSON", teamPath + "search/query", `{"a":`, nil, 400, cassiaplan.RefusalBadRequest},
+		{"empty", teamPath + "search/query", ``, nil, 400, cassiaplan.RefusalBadRequest},
+		{"too large", teamPath + "search/query", `"` + strings.Repeat("a", 40) + `"`, nil, 413, cassiaplan.RefusalTooLarge},
+		{"bad timeout", teamPath + "search/query", `{}`, []string{HeaderRequestTimeout, "soon"}, 400, cassiaplan.RefusalBadRequest},
+		{"negative timeout", teamPath + "search/query", `{}`, []string{HeaderRequestTimeout, "-1"}, 400, cassiaplan.RefusalBadRequest},
+		{"no shard key", teamPath + "lookup/query", `{}`, nil, 400, cassiaplan.RefusalBadRequest},
+		{"no idempotency key", teamPath + "book/query", `{}`, nil, 400, cassiaplan.RefusalBadRequest},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			asker := &fakeAsker{}
+			reply, refusal := post(c, newServer(c, asker), test.path, test.body, test.headers...)
+			c.Check(reply.StatusCode, qt.Equals, test.status)
+			c.Check(refusal.Kind, qt.Equals, test.kind)
+			c.Check(refusal.Ran, qt.Equals, cassiaplan.RanNo)
+			c.Check(refusal.Message, qt.Contains, "; ")
+			c.Check(asker.last, qt.IsNil)
+		})
+	}
+}
+
+func TestDeadlineIsTheShorterOne(t *testing.T) {
+	c := qt.New(t)
+	asker := &fakeAsker{}
+	server := newServer(c, asker)
+	for _, test := range []struct {
+		header string
+		most   time.Duration
+	}{{"", defaultDeadline}, {"100", 100 * time.Millisecond}, {"999999999999", defaultDeadline}} {
+		before := time.Now()
+		post(c, server, teamPath+"search/query", `{}`, HeaderRequestTimeout, test.header)
+		c.Check(asker.last.Deadline.Before(time.Now().Add(test.most)), qt.IsTrue)
+		c.Check(asker.last.Deadline.Before(before.Add(test.most)), qt.IsFalse)
+	}
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	c := qt.New(t)
+	asker := &fakeAsker{leaving: true, refusal: &cassiaplan.Refusal{
+		Kind: cassiaplan.RefusalNotRun, Ran: cassiaplan.RanNo, Message: "the VM stops; ask again", RetryAfter: 1200 * time.Millisecond,
+	}}
+	reply, refusal := post(c, newServer(c, asker), teamPath+"search/query", `{}`, HeaderRequestID, "r-1")
+	c.Check(reply.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(reply.Header.Get("Retry-After"), qt.Equals, "2")
+	c.Check(reply.Close, qt.IsTrue)
+	c.Check(refusal.RetryAfterMs, qt.Equals, int64(1200))
+	c.Check(refusal.RequestID, qt.Equals, "r-1")
+}
