Let a claim be asked for through another VM

Change: a send may carry its nonce to another VM and fall back to its own ledger with the same nonce; only the sender gives a claim back. A claim that may still be written is put into the bucket as not started, whatever the revision. Found: the property saw a double run when the same send was asked for twice in one group; nothing is won before the write is done now, and a test holds it.

--- a/core/cassiaclaim/bucket.go
+++ b/core/cassiaclaim/bucket.go
@@ -8,10 +8,10 @@
 
 // Pauses between the writes of one bucket, so that one write carries the claims of several requests.
 const (
-	minWait = 4 * time.Millisecond
+	minWait = 10 * time.Millisecond
 	maxWait = 128 * time.Millisecond
 	// settleWait is how long the outcome of a claim may wait for a write that goes out anyway.
-	settleWait = 50 * time.Millisecond
+	settleWait = 200 * time.Millisecond
 	// contendedWrites is how many writes after a conflict are preceded by a read.
 	contendedWrites = 8
 )
@@ -29,9 +29,8 @@
 type entry struct {
 	Ask
 	nonce Nonce
-	// attempted is true once a write with the claim left; writtenAt is the revision that it was to replace.
+	// attempted is true once a write with the claim may have left.
 	attempted bool
-	writtenAt Revision
 	// abandoned is true when the Ask was answered while a write with its claim was under way.
 	abandoned bool
 }
@@ -39,9 +38,8 @@
 // settlement is an outcome on its way into the bucket.
 type settlement struct {
 	Settle
-	// uncertain is true when a write with the claim may still take effect unless the bucket is past writtenAt.
+	// uncertain is true when the claim may still be written.
 	uncertain bool
-	writtenAt Revision
 }
 
 // bucket is what the ledger knows of one bucket and what waits for it.
@@ -91,9 +89,6 @@
 	b.known, b.fresh, b.value = false, false, nil
 }
 
-// mayStillLand tells whether a write with the settled claim may take effect after the known revision.
-func (s *settlement) mayStillLand(b *bucket) bool { return s.uncertain && s.writtenAt == b.revision }
-
 // settlementOf returns the outcome of a key that is on its way into the bucket.
 func (b *bucket) settlementOf(key Key) *settlement {
 	for _, list := range [][]*settlement{b.settles, b.settling} {
--- a/core/cassiaclaim/call.go
+++ b/core/cassiaclaim/call.go
@@ -38,7 +38,7 @@
 		return
 	}
 	for _, e := range g.entries {
-		e.attempted, e.writtenAt = true, b.revision
+		e.attempted = true
 	}
 	b.operation, b.startedAt = writing, now
 	b.group, b.settling, b.written = g.entries, g.settled, g.value
--- a/core/cassiaclaim/effect.go
+++ b/core/cassiaclaim/effect.go
@@ -38,6 +38,8 @@
 type Denied struct {
 	ID      ClaimID
 	Refusal cassiaplan.Refusal
+	// Uncertain is true when the claim of a forwarded Ask may have been written, so that its VM has to release it.
+	Uncertain bool
 }
 
 // WakeAt asks for a Tick at a time; it replaces the one asked before.
@@ -76,5 +78,6 @@
 	CountSettled          Counter = "settled"
 	CountSettleDropped    Counter = "settleDropped"
 	CountAnswerNotKept    Counter = "answerNotKept"
+	CountDeniedReleased   Counter = "deniedReleased"
 	CountReleaseRequested Counter = "releaseRequested"
 )
--- a/core/cassiaclaim/group.go
+++ b/core/cassiaclaim/group.go
@@ -26,6 +26,7 @@
 	bucket  *bucket
 	value   *cassiaschema.ClaimBucket
 	index   map[string]int
+	added   map[string]bool
 	size    int
 	entries []*entry
 	settled []*settlement
@@ -35,13 +36,13 @@
 
 // newGroup starts from a copy of the bucket's known value, or from an empty one for a later window.
 func newGroup(l *Ledger, b *bucket, now time.Time) *group {
-	g := &group{ledger: l, bucket: b, now: now, index: map[string]int{}}
+	g := &group{ledger: l, bucket: b, now: now, index: map[string]int{}, added: map[string]bool{}}
 	window := b.value.GetWindow()
 	for _, e := range b.queue {
 		window = max(window, e.Key.window())
 	}
 	for _, s := range b.settles {
-		if s.mayStillLand(b) {
+		if s.uncertain {
 			window = max(window, s.Key.window())
 		}
 	}
@@ -76,6 +77,9 @@
 	switch {
 	case e.Key.window() != g.value.Window:
 		g.ledger.deny(e, CountDeniedExpired, refusedExpired(g.ledger.retention))
+	case g.added[e.Key.Scoped]:
+		// Nothing is won before the write is done, not even by the same send asked for twice.
+		g.bucket.queue = append(g.bucket.queue, e)
 	case !exists && g.size+len(e.Key.Scoped)+claimOverhead > maxBucketBytes:
 		g.ledger.deny(e, CountDeniedFull, refusedFull())
 	case !exists:
@@ -92,6 +96,7 @@
 	g.value.Claims[at] = &cassiaschema.Claim{Key: e.Key.Scoped, Nonce: uint64(e.nonce),
 		ClaimedUnixMillis: g.now.UnixMilli(), BodyHash: e.BodyHash}
 	g.size += len(e.Key.Scoped) + claimOverhead
+	g.added[e.Key.Scoped] = true
 	g.entries = append(g.entries, e)
 	g.changed = true
 }
@@ -100,6 +105,8 @@
 func (g *group) meet(e *entry, at int) {
 	c := g.value.Claims[at]
 	switch {
+	case c.GetNonce() == uint64(e.nonce) && c.GetOutcome() != cassiaschema.ClaimOutcome_unknown:
+		g.ledger.deny(e, CountDeniedReleased, refusedLate())
 	case c.GetNonce() == uint64(e.nonce):
 		g.ledger.grant(g.bucket, e, CountReadBack, g.now)
 	case c.GetBodyHash() != e.BodyHash:
@@ -114,8 +121,8 @@
 	}
 }
 
-// settle writes an outcome into its claim. A claim whose write may still land is put there first, so that the write
-// can not land any more and the outcome stays.
+// settle writes an outcome into its claim. A claim that may still be written is put there first: after that, no write
+// that was prepared before takes effect, and the claim is not granted to a send that was given up.
 func (g *group) settle(s *settlement) {
 	at, exists := g.index[s.Key.Scoped]
 	switch {
@@ -123,7 +130,9 @@
 		g.ledger.count(CountSettleDropped)
 	case exists && g.value.Claims[at].GetNonce() == uint64(s.Nonce):
 		g.replace(at, s)
-	case s.mayStillLand(g.bucket):
+	case !s.uncertain || exists && g.value.Claims[at].GetOutcome() != cassiaschema.ClaimOutcome_notStarted:
+		g.ledger.count(CountSettleDropped)
+	default:
 		if !exists {
 			at = len(g.value.Claims)
 			g.index[s.Key.Scoped] = at
@@ -133,8 +142,6 @@
 		g.value.Claims[at] = &cassiaschema.Claim{Key: s.Key.Scoped, Nonce: uint64(s.Nonce), BodyHash: s.BodyHash,
 			ClaimedUnixMillis: g.now.UnixMilli()}
 		g.replace(at, s)
-	default:
-		g.ledger.count(CountSettleDropped)
 	}
 }
 
--- a/core/cassiaclaim/key.go
+++ b/core/cassiaclaim/key.go
@@ -12,10 +12,10 @@
 
 // Layout of the buckets. All VMs have to agree on it, so it is not a setting.
 const (
-	bucketHashes = 8
-	windowLength = 2 * time.Second
+	bucketHashes = 4
+	windowLength = time.Second
 	// ringSlots windows fit into the ring before a bucket is reused: 17 minutes.
-	ringSlots = 512
+	ringSlots = 1024
 )
 
 // Bounds on the time of a key.
--- a/core/cassiaclaim/ledger.go
+++ b/core/cassiaclaim/ledger.go
@@ -52,6 +52,8 @@
 		l.abandon(m.ID)
 	case Settle:
 		l.settle(m, now)
+	case Release:
+		l.releaseOther(m, now)
 	case BucketRead:
 		l.read(m, now)
 	case ReadFailed:
@@ -106,20 +108,35 @@
 
 // ask queues a claim, unless it can be refused at once.
 func (l *Ledger) ask(m Ask, now time.Time) {
-	e := &entry{Ask: m, nonce: l.newNonce()}
-	age := now.Sub(m.Key.Time)
-	switch {
+	e := &entry{Ask: m, nonce: m.Nonce, attempted: m.Attempted}
+	if e.nonce == 0 {
+		e.nonce = l.newNonce()
+	}
+	if c, r := l.cannot(m, now); r != nil {
+		l.deny(e, c, *r)
+		l.giveUp(l.bucket(m.Key.bucket(), now), e)
+		return
+	}
+	l.enqueue(e, now)
+}
+
+// cannot returns why a claim can be refused without the key-value service, if it can.
+func (l *Ledger) cannot(m Ask, now time.Time) (Counter, *cassiaplan.Refusal) {
+	var c Counter
+	var r cassiaplan.Refusal
+	switch age := now.Sub(m.Key.Time); {
 	case age > l.retention:
-		l.deny(e, CountDeniedExpired, refusedExpired(l.retention))
+		c, r = CountDeniedExpired, refusedExpired(l.retention)
 	case age < -maxAhead:
-		l.deny(e, CountDeniedAhead, refusedAhead())
+		c, r = CountDeniedAhead, refusedAhead()
 	case !now.Before(m.Deadline):
-		l.deny(e, CountDeniedLate, refusedLate())
+		c, r = CountDeniedLate, refusedLate()
 	case l.outage.lasting() && (now.Before(l.outage.retryAt) || l.calling()):
-		l.deny(e, CountDeniedStore, refusedStore(l.outage.left(now)))
+		c, r = CountDeniedStore, refusedStore(l.outage.left(now))
 	default:
-		l.enqueue(e, now)
+		return "", nil
 	}
+	return c, &r
 }
 
 func (l *Ledger) enqueue(e *entry, now time.Time) {
@@ -173,7 +190,7 @@
 		return
 	}
 	l.count(c)
-	l.emit(Denied{ID: e.ID, Refusal: r})
+	l.emit(Denied{ID: e.ID, Refusal: r, Uncertain: e.Forwarded && e.attempted})
 }
 
 func (l *Ledger) remember(e *entry, answer []byte) {
@@ -187,3 +204,13 @@
 	}
 	l.emit(Remembered{ID: e.ID, Answer: answer})
 }
+
+// Busy tells whether anything still waits for the key-value service.
+func (l *Ledger) Busy() bool {
+	for _, b := range l.buckets {
+		if !b.idle() {
+			return true
+		}
+	}
+	return false
+}
--- a/core/cassiaclaim/ledger_test.go
+++ b/core/cassiaclaim/ledger_test.go
@@ -86,6 +86,42 @@
 	}
 }
 
+func TestForwardedClaimIsGivenBackByItsSenderOnly(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(0, 0, 0)
+	k := key(1, start)
+	w.forward(w.claimers[0], w.claimers[1], k, 50*time.Millisecond)
+	w.answer(w.claimers[1], noFault)
+	w.answer(w.claimers[1], delayed)
+	w.now = w.now.Add(60 * time.Millisecond)
+	w.claimers[1].update(Tick{})
+	c.Assert(w.claimers[1].last[w.forwards[0].id].(Denied).Uncertain, qt.IsTrue)
+	w.store.swap(w.ghosts[0])
+	w.settle()
+	early := w.ask(w.claimers[2], k, 5, time.Second)
+	w.settle()
+	c.Assert(denial(w.claimers[2].last[early]), qt.Equals, denied(cassiaplan.RefusalOutcomeUnknown, cassiaplan.RanUnknown))
+	w.endForward(w.forwards[0], false)
+	w.settle()
+	repeat := w.ask(w.claimers[2], k, 5, time.Second)
+	w.settle()
+	c.Assert(denial(w.claimers[2].last[repeat]), qt.Equals, [2]string{"cassiaclaim.Granted"})
+}
+
+func TestSameSendAskedForTwiceWinsOnlyWithTheWrite(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(0)
+	only := w.claimers[0]
+	w.forward(only, only, key(1, start), time.Second)
+	w.endForward(w.forwards[0], true)
+	w.answer(only, noFault)
+	c.Assert(only.ended, qt.HasLen, 0)
+	w.answer(only, requestLost)
+	c.Assert(only.ended, qt.HasLen, 0)
+	w.settle()
+	c.Assert(only.held, qt.HasLen, 1)
+}
+
 func TestOutageRefusesAtOnceAndEnds(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(0)
--- a/core/cassiaclaim/message.go
+++ b/core/cassiaclaim/message.go
@@ -25,6 +25,20 @@
 	BodyHash uint64
 	// Deadline is when the request ends, and with it the use of a claim.
 	Deadline time.Time
+	// Nonce names the send when it is asked for at more than one VM; 0 lets the ledger choose one.
+	Nonce Nonce
+	// Forwarded is true for the send of another VM, which alone may give its claim back.
+	Forwarded bool
+	// Attempted is true when another VM may have written the claim already.
+	Attempted bool
+}
+
+// Release gives back the claim of a send that was not dispatched and never will be, also when the claim may still be
+// written by another VM.
+type Release struct {
+	Key      Key
+	BodyHash uint64
+	Nonce    Nonce
 }
 
 // Abandon gives up an Ask that nobody waits for.
@@ -67,6 +81,7 @@
 
 func (Ask) isMessage()           {}
 func (Abandon) isMessage()       {}
+func (Release) isMessage()       {}
 func (Settle) isMessage()        {}
 func (BucketRead) isMessage()    {}
 func (ReadFailed) isMessage()    {}
--- a/core/cassiaclaim/schedule_test.go
+++ b/core/cassiaclaim/schedule_test.go
@@ -55,7 +55,14 @@
 		w.abandon(t, c)
 	case n == 24:
 		w.claimers[i] = w.crash(c)
-	case n == 25 && uniform(t, "leap") == 0:
+	case n == 25:
+		k := keysOfOneBucket[uniform(t, "key")%len(keysOfOneBucket)]
+		w.forward(c, w.claimers[uniform(t, "through")%len(w.claimers)], k, time.Duration(10*(1+uniform(t, "within")))*time.Millisecond)
+	case n == 26 && len(w.forwards) > 0:
+		f := w.forwards[0]
+		w.forwards = w.forwards[1:]
+		w.endForward(f, rapid.Bool().Draw(t, "lost"))
+	case n == 27 && uniform(t, "leap") == 0:
 		w.now = w.now.Add(ringTurn / 2)
 	default:
 		w.now = w.now.Add(time.Duration(1+uniform(t, "pause")) * time.Millisecond)
--- a/core/cassiaclaim/settle.go
+++ b/core/cassiaclaim/settle.go
@@ -27,16 +27,24 @@
 // release records that the claim of an entry was not used, so that a repeat may run. uncertain is true when the write
 // of the claim may not have taken effect yet.
 func (l *Ledger) release(b *bucket, e *entry, uncertain bool) {
+	if e.Forwarded {
+		return
+	}
 	l.count(CountReleaseRequested)
 	b.add(l, &settlement{
 		Settle: Settle{Key: e.Key, BodyHash: e.BodyHash, Nonce: e.nonce,
 			Outcome: cassiaschema.ClaimOutcome_notStarted},
 		uncertain: uncertain,
-		writtenAt: e.writtenAt,
 	})
 	b.schedule(l.clock.Now())
 }
 
+// releaseOther gives back the claim of a send whose Ask went to another VM.
+func (l *Ledger) releaseOther(m Release, now time.Time) {
+	e := &entry{Ask: Ask{Key: m.Key, BodyHash: m.BodyHash}, nonce: m.Nonce}
+	l.release(l.bucket(m.Key.bucket(), now), e, true)
+}
+
 // abandon gives up an Ask whose caller has gone.
 func (l *Ledger) abandon(id ClaimID) {
 	for _, b := range l.buckets {
--- a/core/cassiaclaim/world_test.go
+++ b/core/cassiaclaim/world_test.go
@@ -67,6 +67,7 @@
 	store    store
 	claimers []*claimer
 	ghosts   []WriteBucket
+	forwards []forward
 	runs     map[string]int
 	nextID   ClaimID
 	seed     uint64
@@ -96,7 +97,9 @@
 			c.calls = append(c.calls, e)
 		case Granted:
 			c.end(e.ID, e)
-			c.held = append(c.held, held{ask: c.asks[e.ID], nonce: e.Nonce})
+			if !c.asks[e.ID].Forwarded {
+				c.held = append(c.held, held{ask: c.asks[e.ID], nonce: e.Nonce})
+			}
 		case Remembered:
 			c.end(e.ID, e)
 		case Denied:
@@ -113,13 +116,52 @@
 
 // ask sends an Ask with a deadline after the present time and returns its identifier.
 func (w *world) ask(c *claimer, k Key, body uint64, within time.Duration) ClaimID {
+	return w.send(c, Ask{Key: k, BodyHash: body, Deadline: c.ledger.clock.Now().Add(within)})
+}
+
+func (w *world) send(c *claimer, m Ask) ClaimID {
 	w.nextID++
-	m := Ask{ID: w.nextID, Key: k, BodyHash: body, Deadline: c.ledger.clock.Now().Add(within)}
+	m.ID = w.nextID
 	c.asks[m.ID] = m
 	c.update(m)
 	return m.ID
 }
 
+// forward is an Ask that one claimer sent through another.
+type forward struct {
+	from, to *claimer
+	id       ClaimID
+	ask      Ask
+}
+
+func (w *world) forward(from, to *claimer, k Key, within time.Duration) {
+	w.seed++
+	m := Ask{Key: k, BodyHash: 5, Deadline: to.ledger.clock.Now().Add(within), Nonce: Nonce(1<<32 + w.seed), Forwarded: true}
+	w.forwards = append(w.forwards, forward{from: from, to: to, id: w.send(to, m), ask: m})
+}
+
+// endForward delivers the reply to a forwarded Ask, or lets its sender ask for itself.
+func (w *world) endForward(f forward, lost bool) {
+	own := f.ask
+	own.Forwarded, own.Attempted = false, true
+	own.Deadline = f.from.ledger.clock.Now().Add(100 * time.Millisecond)
+	switch e := f.to.last[f.id].(type) {
+	case Granted:
+		if !lost {
+			f.from.held = append(f.from.held, held{ask: own, nonce: own.Nonce})
+			return
+		}
+	case Denied:
+		if !lost {
+			if e.Uncertain {
+				f.from.update(Release{Key: own.Key, BodyHash: own.BodyHash, Nonce: own.Nonce})
+			}
+			return
+		}
+	}
+	w.send(f.from, own)
+}
+
 // fault is what happens to a call.
 type fault int
 
