--- a/core/cassiaplan/query.go
+++ b/core/cassiaplan/query.go
@@ -33,8 +33,9 @@
 	merged    int
 	rowBytes  int
 	// ran is true once a target has answered, whether or not its rows were merged.
-	ran   bool
-	crash crashWatch
+	ran    bool
+	crash  crashWatch
+	canary canary
 
 	// attempts holds every attempt ever made, so that a late result is told from a foreign one.
 	attempts map[cassiaid.AttemptID]*attempt
@@ -83,6 +84,8 @@
 		q.takeResults(m)
 	case OwnerLost:
 		q.loseOwner(m)
+	case OwnerSilent:
+		q.passOver(m.Owner, now)
 	case Quarantined:
 		q.refuseQuarantined(m.Remaining)
 	case CallerGone:
@@ -124,6 +127,7 @@
 			Message: "the request names no shard of the front; check the front's shards"})
 		return
 	}
+	q.startCanary()
 	if !q.askIfCold(now) {
 		q.pin()
 	}
