--- a/core/cassiaclaim/key.go
+++ b/core/cassiaclaim/key.go
@@ -51,8 +51,8 @@
 // window numbers the span of time that a key's time lies in.
 func (k Key) window() int64 { return k.Time.UnixMilli() / windowLength.Milliseconds() }
 
-// bucket returns the bucket that holds the key's claim.
-func (k Key) bucket() BucketID {
+// Bucket returns the bucket that holds the key's claim.
+func (k Key) Bucket() BucketID {
 	slot := (k.window()%ringSlots + ringSlots) % ringSlots
 	return BucketID{Hash: uint32(xxhash.Sum64String(k.Scoped) % bucketHashes), Slot: uint32(slot)}
 }
--- a/core/cassiaclaim/ledger.go
+++ b/core/cassiaclaim/ledger.go
@@ -114,7 +114,7 @@
 	}
 	if c, r := l.cannot(m, now); r != nil {
 		l.deny(e, c, *r)
-		l.giveUp(l.bucket(m.Key.bucket(), now), e)
+		l.giveUp(l.bucket(m.Key.Bucket(), now), e)
 		return
 	}
 	l.enqueue(e, now)
@@ -140,7 +140,7 @@
 }
 
 func (l *Ledger) enqueue(e *entry, now time.Time) {
-	b := l.bucket(e.Key.bucket(), now)
+	b := l.bucket(e.Key.Bucket(), now)
 	s := b.settlementOf(e.Key)
 	if s != nil && s.Outcome == cassiaschema.ClaimOutcome_finished && s.BodyHash == e.BodyHash {
 		l.remember(e, s.Answer)
--- a/core/cassiaclaim/ledger_test.go
+++ b/core/cassiaclaim/ledger_test.go
@@ -162,7 +162,7 @@
 		w.ask(w.claimers[0], key(i, w.now), 5, time.Second)
 	}
 	w.settle()
-	reused := w.store.buckets[k.bucket()].value
+	reused := w.store.buckets[k.Bucket()].value
 	c.Assert(reused.Window, qt.Equals, key(1, w.now).window())
 	for _, claim := range reused.Claims {
 		c.Assert(claim.ClaimedUnixMillis >= w.now.Add(-time.Second).UnixMilli(), qt.IsTrue)
@@ -184,7 +184,7 @@
 	for size := 0; size < maxBucketBytes; size += 1 << 10 {
 		b.Claims = append(b.Claims, &cassiaschema.Claim{Key: "another", Answer: make([]byte, 1<<10)})
 	}
-	w.store.buckets[key(1, start).bucket()] = stored{value: b, revision: 1}
+	w.store.buckets[key(1, start).Bucket()] = stored{value: b, revision: 1}
 	w.store.revision = 1
 	id := w.ask(w.claimers[0], key(1, start), 5, time.Second)
 	w.settle()
--- a/core/cassiaclaim/schedule_test.go
+++ b/core/cassiaclaim/schedule_test.go
@@ -27,7 +27,7 @@
 	keys := []Key{key(0, start)}
 	for n := 1; len(keys) < 6; n++ {
 		k := key(n, start.Add(time.Duration(len(keys)/3)*ringTurn))
-		if k.bucket() == keys[0].bucket() {
+		if k.Bucket() == keys[0].Bucket() {
 			keys = append(keys, k)
 		}
 	}
--- a/core/cassiaclaim/settle.go
+++ b/core/cassiaclaim/settle.go
@@ -11,7 +11,7 @@
 	if m.Outcome == cassiaschema.ClaimOutcome_unknown {
 		return
 	}
-	b := l.bucket(m.Key.bucket(), now)
+	b := l.bucket(m.Key.Bucket(), now)
 	b.add(l, &settlement{Settle: m})
 	b.schedule(now.Add(settleWait))
 }
@@ -42,7 +42,7 @@
 // releaseOther gives back the claim of a send whose Ask went to another VM.
 func (l *Ledger) releaseOther(m Release, now time.Time) {
 	e := &entry{Ask: Ask{Key: m.Key, BodyHash: m.BodyHash}, nonce: m.Nonce}
-	l.release(l.bucket(m.Key.bucket(), now), e, true)
+	l.release(l.bucket(m.Key.Bucket(), now), e, true)
 }
 
 // abandon gives up an Ask whose caller has gone.
--- /dev/null
+++ b/core/cassiaclaim/writer.go
@@ -0,0 +1,23 @@
+package cassiaclaim
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+// WriterOf returns the VM of a list that should write a bucket: by rendezvous hash over the bucket's hash alone, so that
+// consecutive windows have one writer. It returns "" for an empty list.
+func WriterOf(bucket BucketID, vms []cassiaid.VMName) cassiaid.VMName {
+	var best cassiaid.VMName
+	var most uint64
+	for _, vm := range vms {
+		weight := xxhash.Sum64String(fmt.Sprintf("%d/%s", bucket.Hash, vm))
+		if best == "" || weight > most || weight == most && vm < best {
+			best, most = vm, weight
+		}
+	}
+	return best
+}
--- a/io/cassiaclaimer/bench_test.go
+++ b/io/cassiaclaimer/bench_test.go
@@ -18,21 +18,30 @@
 // storeDelay is the time of one call to the key-value service, which answers in milliseconds.
 const storeDelay = 3 * time.Millisecond
 
-// BenchmarkClaims sends claims at a fixed rate through several VMs; run it with -benchtime=2000x or so.
+// peerDelay is the time of a call to a VM in another availability zone and back.
+const peerDelay = 8 * time.Millisecond
+
+// BenchmarkClaims sends claims at a fixed rate through eight VMs that each write, or that have one writer for each
+// bucket; run it with -benchtime=2000x or so.
 func BenchmarkClaims(b *testing.B) {
-	for _, vms := range []int{1, 8} {
+	for _, writers := range []string{"each", "one"} {
 		for _, rate := range []int{50, 500, 2000} {
-			b.Run(fmt.Sprintf("vms=%d/rate=%d", vms, rate), func(b *testing.B) { benchmarkClaims(b, vms, rate) })
+			b.Run(fmt.Sprintf("writers=%s/rate=%d", writers, rate), func(b *testing.B) { benchmarkClaims(b, writers, rate) })
 		}
 	}
 }
 
-func benchmarkClaims(b *testing.B, vms, rate int) {
+func benchmarkClaims(b *testing.B, writers string, rate int) {
+	const vms = 8
 	s := newMemoryStore()
 	s.delay = storeDelay
 	var claimers []*Claimer
-	for range vms {
-		claimers = append(claimers, start(b, s, tally.NoopScope))
+	if writers == "one" {
+		claimers = startMesh(b, s, vms, peerDelay, 0)
+	} else {
+		for range vms {
+			claimers = append(claimers, start(b, s, tally.NoopScope))
+		}
 	}
 	latency := hdrhistogram.New(1, 10_000_000, 3)
 	var mutex sync.Mutex
--- a/io/cassiaclaimer/claimer.go
+++ b/io/cassiaclaimer/claimer.go
@@ -35,7 +35,9 @@
 
 // Options are what a Claimer works with; only Store is required.
 type Options struct {
-	Store   Store
+	Store Store
+	// Peers lets one VM write a bucket for all; without it each VM writes for itself.
+	Peers   Peers
 	Clock   clockwork.Clock
 	Metrics tally.Scope
 	Logger  log.Logger
@@ -44,6 +46,7 @@
 // Claimer wins claims for the requests of one VM.
 type Claimer struct {
 	store   Store
+	peers   Peers
 	clock   clockwork.Clock
 	metrics tally.Scope
 	logger  log.Logger
@@ -57,13 +60,15 @@
 	// open counts the calls to the store that are under way.
 	open     int
 	stopping bool
+	silent   silentWriters
 }
 
 // outcome ends one wait for a claim.
 type outcome struct {
-	nonce   cassiaclaim.Nonce
 	answer  []byte
 	refusal *cassiaplan.Refusal
+	// uncertain is true when a refused claim may have been written at another VM.
+	uncertain bool
 }
 
 // wait is an Ask with the channel for its outcome.
@@ -85,6 +90,7 @@
 	}
 	return &Claimer{
 		store:   o.Store,
+		peers:   o.Peers,
 		clock:   o.Clock,
 		metrics: o.Metrics.SubScope("claims"),
 		logger:  o.Logger,
@@ -109,13 +115,10 @@
 	if err != nil {
 		return nil, &cassiaplan.Refusal{Kind: cassiaplan.RefusalBadRequest, Ran: cassiaplan.RanNo, Message: err.Error()}
 	}
-	w := wait{reply: make(chan outcome, 1), ask: cassiaclaim.Ask{ID: cassiaclaim.ClaimID(c.lastID.Add(1)), Key: key,
-		BodyHash: r.BodyHash, Deadline: r.Deadline}}
-	if !c.post(ctx, w) {
-		return nil, refusedStopping()
-	}
-	o := c.await(ctx, w)
-	grant := &Grant{claimer: c, ask: w.ask, nonce: o.nonce, answer: o.answer}
+	ask := cassiaclaim.Ask{ID: cassiaclaim.ClaimID(c.lastID.Add(1)), Key: key, BodyHash: r.BodyHash,
+		Deadline: r.Deadline, Nonce: newNonce()}
+	o := c.win(ctx, ask)
+	grant := &Grant{claimer: c, ask: ask, nonce: ask.Nonce, answer: o.answer}
 	if o.refusal == nil && ctx.Err() != nil {
 		grant.Finish(context.WithoutCancel(ctx), claimNotStarted, nil)
 		return nil, refusedStopping()
@@ -126,6 +129,39 @@
 	return grant, nil
 }
 
+// newNonce returns a random nonce; it has to differ between all sends of all VMs.
+func newNonce() cassiaclaim.Nonce {
+	for {
+		if n := cassiaclaim.Nonce(rand.Uint64()); n != 0 {
+			return n
+		}
+	}
+}
+
+// win asks the bucket's writer, and this VM's own ledger when the writer is this VM, gives no reply or can not write.
+func (c *Claimer) win(ctx context.Context, ask cassiaclaim.Ask) outcome {
+	if writer := c.writer(ask.Key); writer != "" {
+		o, decided := c.askWriter(ctx, writer, ask)
+		if decided {
+			return o
+		}
+		ask.Attempted = o.uncertain
+	}
+	w := wait{reply: make(chan outcome, 1), ask: ask}
+	if c.post(ctx, w) {
+		return c.await(ctx, w)
+	}
+	if ask.Attempted {
+		c.release(ctx, ask)
+	}
+	return outcome{refusal: refusedStopping()}
+}
+
+// release gives back a claim that another VM may have written.
+func (c *Claimer) release(ctx context.Context, ask cassiaclaim.Ask) {
+	c.post(context.WithoutCancel(ctx), cassiaclaim.Release{Key: ask.Key, BodyHash: ask.BodyHash, Nonce: ask.Nonce})
+}
+
 // SetRetention changes how old a key may be; zero gives the longest retention.
 func (c *Claimer) SetRetention(ctx context.Context, retention time.Duration) {
 	c.post(ctx, setRetention(retention))
--- a/io/cassiaclaimer/claimer_test.go
+++ b/io/cassiaclaimer/claimer_test.go
@@ -97,7 +97,11 @@
 
 // start runs a claimer until the test ends.
 func start(t testing.TB, s Store, scope tally.Scope) *Claimer {
-	c := NewClaimer(Options{Store: s, Metrics: scope})
+	return startWith(t, Options{Store: s, Metrics: scope})
+}
+
+func startWith(t testing.TB, o Options) *Claimer {
+	c := NewClaimer(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return c.Run(ctx) })
--- a/io/cassiaclaimer/run.go
+++ b/io/cassiaclaimer/run.go
@@ -18,13 +18,13 @@
 	c.timer = c.clock.NewTimer(time.Hour)
 	defer c.timer.Stop()
 	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	for !next(c, calls, ctx.Done()) {
+	for !next(calls, c, ctx.Done()) {
 	}
 	c.stopping = true
 	c.drain(calls)
 	cancel()
 	for c.open > 0 {
-		next[any](c, calls, nil)
+		next[any](calls, c, nil)
 	}
 	close(c.ended)
 	return c.calls.Wait()
@@ -33,15 +33,15 @@
 // drain goes on until nothing waits any more or the drain timeout has passed.
 func (c *Claimer) drain(calls context.Context) {
 	timeout := c.clock.After(drainTimeout)
-	for c.ledger.Busy() {
-		if next(c, calls, timeout) {
+	for c.ledger.Busy() || c.open > 0 {
+		if next(calls, c, timeout) {
 			return
 		}
 	}
 }
 
 // next takes one message, or returns true when done gives something first.
-func next[T any](c *Claimer, calls context.Context, done <-chan T) bool {
+func next[T any](calls context.Context, c *Claimer, done <-chan T) bool {
 	select {
 	case <-done:
 		return true
@@ -69,7 +69,13 @@
 		c.ledger.SetRetention(time.Duration(m))
 	case called:
 		c.open--
-		c.update(calls, m.message)
+		if m.message != nil {
+			c.update(calls, m.message)
+		}
+	case cassiaclaim.Settle:
+		c.settle(calls, m)
+	case served:
+		c.update(calls, m.settle)
 	case cassiaclaim.Message:
 		c.update(calls, m)
 	}
@@ -86,11 +92,11 @@
 			c.metrics.Counter("claimsWritten").Inc(int64(e.Claims))
 			c.call(func() cassiaclaim.Message { return c.write(calls, e) })
 		case cassiaclaim.Granted:
-			c.end(e.ID, outcome{nonce: e.Nonce})
+			c.end(e.ID, outcome{})
 		case cassiaclaim.Remembered:
 			c.end(e.ID, outcome{answer: e.Answer})
 		case cassiaclaim.Denied:
-			c.end(e.ID, outcome{refusal: &e.Refusal})
+			c.end(e.ID, outcome{refusal: &e.Refusal, uncertain: e.Uncertain})
 		case cassiaclaim.WakeAt:
 			c.timer.Reset(max(e.At.Sub(c.clock.Now()), 0))
 		case cassiaclaim.Count:
@@ -106,7 +112,7 @@
 	}
 }
 
-// called brings the end of a call to the store.
+// called brings the end of a call to the store or to another VM; a nil message changes nothing.
 type called struct{ message cassiaclaim.Message }
 
 // call runs a call to the store beside the loop.
--- /dev/null
+++ b/io/cassiaclaimer/writer.go
@@ -0,0 +1,156 @@
+package cassiaclaimer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"cassiasaddle/core/cassiaclaim"
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// Times of calls to the VM that writes a bucket.
+const (
+	// maxWriterWait bounds the wait for a writer's reply; half of the remaining time bounds it, too.
+	maxWriterWait = 250 * time.Millisecond
+	// silentTime is how long a VM that gave no reply is not asked again.
+	silentTime = time.Second
+)
+
+// Peers lets one VM write a bucket for all, so that one write carries the claims of many VMs and none conflicts. It is
+// a matter of speed only: VMs that disagree about the writer stay safe by compare-and-swap.
+type Peers interface {
+	// Writer returns the VM that should write a bucket, or "" for this VM.
+	Writer(bucket cassiaclaim.BucketID) cassiaid.VMName
+	// Call brings a call to a VM, where Serve answers it.
+	Call(ctx context.Context, vm cassiaid.VMName, call *cassiaschema.ClaimCall) (*cassiaschema.ClaimReply, error)
+}
+
+// silentWriters remembers the VMs that gave no reply.
+type silentWriters struct {
+	mutex sync.Mutex
+	until map[cassiaid.VMName]time.Time
+}
+
+func (s *silentWriters) add(vm cassiaid.VMName, until time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.until == nil {
+		s.until = map[cassiaid.VMName]time.Time{}
+	}
+	s.until[vm] = until
+}
+
+func (s *silentWriters) has(vm cassiaid.VMName, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return now.Before(s.until[vm])
+}
+
+// writer returns the other VM to ask for a key's claim, or "".
+func (c *Claimer) writer(key cassiaclaim.Key) cassiaid.VMName {
+	if c.peers == nil {
+		return ""
+	}
+	vm := c.peers.Writer(key.Bucket())
+	if vm == "" || c.silent.has(vm, c.clock.Now()) {
+		return ""
+	}
+	return vm
+}
+
+// call makes one call to a writer, and remembers one that gives no reply.
+func (c *Claimer) callWriter(ctx context.Context, vm cassiaid.VMName, wait time.Duration, call *cassiaschema.ClaimCall) (*cassiaschema.ClaimReply, error) {
+	limited, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	c.metrics.Counter("writerCalls").Inc(1)
+	reply, err := c.peers.Call(limited, vm, call)
+	if err != nil && ctx.Err() == nil {
+		c.metrics.Counter("writerSilent").Inc(1)
+		c.silent.add(vm, c.clock.Now().Add(silentTime))
+	}
+	return reply, err
+}
+
+// askWriter asks another VM for a claim and tells whether that decided it.
+func (c *Claimer) askWriter(ctx context.Context, vm cassiaid.VMName, ask cassiaclaim.Ask) (outcome, bool) {
+	wait := min(ask.Deadline.Sub(c.clock.Now())/2, maxWriterWait)
+	reply, err := c.callWriter(ctx, vm, wait, &cassiaschema.ClaimCall{
+		Key: ask.Key.Scoped, KeyUnixMillis: ask.Key.Time.UnixMilli(), BodyHash: ask.BodyHash, Nonce: uint64(ask.Nonce),
+		Remaining: durationpb.New(wait),
+	})
+	if err != nil {
+		return outcome{uncertain: true}, false
+	}
+	o := outcomeOf(reply)
+	return o, o.refusal == nil || o.refusal.Kind != cassiaplan.RefusalNotRun
+}
+
+// outcomeOf reads a writer's reply.
+func outcomeOf(reply *cassiaschema.ClaimReply) outcome {
+	switch {
+	case reply.GetGranted():
+		return outcome{}
+	case len(reply.GetAnswer()) > 0:
+		return outcome{answer: reply.GetAnswer()}
+	default:
+		r := reply.GetRefusal()
+		return outcome{uncertain: reply.GetUncertain(), refusal: &cassiaplan.Refusal{Kind: cassiaplan.RefusalKind(r.GetKind()), Message: r.GetMessage(),
+			Ran: cassiaplan.Ran(r.GetRan()), RetryAfter: r.GetRetryAfter().AsDuration()}}
+	}
+}
+
+// replyOf writes an outcome as a reply to another VM.
+func replyOf(o outcome) *cassiaschema.ClaimReply {
+	reply := &cassiaschema.ClaimReply{Granted: o.refusal == nil && o.answer == nil, Answer: o.answer, Uncertain: o.uncertain}
+	if r := o.refusal; r != nil {
+		reply.Refusal = &cassiaschema.ClaimRefusal{Kind: string(r.Kind), Message: r.Message, Ran: string(r.Ran),
+			RetryAfter: durationpb.New(r.RetryAfter)}
+	}
+	return reply
+}
+
+// served is an outcome that another VM told.
+type served struct{ settle cassiaclaim.Settle }
+
+// Serve answers the call of another VM.
+func (c *Claimer) Serve(ctx context.Context, call *cassiaschema.ClaimCall) *cassiaschema.ClaimReply {
+	key := cassiaclaim.Key{Scoped: call.GetKey(), Time: time.UnixMilli(call.GetKeyUnixMillis())}
+	nonce := cassiaclaim.Nonce(call.GetNonce())
+	if call.GetSettled() {
+		c.post(ctx, served{cassiaclaim.Settle{Key: key, BodyHash: call.GetBodyHash(), Nonce: nonce,
+			Outcome: call.GetOutcome(), Answer: call.GetAnswer()}})
+		return &cassiaschema.ClaimReply{}
+	}
+	w := wait{reply: make(chan outcome, 1), ask: cassiaclaim.Ask{
+		ID: cassiaclaim.ClaimID(c.lastID.Add(1)), Key: key, BodyHash: call.GetBodyHash(), Nonce: nonce, Forwarded: true,
+		Deadline: c.clock.Now().Add(call.GetRemaining().AsDuration()),
+	}}
+	if !c.post(ctx, w) {
+		return replyOf(outcome{refusal: refusedStopping(), uncertain: true})
+	}
+	return replyOf(c.await(ctx, w))
+}
+
+// settle brings an outcome to the bucket's writer, or into this VM's own ledger.
+func (c *Claimer) settle(calls context.Context, m cassiaclaim.Settle) {
+	vm := c.writer(m.Key)
+	if vm == "" || c.stopping {
+		c.update(calls, m)
+		return
+	}
+	c.call(func() cassiaclaim.Message {
+		_, err := c.callWriter(calls, vm, maxWriterWait, &cassiaschema.ClaimCall{
+			Key: m.Key.Scoped, KeyUnixMillis: m.Key.Time.UnixMilli(), BodyHash: m.BodyHash, Nonce: uint64(m.Nonce),
+			Settled: true, Outcome: m.Outcome, Answer: m.Answer,
+		})
+		if err != nil {
+			return m
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/io/cassiaclaimer/writer_test.go
@@ -0,0 +1,157 @@
+package cassiaclaimer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaclaim"
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// mesh connects claimers in one process.
+type mesh struct {
+	mutex    sync.Mutex
+	claimers map[cassiaid.VMName]*Claimer
+	delay    time.Duration
+	calls    atomic.Int64
+	// loseEvery loses the reply to every so many calls after they were served.
+	loseEvery int64
+}
+
+// link is a VM's end of the mesh.
+type link struct {
+	mesh *mesh
+	self cassiaid.VMName
+}
+
+func (l link) Writer(bucket cassiaclaim.BucketID) cassiaid.VMName {
+	l.mesh.mutex.Lock()
+	defer l.mesh.mutex.Unlock()
+	var names []cassiaid.VMName
+	for name := range l.mesh.claimers {
+		names = append(names, name)
+	}
+	if writer := cassiaclaim.WriterOf(bucket, names); writer != l.self {
+		return writer
+	}
+	return ""
+}
+
+func (l link) Call(ctx context.Context, vm cassiaid.VMName, call *cassiaschema.ClaimCall) (*cassiaschema.ClaimReply, error) {
+	l.mesh.mutex.Lock()
+	peer, delay := l.mesh.claimers[vm], l.mesh.delay
+	l.mesh.mutex.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n := l.mesh.calls.Add(1)
+	reply := peer.Serve(context.WithoutCancel(ctx), call)
+	if l.mesh.loseEvery > 0 && n%l.mesh.loseEvery == 0 {
+		return nil, errStore
+	}
+	return reply, ctx.Err()
+}
+
+// startMesh runs claimers that write buckets for each other.
+func startMesh(t testing.TB, s Store, vms int, delay time.Duration, loseEvery int64) []*Claimer {
+	m := &mesh{claimers: map[cassiaid.VMName]*Claimer{}, delay: delay, loseEvery: loseEvery}
+	var all []*Claimer
+	for i := range vms {
+		name := cassiaid.VMName(fmt.Sprint("vm-", i))
+		c := startWith(t, Options{Store: s, Peers: link{mesh: m, self: name}})
+		m.mutex.Lock()
+		m.claimers[name] = c
+		m.mutex.Unlock()
+		all = append(all, c)
+	}
+	return all
+}
+
+// TestWritersWithLostRepliesWinEachKeyOnce sends each key through every VM while replies of VMs and store are lost.
+func TestWritersWithLostRepliesWinEachKeyOnce(t *testing.T) {
+	c := qt.New(t)
+	s := newMemoryStore()
+	s.loseEvery = 4
+	claimers := startMesh(t, s, 4, 0, 3)
+	const keys = 50
+	var mutex sync.Mutex
+	won := map[string]int{}
+	var group errgroup.Group
+	for range keys {
+		key := newKey()
+		for _, claimer := range claimers {
+			group.Go(func() error {
+				grant, refusal := claimer.Claim(context.Background(), request(key))
+				mutex.Lock()
+				defer mutex.Unlock()
+				switch {
+				case refusal == nil && grant.MayDispatch(time.Now()):
+					won[key]++
+				case refusal != nil && refusal.Ran != cassiaplan.RanUnknown:
+					return refusal
+				}
+				return nil
+			})
+		}
+	}
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Assert(won, qt.HasLen, keys)
+	for key, n := range won {
+		c.Assert(n, qt.Equals, 1, qt.Commentf(key))
+	}
+}
+
+func TestOneWriterWritesWithoutConflicts(t *testing.T) {
+	c := qt.New(t)
+	s := newMemoryStore()
+	claimers := startMesh(t, s, 4, 0, 0)
+	key := newKey()
+	var group errgroup.Group
+	for i := range 200 {
+		group.Go(func() error {
+			own := newKey()
+			if i == 0 {
+				own = key
+			}
+			grant, refusal := claimers[i%len(claimers)].Claim(context.Background(), request(own))
+			if refusal != nil {
+				return refusal
+			}
+			grant.Finish(context.Background(), cassiaschema.ClaimOutcome_finished, []byte("answer"))
+			return nil
+		})
+	}
+	c.Assert(group.Wait(), qt.IsNil)
+	s.set(func(m *memoryStore) { c.Assert(m.conflicts, qt.Equals, 0) })
+	eventually(c, func() bool {
+		again, refusal := claimers[3].Claim(context.Background(), request(key))
+		if refusal != nil {
+			return false
+		}
+		answer, _ := again.Remembered()
+		return string(answer) == "answer"
+	})
+}
+
+func TestWriterThatCannotWriteIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	cut, whole := newMemoryStore(), newMemoryStore()
+	cut.down = true
+	m := &mesh{claimers: map[cassiaid.VMName]*Claimer{}}
+	m.claimers["vm-cut"] = startWith(t, Options{Store: cut})
+	claimer := startWith(t, Options{Store: whole, Peers: link{mesh: m, self: "vm-whole"}})
+	grant, refusal := claimer.Claim(context.Background(), request(newKey()))
+	c.Assert(refusal == nil, qt.IsTrue)
+	c.Assert(grant.MayDispatch(time.Now()), qt.IsTrue)
+}
