--- a/io/cassiagossip/gossip_test.go
+++ b/io/cassiagossip/gossip_test.go
@@ -109,3 +109,78 @@
 		g.eventually("gone known", func() bool { return r.states() == "a=alive c=alive" })
 	}
 }
+
+// counter returns the sum of the counters of a name, with a reason where one is given.
+func (r *running) counter(name, reason string) int64 {
+	var sum int64
+	for _, counter := range r.scope.Snapshot().Counters() {
+		if counter.Name() == "gossip."+name && (reason == "" || counter.Tags()["reason"] == reason) {
+			sum += counter.Value()
+		}
+	}
+	return sum
+}
+
+func TestWithoutKeyRefused(t *testing.T) {
+	g := newGroup(t)
+	a, b := g.start("a", "one", testKey), g.start("b", "one", testKey)
+	intruder := g.start("intruder", "one", otherKey)
+	g.eventually("joined", func() bool { return b.states() == "a=alive b=alive" })
+	g.eventually("refused and counted", func() bool { return a.counter("refused", "badSeal") > 0 })
+	g.Assert(intruder.states(), qt.Equals, "intruder=alive")
+	g.Assert(a.states(), qt.Equals, "a=alive b=alive")
+}
+
+func TestNewsReachesSubscribers(t *testing.T) {
+	g := newGroup(t)
+	a, b := g.start("a", "one", testKey), g.start("b", "two", testKey)
+	told := make(chan string, 16)
+	b.Subscribe(Subscriber{
+		PeerSettings: func(name cassiaid.VMName, generation cassiaid.Generation) {
+			if generation == 7 {
+				told <- "settings of " + string(name)
+			}
+		},
+		Quarantine: func(fingerprint cassiaid.Fingerprint, _ time.Duration) {
+			if fingerprint == 8 {
+				told <- "quarantine"
+			}
+		},
+		Target: func(target cassiaid.TargetName, leaving bool, _ time.Duration) {
+			if leaving {
+				told <- "leaving " + string(target)
+			}
+		},
+	})
+	g.eventually("joined", func() bool { return a.states() == "a=alive b=alive" })
+	a.SetSettingsGeneration(7)
+	a.AddQuarantine(8, time.Minute)
+	a.AddLeavingTarget("target-9", true, time.Minute)
+	seen := map[string]bool{}
+	for range 3 {
+		select {
+		case news := <-told:
+			seen[news] = true
+		case <-time.After(20 * time.Second):
+			g.Fatalf("told only %v", seen)
+		}
+	}
+	g.Assert(seen, qt.DeepEquals, map[string]bool{"settings of a": true, "quarantine": true, "leaving target-9": true})
+}
+
+func TestSilentStopNoticed(t *testing.T) {
+	g := newGroup(t)
+	a, b, c := g.start("a", "one", testKey), g.start("b", "one", testKey), g.start("c", "two", testKey)
+	g.eventually("joined", func() bool { return a.states() == "a=alive b=alive c=alive" && b.states() == a.states() })
+	c.keys.mu.Lock()
+	c.keys.keys = mustKeys(g, otherKey)
+	c.keys.mu.Unlock()
+	g.eventually("declared dead", func() bool { return a.states() == "a=alive b=alive" && b.states() == a.states() })
+	g.Assert(a.counter("declaredDead", "")+b.counter("declaredDead", "") > 0, qt.IsTrue)
+}
+
+func mustKeys(g *group, line string) []ringKey {
+	keys, err := (&keyring{}).parse(line)
+	g.Assert(err, qt.IsNil)
+	return keys
+}
--- a/io/cassiatls/authority.go
+++ b/io/cassiatls/authority.go
@@ -136,6 +136,9 @@
 		return err
 	}
 	for _, name := range names {
+		if !usableName(name) {
+			return &NameError{Name: name}
+		}
 		certificate, key, err := authority.Issue(name, now, lifetime)
 		if err != nil {
 			return err
@@ -151,6 +154,11 @@
 	return nil
 }
 
+// usableName tells whether a VM's name can be part of a file name and is not that of the authority's files.
+func usableName(name cassiaid.VMName) bool {
+	return name != "" && name != "." && name != "authority" && filepath.Base(string(name)) == string(name)
+}
+
 // authority reads the directory's authority, or makes one.
 func (d Directory) authority(now time.Time) (*Authority, error) {
 	file := d.Files("").GetAuthority()
--- a/io/cassiatls/error.go
+++ b/io/cassiatls/error.go
@@ -1,6 +1,10 @@
 package cassiatls
 
-import "fmt"
+import (
+	"fmt"
+
+	"cassiasaddle/core/cassiaid"
+)
 
 // FileError tells why a certificate file cannot be used.
 type FileError struct {
@@ -16,6 +20,14 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Cause }
 
+// NameError tells that a VM's name cannot be used in a certificate's file name.
+type NameError struct{ Name cassiaid.VMName }
+
+// Error returns the remedy.
+func (e *NameError) Error() string {
+	return fmt.Sprintf("VM name %q cannot name a file; give the VM a name of letters, digits and hyphens other than authority", e.Name)
+}
+
 // PeerReason tells why a peer was refused; it names a counter.
 type PeerReason string
 
