Test edits, propagation and the commands over the platform stand-in

Cause: the rim had no tests. Change: fleets of up to 32 services in one process against the stand-in over HTTP; WatchWait became a setting of the service so that a few seconds hold many watches.

--- /dev/null
+++ b/cmd/cassiasaddle/settings_test.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/core/cassiasettings"
+	"cassiasaddle/io/cassiastore"
+	"cassiasaddle/io/cassiatree"
+	"cassiasaddle/standin/cassiaplatform"
+)
+
+const teamYAML = `team: kaffi
+fronts:
+  - name: leit
+    shards:
+      - name: s0
+        targets: [{name: t0, address: "10.0.0.1:80", availabilityZone: sud-a}]
+`
+
+// oneVM is a VM's operator port; it has no peers but may be told of some.
+type oneVM struct {
+	operator *httptest.Server
+	platform *cassiaplatform.Platform
+	// loseAnswers is how many answers of the operator port are still to be lost.
+	loseAnswers atomic.Int32
+	others      []cassiasettings.Member
+}
+
+func (*oneVM) Changed() <-chan struct{} { return nil }
+
+func (v *oneVM) Live() []cassiasettings.Member { return v.others }
+
+func (*oneVM) Send(context.Context, cassiaid.VMName, *cassiaschema.PeerFrame) error {
+	return errors.New("unreachable")
+}
+
+func (*oneVM) Exchange(context.Context, cassiaid.VMName, *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error) {
+	return nil, errors.New("unreachable")
+}
+
+func sha(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func startVM(t *testing.T, others ...cassiasettings.Member) *oneVM {
+	v := &oneVM{platform: cassiaplatform.New(cassiaplatform.Options{}), others: others}
+	store := httptest.NewServer(v.platform)
+	service := cassiatree.New(cassiatree.Config{Self: "vm0", Zone: "sud-a", AdminTokenSHA256: sha("admin"), Peers: v,
+		Members: v, Store: cassiastore.NewClient(strings.TrimPrefix(store.URL, "http://"), "", nil)})
+	handler := service.Handler()
+	v.operator = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && v.loseAnswers.Add(-1) >= 0 {
+			handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return service.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		qt.Check(t, group.Wait(), qt.IsNil)
+		v.operator.Close()
+		store.CloseClientConnections()
+		store.Close()
+	})
+	return v
+}
+
+// settings runs a settings command and returns its output and exit code.
+func (v *oneVM) settings(token string, arguments ...string) (string, int) {
+	var out bytes.Buffer
+	root := &cli.Command{Name: "cassiasaddle", Writer: &out, ErrWriter: &out, Commands: []*cli.Command{settingsCommand()},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {}}
+	all := append([]string{"cassiasaddle", "settings"}, arguments...)
+	if v != nil {
+		all = append(append(all[:3:3], "--address", strings.TrimPrefix(v.operator.URL, "http://"), "--token", token), arguments[1:]...)
+	}
+	err := root.Run(context.Background(), all)
+	var coder cli.ExitCoder
+	switch {
+	case err == nil:
+		return out.String(), exitOK
+	case errors.As(err, &coder):
+		return out.String() + err.Error(), coder.ExitCode()
+	}
+	return out.String() + err.Error(), exitFailed
+}
+
+func write(t *testing.T, name, content string) string {
+	path := filepath.Join(t.TempDir(), name)
+	qt.Assert(t, os.WriteFile(path, []byte(content), 0o600), qt.IsNil)
+	return path
+}
+
+func TestCheckOffline(t *testing.T) {
+	c := qt.New(t)
+	good, bad := write(t, "good.yaml", teamYAML), write(t, "bad.yaml", strings.Replace(teamYAML, "shards", "shard", 1))
+	out, code := (*oneVM)(nil).settings("", "check", good)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	out, code = (*oneVM)(nil).settings("", "check", bad)
+	c.Assert(code, qt.Equals, exitInvalid)
+	c.Assert(out, qt.Contains, bad+":4")
+}
+
+func TestEditGoesRound(t *testing.T) {
+	c := qt.New(t)
+	v := startVM(t)
+	root := write(t, "root.yaml", fmt.Sprintf("teams: [{name: kaffi, tokenSha256: %s}]\n", sha("secret")))
+	out, code := v.settings("admin", "apply", root)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	c.Assert(out, qt.Contains, "in force on all 1 VMs")
+
+	file := write(t, "kaffi.yaml", teamYAML+"# base revision: 0\n")
+	out, code = v.settings("secret", "plan", file)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	c.Assert(out, qt.Contains, "+team: kaffi")
+	_, code = v.settings("wrong", "apply", file)
+	c.Assert(code, qt.Equals, exitFailed)
+	out, code = v.settings("secret", "apply", "--team", "kaffi", file)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	content, err := os.ReadFile(file)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(content), qt.Equals, teamYAML+"# base revision: 1\n")
+
+	out, code = v.settings("secret", "apply", "--base-revision", "0", write(t, "stale.yaml", teamYAML+"# mine\n"))
+	c.Assert(code, qt.Equals, exitConflict)
+	c.Assert(out, qt.Contains, "+team: kaffi")
+	c.Assert(out, qt.Contains, "--base-revision 1")
+
+	c.Assert(os.WriteFile(file, []byte(teamYAML+"# more\n# base revision: 1\n"), 0o600), qt.IsNil)
+	out, code = v.settings("secret", "apply", file)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	out, code = v.settings("secret", "rollback", "--team", "kaffi", "--to", "1")
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	out, code = v.settings("", "get", "--team", "kaffi")
+	c.Assert(code, qt.Equals, exitOK)
+	c.Assert(out, qt.Equals, teamYAML+"# base revision: 3\n")
+	out, code = v.settings("", "history", "--team", "kaffi")
+	c.Assert(code, qt.Equals, exitOK)
+	c.Assert(strings.Count(out, "\n"), qt.Equals, 3)
+}
+
+// TestLostAnswerOfTheVM induces lost answers of the operator port and proves that the command repeats the edit and that
+// it is made once.
+func TestLostAnswerOfTheVM(t *testing.T) {
+	c := qt.New(t)
+	v := startVM(t)
+	v.loseAnswers.Store(2)
+	root := write(t, "root.yaml", fmt.Sprintf("teams: [{name: kaffi, tokenSha256: %s}]\n", sha("secret")))
+	out, code := v.settings("admin", "apply", root)
+	c.Assert(code, qt.Equals, exitOK, qt.Commentf("%s", out))
+	c.Assert(out, qt.Contains, "subtree root revision 1,")
+}
+
+// TestApplyNamesVMsBehind induces a member that cannot be reached and proves that apply names it.
+func TestApplyNamesVMsBehind(t *testing.T) {
+	c := qt.New(t)
+	v := startVM(t, cassiasettings.Member{Name: "vm9", Zone: "sud-d"})
+	root := write(t, "root.yaml", "teams: []\n")
+	out, code := v.settings("admin", "apply", "--wait", (300 * time.Millisecond).String(), root)
+	c.Assert(code, qt.Equals, exitNotInForce, qt.Commentf("%s", out))
+	c.Assert(out, qt.Contains, "vm9 sud-d (generation 0)")
+}
--- a/io/cassiatree/service.go
+++ b/io/cassiatree/service.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	tickInterval  = 200 * time.Millisecond
-	watchWait     = 20 * time.Second
-	peerTimeout   = 2 * time.Second
-	inboxMessages = 1024
+	tickInterval     = 200 * time.Millisecond
+	defaultWatchWait = 20 * time.Second
+	peerTimeout      = 2 * time.Second
+	inboxMessages    = 1024
 	// parallelSends bounds how many peers are called at once.
 	parallelSends = 16
 )
@@ -61,6 +61,8 @@
 	Store            Store
 	Peers            Peers
 	Members          Members
+	// WatchWait is how long one watch of the store waits; 20 s when zero.
+	WatchWait time.Duration
 	// Clock is the real clock when nil.
 	Clock clockwork.Clock
 	// Seed makes the random choices reproducible.
@@ -91,6 +93,9 @@
 	if config.Clock == nil {
 		config.Clock = clockwork.NewRealClock()
 	}
+	if config.WatchWait <= 0 {
+		config.WatchWait = defaultWatchWait
+	}
 	if config.Logger == nil {
 		config.Logger = log.NewNopLogger()
 	}
--- /dev/null
+++ b/io/cassiatree/service_test.go
@@ -0,0 +1,187 @@
+package cassiatree
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/core/cassiasettings"
+	"cassiasaddle/standin/cassiaplatform"
+)
+
+// watchWaitInTests is short, so that a few seconds hold many watches.
+const watchWaitInTests = 300 * time.Millisecond
+
+// TestStoreCallsGrowSlowerThanTheFleet counts the store's calls while nothing changes and while edits are made.
+func TestStoreCallsGrowSlowerThanTheFleet(t *testing.T) {
+	const zones, periods, edits = 4, 5, 4
+	calm, busy := make(map[int]int), make(map[int]int)
+	sizes := []int{4, 8, 16, 32}
+	for _, size := range sizes {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newFleet(t)
+			vms := f.addMany(size, zones)
+			vms[0].setUp("kaffi")
+			f.requireEverywhere(convergeLimit, vms, 1)
+			calm[size] = f.callsDuring(func() { <-time.After(periods * watchWaitInTests) })
+			busy[size] = f.callsDuring(func() {
+				for i := range cassiaid.Revision(edits) {
+					accepted, err := vms[size-1].apply(f.ctx, "kaffi", i, teamText("kaffi", fmt.Sprintf("0.%d", i+1)))
+					f.c.Assert(err, qt.IsNil)
+					f.requireEverywhere(convergeLimit, vms, accepted.Generation)
+				}
+			})
+			t.Logf("%d VMs: %d calls in %d watch periods, %d calls for %d edits", size, calm[size], periods, busy[size], edits)
+		})
+	}
+	c := qt.New(t)
+	// Two watchers in each of four zones: eight watches in each period, and one may straddle either end.
+	for _, size := range sizes {
+		c.Check(calm[size] <= min(size, 8)*(periods+2), qt.IsTrue, qt.Commentf("%v", calm))
+	}
+	c.Check(busy[32] < 2*busy[8], qt.IsTrue, qt.Commentf("%v", busy))
+}
+
+func (f *fleet) callsDuring(work func()) int {
+	before := f.platform.Counters()["total"]
+	work()
+	return f.platform.Counters()["total"] - before
+}
+
+// TestNewVMStartsWhileTheStoreIsDown proves that a new VM takes the highest state of its peers without the store, also
+// when some peers lag, and that it is not ready with neither.
+func TestNewVMStartsWhileTheStoreIsDown(t *testing.T) {
+	f := newFleet(t)
+	vms := f.addMany(5, 2)
+	vms[0].setUp("kaffi")
+	f.requireEverywhere(convergeLimit, vms, 1)
+	lagging := f.add("lagging", "zone0")
+	lagging.current.Store(vms[0].Current())
+	_, err := vms[0].apply(f.ctx, "kaffi", 0, teamText("kaffi", "0.2"))
+	f.c.Assert(err, qt.IsNil)
+	f.requireEverywhere(convergeLimit, vms, 2)
+	f.platform.SetFaults(cassiaplatform.Faults{Down: true})
+
+	f.remove(vms[1])
+	for _, name := range []cassiaid.VMName{vms[1].name, "fresh"} {
+		fresh := f.add(name, "zone1")
+		seen, unsubscribe := fresh.Subscribe()
+		fresh.run()
+		f.eventually(convergeLimit, "settings on a new VM", func() bool { return len(seen) > 0 })
+		unsubscribe()
+		f.c.Assert(fresh.Generation(), qt.Equals, cassiaid.Generation(2))
+	}
+
+	alone := newFleet(t)
+	alone.platform.SetFaults(cassiaplatform.Faults{Down: true})
+	v := alone.addMany(1, 1)[0]
+	alone.eventually(convergeLimit, "tries of the store", func() bool { return alone.platform.Counters()["total"] > 3 })
+	f.c.Assert(v.Ready(), qt.IsFalse)
+	alone.platform.SetFaults(cassiaplatform.Faults{})
+	alone.eventually(convergeLimit, "ready after the outage", v.Ready)
+}
+
+// TestOutageKeepsSettings induces a store outage and proves that the settings stay, that edits are refused as not
+// made, that the VMs' tries stay few, and that a later edit is in force everywhere within five seconds.
+func TestOutageKeepsSettings(t *testing.T) {
+	const outage = 2 * time.Second
+	f := newFleet(t)
+	vms := f.addMany(12, 3)
+	vms[0].setUp("kaffi")
+	f.requireEverywhere(convergeLimit, vms, 1)
+	calls := f.callsDuring(func() {
+		f.platform.SetFaults(cassiaplatform.Faults{Down: true})
+		<-time.After(outage)
+	})
+	// Six watchers; pauses of at least 100, 200, 400, 800 and 1600 ms leave room for six calls each.
+	f.c.Check(calls <= 6*6, qt.IsTrue, qt.Commentf("%d calls", calls))
+	for _, v := range vms {
+		f.c.Assert(v.Generation(), qt.Equals, cassiaid.Generation(1))
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, 500*time.Millisecond)
+	defer cancel()
+	_, err := vms[0].Apply(ctx, cassiasettings.Proposal{Subtree: "kaffi", EditID: newEditID(),
+		YAML: []byte(teamText("kaffi", "0.2"))}, "kaffi")
+	var unavailable *UnavailableError
+	f.c.Assert(errors.As(err, &unavailable), qt.IsTrue, qt.Commentf("%v", err))
+	f.platform.SetFaults(cassiaplatform.Faults{})
+	accepted, err := vms[0].apply(f.ctx, "kaffi", 0, teamText("kaffi", "0.2"))
+	f.c.Assert(err, qt.IsNil)
+	f.requireEverywhere(convergeLimit, vms, accepted.Generation)
+}
+
+// TestCutZoneGoesOnAndHeals cuts a zone off from the other and from the store and proves that it keeps its settings,
+// gets no edit made meanwhile, and all of them once the cut heals.
+func TestCutZoneGoesOnAndHeals(t *testing.T) {
+	f := newFleet(t)
+	vms := f.addMany(8, 2)
+	vms[0].setUp("kaffi")
+	f.requireEverywhere(convergeLimit, vms, 1)
+	f.cut("zone1", true)
+	var near, far []*fleetVM
+	for _, v := range vms {
+		if v.zone == "zone1" {
+			far = append(far, v)
+		} else {
+			near = append(near, v)
+		}
+	}
+	for base, share := range []string{"0.1", "0.2"} {
+		_, err := vms[0].apply(f.ctx, "kaffi", cassiaid.Revision(base), teamText("kaffi", share))
+		f.c.Assert(err, qt.IsNil)
+	}
+	f.requireEverywhere(convergeLimit, near, 3)
+	for _, v := range far {
+		f.c.Assert(v.Generation(), qt.Equals, cassiaid.Generation(1))
+	}
+	reply, err := vms[0].client("").InForce(f.ctx, 3)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(len(reply.Members), qt.Equals, 4)
+	f.cut("zone1", false)
+	f.requireEverywhere(convergeLimit, vms, 3)
+	reply, err = vms[0].client("").InForce(f.ctx, 3)
+	f.c.Assert(err, qt.IsNil)
+	for _, m := range reply.Members {
+		f.c.Assert(m.Generation, qt.Equals, cassiaid.Generation(3))
+	}
+}
+
+// TestStoredNonsenseIsNeverInForce writes an invalid state to the store past the tier and proves that no VM takes it
+// and that the state in force stays.
+func TestStoredNonsenseIsNeverInForce(t *testing.T) {
+	f := newFleet(t)
+	vms := f.addMany(4, 2)
+	vms[0].setUp("kaffi")
+	f.requireEverywhere(convergeLimit, vms, 1)
+	head := proto.Clone(vms[0].Current().Head()).(*cassiaschema.SettingsHead)
+	head.Generation++
+	head.Subtrees = append(head.Subtrees, &cassiaschema.SubtreeHead{Subtree: "kaffi", Revision: 1, EditId: "nonsense"})
+	edit := &cassiaschema.SettingsEdit{Subtree: "kaffi", Revision: 1, EditId: "nonsense", Yaml: []byte("nonsense: true")}
+	f.platform.Put(editKey("kaffi", "nonsense"), marshal(f.c, edit))
+	f.platform.Put(headKey, marshal(f.c, head))
+	f.eventually(convergeLimit, "rejected by all VMs, which are all watchers", func() bool {
+		for _, v := range vms {
+			if v.counter("settings_rejectedInvalid") == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, v := range vms {
+		f.c.Assert(v.Generation(), qt.Equals, cassiaid.Generation(1))
+		f.c.Assert(v.Current().Revision("kaffi"), qt.Equals, cassiaid.Revision(0))
+	}
+}
+
+func marshal(c *qt.C, m proto.Message) []byte {
+	content, err := proto.Marshal(m)
+	c.Assert(err, qt.IsNil)
+	return content
+}
--- a/io/cassiatree/storage.go
+++ b/io/cassiatree/storage.go
@@ -61,7 +61,7 @@
 }
 
 func (s *Service) watchHead(ctx context.Context, e cassiasettings.WatchHead) cassiasettings.Message {
-	entry, changed, err := s.config.Store.Watch(ctx, headKey, cassiastore.Revision(e.After), watchWait)
+	entry, changed, err := s.config.Store.Watch(ctx, headKey, cassiastore.Revision(e.After), s.config.WatchWait)
 	switch {
 	case err != nil:
 		return s.storeFailed(e.Call, err)
