--- a/core/cassiasettings/parse_test.go
+++ b/core/cassiasettings/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -115,3 +116,27 @@
 		_, _ = ParseRoot(Text{"fuzz.yaml", yaml})
 	})
 }
+
+// BenchmarkBuild measures what an edit of a large subtree costs each VM: 50 fronts with 46 shards of two targets.
+func BenchmarkBuild(b *testing.B) {
+	var text strings.Builder
+	text.WriteString("team: kaffi\nfronts:\n")
+	for f := range 50 {
+		fmt.Fprintf(&text, "  - name: front%d\n    targetLimits: {connectionShare: 0.01}\n    shards:\n", f)
+		for s := range 46 {
+			fmt.Fprintf(&text, "      - name: shard%d\n        targets:\n", s)
+			for r := range 2 {
+				fmt.Fprintf(&text, "          - {name: t-%d-%d, address: \"10.1.%d.%d:80\", availabilityZone: sud-a}\n", s, r, s, r)
+			}
+		}
+	}
+	edits := Edits{"root": {Subtree: "root", Revision: 1, EditId: "root", Yaml: []byte(rootText("kaffi"))},
+		"big": {Subtree: "kaffi", Revision: 1, EditId: "big", Yaml: []byte(text.String())}}
+	head := nextHead(nextHead(nil, edits["root"]), edits["big"])
+	for b.Loop() {
+		if _, err := Build(head, edits, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(text.Len()), "textBytes")
+}
--- a/core/cassiasettings/propagation.go
+++ b/core/cassiasettings/propagation.go
@@ -47,7 +47,9 @@
 	// rejected holds generations above the one in force that failed validation here.
 	rejected map[cassiaid.Generation]bool
 
-	members  []Member
+	members []Member
+	// others are the members but this VM.
+	others   []Member
 	watchers map[cassiaid.Zone][]cassiaid.VMName
 	watching bool
 	// heard holds generations above the one in force and the VMs that named them in a digest.
@@ -135,10 +137,13 @@
 }
 
 func (p *Propagation) membersChanged(members []Member) []Effect {
-	p.members = slices.Clone(members)
-	self := func(m Member) bool { return m.Name == p.config.Self }
-	if !slices.ContainsFunc(members, self) {
-		p.members = append(p.members, Member{Name: p.config.Self, Zone: p.config.Zone})
+	self := Member{Name: p.config.Self, Zone: p.config.Zone}
+	p.members, p.others = append(p.members[:0], self), p.others[:0]
+	for _, m := range members {
+		if m.Name != self.Name {
+			p.members = append(p.members, m)
+			p.others = append(p.others, m)
+		}
 	}
 	p.watchers = Watchers(p.members)
 	watching := slices.Contains(p.watchers[p.config.Zone], p.config.Self)
--- a/core/cassiasettings/pull.go
+++ b/core/cassiasettings/pull.go
@@ -18,22 +18,18 @@
 		return true
 	}
 	answers := 0
-	for _, m := range p.others() {
+	for _, m := range p.others {
 		if p.answered[m.Name] {
 			answers++
 		}
 	}
-	return answers >= min(firstAskPeers, len(p.others()))
-}
-
-func (p *Propagation) others() []Member {
-	return slices.DeleteFunc(slices.Clone(p.members), func(m Member) bool { return m.Name == p.config.Self })
+	return answers >= min(firstAskPeers, len(p.others))
 }
 
 // highestNamed returns the highest generation that a live member or a digest names and that was not rejected.
 func (p *Propagation) highestNamed() cassiaid.Generation {
 	var highest cassiaid.Generation
-	for _, m := range p.others() {
+	for _, m := range p.others {
 		if !p.rejected[m.Generation] {
 			highest = max(highest, m.Generation)
 		}
@@ -67,7 +63,7 @@
 // firstPulls asks a few peers, those first that name the highest generation, and goes on while a member names a
 // higher one than the candidate.
 func (p *Propagation) firstPulls() []Effect {
-	others := p.others()
+	others := slices.Clone(p.others)
 	p.config.Rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	slices.SortStableFunc(others, func(a, b Member) int { return cmp.Compare(p.named(b), p.named(a)) })
 	answers := 0
@@ -101,7 +97,7 @@
 		return "", false
 	}
 	var near, far []cassiaid.VMName
-	for _, m := range p.others() {
+	for _, m := range p.others {
 		switch {
 		case p.named(m) != highest:
 		case m.Zone == p.config.Zone:
--- a/core/cassiasettings/simulation_test.go
+++ b/core/cassiasettings/simulation_test.go
@@ -53,8 +53,12 @@
 	bad     map[EditID]bool
 	storeUp bool
 	cutZone cassiaid.Zone
+	traffic traffic
 }
 
+// traffic counts what a world has sent.
+type traffic struct{ digests, pulls, stateBytes, storeCalls int }
+
 func newWorld(t rapid.TB, vms, zones int, seed uint64) *world {
 	w := &world{t: t, clock: &testClock{now: time.Unix(1_800_000_000, 0)}, storeUp: true,
 		edits: make(Edits), bad: make(map[EditID]bool), states: []accepted{{valid: true}}}
@@ -119,6 +123,7 @@
 	case PushDigest:
 		for _, to := range e.To {
 			if o := w.vm(to); w.reachable(v, o) {
+				w.traffic.digests++
 				w.later(o, DigestReceived{From: v.name, Generation: e.Generation})
 			}
 		}
@@ -135,6 +140,7 @@
 			return EditsRead{Call: e.Call, Edits: edits}
 		})
 	case WatchHead:
+		w.traffic.storeCalls++
 		v.storeCalls++
 		v.watch = &e
 	case StopWatch:
@@ -155,10 +161,14 @@
 		w.later(v, PullFailed{From: from.name})
 		return
 	}
-	w.later(v, StateReceived{From: from.name, State: from.p.Tree().Reply(e.Request)})
+	state := from.p.Tree().Reply(e.Request)
+	w.traffic.pulls++
+	w.traffic.stateBytes += proto.Size(state)
+	w.later(v, StateReceived{From: from.name, State: state})
 }
 
 func (w *world) callStore(v *testVM, call CallID, answer func() Message) {
+	w.traffic.storeCalls++
 	v.storeCalls++
 	incarnation := v.incarnation
 	w.pending = append(w.pending, delivery{func() {
@@ -383,3 +393,48 @@
 		w.requireEverywhere(w.generation())
 	})
 }
+
+// TestTrafficOfAnEdit drives the core's messages at growing fleets and bounds what one edit costs: each VM pulls it
+// once, a digest reaches a VM at most from every watcher, and only watchers call the store.
+func TestTrafficOfAnEdit(t *testing.T) {
+	const zones = 8
+	for _, vms := range []int{16, 64, 148, 296, 590} {
+		w := newWorld(t, vms, zones, 1)
+		w.accept(RootSubtree, true)
+		w.accept("kaffi", true)
+		w.settle(3 * time.Second)
+		w.requireEverywhere(2)
+		w.traffic = traffic{}
+		w.accept("kaffi", true)
+		w.settle(time.Second)
+		w.requireEverywhere(3)
+		got := w.traffic
+		t.Logf("%d VMs: %d digests, %d pulls, %d bytes of settings, %d store calls", vms, got.digests, got.pulls,
+			got.stateBytes, got.storeCalls)
+		watchers := zones * watchersPerZone
+		if got.pulls > vms || got.digests > watchersPerZone*vms+watchers*watchers || got.storeCalls > 2*watchers {
+			t.Errorf("%d VMs: an edit cost %+v", vms, got)
+		}
+	}
+}
+
+// BenchmarkMembersChanged measures what news of the members costs at the target size.
+func BenchmarkMembersChanged(b *testing.B) {
+	w := newWorld(b, 590, 8, 1)
+	w.accept(RootSubtree, true)
+	w.settle(time.Second)
+	v := w.vms[0]
+	for b.Loop() {
+		v.p.Update(MembersChanged{Members: v.told})
+	}
+}
+
+// BenchmarkTick measures what the passing of time costs at the target size.
+func BenchmarkTick(b *testing.B) {
+	w := newWorld(b, 590, 8, 1)
+	w.accept(RootSubtree, true)
+	w.settle(time.Second)
+	for b.Loop() {
+		w.vms[0].p.Update(Tick{})
+	}
+}
--- a/core/cassiasettings/watcher.go
+++ b/core/cassiasettings/watcher.go
@@ -1,9 +1,6 @@
 package cassiasettings
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"cassiasaddle/core/cassiaid"
@@ -12,24 +9,50 @@
 // watchersPerZone is how many VMs of a zone watch the store for all VMs of the zone.
 const watchersPerZone = 2
 
+// ranked is a VM's name and its place in the rendezvous order of its zone; a lower place comes first.
+type ranked struct {
+	name  cassiaid.VMName
+	place uint64
+}
+
+func (r ranked) before(o ranked) bool {
+	return r.place < o.place || r.place == o.place && r.name < o.name
+}
+
 // Watchers returns the live members that watch the store: the first two of each zone by rendezvous hash.
 func Watchers(members []Member) map[cassiaid.Zone][]cassiaid.VMName {
-	byZone := make(map[cassiaid.Zone][]cassiaid.VMName)
+	first := make(map[cassiaid.Zone][]ranked)
 	for _, m := range members {
-		byZone[m.Zone] = append(byZone[m.Zone], m.Name)
+		first[m.Zone] = insert(first[m.Zone], ranked{m.Name, rendezvousPlace(m.Zone, m.Name)})
+	}
+	watchers := make(map[cassiaid.Zone][]cassiaid.VMName, len(first))
+	for zone, list := range first {
+		for _, r := range list {
+			watchers[zone] = append(watchers[zone], r.name)
+		}
+	}
+	return watchers
+}
+
+// insert keeps the first few of a zone in order.
+func insert(list []ranked, next ranked) []ranked {
+	if len(list) == watchersPerZone && !next.before(list[watchersPerZone-1]) {
+		return list
+	}
+	if len(list) < watchersPerZone {
+		list = append(list, next)
 	}
-	for zone, names := range byZone {
-		slices.SortFunc(names, func(a, b cassiaid.VMName) int {
-			if c := cmp.Compare(watcherWeight(zone, b), watcherWeight(zone, a)); c != 0 {
-				return c
-			}
-			return cmp.Compare(a, b)
-		})
-		byZone[zone] = names[:min(watchersPerZone, len(names))]
+	i := len(list) - 1
+	for ; i > 0 && next.before(list[i-1]); i-- {
+		list[i] = list[i-1]
 	}
-	return byZone
+	list[i] = next
+	return list
 }
 
-func watcherWeight(zone cassiaid.Zone, name cassiaid.VMName) uint64 {
-	return xxhash.Sum64String(string(zone) + "\x00" + string(name))
+func rendezvousPlace(zone cassiaid.Zone, name cassiaid.VMName) uint64 {
+	var buffer [128]byte
+	key := append(buffer[:0], zone...)
+	key = append(key, 0)
+	return xxhash.Sum64(append(key, name...))
 }
