--- /dev/null
+++ b/io/cassiaserver/blame.go
@@ -0,0 +1,119 @@
+package cassiaserver
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaquarantine"
+	"cassiasaddle/core/cassiaroute"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// lossShareTimeout bounds how long a loss's result waits until the other owners know of the loss.
+const lossShareTimeout = 100 * time.Millisecond
+
+// ShareLoss tells the owners of the front's targets; it returns when they know or cannot be reached in time.
+func (s *server) ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss) {
+	s.metrics.Scope.Counter("targetLosses").Inc(1)
+	notice := &cassiaschema.LossNotice{Target: string(loss.Target)}
+	for _, r := range loss.Runs {
+		notice.Runs = append(notice.Runs, &cassiaschema.LostRun{
+			AttemptId: uint64(r.Attempt), Fingerprint: uint64(r.Fingerprint), Shard: uint32(r.Shard), Alone: r.Alone,
+		})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
+	defer cancel()
+	s.eachOwner(front, func(owner cassiaid.VMName) {
+		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNotice{LossNotice: notice}}
+		reply, err := s.node.Exchange(ctx, owner, frame)
+		if err != nil {
+			s.metrics.Scope.Counter("lossNotShared").Inc(1)
+			return
+		}
+		for _, a := range reply.GetLossNoticeReply().GetAnswered() {
+			s.learnAnswer(a)
+		}
+	})
+}
+
+// ShareAnswer tells the owners of the front's targets that a suspected request was answered.
+func (s *server) ShareAnswer(front cassiaid.FrontKey, answer cassiaquarantine.ShareAnswer) {
+	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
+	defer cancel()
+	s.eachOwner(front, func(owner cassiaid.VMName) {
+		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_AnswerNotice{AnswerNotice: answerNotice(answer)}}
+		if err := s.node.Send(ctx, owner, uint64(answer.Fingerprint), frame); err != nil {
+			s.metrics.Scope.Counter("answerNotShared").Inc(1)
+		}
+	})
+}
+
+func answerNotice(a cassiaquarantine.ShareAnswer) *cassiaschema.AnswerNotice {
+	return &cassiaschema.AnswerNotice{Fingerprint: uint64(a.Fingerprint), Shard: uint32(a.Shard), Earlier: a.Earlier}
+}
+
+// eachOwner calls f for every other owner of a front's targets at once and waits for all.
+func (s *server) eachOwner(front cassiaid.FrontKey, f func(owner cassiaid.VMName)) {
+	var owners []cassiaid.VMName
+	s.routes.With(func(t *cassiaroute.Table) { owners = t.FrontOwners(front) })
+	var group errgroup.Group
+	for _, owner := range owners {
+		if owner != s.self {
+			group.Go(func() error { f(owner); return nil })
+		}
+	}
+	group.Wait() //nolint:errcheck // the calls return no error
+}
+
+// ShareQuarantine tells all VMs to refuse a request.
+func (s *server) ShareQuarantine(fingerprint cassiaid.Fingerprint, remaining time.Duration) {
+	s.metrics.Scope.Counter("quarantines").Inc(1)
+	s.entry.Quarantined(fingerprint, remaining)
+	s.gossip.AddQuarantine(fingerprint, remaining)
+}
+
+// ShareLeaving tells the other VMs that a target is leaving or back.
+func (s *server) ShareLeaving(notice cassiaroute.ShareLeaving) {
+	s.gossip.AddLeavingTarget(notice.Target, notice.Leaving, notice.Remaining)
+}
+
+// learnLoss takes another owner's loss and vouches for requests that this VM's targets have answered.
+func (s *server) learnLoss(notice *cassiaschema.LossNotice) *cassiaschema.LossNoticeReply {
+	loss := cassiaquarantine.Loss{Target: cassiaid.TargetName(notice.Target)}
+	for _, r := range notice.Runs {
+		loss.Runs = append(loss.Runs, cassiaquarantine.Run{
+			Attempt: cassiaid.AttemptID(r.AttemptId), Fingerprint: cassiaid.Fingerprint(r.Fingerprint),
+			Shard: cassiaid.ShardIndex(r.Shard), Alone: r.Alone,
+		})
+	}
+	reply := &cassiaschema.LossNoticeReply{}
+	for _, a := range s.quarantine.Learn(cassiaquarantine.LossLearned{Loss: loss}) {
+		reply.Answered = append(reply.Answered, answerNotice(a))
+	}
+	return reply
+}
+
+// learnAnswer takes that a suspected request was answered elsewhere.
+func (s *server) learnAnswer(a *cassiaschema.AnswerNotice) {
+	s.quarantine.Learn(cassiaquarantine.AnswerLearned{
+		Fingerprint: cassiaid.Fingerprint(a.Fingerprint), Shard: cassiaid.ShardIndex(a.Shard), Earlier: a.Earlier,
+	})
+}
+
+// learnQuarantine takes another VM's quarantine.
+func (s *server) learnQuarantine(fingerprint cassiaid.Fingerprint, remaining time.Duration) {
+	s.quarantine.Learn(cassiaquarantine.Learned{Fingerprint: fingerprint, Remaining: remaining})
+	s.entry.Quarantined(fingerprint, remaining)
+}
+
+// learnTarget takes another VM's notice of a target that leaves or is back.
+func (s *server) learnTarget(target cassiaid.TargetName, leaving bool, remaining time.Duration) {
+	if !leaving {
+		s.routes.Update(cassiaroute.TargetBack{Target: target})
+		return
+	}
+	s.routes.Update(cassiaroute.TargetLeaving{Target: target, Source: cassiaroute.SourceNotice, Remaining: remaining})
+}
--- a/standin/cassiashard/target_test.go
+++ b/standin/cassiashard/target_test.go
@@ -163,11 +163,12 @@
 	r.eventually("innocent runs", func() bool { return len(r.target.Log()) == 1 && r.target.Log()[0].Started() })
 	r.Assert(r.call("/shard", "a poison b", "Attempt-Id", "2").status, qt.Equals, 0)
 	r.Assert(group.Wait(), qt.IsNil)
-	for _, e := range r.target.Log() {
-		r.Assert(e.Outcome, qt.Equals, OutcomeCrashed)
-	}
 	_, err := net.Dial("tcp", r.target.Address())
 	r.Assert(err, qt.IsNotNil)
+	r.eventually("both are logged as crashed", func() bool {
+		log := r.target.Log()
+		return len(log) == 2 && log[0].Outcome == OutcomeCrashed && log[1].Outcome == OutcomeCrashed
+	})
 	r.target.Change(func(b *Behaviour) { b.MedianMs = 1 })
 	r.eventually("restarted", func() bool { return r.call("/shard", "q").status == 200 })
 	r.Assert(r.target.Counters().Crashes, qt.Equals, 1)
@@ -268,7 +269,7 @@
 		{ShardMapEpoch: 3, Shards: []*cassiaschema.Shard{shard("s-1", "t-1", "127.0.0.1:1"), shard("s-2", "t-2", "127.0.0.1:2")}},
 		{Shards: []*cassiaschema.Shard{shard("s-3", "t-1", "127.0.0.1:1")}, TargetLimits: &cassiaschema.TargetLimits{MaxConnections: 100}},
 	}}
-	f, err := NewFleet([]*cassiaschema.TeamSettings{team}, DefaultBehaviour(), 1)
+	f, err := NewFleet([]*cassiaschema.TeamSettings{team}, func(string) Behaviour { return DefaultBehaviour() }, 1)
 	c.Assert(err, qt.IsNil)
 	c.Assert(f.Targets(), qt.HasLen, 2)
 	b := f.Target("t-1").Behaviour()
@@ -280,6 +281,6 @@
 	c.Assert(string(content), qt.Contains, `"connectionsRefused":0`)
 
 	team.Fronts[1].Shards[0].Targets[0].Address = "127.0.0.1:9"
-	_, err = NewFleet([]*cassiaschema.TeamSettings{team}, DefaultBehaviour(), 1)
+	_, err = NewFleet([]*cassiaschema.TeamSettings{team}, func(string) Behaviour { return DefaultBehaviour() }, 1)
 	c.Assert(err, qt.ErrorMatches, "target t-1 has two addresses.*")
 }
