--- a/io/cassiagossip/gossip.go
+++ b/io/cassiagossip/gossip.go
@@ -1,6 +1,7 @@
 package cassiagossip
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -22,12 +23,14 @@
 
 // Config describes this VM to its peers.
 type Config struct {
-	Name           cassiaid.VMName
-	Region         cassiamember.Region
-	Zone           cassiaid.Zone
-	PeerAddress    string
-	GossipAddress  string
-	ClusterKeyFile string
+	Name          cassiaid.VMName
+	Region        cassiamember.Region
+	Zone          cassiaid.Zone
+	PeerAddress   string
+	GossipAddress string
+	// AdvertisedAddress is where others reach GossipAddress; GossipAddress when empty.
+	AdvertisedAddress string
+	ClusterKeyFile    string
 }
 
 // Gossip keeps this VM's membership.
@@ -37,7 +40,8 @@
 	scope  tally.Scope
 	clock  clockwork.Clock
 	tuning cassiamember.Tuning
-	conn   *net.UDPConn
+	conn   net.PacketConn
+	wrap   func(net.PacketConn) net.PacketConn
 	keys   *keyring
 	random *rand.Rand
 
@@ -80,7 +84,7 @@
 			Region:        config.Region,
 			Zone:          config.Zone,
 			PeerAddress:   cassiamember.Address(config.PeerAddress),
-			GossipAddress: cassiamember.Address(g.Address()),
+			GossipAddress: cassiamember.Address(cmp.Or(config.AdvertisedAddress, g.Address())),
 		},
 		Clock:  g.clock,
 		Random: g.random,
@@ -95,10 +99,14 @@
 	if err != nil {
 		return &AddressError{Address: address, Cause: err}
 	}
-	g.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(bound))
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(bound))
 	if err != nil {
 		return &AddressError{Address: address, Cause: err}
 	}
+	g.conn = conn
+	if g.wrap != nil {
+		g.conn = g.wrap(conn)
+	}
 	return nil
 }
 
@@ -194,7 +202,7 @@
 		g.refuse(refused)
 		return
 	}
-	if _, err := g.conn.WriteToUDPAddrPort(sealed, to); err != nil {
+	if _, err := g.conn.WriteTo(sealed, net.UDPAddrFromAddrPort(to)); err != nil {
 		g.refuse(sendFailed)
 		return
 	}
@@ -210,13 +218,14 @@
 func (g *Gossip) receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagramBytes+1)
 	for {
-		length, source, err := g.conn.ReadFromUDPAddrPort(buffer)
+		length, from, err := g.conn.ReadFrom(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
 			return eris.Wrap(err, "read gossip datagram; restart the VM")
 		}
+		source := addressOf(from)
 		g.scope.Counter("packetsReceived").Inc(1)
 		g.scope.Counter("bytesReceived").Inc(int64(length))
 		p, refused := g.keys.open(buffer[:length], g.clock.Now())
@@ -225,11 +234,20 @@
 			_ = level.Debug(g.logger).Log("message", "gossip datagram refused", "reason", string(refused), "source", source.String())
 			continue
 		}
-		source = netip.AddrPortFrom(source.Addr().Unmap(), source.Port())
 		g.update(cassiamember.Packet{Source: cassiamember.Address(source.String()), Packet: p})
 	}
 }
 
+// addressOf returns where a datagram came from.
+func addressOf(from net.Addr) netip.AddrPort {
+	udp, ok := from.(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	source := udp.AddrPort()
+	return netip.AddrPortFrom(source.Addr().Unmap(), source.Port())
+}
+
 // tick passes the time to the core.
 func (g *Gossip) tick(ctx context.Context) error {
 	ticker := g.clock.NewTicker(cassiamember.TickInterval)
