--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -136,11 +136,12 @@
 		return nil, refusal
 	}
 	defer e.exit()
-	r, finish := e.run(ctx, question, fingerprint)
+	canary := e.wantsCanary(question, fingerprint)
+	r, finish := e.run(ctx, question, fingerprint, canary)
 	if finish.Refusal != nil {
 		return nil, finish.Refusal
 	}
-	if rows := finish.Answer.Rows; len(rows) > 0 {
+	if rows := finish.Answer.Rows; canary && len(rows) > 0 {
 		e.config.Quarantine.Answered(fingerprint, rows[0].Shard)
 	}
 	answer, err := cassiahttp.EncodeAnswer(question.RequestID, r.answeredFront(finish.Answer), finish.Answer)
@@ -153,8 +154,16 @@
 	return answer, nil
 }
 
+// wantsCanary tells whether one shard has to answer a question before the others are asked.
+func (e *Entry) wantsCanary(question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) bool {
+	if question.Front.Kind != cassiaschema.RequestKind_idempotent || len(cassiaplan.ShardsFor(question.Front, question.ShardKey)) < 2 {
+		return false
+	}
+	return e.config.Quarantine.Canary(fingerprint, question.Front.Canary)
+}
+
 // run carries one planner from Begin to Finish.
-func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) (*run, *cassiaplan.Finish) {
+func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, canary bool) (*run, *cassiaplan.Finish) {
 	r := &run{
 		entry: e, id: cassiaid.QueryID(uuid.New()), question: question, fingerprint: fingerprint,
 		events: newMailbox[event](),
@@ -163,7 +172,7 @@
 	}
 	request := cassiaplan.Request{
 		ID: r.id, Key: question.Key, Front: question.Front, ShardKey: question.ShardKey,
-		Deadline: question.Deadline, Canary: e.config.Quarantine.Canary(fingerprint, question.Front.Canary),
+		Deadline: question.Deadline, Canary: canary,
 	}
 	e.config.Routes.With(func(t *cassiaroute.Table) {
 		r.query = cassiaplan.NewQuery(request, t, e.config.Clock, randomSource{})
