--- a/test/routing_test.go
+++ b/test/routing_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -230,3 +232,50 @@
 		})
 	}
 }
+
+// counter returns the sum of a counter over all VMs.
+func (c *cluster) counter(name string) float64 {
+	sum := 0.0
+	for _, v := range c.vms {
+		_, body := c.tryGet("http://" + v.operators + "/metrics")
+		for line := range strings.Lines(string(body)) {
+			metric, value, ok := strings.Cut(strings.TrimSpace(line), " ")
+			base, _, _ := strings.Cut(metric, "{")
+			if number, err := strconv.ParseFloat(value, 64); ok && err == nil && strings.HasSuffix(base, name) {
+				sum += number
+			}
+		}
+	}
+	return sum
+}
+
+// TestPeerMessagesOfAQuery counts the messages between VMs that queries to 76 shards in four zones cost.
+func TestPeerMessagesOfAQuery(t *testing.T) {
+	const (
+		shards = 76
+		// messageBound is the stated number of peer messages of a query each way.
+		messageBound = 12
+	)
+	c := qt.New(t)
+	zones := []string{"zone-a", "zone-b", "zone-c", "zone-d"}
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", shards, zones)}})
+	for n := range 40 {
+		checkWhole(c, cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"warm":%d}`, n)), shards)
+	}
+	names := []string{"batchesSent", "batchRepliesReceived", "hedge", "cancelsSent"}
+	before := map[string]float64{}
+	for _, name := range names {
+		before[name] = cl.counter(name)
+	}
+	l := cl.startLoad("search", 4)
+	l.stop(t, 400)
+	queries := float64(l.whole.Load() + l.partial.Load() + l.failed.Load())
+	each := map[string]float64{}
+	for _, name := range names {
+		each[name] = (cl.counter(name) - before[name]) / queries
+	}
+	t.Logf("for each query: %v", each)
+	c.Check(each["batchesSent"]+each["cancelsSent"] <= messageBound, qt.IsTrue)
+	c.Check(each["batchRepliesReceived"] <= messageBound, qt.IsTrue)
+	c.Check(each["batchesSent"] > 0 && each["batchRepliesReceived"] > 0, qt.IsTrue)
+}
