Run non-idempotent requests under a claim

Change: the entry claims the request's key before its first batch leaves, checks the claim last before the bytes leave, records what became of it, and returns the remembered answer to repeats; one VM writes each bucket for all.

--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -18,6 +18,7 @@
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaroute"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiaclaimer"
 	"cassiasaddle/io/cassiahttp"
 	"cassiasaddle/io/cassiaowner"
 )
@@ -70,6 +71,7 @@
 	Owner      Owner
 	Fronts     Fronts
 	Quarantine Quarantine
+	Claimer    Claimer
 	Clock      cassiaplan.Clock
 	Logger     log.Logger
 	Scope      tally.Scope
@@ -136,8 +138,16 @@
 		return nil, refusal
 	}
 	defer e.exit()
+	if question.Front.Kind == cassiaschema.RequestKind_nonIdempotent {
+		return e.askOnce(ctx, question, fingerprint)
+	}
 	canary := e.wantsCanary(question, fingerprint)
-	r, finish := e.run(ctx, question, fingerprint, canary)
+	return e.answer(ctx, question, fingerprint, canary, nil)
+}
+
+// answer runs a question and encodes its answer.
+func (e *Entry) answer(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, canary bool, grant *cassiaclaimer.Grant) ([]byte, *cassiaplan.Refusal) {
+	r, finish := e.run(ctx, question, fingerprint, canary, grant)
 	if finish.Refusal != nil {
 		return nil, finish.Refusal
 	}
@@ -156,16 +166,16 @@
 
 // wantsCanary tells whether one shard has to answer a question before the others are asked.
 func (e *Entry) wantsCanary(question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) bool {
-	if question.Front.Kind != cassiaschema.RequestKind_idempotent || len(cassiaplan.ShardsFor(question.Front, question.ShardKey)) < 2 {
+	if len(cassiaplan.ShardsFor(question.Front, question.ShardKey)) < 2 {
 		return false
 	}
 	return e.config.Quarantine.Canary(fingerprint, question.Front.Canary)
 }
 
 // run carries one planner from Begin to Finish.
-func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, canary bool) (*run, *cassiaplan.Finish) {
+func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, canary bool, grant *cassiaclaimer.Grant) (*run, *cassiaplan.Finish) {
 	r := &run{
-		entry: e, id: cassiaid.QueryID(uuid.New()), question: question, fingerprint: fingerprint,
+		entry: e, id: cassiaid.QueryID(uuid.New()), question: question, fingerprint: fingerprint, grant: grant,
 		events: newMailbox[event](),
 		sent:   make(map[cassiaid.AttemptID]sentAttempt),
 		asked:  make(map[cassiaid.ShardIndex]bool),
--- a/io/cassiaentry/run.go
+++ b/io/cassiaentry/run.go
@@ -11,6 +11,7 @@
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaroute"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiaclaimer"
 	"cassiasaddle/io/cassiahttp"
 	"cassiasaddle/io/cassiapeer"
 )
@@ -21,9 +22,11 @@
 	id          cassiaid.QueryID
 	question    *cassiahttp.Question
 	fingerprint cassiaid.Fingerprint
-	query       *cassiaplan.Query
-	events      *mailbox[event]
-	timer       *time.Timer
+	// grant is the claim of a non-idempotent question.
+	grant  *cassiaclaimer.Grant
+	query  *cassiaplan.Query
+	events *mailbox[event]
+	timer  *time.Timer
 	// sent holds the attempts in flight; asked the shards that had an attempt before.
 	sent   map[cassiaid.AttemptID]sentAttempt
 	asked  map[cassiaid.ShardIndex]bool
@@ -163,7 +166,7 @@
 		ids = append(ids, a.ID)
 	}
 	lost := cassiaplan.OwnerLost{Owner: e.Owner, Attempts: ids}
-	if remaining <= 0 {
+	if remaining <= 0 || !r.mayDispatch() {
 		r.post(lost)
 		return
 	}
@@ -177,7 +180,7 @@
 	r.entry.group.Go(func() error {
 		// Checked again here: the VM may have been paused since the batch was made.
 		batch.Remaining = durationpb.New(e.Deadline.Sub(r.entry.config.Clock.Now()))
-		if batch.Remaining.AsDuration() <= 0 {
+		if batch.Remaining.AsDuration() <= 0 || !r.mayDispatch() {
 			r.post(lost)
 			return nil
 		}
--- a/io/cassiaserver/frames.go
+++ b/io/cassiaserver/frames.go
@@ -32,6 +32,8 @@
 		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: answered}})
 	case *cassiaschema.PeerFrame_AnswerNotice:
 		s.learnAnswer(body.AnswerNotice)
+	case *cassiaschema.PeerFrame_ClaimCall:
+		s.group.Go(func() error { s.replyClaim(from, body.ClaimCall, reply); return nil })
 	default:
 		if answer := s.tree.HandleFrame(from, frame); answer != nil {
 			s.reply(from, reply, answer)
@@ -46,6 +48,11 @@
 	s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_KnowledgeReply{KnowledgeReply: knowledge}})
 }
 
+func (s *server) replyClaim(from cassiaid.VMName, call *cassiaschema.ClaimCall, reply cassiapeer.Replier) {
+	answer := s.claimer.Serve(context.Background(), call)
+	s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ClaimReply{ClaimReply: answer}})
+}
+
 func (s *server) reply(to cassiaid.VMName, reply cassiapeer.Replier, frame *cassiaschema.PeerFrame) {
 	if err := reply(frame); err != nil {
 		s.metrics.Scope.Counter("replyLost").Inc(1)
