Let the first refusal without a start pay for another attempt; serve peers once ready

Ruled out: more budget, which would bound nothing. Change: the first such refusal of a shard is free, later ones are paid; a peer's frame can no longer reach a VM whose parts are not built yet; a caller that goes away from a non-idempotent request no longer ends it before its outcome is learned.

--- a/core/cassiaplan/recover.go
+++ b/core/cassiaplan/recover.go
@@ -18,15 +18,18 @@
 	// free is true when another attempt adds no lasting load: no target saw the last one, or its owner was lost, which
 	// pays for one attempt a shard.
 	free bool
+	// elsewhere is true when a target that did not start the attempt sends it elsewhere; the first such refusal of a
+	// shard pays for one more attempt, since still only one target runs it.
+	elsewhere bool
 }
 
 var failures = map[cassiaschema.ShardOutcome]failure{
 	cassiaschema.ShardOutcome_failed:        {reason: MissingFailed, counter: CountRetryFailed},
 	cassiaschema.ShardOutcome_badReply:      {reason: MissingFailed, counter: CountRetryFailed},
 	cassiaschema.ShardOutcome_cancelled:     {reason: MissingFailed, counter: CountRetryFailed},
-	cassiaschema.ShardOutcome_overloaded:    {reason: MissingOverloaded, counter: CountRetryOverloaded},
-	cassiaschema.ShardOutcome_draining:      {reason: MissingUnreachable, counter: CountRetryDraining},
-	cassiaschema.ShardOutcome_unreachable:   {reason: MissingUnreachable, counter: CountRetryUnreachable},
+	cassiaschema.ShardOutcome_overloaded:    {reason: MissingOverloaded, counter: CountRetryOverloaded, elsewhere: true},
+	cassiaschema.ShardOutcome_draining:      {reason: MissingUnreachable, counter: CountRetryDraining, elsewhere: true},
+	cassiaschema.ShardOutcome_unreachable:   {reason: MissingUnreachable, counter: CountRetryUnreachable, elsewhere: true},
 	cassiaschema.ShardOutcome_snapshotGone:  {reason: MissingSnapshotGone, counter: CountRetrySnapshot},
 	cassiaschema.ShardOutcome_repartitioned: {reason: MissingRepartitioned, counter: CountRetryEpoch},
 	cassiaschema.ShardOutcome_timedOut:      {reason: MissingLate, final: true},
@@ -48,6 +51,10 @@
 		a.ownerFailed = true
 		f.free = !a.mayHaveStarted
 	}
+	if f.elsewhere && !a.mayHaveStarted && !s.refusedOnce {
+		s.refusedOnce = true
+		f.free = true
+	}
 	s.note(f)
 }
 
--- a/core/cassiaplan/shard.go
+++ b/core/cassiaplan/shard.go
@@ -21,6 +21,8 @@
 	failure failure
 	// ownerLost is true once an owner was lost that had an attempt in flight.
 	ownerLost bool
+	// refusedOnce is true once a target refused the shard without starting it.
+	refusedOnce bool
 	// targetLost is true once a target was lost while it ran the shard.
 	targetLost bool
 	// hedgeAt is when the next hedge is due.
--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -260,13 +260,6 @@
 	return cassiaid.Fingerprint(digest.Sum64())
 }
 
-func callerGone() *cassiaplan.Refusal {
-	return &cassiaplan.Refusal{
-		Kind: cassiaplan.RefusalOutcomeUnknown, Ran: cassiaplan.RanUnknown,
-		Message: "the caller went away before its answer; ask again",
-	}
-}
-
 func (e *Entry) count(counter cassiaplan.Counter) { e.config.Scope.Counter(string(counter)).Inc(1) }
 
 // Leaving is true once Leave was called.
--- a/io/cassiaentry/run.go
+++ b/io/cassiaentry/run.go
@@ -67,6 +67,7 @@
 	r.timer = time.NewTimer(time.Hour)
 	defer r.timer.Stop()
 	r.step(cassiaplan.Begin{})
+	gone := ctx.Done()
 	for r.finish == nil {
 		select {
 		case <-r.events.signal:
@@ -75,11 +76,10 @@
 			}
 		case <-r.timer.C:
 			r.step(cassiaplan.TimerFired{})
-		case <-ctx.Done():
+		case <-gone:
+			// The planner goes on when the outcome has to be learned for a repeat.
+			gone = nil
 			r.step(cassiaplan.CallerGone{})
-			if r.finish == nil {
-				r.finish = &cassiaplan.Finish{Refusal: callerGone()}
-			}
 		}
 	}
 	r.endAttempts()
--- a/io/cassiapeer/node.go
+++ b/io/cassiapeer/node.go
@@ -84,6 +84,7 @@
 type Node struct {
 	config    Config
 	transport *quic.Transport
+	listener  *quic.Listener
 	group     *errgroup.Group
 	context   context.Context
 	cancel    context.CancelFunc
@@ -103,7 +104,7 @@
 	err  error
 }
 
-// Listen opens the node's UDP socket and accepts peers until Close.
+// Listen opens the node's UDP socket; Serve accepts peers until Close.
 func Listen(config Config) (*Node, error) {
 	address, err := net.ResolveUDPAddr("udp", config.Address)
 	if err != nil {
@@ -126,15 +127,17 @@
 		refused:        config.Scope.Counter("peerRefused"),
 		lost:           config.Scope.Counter("peerLost"),
 	}
-	listener, err := n.transport.Listen(withProtocol(config.Identity.Server()), quicConfig())
+	n.listener, err = n.transport.Listen(withProtocol(config.Identity.Server()), quicConfig())
 	if err != nil {
 		cancel()
 		return nil, errors.Join(eris.Wrap(err, "peer listener failed"), socket.Close())
 	}
-	group.Go(func() error { return n.accept(listener) })
 	return n, nil
 }
 
+// Serve accepts other VMs; call it once the handler is ready.
+func (n *Node) Serve() { n.group.Go(func() error { return n.accept(n.listener) }) }
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:  handshakeTimeout,
--- a/io/cassiapeer/query_bench_test.go
+++ b/io/cassiapeer/query_bench_test.go
@@ -143,6 +143,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	n.Serve()
 	b.Cleanup(func() { _ = n.Close() })
 	return n
 }
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -155,6 +155,7 @@
 	parts, running := errgroup.WithContext(running)
 	s.gossip.Subscribe(s.subscriber())
 	s.setMembers(s.gossip.Members())
+	s.node.Serve()
 	parts.Go(func() error { return s.gossip.Run(running) })
 	parts.Go(func() error { return s.tree.Run(running) })
 	parts.Go(func() error { return s.followSettings(running) })
