--- a/core/cassiamember/measure_test.go
+++ b/core/cassiamember/measure_test.go
@@ -25,25 +25,54 @@
 	for _, size := range []int{8, 64, 128, 256, fullSize} {
 		b.Run(fmt.Sprintf("size=%d", size), func(b *testing.B) {
 			for range b.N {
-				measure(b, size)
+				measure(b, size, Tuning{})
 			}
 		})
 	}
 }
 
-func measure(b *testing.B, size int) {
+// BenchmarkMembershipWays measures ways to tune the protocol against each other at one size.
+func BenchmarkMembershipWays(b *testing.B) {
+	const size = 128
+	for name, tuning := range map[string]Tuning{
+		"default":             {},
+		"pushFanout=1":        {PushFanout: 1},
+		"pushFanout=8":        {PushFanout: 8},
+		"remoteProbePeriod=1": {RemoteProbePeriod: 1},
+		"remoteProbePeriod=2": {RemoteProbePeriod: 2},
+		"remoteProbePeriod=8": {RemoteProbePeriod: 8},
+		"burstBytes=16KB":     {BurstBytes: 16 << 10},
+		"retransmitFactor=1":  {RetransmitFactor: 1},
+	} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				measure(b, size, tuning)
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, size int, tuning Tuning) {
 	before := heapBytes()
-	n := newNetwork(uint64(size), Tuning{})
+	n := newNetwork(uint64(size), tuning)
 	n.addAll(size, zonesAtFull)
 	began, _ := n.runUntil(10*time.Minute, func() bool { return agree(n.vms) })
 	b.ReportMetric(began.Seconds(), "s-coldStart")
 	n.run(time.Minute)
 	b.ReportMetric((heapBytes()-before)/float64(size), "heapB/VM")
+	measureJoin(b, n)
 	measureDay(b, n)
 	measureNews(b, n)
 	measureZoneLoss(b, n)
 }
 
+// measureJoin reports how long one more VM takes to know all others.
+func measureJoin(b *testing.B, n *network) {
+	n.add("joiner", 1, n.seeds(fullSize)...)
+	took, _ := n.runUntil(5*time.Minute, func() bool { return agree(n.running()) })
+	b.ReportMetric(took.Seconds(), "s-joined")
+}
+
 // measureDay lets an ordinary day's share of failures and restarts happen.
 func measureDay(b *testing.B, n *network) {
 	size := len(n.running())
--- /dev/null
+++ b/test/capacity_test.go
@@ -0,0 +1,130 @@
+package test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	capacityZones = 4
+	// settleTime lets what follows a start come to rest before it is measured.
+	settleTime = 10 * time.Second
+	// idleTime is the time over which VMs without queries are measured.
+	idleTime = 20 * time.Second
+	// clockTicksPerSecond is the unit of processor time in /proc.
+	clockTicksPerSecond = 100
+)
+
+// BenchmarkIdleVMs runs whole VMs without queries in processes of their own, and reports what each spends on control:
+// memory that is its own, processor time, and bytes and packets of membership, and the calls of all to the platform.
+// Run it with -benchtime 1x.
+func BenchmarkIdleVMs(b *testing.B) {
+	for _, vms := range []int{4, 8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			for range b.N {
+				measureIdle(b, vms)
+			}
+		})
+	}
+}
+
+func measureIdle(b *testing.B, vms int) {
+	l := layout{vmsPerZone: vms / capacityZones}
+	for i := range capacityZones {
+		l.zones = append(l.zones, fmt.Sprintf("zone-%d", i))
+	}
+	l.fronts = append(l.fronts, newFront("search", 8, l.zones))
+	c := startCluster(b, l)
+	time.Sleep(settleTime)
+	before, callsBefore := c.usage(), c.platformCalls()
+	time.Sleep(idleTime)
+	after, callsAfter := c.usage(), c.platformCalls()
+	each := float64(vms) * idleTime.Seconds()
+	b.ReportMetric(float64(after.ticks-before.ticks)/clockTicksPerSecond*1e6/each, "cpu-us/s")
+	b.ReportMetric(float64(after.anonymousKB)/float64(vms), "anonymousKB/VM")
+	b.ReportMetric(float64(after.residentKB)/float64(vms), "residentKB/VM")
+	b.ReportMetric((after.bytesSent-before.bytesSent)/each, "gossipB/s")
+	b.ReportMetric((after.packetsSent-before.packetsSent)/each, "gossipPackets/s")
+	b.ReportMetric(float64(callsAfter-callsBefore)/idleTime.Seconds(), "platformCalls/s")
+	for _, v := range c.vms {
+		v.process.signal(syscall.SIGKILL)
+	}
+}
+
+// usage is what all VMs of a cluster have used since they started, and the memory that they hold.
+type usage struct {
+	ticks, anonymousKB, residentKB int64
+	bytesSent, packetsSent         float64
+}
+
+func (c *cluster) usage() usage {
+	var sum usage
+	for _, v := range c.vms {
+		pid := v.process.command.Process.Pid
+		stat := strings.Fields(afterLast(readProc(c.t, pid, "stat"), ") "))
+		sum.ticks += number(c.t, stat[11]) + number(c.t, stat[12])
+		for line := range strings.Lines(readProc(c.t, pid, "status")) {
+			fields := strings.Fields(line)
+			switch fields[0] {
+			case "RssAnon:":
+				sum.anonymousKB += number(c.t, fields[1])
+			case "VmRSS:":
+				sum.residentKB += number(c.t, fields[1])
+			}
+		}
+		sum.bytesSent += c.metric(v, "cassiasaddle_gossip_bytesSent")
+		sum.packetsSent += c.metric(v, "cassiasaddle_gossip_packetsSent")
+	}
+	return sum
+}
+
+func afterLast(text, mark string) string { return text[strings.LastIndex(text, mark)+len(mark):] }
+
+func readProc(t testing.TB, pid int, file string) string {
+	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, file))
+	qt.Assert(t, err, qt.IsNil)
+	return string(content)
+}
+
+func number(t testing.TB, text string) int64 {
+	n, err := strconv.ParseInt(text, 10, 64)
+	qt.Assert(t, err, qt.IsNil)
+	return n
+}
+
+// metric returns the sum of a VM's counters of a name.
+func (c *cluster) metric(v *vm, name string) float64 {
+	_, body := c.tryGet("http://" + v.operators + "/metrics")
+	sum := 0.0
+	for line := range strings.Lines(string(body)) {
+		fields := strings.Fields(line)
+		if len(fields) == 2 && (fields[0] == name || strings.HasPrefix(fields[0], name+"{")) {
+			value, err := strconv.ParseFloat(fields[1], 64)
+			qt.Assert(c.t, err, qt.IsNil)
+			sum += value
+		}
+	}
+	return sum
+}
+
+// platformCalls returns the calls that the platform has counted.
+func (c *cluster) platformCalls() int64 {
+	status, body := c.tryGet("http://" + c.platform + "/standin/counters")
+	qt.Assert(c.t, status, qt.Equals, http.StatusOK)
+	var counters map[string]int64
+	qt.Assert(c.t, json.Unmarshal(body, &counters), qt.IsNil)
+	var sum int64
+	for _, n := range counters {
+		sum += n
+	}
+	return sum
+}
