--- a/standin/cassiarelay/packetconn.go
+++ b/standin/cassiarelay/packetconn.go
@@ -14,19 +14,17 @@
 	net.PacketConn
 	faultsTo func(peer net.Addr) Faults
 	policy   policy
-	ctx      context.Context
-	stop     context.CancelFunc
 	group    errgroup.Group
 
-	mu    sync.Mutex
-	lines map[string]*line
+	mu     sync.Mutex
+	lines  map[string]*line
+	closed bool
 }
 
 // WrapPacketConn returns a socket that plays the faults which faultsTo gives for each destination. Delays apply one
 // way, so both ends of a link are to be wrapped.
 func WrapPacketConn(conn net.PacketConn, faultsTo func(peer net.Addr) Faults, seed uint64) *PacketConn {
-	ctx, stop := context.WithCancel(context.Background())
-	c := &PacketConn{PacketConn: conn, faultsTo: faultsTo, ctx: ctx, stop: stop, lines: map[string]*line{}}
+	c := &PacketConn{PacketConn: conn, faultsTo: faultsTo, lines: map[string]*line{}}
 	c.policy.random = rand.New(rand.NewPCG(seed, 1))
 	c.policy.changed = func() {}
 	return c
@@ -51,12 +49,12 @@
 	l := c.lines[peer.String()]
 	if l == nil {
 		l = newLine(false)
-		if c.ctx.Err() != nil {
+		if c.closed {
 			return l
 		}
 		c.lines[peer.String()] = l
 		c.group.Go(func() error {
-			l.run(c.ctx, func(content []byte) error {
+			l.run(context.Background(), func(content []byte) error {
 				_, _ = c.PacketConn.WriteTo(content, peer)
 				return nil
 			})
@@ -66,12 +64,14 @@
 	return l
 }
 
-// Close closes the socket; datagrams on their way are lost.
+// Close delivers the datagrams on their way and closes the socket.
 func (c *PacketConn) Close() error {
 	c.mu.Lock()
-	c.stop()
+	c.closed = true
+	for _, l := range c.lines {
+		l.end()
+	}
 	c.mu.Unlock()
-	err := c.PacketConn.Close()
 	_ = c.group.Wait()
-	return err
+	return c.PacketConn.Close()
 }
