--- /dev/null
+++ b/test/pair_test.go
@@ -0,0 +1,65 @@
+package test
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
+// TestKilledVMWithStragglers is a pair: a VM is killed while a tenth of the attempts take 20 times as long.
+func TestKilledVMWithStragglers(t *testing.T) {
+	c := qt.New(t)
+	cl := startCluster(t, searchLayout(8))
+	cl.behave("all", `{"slowShare":0.1,"slowFactor":20}`)
+	victim := cl.vms[3]
+	cl.vms = cl.vms[:3]
+	l := cl.startHonestLoad("search", 4)
+	l.waitWhole(c, 50)
+	victim.process.signal(syscall.SIGKILL)
+	l.end(c, 100)
+	c.Check(l.others.Load(), qt.Equals, int64(0))
+}
+
+// TestLossyLinksWithLostReplica is a pair: links between zones lose packets while targets are lost, one of each shard.
+func TestLossyLinksWithLostReplica(t *testing.T) {
+	c := qt.New(t)
+	cl := startCluster(t, layout{zones: twoZones, vmsPerZone: 2, relayed: true,
+		fronts: []*cassiaschema.Front{newFront("search", 8, twoZones)}})
+	cl.betweenZones(func(from, to *vm) bool { return from.zone != to.zone }, lossy)
+	l := cl.startHonestLoad("search", 4)
+	l.waitWhole(c, 50)
+	for _, s := range cl.layout.fronts[0].Shards {
+		cl.behave(s.Targets[0].Name, `{"lost":true}`)
+	}
+	l.end(c, 100)
+	for _, v := range cl.vms {
+		checkWhole(c, cl.ask(v, "search", `{"fit":"slim"}`), 8)
+	}
+}
+
+// TestFrozenOwnerWithSnapshotChange is a pair: the targets move to a newer snapshot while a VM is paused, which then
+// wakes with what it knew before.
+func TestFrozenOwnerWithSnapshotChange(t *testing.T) {
+	c := qt.New(t)
+	cl := startCluster(t, searchLayout(8))
+	frozen := cl.vms[1]
+	awake := []*vm{cl.vms[0], cl.vms[2], cl.vms[3]}
+	cl.vms = awake
+	l := cl.startHonestLoad("search", 4)
+	l.waitWhole(c, 50)
+	frozen.process.signal(syscall.SIGSTOP)
+	for version := uint64(43); version < 46; version++ {
+		cl.behave("all", fmt.Sprintf(`{"heldSnapshots":[%d]}`, version))
+		l.waitWhole(c, 20)
+	}
+	frozen.process.signal(syscall.SIGCONT)
+	l.end(c, 50)
+	eventually(t, healBound, "the woken VM answers from the newest snapshot", func() bool {
+		a := cl.ask(frozen, "search", `{"fit":"slim"}`)
+		return lieIn(a) == "" && a.Coverage.Answered == 8 && a.Snapshot == 45
+	})
+}
--- a/test/zone_test.go
+++ b/test/zone_test.go
@@ -73,12 +73,7 @@
 	}
 	cl.faults(`{"down":false}`)
 	cl.cut("zone-b", false)
-	changed := newFront("search", 6, twoZones)
-	for i, s := range changed.Shards {
-		for k, r := range s.Targets {
-			r.Address = cl.layout.fronts[0].Shards[i].Targets[k].Address
-		}
-	}
+	changed := sameTargets(cl.layout.fronts[0], newFront("search", 6, twoZones))
 	eventually(t, healBound, "members know each other", func() bool {
 		return len(cl.status(cl.vms[0]).Members) == 4 && len(cl.status(cl.vms[3]).Members) == 4
 	})
