--- a/core/cassiasettings/propagation.go
+++ b/core/cassiasettings/propagation.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -303,20 +304,26 @@
 	return nil
 }
 
-// push tells the VMs that depend on this one: a watcher its zone and all watchers, another VM the watchers of what it
-// wrote to the store itself.
+// push tells the VMs that depend on this one: its children in the zone's tree, and the watchers when this VM is a
+// watcher or wrote the edit itself.
 func (p *Propagation) push(fromStore bool) []Effect {
-	if p.tree.Generation() == 0 || !p.watching && !fromStore {
+	if p.tree.Generation() == 0 {
 		return nil
 	}
-	var to []cassiaid.VMName
-	for _, m := range p.members {
-		behind := m.Name != p.config.Self && m.Generation < p.tree.Generation()
-		dependent := p.watching && m.Zone == p.config.Zone
-		if behind && (dependent || slices.Contains(p.watchers[m.Zone], m.Name)) {
-			to = append(to, m.Name)
+	known := make(map[cassiaid.VMName]cassiaid.Generation, len(p.others))
+	for _, m := range p.others {
+		known[m.Name] = m.Generation
+	}
+	to := children(p.members, p.config.Zone, p.config.Self)
+	if p.watching || fromStore {
+		for _, zone := range slices.Sorted(maps.Keys(p.watchers)) {
+			to = append(to, p.watchers[zone]...)
 		}
 	}
+	slices.Sort(to)
+	to = slices.DeleteFunc(slices.Compact(to), func(name cassiaid.VMName) bool {
+		return name == p.config.Self || known[name] >= p.tree.Generation()
+	})
 	if len(to) == 0 {
 		return nil
 	}
--- a/core/cassiasettings/simulation_test.go
+++ b/core/cassiasettings/simulation_test.go
@@ -36,6 +36,7 @@
 	storeCalls  int
 	installed   cassiaid.Generation
 	ready       bool
+	served      int
 }
 
 // delivery is something under way; run may cause further deliveries.
@@ -57,7 +58,7 @@
 }
 
 // traffic counts what a world has sent.
-type traffic struct{ digests, pulls, stateBytes, storeCalls int }
+type traffic struct{ digests, pulls, mostServed, stateBytes, storeCalls int }
 
 func newWorld(t rapid.TB, vms, zones int, seed uint64) *world {
 	w := &world{t: t, clock: &testClock{now: time.Unix(1_800_000_000, 0)}, storeUp: true,
@@ -163,6 +164,8 @@
 	}
 	state := from.p.Tree().Reply(e.Request)
 	w.traffic.pulls++
+	from.served++
+	w.traffic.mostServed = max(w.traffic.mostServed, from.served)
 	w.traffic.stateBytes += proto.Size(state)
 	w.later(v, StateReceived{From: from.name, State: state})
 }
@@ -394,8 +397,12 @@
 	})
 }
 
-// TestTrafficOfAnEdit drives the core's messages at growing fleets and bounds what one edit costs: each VM pulls it
-// once, a digest reaches a VM at most from every watcher, and only watchers call the store.
+// mostChildren is how many VMs a VM may tell: as first parent its own children, as second parent those of the VM after
+// it, and the second watcher also those of the first.
+const mostChildren = 3 * childrenPerVM
+
+// TestTrafficOfAnEdit drives the core's messages at growing fleets, without gossip after the edit, and bounds what
+// the edit costs: each VM pulls it once from one of its few parents, and only watchers call the store.
 func TestTrafficOfAnEdit(t *testing.T) {
 	const zones = 8
 	for _, vms := range []int{16, 64, 148, 296, 590} {
@@ -405,19 +412,48 @@
 		w.settle(3 * time.Second)
 		w.requireEverywhere(2)
 		w.traffic = traffic{}
+		for _, v := range w.vms {
+			v.served = 0
+		}
 		w.accept("kaffi", true)
 		w.settle(time.Second)
 		w.requireEverywhere(3)
 		got := w.traffic
-		t.Logf("%d VMs: %d digests, %d pulls, %d bytes of settings, %d store calls", vms, got.digests, got.pulls,
-			got.stateBytes, got.storeCalls)
+		t.Logf("%d VMs: %d digests, %d pulls, at most %d from one VM, %d bytes of settings, %d store calls", vms,
+			got.digests, got.pulls, got.mostServed, got.stateBytes, got.storeCalls)
 		watchers := zones * watchersPerZone
-		if got.pulls > vms || got.digests > watchersPerZone*vms+watchers*watchers || got.storeCalls > 2*watchers {
+		if got.pulls > vms || got.mostServed > mostChildren || got.digests > 2*vms+watchers*watchers ||
+			got.storeCalls > 2*watchers {
 			t.Errorf("%d VMs: an edit cost %+v", vms, got)
 		}
 	}
 }
 
+// TestTreeOfAZone proves that every VM but the watchers has two parents that hear of news before it.
+func TestTreeOfAZone(t *testing.T) {
+	for size := 1; size < 80; size++ {
+		var all []Member
+		for i := range size {
+			all = append(all, Member{Name: cassiaid.VMName(fmt.Sprintf("vm%d", i)), Zone: "a"})
+		}
+		told := make(map[cassiaid.VMName]int)
+		for _, m := range all {
+			names := children(all, "a", m.Name)
+			if len(names) > mostChildren {
+				t.Fatalf("%d VMs: %s has %d children", size, m.Name, len(names))
+			}
+			for _, name := range names {
+				told[name]++
+			}
+		}
+		for _, m := range all {
+			if watcher := slices.Contains(Watchers(all)["a"], m.Name); !watcher && told[m.Name] != 2 || watcher && told[m.Name] != 0 {
+				t.Fatalf("%d VMs: %s has %d parents", size, m.Name, told[m.Name])
+			}
+		}
+	}
+}
+
 // BenchmarkMembersChanged measures what news of the members costs at the target size.
 func BenchmarkMembersChanged(b *testing.B) {
 	w := newWorld(b, 590, 8, 1)
--- a/core/cassiasettings/watcher.go
+++ b/core/cassiasettings/watcher.go
@@ -1,6 +1,8 @@
 package cassiasettings
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"cassiasaddle/core/cassiaid"
@@ -9,6 +11,9 @@
 // watchersPerZone is how many VMs of a zone watch the store for all VMs of the zone.
 const watchersPerZone = 2
 
+// childrenPerVM is how many VMs of its zone have a VM as their first parent; as many have it as their second.
+const childrenPerVM = 2
+
 // ranked is a VM's name and its place in the rendezvous order of its zone; a lower place comes first.
 type ranked struct {
 	name  cassiaid.VMName
@@ -56,3 +61,37 @@
 	key = append(key, 0)
 	return xxhash.Sum64(append(key, name...))
 }
+
+// children returns the VMs of the zone that a VM tells of news. The zone's VMs form a tree in rendezvous order: the
+// watchers come first, and each later VM has two parents before it, so that one lost VM cuts off nobody.
+func children(members []Member, zone cassiaid.Zone, self cassiaid.VMName) []cassiaid.VMName {
+	var order []ranked
+	for _, m := range members {
+		if m.Zone == zone {
+			order = append(order, ranked{m.Name, rendezvousPlace(zone, m.Name)})
+		}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	var names []cassiaid.VMName
+	for i := watchersPerZone; i < len(order); i++ {
+		first, second := parents(i)
+		if order[first].name == self || order[second].name == self {
+			names = append(names, order[i].name)
+		}
+	}
+	return names
+}
+
+// parents returns the places of the two parents of the VM at a place after the watchers.
+func parents(place int) (first, second int) {
+	first = (place - watchersPerZone) / childrenPerVM
+	if first == 0 {
+		return 0, 1
+	}
+	return first, first - 1
+}
--- a/io/cassiastore/client.go
+++ b/io/cassiastore/client.go
@@ -79,7 +79,7 @@
 
 // Get reads a key.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
-	r := request{call: "get", method: http.MethodGet, path: "/v1/kv/" + key}
+	r := request{call: callGet, method: http.MethodGet, path: "/v1/kv/" + key}
 	var entry Entry
 	status, err := c.do(ctx, r, &entry)
 	if status == http.StatusNotFound {
@@ -145,11 +145,8 @@
 
 // KeepAlive renews a lease.
 func (c *Client) KeepAlive(ctx context.Context, id LeaseID) error {
-	r := request{call: "keepAlive", method: http.MethodPut, path: "/v1/leases/" + string(id), write: true}
-	status, err := c.do(ctx, r, nil)
-	if status == http.StatusNotFound {
-		return &Error{Kind: LeaseLapsed, Call: r.call, Cause: errors.New("the lease is gone")}
-	}
+	r := request{call: callKeepAlive, method: http.MethodPut, path: "/v1/leases/" + string(id), write: true}
+	_, err := c.do(ctx, r, nil)
 	return err
 }
 
@@ -171,6 +168,12 @@
 	return reply.Targets, err
 }
 
+// Names of the calls whose missing key is no failure or one of its own kind.
+const (
+	callGet       = "get"
+	callKeepAlive = "keepAlive"
+)
+
 // request is one call to the platform.
 type request struct {
 	call   string
@@ -251,8 +254,10 @@
 		return &Error{Kind: Conflict, Call: r.call, Revision: conflict.Revision, Cause: cause}
 	case status == http.StatusRequestEntityTooLarge:
 		return &Error{Kind: TooLarge, Call: r.call, Cause: cause}
-	case status == http.StatusNoContent:
+	case status == http.StatusNoContent, status == http.StatusNotFound && r.call == callGet:
 		return nil
+	case status == http.StatusNotFound && r.call == callKeepAlive:
+		return &Error{Kind: LeaseLapsed, Call: r.call, Cause: cause}
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		return &Error{Kind: Unavailable, Call: r.call, Cause: cause}
 	case status >= http.StatusInternalServerError && r.write:
--- a/io/cassiatree/edit.go
+++ b/io/cassiatree/edit.go
@@ -99,9 +99,9 @@
 			return accepted, err
 		}
 		if !s.sleep(ctx, pause) {
-			err = e.giveUp(err)
+			accepted, err = e.giveUp(err)
 			s.countOutcome(err)
-			return Accepted{}, err
+			return accepted, err
 		}
 		pause = min(2*pause, retryPauseLimit)
 	}
@@ -242,12 +242,17 @@
 	return held, nil
 }
 
-// giveUp names the outcome when time has run out.
-func (e *editor) giveUp(err error) error {
+// giveUp names the outcome when time has run out; the edit may have come back as the one in force.
+func (e *editor) giveUp(err error) (Accepted, error) {
+	inForce := e.service.Current()
+	if edit := inForce.Edit(e.proposal.Subtree); edit.GetEditId() == string(e.proposal.EditID) && e.open {
+		return Accepted{Subtree: e.proposal.Subtree, Revision: cassiaid.Revision(edit.GetRevision()),
+			Generation: inForce.Generation(), EditID: e.proposal.EditID}, nil
+	}
 	if e.open {
-		return &OutcomeUnknownError{Subtree: e.proposal.Subtree, EditID: e.proposal.EditID, Cause: err}
+		return Accepted{}, &OutcomeUnknownError{Subtree: e.proposal.Subtree, EditID: e.proposal.EditID, Cause: err}
 	}
-	return &UnavailableError{err}
+	return Accepted{}, &UnavailableError{err}
 }
 
 // accepted spreads a tree that is known to be in the store.
--- a/io/cassiatree/edit_test.go
+++ b/io/cassiatree/edit_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,7 +14,6 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiasettings"
-	"cassiasaddle/standin/cassiaplatform"
 )
 
 func refusal(err error) *ErrorReply {
@@ -65,12 +65,13 @@
 	f.c.Assert(len(history.Edits), qt.Equals, 8)
 }
 
+func headPut(r *http.Request) bool {
+	return r.Method == http.MethodPut && r.URL.Path == "/v1/kv/"+headKey
+}
+
 // TestLostReplyHasTrueOutcome induces lost replies of the store, with and without effect, alone and followed by
 // another edit, and proves that apply tells what the store's history shows.
 func TestLostReplyHasTrueOutcome(t *testing.T) {
-	headPut := func(r *http.Request) bool {
-		return r.Method == http.MethodPut && r.URL.Path == "/v1/kv/"+headKey
-	}
 	tests := []struct {
 		name string
 		// faults returns what goes wrong for the first VM; rival applies another edit of the subtree.
@@ -149,35 +150,46 @@
 	}
 }
 
-// TestOutcomeUnknownCanBeResolved induces a store that goes down right after a head was written unanswered, and proves
-// that apply does not guess and that the edit id tells the outcome afterwards.
+// TestOutcomeUnknownCanBeResolved induces a store that a VM loses from the moment a head is written, and proves that
+// apply does not guess and that the edit id tells the outcome afterwards, on this VM and on another.
 func TestOutcomeUnknownCanBeResolved(t *testing.T) {
 	f := newFleet(t)
 	vms := f.addMany(1, 1)
 	vms[0].setUp("kaffi")
-	lose := once(headKey)
-	vms[0].faults.set(nil, func(r *http.Request) error {
-		err := lose(r)
-		if err != nil {
-			f.platform.SetFaults(cassiaplatform.Faults{Down: true})
+	f.requireEverywhere(convergeLimit, vms, 1)
+	var written atomic.Bool
+	vms[0].faults.set(func(r *http.Request) error {
+		if headPut(r) {
+			written.Store(true)
 		}
-		return err
+		return nil
+	}, func(*http.Request) error {
+		if written.Load() {
+			return errLost
+		}
+		return nil
 	})
 	ctx, cancel := context.WithTimeout(f.ctx, 700*time.Millisecond)
 	defer cancel()
 	id := newEditID()
-	_, err := vms[0].Apply(ctx, cassiasettings.Proposal{Subtree: "kaffi", EditID: id, YAML: []byte(teamText("kaffi", "0.2"))}, "kaffi")
+	proposal := cassiasettings.Proposal{Subtree: "kaffi", EditID: id, YAML: []byte(teamText("kaffi", "0.2"))}
+	_, err := vms[0].Apply(ctx, proposal, "kaffi")
 	var unknown *OutcomeUnknownError
 	f.c.Assert(errors.As(err, &unknown), qt.IsTrue, qt.Commentf("%v", err))
 	f.c.Assert(err.Error(), qt.Contains, string(id))
 	_, err = vms[0].client("").Get(f.ctx, "kaffi", id, 0)
 	f.c.Assert(refusal(err).Kind, qt.Equals, ErrorUnavailable)
-	f.platform.SetFaults(cassiaplatform.Faults{})
-	got, err := vms[0].client("").Get(f.ctx, "kaffi", id, 0)
-	f.c.Assert(err, qt.IsNil)
-	f.c.Assert(got.Accepted && got.InForce, qt.IsTrue)
-	never, err := vms[0].client("").Get(f.ctx, "kaffi", newEditID(), 0)
-	f.c.Assert(refusal(err).Kind, qt.Equals, ErrorNotFound, qt.Commentf("%v", never))
+
+	other := f.add("other", "zone1")
+	other.run()
+	for _, v := range []*fleetVM{other, vms[0]} {
+		v.faults.set(nil, nil)
+		got, err := v.client("").Get(f.ctx, "kaffi", id, 0)
+		f.c.Assert(err, qt.IsNil)
+		f.c.Assert(got.Accepted && got.InForce, qt.IsTrue)
+	}
+	_, err = vms[0].client("").Get(f.ctx, "kaffi", newEditID(), 0)
+	f.c.Assert(refusal(err).Kind, qt.Equals, ErrorNotFound)
 }
 
 // TestTeamsTogetherStayUnderTheCap induces edits of two teams at once, each fine alone, whose shares on one target add
--- a/io/cassiatree/fleet_test.go
+++ b/io/cassiatree/fleet_test.go
@@ -65,22 +65,32 @@
 
 // RoundTrip performs a call unless a fault strikes before it, and hides its answer when one strikes after it.
 func (f *storeFaults) RoundTrip(r *http.Request) (*http.Response, error) {
-	f.mu.Lock()
-	before, after := f.before, f.after
-	f.mu.Unlock()
-	if before != nil {
-		if err := before(r); err != nil {
-			return nil, err
-		}
+	if err := f.strike(r, false); err != nil {
+		return nil, err
 	}
 	response, err := http.DefaultTransport.RoundTrip(r)
-	if err == nil && after != nil {
-		if lost := after(r); lost != nil {
-			_ = response.Body.Close()
-			return nil, lost
-		}
+	if err != nil {
+		return nil, err
+	}
+	if err := f.strike(r, true); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// strike returns the fault that is set at this moment of a call.
+func (f *storeFaults) strike(r *http.Request, answered bool) error {
+	f.mu.Lock()
+	fault := f.before
+	if answered {
+		fault = f.after
+	}
+	f.mu.Unlock()
+	if fault == nil {
+		return nil
 	}
-	return response, err
+	return fault(r)
 }
 
 func (f *storeFaults) set(before, after func(*http.Request) error) {
--- a/io/cassiatree/service_test.go
+++ b/io/cassiatree/service_test.go
@@ -30,15 +30,19 @@
 			vms := f.addMany(size, zones)
 			vms[0].setUp("kaffi")
 			f.requireEverywhere(convergeLimit, vms, 1)
+			var slowest time.Duration
 			calm[size] = f.callsDuring(func() { <-time.After(periods * watchWaitInTests) })
 			busy[size] = f.callsDuring(func() {
 				for i := range cassiaid.Revision(edits) {
 					accepted, err := vms[size-1].apply(f.ctx, "kaffi", i, teamText("kaffi", fmt.Sprintf("0.%d", i+1)))
 					f.c.Assert(err, qt.IsNil)
+					begin := time.Now()
 					f.requireEverywhere(convergeLimit, vms, accepted.Generation)
+					slowest = max(slowest, time.Since(begin))
 				}
 			})
-			t.Logf("%d VMs: %d calls in %d watch periods, %d calls for %d edits", size, calm[size], periods, busy[size], edits)
+			t.Logf("%d VMs: %d calls in %d watch periods, %d calls for %d edits, in force everywhere within %s",
+				size, calm[size], periods, busy[size], edits, slowest.Round(time.Millisecond))
 		})
 	}
 	c := qt.New(t)
