--- a/cmd/cassiasaddle/settings.go
+++ b/cmd/cassiasaddle/settings.go
@@ -61,6 +61,10 @@
 				Flags: append(historyFlags(), vmFlags()...), Description: settingsHelp},
 			{Name: "rollback", Usage: "put an earlier revision in force again, as a new revision", Action: rollBackSettings,
 				Flags: append(append(rollbackFlags(), waitFlags()...), vmFlags()...), Description: settingsHelp},
+			{Name: "restore", Usage: "write what is in force back to a store that has lost accepted edits",
+				Action: restoreSettings, Flags: vmFlags(),
+				Description: "Needs the administrators' token. Use it after the platform's store was restored from an old copy,\n" +
+					"on a VM with the highest generation that status shows.\n\nExit codes: 0 done, 1 failed."},
 		},
 	}
 }
@@ -422,6 +426,17 @@
 	return err
 }
 
+func restoreSettings(ctx context.Context, c *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	reply, err := operatorClient(c).Restore(ctx)
+	if err != nil {
+		return exitError(err)
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "the store holds generation %d again\n", reply.Generation)
+	return err
+}
+
 func listHistory(ctx context.Context, c *cli.Command) error {
 	subtree, err := requiredSubtree(c)
 	if err != nil {
--- a/io/cassiatree/edit.go
+++ b/io/cassiatree/edit.go
@@ -44,6 +44,15 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
+// unread names why the stored tree could not be read.
+func unread(err error) error {
+	var behind *StoreBehindError
+	if errors.As(err, &behind) {
+		return behind
+	}
+	return &UnavailableError{err}
+}
+
 // OutcomeUnknownError tells that an edit may or may not have been accepted.
 type OutcomeUnknownError struct {
 	Subtree cassiasettings.Subtree
@@ -111,7 +120,7 @@
 func (s *Service) Plan(ctx context.Context, p cassiasettings.Proposal, token string) (string, error) {
 	now, err := s.readStored(ctx)
 	if err != nil {
-		return "", &UnavailableError{err}
+		return "", unread(err)
 	}
 	e := &editor{service: s, proposal: p, token: token}
 	accept, err := e.propose(ctx, now)
@@ -127,7 +136,8 @@
 func (e *editor) try(ctx context.Context) (Accepted, bool, error) {
 	now, err := e.service.readStored(ctx)
 	if err != nil {
-		return Accepted{}, false, err
+		var behind *StoreBehindError
+		return Accepted{}, errors.As(err, &behind), err
 	}
 	if err := e.authorize(now); err != nil {
 		return Accepted{}, true, err
@@ -302,6 +312,8 @@
 
 // readStored reads the whole tree that the store names.
 func (s *Service) readStored(ctx context.Context) (stored, error) {
+	// What is in force is read first: the store may move on while it is read, but not fall behind this.
+	inForce := s.highest()
 	entry, err := s.config.Store.Get(ctx, headKey)
 	if err != nil {
 		return stored{}, err
@@ -310,6 +322,9 @@
 	if err != nil {
 		return stored{}, err
 	}
+	if g := cassiaid.Generation(head.GetGeneration()); g < inForce {
+		return stored{}, &StoreBehindError{Stored: g, InForce: inForce}
+	}
 	edits := make(cassiasettings.Edits)
 	for _, h := range head.GetSubtrees() {
 		id := cassiasettings.EditID(h.GetEditId())
--- a/io/cassiatree/handler.go
+++ b/io/cassiatree/handler.go
@@ -38,6 +38,7 @@
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /v1/settings/inForce", handle(s.inForce))
+	mux.Handle("POST /v1/settings/restore", handle(s.restore))
 	mux.Handle("GET /v1/settings/{subtree}", handle(s.get))
 	mux.Handle("GET /v1/settings/{subtree}/history", handle(s.history))
 	mux.Handle("POST /v1/settings/{subtree}/plan", handle(s.plan))
@@ -108,6 +109,7 @@
 	var unknown *OutcomeUnknownError
 	var unavailable *UnavailableError
 	var used *EditIDUsedError
+	var behind *StoreBehindError
 	var store *cassiastore.Error
 	reply := &ErrorReply{Message: err.Error()}
 	switch {
@@ -115,6 +117,8 @@
 		return ready
 	case errors.As(err, &unknown):
 		reply.Kind, reply.Status = ErrorOutcomeUnknown, http.StatusGatewayTimeout
+	case errors.As(err, &behind):
+		reply.Kind, reply.Status = ErrorStoreBehind, http.StatusConflict
 	case errors.As(err, &unavailable):
 		reply.Kind, reply.Status = ErrorUnavailable, http.StatusServiceUnavailable
 	case errors.As(err, &invalid):
@@ -159,7 +163,7 @@
 	}
 	now, err := s.readStored(ctx)
 	if err != nil {
-		return Accepted{}, &UnavailableError{err}
+		return Accepted{}, unread(err)
 	}
 	if err := cassiasettings.Authorize(now.tree, s.config.AdminTokenSHA256, c.subtree, c.token); err != nil {
 		return Accepted{}, err
--- a/io/cassiatree/history.go
+++ b/io/cassiatree/history.go
@@ -58,7 +58,7 @@
 	known := edit != nil && (id == "" || string(id) == edit.GetEditId()) &&
 		(revision == 0 || uint64(revision) == edit.GetRevision())
 	if !known {
-		return EditReply{}, &UnavailableError{cause}
+		return EditReply{}, unread(cause)
 	}
 	reply := editReply(edit, s.Current(), true, true)
 	reply.StoreRead = false
@@ -114,7 +114,7 @@
 	limit = min(limit, maxHistoryEntries)
 	now, err := s.readStored(ctx)
 	if err != nil {
-		return HistoryReply{}, &UnavailableError{err}
+		return HistoryReply{}, unread(err)
 	}
 	var reply HistoryReply
 	_, err = s.findEdit(ctx, now.tree, c.subtree, 0, func(e *cassiaschema.SettingsEdit) bool {
--- a/io/cassiatree/operatorclient.go
+++ b/io/cassiatree/operatorclient.go
@@ -65,6 +65,11 @@
 	return request[InForceReply](ctx, c, http.MethodGet, "/v1/settings/inForce", query, nil)
 }
 
+// Restore asks the VM to write what is in force back to a store that has lost it.
+func (c *OperatorClient) Restore(ctx context.Context) (InForceReply, error) {
+	return request[InForceReply](ctx, c, http.MethodPost, "/v1/settings/restore", nil, none{})
+}
+
 func subtreePath(s cassiasettings.Subtree) string { return "/v1/settings/" + url.PathEscape(string(s)) }
 
 func request[Reply any](ctx context.Context, c *OperatorClient, method, path string, query url.Values, body any) (Reply, error) {
--- /dev/null
+++ b/io/cassiatree/restore.go
@@ -0,0 +1,84 @@
+package cassiatree
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiasettings"
+	"cassiasaddle/io/cassiastore"
+)
+
+// StoreBehindError tells that the store has lost accepted edits, as after it was restored from an old copy.
+type StoreBehindError struct {
+	Stored, InForce cassiaid.Generation
+}
+
+// Error says how to mend the store.
+func (e *StoreBehindError) Error() string {
+	return fmt.Sprintf("the store holds generation %d, but %d is in force: it has lost accepted edits; "+
+		"run settings restore to write what is in force back, then apply again", e.Stored, e.InForce)
+}
+
+// highest returns the highest generation that this VM knows to be in force anywhere.
+func (s *Service) highest() cassiaid.Generation {
+	highest := s.Generation()
+	for _, m := range s.config.Members.Live() {
+		highest = max(highest, m.Generation)
+	}
+	return highest
+}
+
+// restore writes the tree in force back to a store that has lost it.
+func (s *Service) restore(ctx context.Context, c call, _ none) (InForceReply, error) {
+	tree := s.Current()
+	if err := cassiasettings.Authorize(tree, s.config.AdminTokenSHA256, cassiasettings.RootSubtree, c.token); err != nil {
+		return InForceReply{}, err
+	}
+	entry, err := s.config.Store.Get(ctx, headKey)
+	if err != nil {
+		return InForceReply{}, &UnavailableError{err}
+	}
+	head, err := decodeHead(entry)
+	if err != nil {
+		return InForceReply{}, err
+	}
+	if cassiaid.Generation(head.GetGeneration()) >= tree.Generation() {
+		return InForceReply{}, badRequest("the store is not behind this VM; there is nothing to restore")
+	}
+	if s.highest() > tree.Generation() {
+		return InForceReply{}, badRequest("another VM has a higher generation in force; run restore on that one, see cassiasaddle status")
+	}
+	if err := s.writeBack(ctx, tree, entry.Revision); err != nil {
+		return InForceReply{}, err
+	}
+	return InForceReply{Generation: tree.Generation(), Members: s.membersInForce()}, nil
+}
+
+func (s *Service) writeBack(ctx context.Context, tree *cassiasettings.Tree, revision cassiastore.Revision) error {
+	for _, edit := range tree.Edits() {
+		content, err := proto.Marshal(edit)
+		if err != nil {
+			return eris.Wrap(err, "encode settings edit")
+		}
+		key := editKey(cassiasettings.Subtree(edit.GetSubtree()), cassiasettings.EditID(edit.GetEditId()))
+		_, err = s.config.Store.Put(ctx, key, content, 0)
+		var failed *cassiastore.Error
+		if err != nil && (!errors.As(err, &failed) || failed.Kind != cassiastore.Conflict) {
+			return &UnavailableError{err}
+		}
+	}
+	content, err := proto.Marshal(tree.Head())
+	if err != nil {
+		return eris.Wrap(err, "encode settings head")
+	}
+	if _, err := s.config.Store.Put(ctx, headKey, content, revision); err != nil {
+		return eris.Wrap(err, "the head was perhaps not written; run restore again")
+	}
+	s.count("restored")
+	return nil
+}
--- a/io/cassiatree/service_test.go
+++ b/io/cassiatree/service_test.go
@@ -157,6 +157,34 @@
 	}
 }
 
+// TestStoreThatLostEdits puts an old head back into the store and proves that no VM follows it, that no edit is built
+// on it, and that restore mends it.
+func TestStoreThatLostEdits(t *testing.T) {
+	f := newFleet(t)
+	vms := f.addMany(4, 2)
+	vms[0].setUp("kaffi")
+	old := f.platform.Get(headKey).Value
+	_, err := vms[0].apply(f.ctx, "kaffi", 0, teamText("kaffi", "0.2"))
+	f.c.Assert(err, qt.IsNil)
+	f.requireEverywhere(convergeLimit, vms, 2)
+	f.platform.Put(headKey, old)
+	f.eventually(convergeLimit, "seen by a watcher", func() bool { return vms[0].counter("settings_ignoredStoreBehind") > 0 })
+	_, err = vms[0].apply(f.ctx, "kaffi", 0, teamText("kaffi", "0.3"))
+	f.c.Assert(refusal(err).Kind, qt.Equals, ErrorStoreBehind, qt.Commentf("%v", err))
+	for _, v := range vms {
+		f.c.Assert(v.Generation(), qt.Equals, cassiaid.Generation(2))
+	}
+	_, err = vms[1].client("kaffi").Restore(f.ctx)
+	f.c.Assert(refusal(err).Kind, qt.Equals, ErrorForbidden)
+	_, err = vms[1].client(adminToken).Restore(f.ctx)
+	f.c.Assert(err, qt.IsNil)
+	_, err = vms[1].client(adminToken).Restore(f.ctx)
+	f.c.Assert(refusal(err).Kind, qt.Equals, ErrorBadRequest)
+	accepted, err := vms[0].apply(f.ctx, "kaffi", 1, teamText("kaffi", "0.3"))
+	f.c.Assert(err, qt.IsNil)
+	f.requireEverywhere(convergeLimit, vms, accepted.Generation)
+}
+
 // TestStoredNonsenseIsNeverInForce writes an invalid state to the store past the tier and proves that no VM takes it
 // and that the state in force stays.
 func TestStoredNonsenseIsNeverInForce(t *testing.T) {
--- a/io/cassiatree/wire.go
+++ b/io/cassiatree/wire.go
@@ -73,6 +73,7 @@
 	ErrorNotFound       ErrorKind = "notFound"
 	ErrorTooLarge       ErrorKind = "tooLarge"
 	ErrorUnavailable    ErrorKind = "unavailable"
+	ErrorStoreBehind    ErrorKind = "storeBehind"
 	ErrorOutcomeUnknown ErrorKind = "outcomeUnknown"
 	ErrorInternal       ErrorKind = "internal"
 )
