--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -18,6 +18,7 @@
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaroute"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiaclaimer"
 	"cassiasaddle/io/cassiahttp"
 	"cassiasaddle/io/cassiaowner"
 )
@@ -70,6 +71,7 @@
 	Owner      Owner
 	Fronts     Fronts
 	Quarantine Quarantine
+	Claimer    Claimer
 	Clock      cassiaplan.Clock
 	Logger     log.Logger
 	Scope      tally.Scope
@@ -86,9 +88,11 @@
 	runs  map[cassiaid.QueryID]*run
 	// questions is how many callers wait for an answer.
 	questions int
-	leaving   bool
-	quiet     chan struct{}
-	silence   silence
+	// lastQuestion is when the last caller asked.
+	lastQuestion time.Time
+	leaving      bool
+	quiet        chan struct{}
+	silence      silence
 }
 
 // New returns an entry that answers until Close.
@@ -134,11 +138,20 @@
 		return nil, refusal
 	}
 	defer e.exit()
-	r, finish := e.run(ctx, question, fingerprint)
+	if question.Front.Kind == cassiaschema.RequestKind_nonIdempotent {
+		return e.askOnce(ctx, question, fingerprint)
+	}
+	canary := e.wantsCanary(question, fingerprint)
+	return e.answer(ctx, question, fingerprint, canary, nil)
+}
+
+// answer runs a question and encodes its answer.
+func (e *Entry) answer(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, canary bool, grant *cassiaclaimer.Grant) ([]byte, *cassiaplan.Refusal) {
+	r, finish := e.run(ctx, question, fingerprint, canary, grant)
 	if finish.Refusal != nil {
 		return nil, finish.Refusal
 	}
-	if rows := finish.Answer.Rows; len(rows) > 0 {
+	if rows := finish.Answer.Rows; canary && len(rows) > 0 {
 		e.config.Quarantine.Answered(fingerprint, rows[0].Shard)
 	}
 	answer, err := cassiahttp.EncodeAnswer(question.RequestID, r.answeredFront(finish.Answer), finish.Answer)
@@ -151,17 +164,25 @@
 	return answer, nil
 }
 
+// wantsCanary tells whether one shard has to answer a question before the others are asked.
+func (e *Entry) wantsCanary(question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) bool {
+	if len(cassiaplan.ShardsFor(question.Front, question.ShardKey)) < 2 {
+		return false
+	}
+	return e.config.Quarantine.Canary(fingerprint, question.Front.Canary)
+}
+
 // run carries one planner from Begin to Finish.
-func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) (*run, *cassiaplan.Finish) {
+func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, canary bool, grant *cassiaclaimer.Grant) (*run, *cassiaplan.Finish) {
 	r := &run{
-		entry: e, id: cassiaid.QueryID(uuid.New()), question: question, fingerprint: fingerprint,
+		entry: e, id: cassiaid.QueryID(uuid.New()), question: question, fingerprint: fingerprint, grant: grant,
 		events: newMailbox[event](),
 		sent:   make(map[cassiaid.AttemptID]sentAttempt),
 		asked:  make(map[cassiaid.ShardIndex]bool),
 	}
 	request := cassiaplan.Request{
 		ID: r.id, Key: question.Key, Front: question.Front, ShardKey: question.ShardKey,
-		Deadline: question.Deadline, Canary: e.config.Quarantine.Canary(fingerprint, question.Front.Canary),
+		Deadline: question.Deadline, Canary: canary,
 	}
 	e.config.Routes.With(func(t *cassiaroute.Table) {
 		r.query = cassiaplan.NewQuery(request, t, e.config.Clock, randomSource{})
@@ -183,6 +204,7 @@
 func (e *Entry) enter() *cassiaplan.Refusal {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.lastQuestion = e.config.Clock.Now()
 	if e.leaving {
 		return &cassiaplan.Refusal{
 			Kind: cassiaplan.RefusalNotRun, Ran: cassiaplan.RanNo, RetryAfter: retryAfterLeaving,
@@ -247,6 +269,20 @@
 
 func (e *Entry) count(counter cassiaplan.Counter) { e.config.Scope.Counter(string(counter)).Inc(1) }
 
+// Leaving is true once Leave was called.
+func (e *Entry) Leaving() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.leaving
+}
+
+// LastQuestion returns when the last caller asked, answered or not.
+func (e *Entry) LastQuestion() time.Time {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.lastQuestion
+}
+
 // Leave refuses new questions and waits until those that run have ended or ctx is done.
 func (e *Entry) Leave(ctx context.Context) error {
 	e.mutex.Lock()
--- a/io/cassiaowner/quarantine.go
+++ b/io/cassiaowner/quarantine.go
@@ -85,18 +85,7 @@
 func (q *Quarantine) Canary(fingerprint cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.core.Canary(fingerprint, policyOf(policy))
-}
-
-func policyOf(policy cassiaschema.Canary) cassiaquarantine.CanaryPolicy {
-	switch policy {
-	case cassiaschema.Canary_afterLosses:
-		return cassiaquarantine.CanaryAfterLosses
-	case cassiaschema.Canary_never:
-		return cassiaquarantine.CanaryNever
-	default:
-		return cassiaquarantine.CanaryAlways
-	}
+	return q.core.Canary(fingerprint, policy)
 }
 
 // Answered notes that a request was answered by a shard.
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -1,6 +1,7 @@
 package cassiaserver
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -19,6 +20,7 @@
 	"cassiasaddle/core/cassiamember"
 	"cassiasaddle/core/cassiaroute"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiaclaimer"
 	"cassiasaddle/io/cassiaentry"
 	"cassiasaddle/io/cassiagossip"
 	"cassiasaddle/io/cassiahttp"
@@ -35,6 +37,10 @@
 	idleCallerTimeout = 2 * time.Minute
 	// leaveGrace is how long a stopping VM still takes batches, until the other VMs know that it leaves.
 	leaveGrace = time.Second
+	// quietTime without a caller's question tells that the balancer has taken the VM out; leaveLimit ends the wait.
+	quietTime  = 500 * time.Millisecond
+	leaveLimit = 10 * time.Second
+	quietCheck = 50 * time.Millisecond
 )
 
 // server is one running VM.
@@ -54,6 +60,7 @@
 	routes     *cassiaentry.Routes
 	quarantine *cassiaowner.Quarantine
 	owner      *cassiaowner.Owner
+	claimer    *cassiaclaimer.Claimer
 	entry      *cassiaentry.Entry
 	callers    *http.Server
 	operators  *http.Server
@@ -111,9 +118,13 @@
 		Store: s.store, Peers: settingsPeers{s.node}, Members: s.members, Clock: clock, Seed: rand.Uint64(),
 		Logger: s.logger, Scope: scope,
 	})
+	s.claimer = cassiaclaimer.NewClaimer(cassiaclaimer.Options{
+		Store: cassiaclaimer.PlatformStore{Client: s.store}, Peers: claimPeers{s}, Clock: clock, Metrics: scope, Logger: s.logger,
+	})
 	s.entry = cassiaentry.New(cassiaentry.Config{
 		Self: s.self, Routes: s.routes, Peers: s.node, Owner: s.owner, Fronts: fronts{s.tree}, Quarantine: s.quarantine,
-		Clock: clock, Logger: s.logger, Scope: scope,
+		Claimer: s.claimer,
+		Clock:   clock, Logger: s.logger, Scope: scope,
 	})
 	return s.buildHTTP()
 }
@@ -121,7 +132,9 @@
 func (s *server) gossipConfig() cassiagossip.Config {
 	return cassiagossip.Config{
 		Name: s.self, Region: cassiamember.Region(s.config.Region), Zone: s.zone,
-		PeerAddress: s.config.PeerAddress, GossipAddress: s.config.GossipAddress, ClusterKeyFile: s.config.ClusterKeyFile,
+		PeerAddress:   cmp.Or(s.config.AdvertisedPeerAddress, s.config.PeerAddress),
+		GossipAddress: s.config.GossipAddress, AdvertisedAddress: s.config.AdvertisedGossipAddress,
+		ClusterKeyFile: s.config.ClusterKeyFile,
 	}
 }
 
@@ -147,6 +160,7 @@
 	parts.Go(func() error { return s.followSettings(running) })
 	parts.Go(func() error { return s.watchLeavingTargets(running) })
 	parts.Go(func() error { return s.entry.WatchSilence(running) })
+	parts.Go(func() error { return s.claimer.Run(running) })
 	endpoints, err := s.listen(parts)
 	if err != nil {
 		stop()
@@ -210,6 +224,7 @@
 		if tree := s.tree.Current(); tree != nil {
 			s.gossip.SetSettingsGeneration(tree.Generation())
 			s.routes.Update(cassiaroute.SettingsChanged{Fronts: tree.Fronts()})
+			s.claimer.SetRetention(ctx, tree.Root().GetClaimRetention().AsDuration())
 		}
 		select {
 		case <-ctx.Done():
@@ -229,16 +244,30 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), s.options.stopTimeout)
 	defer cancel()
-	grace := time.After(leaveGrace)
 	left := s.entry.Leave(ctx)
-	select {
-	case <-grace:
-	case <-ctx.Done():
-	}
+	s.waitQuiet(ctx)
 	left = errors.Join(left, s.owner.Leave(ctx))
 	return errors.Join(left, s.callers.Shutdown(ctx), s.operators.Shutdown(ctx))
 }
 
+// waitQuiet keeps refusing callers until the balancer sends none any more, and keeps taking batches until the other VMs
+// know that this one leaves.
+func (s *server) waitQuiet(ctx context.Context) {
+	begun := time.Now()
+	ticker := time.NewTicker(quietCheck)
+	defer ticker.Stop()
+	for elapsed := time.Duration(0); elapsed < leaveLimit; elapsed = time.Since(begun) {
+		if elapsed >= leaveGrace && time.Since(s.entry.LastQuestion()) >= quietTime {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // close ends the parts that hold sockets and connections.
 func (s *server) close() error {
 	err := errors.Join(s.callers.Close(), s.operators.Close(), s.entry.Close(), s.owner.Close(), s.node.Close())
--- a/test/routing_test.go
+++ b/test/routing_test.go
@@ -1,8 +1,13 @@
 package test
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,12 +28,37 @@
 
 // load asks a front on all VMs in turn until it is stopped, and counts what the callers got.
 type load struct {
-	group                  errgroup.Group
-	stopped                atomic.Bool
+	group   errgroup.Group
+	stopped atomic.Bool
+	// endAtRefusal ends each caller at its first failed call.
+	endAtRefusal           atomic.Bool
 	next                   atomic.Int64
 	whole, partial, failed atomic.Int64
 	// lastFailure describes the last call that failed.
 	lastFailure atomic.Value
+	mutex       sync.Mutex
+	refusals    []string
+}
+
+// kinds returns the kind of each failed call: a refusal's kind and whether the request ran, "connect" or "broken".
+func (l *load) kinds() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.refusals
+}
+
+func (l *load) note(a answer, err error) {
+	kind := a.Kind + " " + a.Ran
+	var dial *net.OpError
+	switch {
+	case errors.As(err, &dial) && dial.Op == "dial":
+		kind = "connect"
+	case err != nil:
+		kind = "broken"
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.refusals = append(l.refusals, kind)
 }
 
 func (c *cluster) startLoad(front string, callers int) *load {
@@ -41,7 +71,11 @@
 				switch {
 				case err != nil || a.Status != http.StatusOK:
 					l.failed.Add(1)
+					l.note(a, err)
 					l.lastFailure.Store(fmt.Sprintf("call %d: %v %s %s", n, err, a.Kind, a.Message))
+					if l.endAtRefusal.Load() {
+						return nil
+					}
 				case a.Coverage.Answered < a.Coverage.Asked:
 					l.partial.Add(1)
 				default:
@@ -75,6 +109,17 @@
 	return found
 }
 
+// crashesUnder counts the targets that crashed while they ran a body.
+func (c *cluster) crashesUnder(body string) int {
+	crashes := 0
+	for _, e := range c.executions() {
+		if e.Outcome == cassiashard.OutcomeCrashed && e.BodyHash == cassiashard.BodyHash([]byte(body)) {
+			crashes++
+		}
+	}
+	return crashes
+}
+
 // startedAfter matches executions that began after a time.
 func startedAfter(at time.Time) func(cassiashard.Execution) bool {
 	return func(e cassiashard.Execution) bool { return e.Started() && e.StartedUnixMicros > at.UnixMicro() }
@@ -148,12 +193,7 @@
 			refused++
 		}
 	}
-	crashes := 0
-	for _, e := range cl.executions() {
-		if e.Outcome == cassiashard.OutcomeCrashed && e.BodyHash == cassiashard.BodyHash([]byte(`{"deadly":true}`)) {
-			crashes++
-		}
-	}
+	crashes := cl.crashesUnder(`{"deadly":true}`)
 	t.Logf("%d targets crashed, %d of 40 calls refused as quarantined", crashes, refused)
 	c.Check(crashes > 0 && crashes <= crashBound, qt.IsTrue)
 	c.Check(refused > 30, qt.IsTrue)
@@ -163,26 +203,79 @@
 	}
 }
 
-// TestDeadlyFanOut sends a request that crashes its targets to every shard, again and again, to VM after VM.
+// TestDeadlyFanOut sends a request that crashes its targets to every shard, again and again, to VM after VM, with and
+// without the canary that bounds the targets it can crash.
 func TestDeadlyFanOut(t *testing.T) {
-	c := qt.New(t)
-	zones := []string{"zone-a", "zone-b"}
-	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", 20, zones)},
-		behaviour: `{"crashMarker":"deadly","restartMs":300}`})
-	for n := range 20 {
-		c.Assert(cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"n":%d}`, n)).Status, qt.Equals, http.StatusOK)
+	for _, canary := range []cassiaschema.Canary{cassiaschema.Canary_always, cassiaschema.Canary_never} {
+		t.Run(canary.String(), func(t *testing.T) {
+			c := qt.New(t)
+			zones := []string{"zone-a", "zone-b"}
+			front := newFront("search", 20, zones)
+			front.Canary = canary
+			cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front},
+				behaviour: `{"crashMarker":"deadly","restartMs":300}`})
+			for n := range 20 {
+				checkWhole(c, cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"n":%d}`, n)), 20)
+			}
+			for n := range 40 {
+				a := cl.ask(cl.vms[n%len(cl.vms)], "search", `{"deadly":true}`)
+				c.Assert(a.Status == http.StatusOK, qt.IsFalse)
+			}
+			crashes := cl.crashesUnder(`{"deadly":true}`)
+			t.Logf("%d targets crashed", crashes)
+			c.Check(crashes > 0, qt.IsTrue)
+			c.Check(crashes <= crashBound, qt.Equals, canary == cassiaschema.Canary_always)
+			eventually(t, startTimeout, "a whole answer", func() bool {
+				a := cl.ask(cl.vms[0], "search", `{"innocent":true}`)
+				return a.Status == http.StatusOK && a.Coverage.Answered == 20
+			})
+		})
 	}
-	for n := range 40 {
-		a := cl.ask(cl.vms[n%len(cl.vms)], "search", `{"deadly":true}`)
-		if n < 5 {
-			t.Logf("%d %s %s", a.Status, a.Kind, a.Message)
+}
+
+// counter returns the sum of a counter over all VMs.
+func (c *cluster) counter(name string) float64 {
+	sum := 0.0
+	for _, v := range c.vms {
+		_, body := c.tryGet("http://" + v.operators + "/metrics")
+		for line := range strings.Lines(string(body)) {
+			metric, value, ok := strings.Cut(strings.TrimSpace(line), " ")
+			base, _, _ := strings.Cut(metric, "{")
+			if number, err := strconv.ParseFloat(value, 64); ok && err == nil && strings.HasSuffix(base, name) {
+				sum += number
+			}
 		}
 	}
-	crashes := 0
-	for _, e := range cl.executions() {
-		if e.Outcome == cassiashard.OutcomeCrashed && e.BodyHash == cassiashard.BodyHash([]byte(`{"deadly":true}`)) {
-			crashes++
-		}
+	return sum
+}
+
+// TestPeerMessagesOfAQuery counts the messages between VMs that queries to 76 shards in four zones cost.
+func TestPeerMessagesOfAQuery(t *testing.T) {
+	const (
+		shards = 76
+		// messageBound is the stated number of peer messages of a query each way.
+		messageBound = 12
+	)
+	c := qt.New(t)
+	zones := []string{"zone-a", "zone-b", "zone-c", "zone-d"}
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", shards, zones)}})
+	for n := range 40 {
+		checkWhole(c, cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"warm":%d}`, n)), shards)
+	}
+	names := []string{"batchesSent", "batchRepliesReceived", "hedge", "cancelsSent"}
+	before := map[string]float64{}
+	for _, name := range names {
+		before[name] = cl.counter(name)
+	}
+	l := cl.startLoad("search", 4)
+	l.stop(t, 400)
+	queries := float64(l.whole.Load() + l.partial.Load() + l.failed.Load())
+	each := map[string]float64{}
+	for _, name := range names {
+		each[name] = (cl.counter(name) - before[name]) / queries
 	}
-	t.Logf("%d targets crashed", crashes)
+	t.Logf("for each query: %v", each)
+	c.Check(each["batchesSent"]+each["cancelsSent"] <= messageBound, qt.IsTrue)
+	c.Check(each["batchRepliesReceived"] <= messageBound, qt.IsTrue)
+	c.Check(each["batchesSent"] > 0 && each["batchRepliesReceived"] > 0, qt.IsTrue)
 }
