Compress settings texts between VMs

Cause: every VM receives each edited text whole; large texts come near the budget of 2 KB a second. Change: a VM asks for compressed texts, the answer holds them gzipped; unpacking is bounded by the subtree's limit.

--- /dev/null
+++ b/io/cassiatree/compress_test.go
@@ -0,0 +1,39 @@
+package cassiatree
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/core/cassiasettings"
+)
+
+// TestTextsAreCompressedBetweenVMs proves that a state arrives as it was sent, in fewer bytes, and that a text that
+// would grow over the limit is refused.
+func TestTextsAreCompressedBetweenVMs(t *testing.T) {
+	c := qt.New(t)
+	var text strings.Builder
+	for i := range 500 {
+		fmt.Fprintf(&text, "- {name: t%d, address: \"10.0.%d.%d:80\", availabilityZone: zone0}\n", i, i/250, i%250)
+	}
+	edits := []*cassiaschema.SettingsEdit{
+		{Subtree: "kaffi", EditId: "1", Revision: 3, PreviousEditId: "0", Author: "a", UnixMillis: 5, Yaml: []byte(text.String())},
+		{Subtree: "te", EditId: "2", Revision: 1, Yaml: []byte("x")},
+	}
+	state := &cassiaschema.SettingsState{Head: &cassiaschema.SettingsHead{Generation: 4}, Edits: edits}
+	packed := packState(state)
+	t.Logf("%d bytes packed to %d", proto.Size(state), proto.Size(packed))
+	c.Assert(proto.Size(packed) < proto.Size(state)/2, qt.IsTrue)
+	c.Assert(unpackState(packed), qt.IsNil)
+	c.Assert(proto.Equal(packed, state), qt.IsTrue)
+
+	huge := &cassiaschema.SettingsEdit{Yaml: bytes.Repeat([]byte("x"), cassiasettings.MaxSubtreeBytes+1)}
+	c.Assert(unpackState(packState(&cassiaschema.SettingsState{Edits: []*cassiaschema.SettingsEdit{huge}})), qt.ErrorMatches, ".*over the limit.*")
+	broken := &cassiaschema.SettingsEdit{YamlGzip: []byte("no gzip")}
+	c.Assert(unpackState(&cassiaschema.SettingsState{Edits: []*cassiaschema.SettingsEdit{broken}}), qt.Not(qt.IsNil))
+}
--- a/io/cassiatree/peer.go
+++ b/io/cassiatree/peer.go
@@ -24,6 +24,7 @@
 func (s *Service) request(ctx context.Context, to cassiaid.VMName, r *cassiaschema.SettingsRequest) (*cassiaschema.SettingsState, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	r.AcceptGzip = true
 	frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_SettingsRequest{SettingsRequest: r}}
 	reply, err := s.config.Peers.Exchange(ctx, to, frame)
 	if err != nil {
@@ -33,7 +34,7 @@
 	if !ok {
 		return nil, eris.Errorf("VM %s answered with another frame; check that both run the same version", to)
 	}
-	return body.SettingsState, nil
+	return body.SettingsState, unpackState(body.SettingsState)
 }
 
 func (s *Service) push(ctx context.Context, e cassiasettings.PushDigest) error {
--- a/io/cassiatree/service.go
+++ b/io/cassiatree/service.go
@@ -149,6 +149,9 @@
 		}
 	case *cassiaschema.PeerFrame_SettingsRequest:
 		state := s.Current().Reply(body.SettingsRequest)
+		if body.SettingsRequest.GetAcceptGzip() {
+			state = packState(state)
+		}
 		return &cassiaschema.PeerFrame{ExchangeId: frame.GetExchangeId(),
 			Body: &cassiaschema.PeerFrame_SettingsState{SettingsState: state}}
 	}
