Measure queries through processes and open peer connections

Cause: docs/CAPACITY.md needs slopes per role. Change: BenchmarkQueryVMs, BenchmarkIdleVMs (test), BenchmarkOpenConnections (io/cassiapeer); clusters of the tests may have more than 255 addresses and a log level of their own.

--- /dev/null
+++ b/io/cassiapeer/idle_bench_test.go
@@ -0,0 +1,73 @@
+package cassiapeer_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// heldTime is the time over which open connections without traffic are measured.
+const heldTime = 5 * time.Second
+
+// BenchmarkOpenConnections reports the memory and the processor time, of both ends together, of connections that have
+// carried one frame. Run it with -benchtime 1x.
+func BenchmarkOpenConnections(b *testing.B) {
+	for _, peers := range []int{25, 50, 100, 200} {
+		b.Run(fmt.Sprintf("peers=%d", peers), func(b *testing.B) {
+			for range b.N {
+				measureOpen(b, peers)
+			}
+		})
+	}
+}
+
+func measureOpen(b *testing.B, peers int) {
+	m := newMesh(b)
+	entry := m.add("entry", nil)
+	var names []cassiaid.VMName
+	for i := range peers {
+		name := cassiaid.VMName(fmt.Sprintf("owner-%d", i))
+		m.add(name, answerBatch)
+		names = append(names, name)
+	}
+	memoryBefore, timeBefore := anonymousBytes(b), processorTime()
+	for _, name := range names {
+		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ShardBatch{ShardBatch: &cassiaschema.ShardBatch{}}}
+		if _, err := entry.Exchange(context.Background(), name, frame); err != nil {
+			b.Fatal(err)
+		}
+	}
+	opened := processorTime() - timeBefore
+	timeBefore = processorTime()
+	time.Sleep(heldTime)
+	held := processorTime() - timeBefore
+	b.ReportMetric(float64(anonymousBytes(b)-memoryBefore)/float64(peers), "B/connection")
+	b.ReportMetric(float64(opened.Microseconds())/float64(peers), "cpu-us/open")
+	b.ReportMetric(float64(held.Microseconds())/heldTime.Seconds()/float64(peers), "cpu-us/s/connection")
+}
+
+// anonymousBytes returns the memory of this process that no file backs.
+func anonymousBytes(b *testing.B) int64 {
+	content, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for line := range strings.Lines(string(content)) {
+		if fields := strings.Fields(line); fields[0] == "RssAnon:" {
+			kilobytes, err := strconv.ParseInt(fields[1], 10, 64)
+			if err != nil {
+				b.Fatal(err)
+			}
+			return kilobytes << 10
+		}
+	}
+	b.Fatal("no RssAnon in /proc/self/status")
+	return 0
+}
--- a/test/capacity_test.go
+++ b/test/capacity_test.go
@@ -7,11 +7,15 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaschema"
 )
 
 const (
@@ -38,7 +42,7 @@
 }
 
 func measureIdle(b *testing.B, vms int) {
-	l := layout{vmsPerZone: vms / capacityZones}
+	l := layout{vmsPerZone: vms / capacityZones, logLevel: "info"}
 	for i := range capacityZones {
 		l.zones = append(l.zones, fmt.Sprintf("zone-%d", i))
 	}
@@ -128,3 +132,60 @@
 	}
 	return sum
 }
+
+// BenchmarkQueryVMs reports the processor time that the VMs together spend on a query, control included, by the number of its shards.
+// Run it with -benchtime 1x.
+func BenchmarkQueryVMs(b *testing.B) {
+	for _, shards := range []int{1, 19, 38, 76} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			for range b.N {
+				measureQueries(b, shards)
+			}
+		})
+	}
+}
+
+const (
+	queryCallers  = 8
+	queriesEach   = 150
+	warmUpQueries = 50
+)
+
+func measureQueries(b *testing.B, shards int) {
+	zones := []string{"zone-0", "zone-1", "zone-2", "zone-3"}
+	c := startCluster(b, layout{zones: zones, vmsPerZone: 1, fronts: []*cassiaschema.Front{newFront("search", shards, zones)},
+		behaviour: `{"medianMs":1,"slots":64,"maxConnections":1000}`, logLevel: "info"})
+	c.askMany(b, warmUpQueries)
+	before, began := c.usage(), time.Now()
+	covered := c.askMany(b, queriesEach)
+	after, length := c.usage(), time.Since(began)
+	spent := float64(after.ticks-before.ticks) / clockTicksPerSecond * 1e6
+	queries := float64(queryCallers * queriesEach)
+	b.ReportMetric(spent/queries, "cpu-us/query")
+	b.ReportMetric(queries/length.Seconds(), "queries/s")
+	b.ReportMetric(covered/queries, "coverage")
+	b.ReportMetric(float64(after.anonymousKB)/float64(len(c.vms)), "anonymousKB/VM")
+	for _, v := range c.vms {
+		v.process.signal(syscall.SIGKILL)
+	}
+}
+
+// askMany lets several callers ask one after the other, and returns the sum of the answers' coverage.
+func (c *cluster) askMany(b *testing.B, each int) float64 {
+	var group errgroup.Group
+	var covered atomic.Int64
+	for i := range queryCallers {
+		group.Go(func() error {
+			for q := range each {
+				a, err := tryAsk(c.vms[i%len(c.vms)], "search", fmt.Sprintf(`{"q":"%d-%d"}`, i, q))
+				if err != nil {
+					return err
+				}
+				covered.Add(int64(1000 * a.Coverage.Fraction))
+			}
+			return nil
+		})
+	}
+	qt.Assert(b, group.Wait(), qt.IsNil)
+	return float64(covered.Load()) / 1000
+}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -31,6 +32,8 @@
 	// settingsBound is the stated time in which accepted settings are in force on every VM.
 	settingsBound = 5 * time.Second
 	callTimeout   = 10 * time.Second
+	// hostsPerBlock is the number of loopback hosts that share their first three numbers.
+	hostsPerBlock = 250
 )
 
 // layout describes a cluster to start.
@@ -40,6 +43,8 @@
 	fronts     []*cassiaschema.Front
 	// behaviour is a JSON object that changes the targets' default behaviour.
 	behaviour string
+	// logLevel is debug when empty.
+	logLevel string
 	// relayed puts a relay in front of each VM's peer and gossip addresses and of the platform for each zone.
 	relayed bool
 }
@@ -97,7 +102,8 @@
 // address returns a free address on the next loopback host of this cluster.
 func (c *cluster) address() string {
 	c.host++
-	return freeAddress(c.t, fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, clusters%250, c.host))
+	block := clusters + c.host/hostsPerBlock*100
+	return freeAddress(c.t, fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, block%250, c.host%hostsPerBlock+1))
 }
 
 func (c *cluster) startStandins() {
@@ -179,10 +185,10 @@
   authority: %s
 advertisedPeerAddress: %s
 advertisedGossipAddress: %s
-logLevel: debug
+logLevel: %s
 `, v.name, v.zone, v.callers, v.operators, v.peer, v.gossip, c.platformFor(v.zone), hash(adminToken),
 		filepath.Join(c.dir, "cluster.key"), filepath.Join(c.dir, v.name+".pem"), filepath.Join(c.dir, v.name+"-key.pem"),
-		filepath.Join(c.dir, "authority.pem"), v.peerRelay, v.gossipRelay))
+		filepath.Join(c.dir, "authority.pem"), v.peerRelay, v.gossipRelay, cmp.Or(c.layout.logLevel, "debug")))
 	v.process = start(c.t, "cassiasaddle", "serve", "--config", v.config)
 	eventually(c.t, startTimeout, v.name+" is live", func() bool {
 		status, _ := c.tryGet("http://" + v.operators + "/livez")
