Count refusals for load and attempts given up against a target; test shed, cold start and stragglers by processes

Change: a shedding target looks dearer; given-up attempts are samples; 32 attempts are remembered; a hedge waits at most three medians; a slow target is tried again every 5 s. Conclusion: the retry budget no longer has to carry a shedding half.

--- a/core/cassiaroute/evidence.go
+++ b/core/cassiaroute/evidence.go
@@ -13,12 +13,12 @@
 	// slowMargin keeps fast fronts from ejecting targets over differences that no caller notices.
 	slowMargin = 10 * time.Millisecond
 	// slowSamples is how many results a target needs before it can be called slow.
-	slowSamples = 16
+	slowSamples = 8
 	// peersEvery is how many results pass before the peers' latency is computed again.
-	peersEvery = 256
+	peersEvery = 64
 	// trickleBase is how often a small cluster sends one attempt to a target in doubt; the interval grows with
 	// the members so that a large cluster sends no more.
-	trickleBase    = time.Second
+	trickleBase    = 5 * time.Second
 	trickleMembers = 8
 )
 
@@ -33,6 +33,7 @@
 		return nil
 	}
 	s.learn(r.GetHeldSnapshots(), r.GetShardMapEpoch())
+	s.note(now, r.GetOutcome() == cassiaschema.ShardOutcome_overloaded)
 	t.observe(m, s)
 	if r.GetDraining() || r.GetOutcome() == cassiaschema.ShardOutcome_draining {
 		return t.markLeaving(now, TargetLeaving{Target: s.name, Source: SourceReply})
@@ -84,7 +85,7 @@
 		s.failures = 0
 	}
 	if t.isSlow(m.Front, s) {
-		return t.eject(now, s, EjectSlow, ejectBase)
+		return t.eject(now, s, EjectSlow, slowBase)
 	}
 	return nil
 }
@@ -94,8 +95,8 @@
 	if f == nil {
 		return false
 	}
-	if f.peersCountup--; f.peersCountup <= 0 {
-		f.peersCountup = peersEvery
+	if f.peersDue--; f.peersDue <= 0 {
+		f.peersDue = peersEvery
 		f.peers = f.medianOfTargets(t.targets)
 	}
 	return f.peers > 0 && s.latency.Samples() >= slowSamples && s.typical > slowFactor*f.peers+slowMargin
--- a/core/cassiaroute/front.go
+++ b/core/cassiaroute/front.go
@@ -15,6 +15,9 @@
 	unknownHedgeParts = 4
 	// hedgeFloor keeps fast fronts from hedging on the jitter of links.
 	hedgeFloor = 2 * time.Millisecond
+	// hedgeMedians is how many times the median an attempt may take before a hedge though more than the budget's share
+	// of the attempts takes longer; the budget then decides which of them get one.
+	hedgeMedians = 3
 	// hedgeSamples is how many shard results the estimate needs.
 	hedgeSamples = 32
 	// frontWindow is the number of shard results that the front's latency remembers.
@@ -36,8 +39,8 @@
 	// hedgeAt caches the wait before a hedge.
 	hedgeAt time.Duration
 	// peers is the median of the targets' medians, computed again after peersEvery results.
-	peers        time.Duration
-	peersCountup int
+	peers    time.Duration
+	peersDue int
 }
 
 func newFront(settings *cassiaschema.Front, before *front) *front {
@@ -73,7 +76,8 @@
 	f.hedgeAt = 0
 }
 
-// hedgeAfter returns the latency that the budget's share of attempts exceeds, between a floor and half of the deadline.
+// hedgeAfter returns the latency that the budget's share of attempts exceeds, but not so much that a straggling part of
+// the targets sets it; between a floor and half of the deadline.
 func (f *front) hedgeAfter() time.Duration {
 	if f.hedgeAt != 0 {
 		return f.hedgeAt
@@ -83,7 +87,8 @@
 		return deadline / unknownHedgeParts
 	}
 	share := min(0.99, max(0.5, 1-f.hedgeRatio))
-	f.hedgeAt = min(deadline/2, max(hedgeFloor, f.latency.Quantile(share)))
+	usual := hedgeMedians*f.latency.Quantile(0.5) + hedgeFloor
+	f.hedgeAt = min(deadline/2, max(hedgeFloor, min(usual, f.latency.Quantile(share))))
 	return f.hedgeAt
 }
 
--- a/core/cassiaroute/message.go
+++ b/core/cassiaroute/message.go
@@ -60,7 +60,11 @@
 }
 
 // AttemptEnded tells that an attempt is answered, refused or given up.
-type AttemptEnded struct{ Target cassiaid.TargetName }
+type AttemptEnded struct {
+	Target cassiaid.TargetName
+	// GaveUpAfter is how long this VM waited for an attempt that it gave up; zero for one with an outcome.
+	GaveUpAfter time.Duration
+}
 
 func (MembersChanged) isMessage()   {}
 func (SettingsChanged) isMessage()  {}
--- a/core/cassiaroute/table.go
+++ b/core/cassiaroute/table.go
@@ -67,9 +67,7 @@
 	case AttemptSent:
 		t.countSent(now, m)
 	case AttemptEnded:
-		if s := t.targets[m.Target]; s != nil && s.load > 0 {
-			s.load--
-		}
+		t.endAttempt(m)
 	}
 	return nil
 }
@@ -91,11 +89,12 @@
 	if s == nil {
 		return cassiaplan.TargetView{Usable: true}
 	}
+	now := t.clock.Now()
 	return cassiaplan.TargetView{
 		Held:    s.held,
 		Epoch:   s.epoch,
-		Usable:  s.usable(t.clock.Now()),
-		Typical: s.typical,
+		Usable:  s.usable(now),
+		Typical: s.expected(now, s.peers()),
 		Slow:    s.slow,
 		Load:    s.load,
 	}
@@ -202,6 +201,18 @@
 	}
 }
 
+// endAttempt takes one attempt off a target's load; one that was given up would have taken longer still.
+func (t *Table) endAttempt(m AttemptEnded) {
+	s := t.targets[m.Target]
+	if s == nil {
+		return
+	}
+	s.load = max(0, s.load-1)
+	if m.GaveUpAfter > s.typical && s.typical > 0 {
+		s.observe(m.GaveUpAfter)
+	}
+}
+
 func (t *Table) countSent(now time.Time, m AttemptSent) {
 	if f := t.fronts[m.Front]; f != nil && !m.Extra {
 		f.hedges.Earn(1, f.hedgeRatio)
--- a/core/cassiaroute/table_test.go
+++ b/core/cassiaroute/table_test.go
@@ -126,14 +126,14 @@
 		}
 		return holds
 	}
-	c.Assert(slow(), qt.DeepEquals, []time.Duration{ejectBase})
+	c.Assert(slow(), qt.DeepEquals, []time.Duration{slowBase})
 	c.Assert(b.usable("t0-0"), qt.IsFalse)
 	b.clock.Advance(trickleBase)
 	c.Assert(b.usable("t0-0"), qt.IsTrue, qt.Commentf("a trickle is due"))
 	b.Update(AttemptSent{Front: testKey, Target: "t0-0"})
 	c.Assert(b.usable("t0-0"), qt.IsFalse)
-	b.clock.Advance(ejectBase)
-	c.Assert(slow(), qt.DeepEquals, []time.Duration{2 * ejectBase})
+	b.clock.Advance(slowBase)
+	c.Assert(slow(), qt.DeepEquals, []time.Duration{2 * slowBase})
 }
 
 func TestFailingTargetIsEjected(t *testing.T) {
@@ -147,6 +147,49 @@
 	c.Assert(b.usable("t0-0"), qt.IsFalse)
 }
 
+// TestSheddingTargetLooksDearer refuses half of a target's work for load.
+func TestSheddingTargetLooksDearer(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4, 2)
+	shed := &cassiaschema.ShardResult{Target: "t0-0", Outcome: cassiaschema.ShardOutcome_overloaded}
+	for range 20 {
+		b.answer("t0-0", 5*time.Millisecond)
+		b.result(shed)
+		b.answer("t0-1", 5*time.Millisecond)
+	}
+	c.Assert(b.Target("t0-0").Typical > 5*b.Target("t0-1").Typical, qt.IsTrue)
+	b.clock.Advance(20 * shedHalfLife)
+	c.Assert(b.Target("t0-0").Typical < 2*b.Target("t0-1").Typical, qt.IsTrue)
+}
+
+// TestGivenUpAttemptsShowASlowTarget gives up what a target that was fast does not answer any more.
+func TestGivenUpAttemptsShowASlowTarget(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4, 2)
+	for range targetWindow {
+		b.answer("t0-0", 5*time.Millisecond)
+	}
+	for range targetWindow {
+		b.Update(AttemptSent{Front: testKey, Target: "t0-0"})
+		b.Update(AttemptEnded{Target: "t0-0", GaveUpAfter: 80 * time.Millisecond})
+	}
+	c.Assert(b.Target("t0-0").Typical > 50*time.Millisecond, qt.IsTrue)
+}
+
+// TestHedgeDoesNotWaitForStragglers has a tenth of the attempts straggle.
+func TestHedgeDoesNotWaitForStragglers(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4, 2)
+	for i := range 1000 {
+		took := 8 * time.Millisecond
+		if i%10 == 0 {
+			took = 150 * time.Millisecond
+		}
+		b.answer("t0-0", took)
+	}
+	c.Assert(b.HedgeAfter(testKey) < 40*time.Millisecond, qt.IsTrue)
+}
+
 // TestDoubtNeverEmptiesAShard reports random doubts about the replicas of one shard, everything but certain signs.
 func TestDoubtNeverEmptiesAShard(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/cassiaroute/target.go
+++ b/core/cassiaroute/target.go
@@ -1,6 +1,7 @@
 package cassiaroute
 
 import (
+	"math"
 	"time"
 
 	"cassiasaddle/core/cassiaid"
@@ -12,8 +13,9 @@
 	leavingHold = time.Minute
 	// unreachableHold is the first ejection after a refused connection.
 	unreachableHold = time.Second
-	// ejectBase is the first ejection for slowness or failures.
+	// ejectBase is the first ejection for failures, slowBase that for slowness.
 	ejectBase = 2 * time.Second
+	slowBase  = 20 * time.Second
 	ejectMax  = time.Minute
 	// ejectForget is how long a target must behave before its ejections start from the base again.
 	ejectForget = 2 * time.Minute
@@ -42,6 +44,9 @@
 
 	latency       Latency
 	typical, slow time.Duration
+	// shed is the recent share of attempts refused for load, as of shedAt.
+	shed   float64
+	shedAt time.Time
 
 	leavingUntil   time.Time
 	noticedUntil   time.Time
@@ -122,6 +127,14 @@
 	return true
 }
 
+// peers returns the usual latency of the target's front.
+func (t *target) peers() time.Duration {
+	if len(t.shards) == 0 {
+		return 0
+	}
+	return t.shards[0].front.peers
+}
+
 // eject takes the target out of use for a time that doubles with each ejection.
 func (t *target) eject(now time.Time, base, trickle time.Duration) time.Duration {
 	if !t.ejectedUntil.IsZero() && now.Sub(t.ejectedUntil) > ejectForget {
@@ -142,8 +155,45 @@
 	t.failures = 0
 }
 
+const (
+	// targetWindow is the number of attempts that a target's latency remembers; few, so that a change shows soon.
+	targetWindow = 32
+	// shedWeight is the weight of the newest attempt in the share refused for load, which halves in shedHalfLife.
+	shedWeight   = 0.2
+	shedHalfLife = 2 * time.Second
+	// shedCost is how many times dearer a target looks that refuses everything.
+	shedCost = 20
+)
+
+// note takes in whether an attempt was refused for load.
+func (t *target) note(now time.Time, refused bool) {
+	share := t.shedShare(now)
+	t.shed, t.shedAt = share*(1-shedWeight), now
+	if refused {
+		t.shed += shedWeight
+	}
+}
+
+func (t *target) shedShare(now time.Time) float64 {
+	if t.shed == 0 {
+		return 0
+	}
+	return t.shed * math.Exp2(-float64(now.Sub(t.shedAt))/float64(shedHalfLife))
+}
+
+// expected returns the latency to expect of the next attempt, beside that of the target's peers: longer for a target that
+// refuses work for load, and no longer than usual for a slow one that is due for an attempt which shows whether it still is.
+func (t *target) expected(now time.Time, peers time.Duration) time.Duration {
+	typical := t.typical
+	if peers > 0 && typical > peers && !now.Before(t.trickleAt) {
+		typical = peers
+	}
+	return time.Duration(float64(typical) * (1 + shedCost*t.shedShare(now)))
+}
+
 // observe adds the duration of one attempt.
 func (t *target) observe(d time.Duration) {
+	t.latency.window = targetWindow
 	t.latency.Observe(d)
 	t.typical = t.latency.Quantile(0.5)
 	t.slow = t.latency.Quantile(0.95)
--- a/io/cassiaentry/run.go
+++ b/io/cassiaentry/run.go
@@ -89,7 +89,7 @@
 	case cassiaplan.Results:
 		r.noteResults(m)
 	case cassiaplan.OwnerLost:
-		r.noteEnded(m.Attempts)
+		r.noteEnded(m.Attempts, false)
 	}
 	var effects []cassiaplan.Effect
 	r.entry.config.Routes.With(func(*cassiaroute.Table) { effects = r.query.Update(m) })
@@ -105,7 +105,7 @@
 	case cassiaplan.AskKnowledge:
 		r.askKnowledge(e)
 	case cassiaplan.Cancel:
-		r.noteEnded(e.Attempts)
+		r.noteEnded(e.Attempts, true)
 		r.entry.cancel(r.id, e)
 	case cassiaplan.SetTimer:
 		r.timer.Reset(e.At.Sub(r.entry.config.Clock.Now()))
@@ -134,13 +134,18 @@
 	r.entry.config.Routes.Update(updates...)
 }
 
-// noteEnded tells the routing table that attempts are no longer in flight.
-func (r *run) noteEnded(ids []cassiaid.AttemptID) {
+// noteEnded tells the routing table that attempts are no longer in flight; gaveUp is true when their targets were too slow.
+func (r *run) noteEnded(ids []cassiaid.AttemptID, gaveUp bool) {
+	now := r.entry.config.Clock.Now()
 	var updates []cassiaroute.Message
 	for _, id := range ids {
 		if sent, ok := r.sent[id]; ok {
 			delete(r.sent, id)
-			updates = append(updates, cassiaroute.AttemptEnded{Target: sent.target})
+			ended := cassiaroute.AttemptEnded{Target: sent.target}
+			if gaveUp {
+				ended.GaveUpAfter = now.Sub(sent.at)
+			}
+			updates = append(updates, ended)
 		}
 	}
 	r.entry.config.Routes.Update(updates...)
@@ -151,7 +156,7 @@
 	for id := range r.sent {
 		ids = append(ids, id)
 	}
-	r.noteEnded(ids)
+	r.noteEnded(ids, true)
 }
 
 // sendBatch sends one message to an owner and notes its attempts as in flight.
--- a/test/routing_test.go
+++ b/test/routing_test.go
@@ -279,3 +279,82 @@
 	c.Check(each["batchRepliesReceived"] <= messageBound, qt.IsTrue)
 	c.Check(each["batchesSent"] > 0 && each["batchRepliesReceived"] > 0, qt.IsTrue)
 }
+
+// TestSheddingTargetsCostNoCoverage has one replica of each shard refuse most of its work for load.
+func TestSheddingTargetsCostNoCoverage(t *testing.T) {
+	c := qt.New(t)
+	// extraBound is the stated extra load on targets with stragglers.
+	const extraBound, shards = 0.10, 8
+	zones := []string{"zone-a", "zone-b"}
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", shards, zones)}})
+	for n := range 20 {
+		checkWhole(c, cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"warm":%d}`, n)), shards)
+	}
+	for _, s := range cl.layout.fronts[0].Shards {
+		cl.behave(s.Targets[0].Name, `{"slots":1,"backgroundLoad":0.9,"shedAbove":1}`)
+	}
+	before := len(cl.executions())
+	l := cl.startLoad("search", 4)
+	l.stop(t, 600)
+	queries := l.whole.Load() + l.partial.Load() + l.failed.Load()
+	asked := float64(queries * shards)
+	extra := (float64(len(cl.executions())-before) - asked) / asked
+	t.Logf("extra load %.3f", extra)
+	c.Check(l.failed.Load(), qt.Equals, int64(0))
+	c.Check(float64(l.partial.Load()) <= 0.01*float64(queries), qt.IsTrue)
+	c.Check(extra <= extraBound, qt.IsTrue)
+}
+
+// TestColdTargetComesBack takes a target down, starts it again cold, and requires that no answer lacks its shard and
+// that it gets work again.
+func TestColdTargetComesBack(t *testing.T) {
+	c := qt.New(t)
+	zones := []string{"zone-a", "zone-b"}
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", 8, zones)}})
+	target := cl.layout.fronts[0].Shards[0].Targets[0].Name
+	l := cl.startLoad("search", 4)
+	eventually(t, startTimeout, "the target works", func() bool { return len(cl.runsOf(target, startedAfter(time.Time{}))) > 10 })
+	cl.behave(target, `{"lost":true,"coldMs":1000}`)
+	down := time.Now()
+	eventually(t, startTimeout, "a second without the target", func() bool { return time.Since(down) > time.Second })
+	cl.behave(target, `{"lost":false}`)
+	up := time.Now()
+	eventually(t, startTimeout, "the target works again", func() bool { return len(cl.runsOf(target, startedAfter(up))) > 50 })
+	t.Logf("works again after %v", time.Since(up))
+	l.stop(t, 100)
+	c.Check(l.partial.Load()+l.failed.Load(), qt.Equals, int64(0))
+}
+
+// TestStragglerIsEjectedButNotTheLastReplica makes one replica of a shard far slower than its peers, then all of them.
+func TestStragglerIsEjectedButNotTheLastReplica(t *testing.T) {
+	c := qt.New(t)
+	zones := []string{"zone-a", "zone-b"}
+	front := newFront("search", 8, zones)
+	front.Preference = cassiaschema.Preference_preferCoverage
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front}})
+	shard := front.Shards[0]
+	runs := func(since time.Time) (slow, all int) {
+		for _, e := range cl.executions() {
+			if e.Shard == shard.Name && e.ArrivedUnixMicros > since.UnixMicro() {
+				all++
+				if e.Target == shard.Targets[0].Name {
+					slow++
+				}
+			}
+		}
+		return slow, all
+	}
+	l := cl.startLoad("search", 4)
+	begun := time.Now()
+	cl.behave(shard.Targets[0].Name, `{"stragglerFactor":40}`)
+	eventually(t, startTimeout, "the slow replica gets little work", func() bool {
+		since := time.Now()
+		eventually(t, startTimeout, "100 answers", func() bool { _, all := runs(since); return all > 100 })
+		slow, all := runs(since)
+		return slow*10 < all
+	})
+	t.Logf("after %v and %d answers", time.Since(begun), l.whole.Load())
+	cl.behave(shard.Targets[1].Name, `{"stragglerFactor":40}`)
+	l.stop(t, 30)
+	c.Check(l.partial.Load()+l.failed.Load(), qt.Equals, int64(0))
+}
