--- a/core/cassiaclaim/key.go
+++ b/core/cassiaclaim/key.go
@@ -12,10 +12,10 @@
 
 // Layout of the buckets. All VMs have to agree on it, so it is not a setting.
 const (
-	bucketHashes = 8
-	windowLength = 2 * time.Second
+	bucketHashes = 4
+	windowLength = time.Second
 	// ringSlots windows fit into the ring before a bucket is reused: 17 minutes.
-	ringSlots = 512
+	ringSlots = 1024
 )
 
 // Bounds on the time of a key.
@@ -51,8 +51,8 @@
 // window numbers the span of time that a key's time lies in.
 func (k Key) window() int64 { return k.Time.UnixMilli() / windowLength.Milliseconds() }
 
-// bucket returns the bucket that holds the key's claim.
-func (k Key) bucket() BucketID {
+// Bucket returns the bucket that holds the key's claim.
+func (k Key) Bucket() BucketID {
 	slot := (k.window()%ringSlots + ringSlots) % ringSlots
 	return BucketID{Hash: uint32(xxhash.Sum64String(k.Scoped) % bucketHashes), Slot: uint32(slot)}
 }
