Refuse line breaks that the YAML decoder miscounts; a fault of the decoder stops no VM

Cause: the fuzz test of the parser found that a lone carriage return makes protoyaml panic, as it splits the text at LF only while YAML ends lines at CR, NEL, LS and PS too. Such a text in the store would have stopped every VM. Change: these are refused with their line, and decoding recovers from a fault into a syntax problem.

--- a/core/cassiasettings/parse.go
+++ b/core/cassiasettings/parse.go
@@ -89,6 +89,17 @@
 	if problems := checkDocument(t); len(problems) > 0 {
 		return invalid(problems)
 	}
+	return decodeText(t, m)
+}
+
+// decodeText decodes and validates; a fault of the decoder on a strange text must not stop a VM.
+func decodeText(t Text, m proto.Message) (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = invalid([]Problem{{Kind: ProblemSyntax, File: t.File, Detail: fmt.Sprintf("the text cannot be decoded: %v", fault),
+				Remedy: "write plain YAML as in the examples"}})
+		}
+	}()
 	options := protoyaml.UnmarshalOptions{Path: t.File, Validator: validator{}}
 	if err := options.Unmarshal(t.YAML, m); err != nil {
 		return invalid(decodeProblems(t.File, err))
@@ -104,6 +115,10 @@
 
 // checkDocument refuses what the decoder would pass over in silence: further documents and repeated fields.
 func checkDocument(t Text) []Problem {
+	if at := oddLineBreak.FindIndex(t.YAML); at != nil {
+		return []Problem{{Kind: ProblemSyntax, File: t.File, Line: 1 + bytes.Count(t.YAML[:at[0]], []byte("\n")),
+			Detail: "the line break is neither LF nor CRLF", Remedy: "save the file with LF line breaks"}}
+	}
 	decoder := yaml.NewDecoder(bytes.NewReader(t.YAML))
 	var first, second yaml.Node
 	if err := decoder.Decode(&first); errors.Is(err, io.EOF) {
@@ -156,7 +171,9 @@
 var (
 	placedError = regexp.MustCompile(`^(.*):(\d+):(\d+) (.*)$`)
 	yamlError   = regexp.MustCompile(`^yaml: line (\d+): (.*)$`)
-	ruleError   = regexp.MustCompile(`^([\w.\[\]"-]+): (.*) \([\w.]+\)$`)
+	// oddLineBreak finds what YAML takes for a line break and the decoder's count of lines does not.
+	oddLineBreak = regexp.MustCompile("\r(?:[^\n]|$)|[\u0085\u2028\u2029]")
+	ruleError    = regexp.MustCompile(`^([\w.\[\]"-]+): (.*) \([\w.]+\)$`)
 )
 
 func syntaxProblem(file string, err error) Problem {
--- a/core/cassiasettings/parse_test.go
+++ b/core/cassiasettings/parse_test.go
@@ -44,6 +44,8 @@
 		{"alias", "team: &a kaffi\nfronts: *a\n", ProblemSyntax, 2, "aliases"},
 		{"oversized", goodTeam + "#" + strings.Repeat("x", MaxSubtreeBytes), ProblemTooLarge, 0, "over the limit"},
 		{"nested", "team: " + strings.Repeat("[", 100) + strings.Repeat("]", 100), ProblemSyntax, 1, "deeply"},
+		{"lone carriage return", "\r0", ProblemSyntax, 1, "line break"},
+		{"line separator", goodTeam + "#\u2028\n", ProblemSyntax, 10, "line break"},
 		{"address", replaced("10.0.0.1:80", "db.example:80"), ProblemAddress, 8, "db.example"},
 		{"target twice", replaced("name: t1", "name: t0"), ProblemDuplicate, 9, "t0"},
 		{"front twice", goodTeam + goodTeam[strings.Index(goodTeam, "  - name: leit"):], ProblemDuplicate, 10, "leit"},
@@ -51,6 +53,8 @@
 	}
 	_, err := ParseTeam(Text{"kaffi.yaml", []byte(goodTeam)})
 	qt.Assert(t, err, qt.IsNil)
+	_, err = ParseTeam(Text{"kaffi.yaml", []byte(strings.ReplaceAll(goodTeam, "\n", "\r\n"))})
+	qt.Assert(t, err, qt.IsNil)
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -110,6 +114,7 @@
 
 func FuzzParseTeam(f *testing.F) {
 	f.Add([]byte(goodTeam))
+	f.Add([]byte("\r0"))
 	f.Add([]byte("? - &a [*a]\n: !!binary x"))
 	f.Fuzz(func(_ *testing.T, yaml []byte) {
 		_, _ = ParseTeam(Text{"fuzz.yaml", yaml})
