--- a/core/cassiamember/membership_test.go
+++ b/core/cassiamember/membership_test.go
@@ -225,3 +225,34 @@
 	}
 	return 0
 }
+
+// TestCutStaysWithoutRevival checks that it is the probing of dead members that heals a cut.
+func TestCutStaysWithoutRevival(t *testing.T) {
+	n := newNetwork(9, Tuning{ReviveInterval: 24 * time.Hour})
+	n.addAll(8, 2)
+	assertAgree(t, n, n.vms, "start")
+	n.cut = func(from, to *vm) bool { return from.index%2 != to.index%2 }
+	n.run(time.Minute)
+	n.cut = nil
+	_, ok := n.runUntil(settle, func() bool { return agree(n.vms) })
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// TestLossWithoutIndirectProbes checks that indirect probes are what keeps lost packets from raising suspicions.
+func TestLossWithoutIndirectProbes(t *testing.T) {
+	suspicions := func(tuning Tuning) int {
+		n := newNetwork(10, tuning)
+		n.addAll(16, 2)
+		assertAgree(t, n, n.vms, "start")
+		n.loss = 0.05
+		n.run(5 * time.Minute)
+		sum := 0
+		for _, v := range n.vms {
+			sum += v.counts[CountSuspected]
+		}
+		return sum
+	}
+	with, without := suspicions(Tuning{}), suspicions(Tuning{AckTimeout: time.Hour})
+	t.Logf("suspicions with indirect probes %d, without %d", with, without)
+	qt.Assert(t, with < without/10, qt.IsTrue)
+}
--- a/test/capacity_test.go
+++ b/test/capacity_test.go
@@ -35,18 +35,30 @@
 	for _, vms := range []int{4, 8, 16, 32, 64} {
 		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
 			for range b.N {
-				measureIdle(b, vms)
+				measureIdle(b, vms, 8)
 			}
 		})
 	}
 }
 
-func measureIdle(b *testing.B, vms int) {
+// BenchmarkIdleTargets is as BenchmarkIdleVMs, by the number of shards, each of which has two targets; more VMs of a zone
+// own fewer targets each and know as many.
+func BenchmarkIdleTargets(b *testing.B) {
+	for _, size := range []struct{ vms, shards int }{{4, 8}, {4, 100}, {4, 400}, {16, 400}, {32, 400}} {
+		b.Run(fmt.Sprintf("vms=%d/shards=%d", size.vms, size.shards), func(b *testing.B) {
+			for range b.N {
+				measureIdle(b, size.vms, size.shards)
+			}
+		})
+	}
+}
+
+func measureIdle(b *testing.B, vms, shards int) {
 	l := layout{vmsPerZone: vms / capacityZones, logLevel: "info"}
 	for i := range capacityZones {
 		l.zones = append(l.zones, fmt.Sprintf("zone-%d", i))
 	}
-	l.fronts = append(l.fronts, newFront("search", 8, l.zones))
+	l.fronts = append(l.fronts, newFront("search", shards, l.zones))
 	c := startCluster(b, l)
 	time.Sleep(settleTime)
 	before, callsBefore := c.usage(), c.platformCalls()
