Leave the budget of one packet to the comparison of views

Cause: when many updates wait they took all of the budget, and a VM that lagged got no answer to its digests.

--- a/core/cassiamember/packet.go
+++ b/core/cassiamember/packet.go
@@ -12,8 +12,8 @@
 // PacketOverhead is the number of bytes around an encoded packet: IP and UDP headers, format byte, nonce and seal.
 const PacketOverhead = 28 + 1 + 24 + 16
 
-// send completes a packet, attaches news where the budget allows, and sends it. The record is that of the receiver,
-// nil when it is not known.
+// send completes a packet, attaches news where the budget allows, and sends it; news leaves the budget of one packet to
+// the comparison of views. The record is that of the receiver, nil when it is not known.
 func (m *Membership) send(to Address, p *cassiaschema.GossipPacket, receiver *record) {
 	p.From = string(m.self.Name)
 	p.SettingsGeneration = uint64(m.self.SettingsGeneration)
@@ -29,7 +29,7 @@
 		p.Updates = append(p.Updates, m.self.brief())
 	}
 	size := proto.Size(p) + PacketOverhead
-	room := min(m.tuning.MaxPacketBytes, m.budget.left()) - size
+	room := min(m.tuning.MaxPacketBytes, m.budget.left()-m.tuning.MaxPacketBytes) - size
 	filled := m.rumours.fill(p, room, m.tuning.retransmits(m.size(), len(m.rumours.queue)))
 	m.budget.spend(size + filled + m.remind(p, room-filled))
 	m.emit(SendPacket{To: to, Packet: p})
