--- a/core/cassialimit/adaptive.go
+++ b/core/cassialimit/adaptive.go
@@ -62,6 +62,8 @@
 		a.answered(now, busy, alone, bound)
 	case cassiaschema.ShardOutcome_overloaded:
 		a.shed(now)
+	case cassiaschema.ShardOutcome_unreachable:
+		a.reset()
 	case cassiaschema.ShardOutcome_timedOut:
 		a.estimate.observeAtLeast(now, m.Elapsed)
 		a.shrink(now, latencyDecrease)
--- a/core/cassialimit/limiter_test.go
+++ b/core/cassialimit/limiter_test.go
@@ -34,6 +34,73 @@
 	c.Assert(only(l.Update(done)), qt.DeepEquals, []Effect{Start{ID: 2}})
 }
 
+func TestLimiterMessages(t *testing.T) {
+	const second = time.Second
+	answered := cassiaschema.ShardOutcome_answered
+	tests := []struct {
+		name     string
+		messages func(clock clockwork.Clock) []Message
+		want     []Effect
+	}{
+		{"priority, then deadline", func(k clockwork.Clock) []Message {
+			urgent := offerAt(k, 4, 3*second)
+			urgent.Priority = cassiaschema.Priority_urgent
+			return []Message{offerAt(k, 1, second), offerAt(k, 2, 2*second), offerAt(k, 3, second), urgent,
+				Done{ID: 1, Outcome: cassiaschema.ShardOutcome_failed}, Done{ID: 4, Outcome: cassiaschema.ShardOutcome_failed}}
+		}, []Effect{Start{ID: 1}, Start{ID: 4}, Start{ID: 3}}},
+		{"draining refuses all that wait and come", func(k clockwork.Clock) []Message {
+			return []Message{offerAt(k, 1, second), offerAt(k, 2, second), Drain{}, offerAt(k, 3, second), Undrain{}, offerAt(k, 4, second),
+				Done{ID: 1, Outcome: answered, Elapsed: time.Millisecond}}
+		}, []Effect{Start{ID: 1}, Refuse{ID: 2, Reason: ReasonDraining}, Refuse{ID: 3, Reason: ReasonDraining}, Start{ID: 4}}},
+		{"a lost target refuses what waits", func(k clockwork.Clock) []Message {
+			return []Message{offerAt(k, 1, second), offerAt(k, 2, second), Lost{}}
+		}, []Effect{Start{ID: 1}, Refuse{ID: 2, Reason: ReasonLost}}},
+		{"cancel stops or refuses", func(k clockwork.Clock) []Message {
+			return []Message{offerAt(k, 1, second), offerAt(k, 2, second), Cancel{ID: 2}, Cancel{ID: 1}, Cancel{ID: 9}}
+		}, []Effect{Start{ID: 1}, Refuse{ID: 2, Reason: ReasonCancelled}, Stop{ID: 1}}},
+		{"a deadline that is over, and one too near for the queue", func(k clockwork.Clock) []Message {
+			return []Message{offerAt(k, 1, second), Done{ID: 1, Outcome: answered, Elapsed: second}, offerAt(k, 2, 0),
+				offerAt(k, 3, 5*second), offerAt(k, 4, 5*second), offerAt(k, 5, 1500*time.Millisecond)}
+		}, []Effect{Start{ID: 1}, Refuse{ID: 2, Reason: ReasonTimedOut}, Start{ID: 3}, Start{ID: 4}, Refuse{ID: 5, Reason: ReasonOverloaded}}},
+		{"a repeated offer and a repeated end count once", func(k clockwork.Clock) []Message {
+			done := Done{ID: 1, Outcome: cassiaschema.ShardOutcome_failed}
+			return []Message{offerAt(k, 1, second), offerAt(k, 1, second), offerAt(k, 2, second), done, done, offerAt(k, 3, second)}
+		}, []Effect{Start{ID: 1}, Start{ID: 2}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(origin)
+			l := NewLimiter(clock, Bounds{Concurrency: 4})
+			var got []Effect
+			for _, m := range tt.messages(clock) {
+				got = append(got, only(l.Update(m))...)
+			}
+			qt.Assert(t, got, qt.DeepEquals, tt.want)
+		})
+	}
+}
+
+func TestUnreachableTargetStartsSlowlyAgain(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClockAt(origin)
+	l := NewLimiter(clock, Bounds{Concurrency: 4})
+	id := cassiaid.AttemptID(0)
+	run := func(outcome cassiaschema.ShardOutcome) {
+		first := id + 1
+		for range 8 {
+			id++
+			l.Update(offerAt(clock, id, time.Minute))
+		}
+		for i := first; i <= id; i++ {
+			l.Update(Done{ID: i, Outcome: outcome, Elapsed: 5 * time.Millisecond})
+		}
+	}
+	run(cassiaschema.ShardOutcome_answered)
+	c.Assert(l.Limit(), qt.Equals, 4)
+	run(cassiaschema.ShardOutcome_unreachable)
+	c.Assert(l.Limit(), qt.Equals, 1)
+}
+
 // TestLimiterProperties drives a limiter with random messages and judges every effect.
 func TestLimiterProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -119,6 +186,10 @@
 		}
 	}
 	running := m.withState("running")
+	started := slices.ContainsFunc(effects, func(e Effect) bool { _, ok := e.(Start); return ok })
+	if started && len(running) > l.Limit() {
+		t.Fatalf("%d attempts run after a start, limit %d", len(running), l.Limit())
+	}
 	if len(running) > bounds.Concurrency {
 		t.Fatalf("%d attempts run, bound %d", len(running), bounds.Concurrency)
 	}
