--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -71,7 +71,7 @@
 	Owner      Owner
 	Fronts     Fronts
 	Quarantine Quarantine
-	Claimer    Claimer
+	Claims     Claims
 	Clock      cassiaplan.Clock
 	Logger     log.Logger
 	Scope      tally.Scope
--- a/io/cassiaserver/frames.go
+++ b/io/cassiaserver/frames.go
@@ -48,11 +48,6 @@
 	s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_KnowledgeReply{KnowledgeReply: knowledge}})
 }
 
-func (s *server) replyClaim(from cassiaid.VMName, call *cassiaschema.ClaimCall, reply cassiapeer.Replier) {
-	answer := s.claimer.Serve(context.Background(), call)
-	s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ClaimReply{ClaimReply: answer}})
-}
-
 func (s *server) reply(to cassiaid.VMName, reply cassiapeer.Replier, frame *cassiaschema.PeerFrame) {
 	if err := reply(frame); err != nil {
 		s.metrics.Scope.Counter("replyLost").Inc(1)
