Wait for other runs of a lost request before its loss is reported

Ruled out: an arbiter for all runs, a message more for each query in calm times. Change: owners name in the reply to a loss notice what they still run; the reporting owner waits for it, 200 ms at most. Conclusion: calls that overlap within one message's way can still cost one target each; written down as open.

--- a/core/cassiaquarantine/admit.go
+++ b/core/cassiaquarantine/admit.go
@@ -47,6 +47,22 @@
 	return false
 }
 
+// Undecided tells whether a request is suspected but neither quarantined nor cleared for a shard.
+func (q *Quarantine) Undecided(f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	s := q.suspects[f]
+	return s != nil && q.Remaining(f) == 0 && len(s.of(shard)) > 0
+}
+
+// Running tells whether an attempt of a request runs for a shard on a target that is not known to be lost.
+func (q *Quarantine) Running(f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	for _, a := range q.attempts {
+		if a.run.Fingerprint == f && a.run.Shard == shard && !a.counted {
+			return true
+		}
+	}
+	return false
+}
+
 // suspected tells whether a run of the request's part might lose a target: the part was lost before, or the request
 // was lost on any shard and has been answered by none, or it was quarantined lately.
 func (q *Quarantine) suspected(now time.Time, f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
--- a/io/cassiaowner/quarantine.go
+++ b/io/cassiaowner/quarantine.go
@@ -74,6 +74,20 @@
 	return answers
 }
 
+// Undecided tells whether a request is suspected but neither quarantined nor cleared for a shard.
+func (q *Quarantine) Undecided(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.core.Undecided(fingerprint, shard)
+}
+
+// Running tells whether this VM runs a request for a shard.
+func (q *Quarantine) Running(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.core.Running(fingerprint, shard)
+}
+
 // Remaining returns how long a request is still refused, or zero.
 func (q *Quarantine) Remaining(fingerprint cassiaid.Fingerprint) time.Duration {
 	q.mutex.Lock()
--- a/io/cassiaserver/blame.go
+++ b/io/cassiaserver/blame.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -15,7 +16,15 @@
 // lossShareTimeout bounds how long a loss's result waits until the other owners know of the loss.
 const lossShareTimeout = 100 * time.Millisecond
 
-// ShareLoss tells the owners of the front's targets; it returns when they know or cannot be reached in time.
+const (
+	// otherRunsTimeout bounds how long a loss's result waits for the outcome of other runs of the same request.
+	otherRunsTimeout = 200 * time.Millisecond
+	// otherRunsInterval is how often it is checked whether they are over.
+	otherRunsInterval = 2 * time.Millisecond
+)
+
+// ShareLoss tells the owners of the front's targets; it returns when they know or cannot be reached in time, and when
+// other runs of the lost requests are over, so that no retry starts while they may still lose a target, too.
 func (s *server) ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss) {
 	s.metrics.Scope.Counter("targetLosses").Inc(1)
 	notice := &cassiaschema.LossNotice{Target: string(loss.Target)}
@@ -26,6 +35,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
 	defer cancel()
+	var elsewhere runningElsewhere
 	s.eachOwner(front, func(owner cassiaid.VMName) {
 		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNotice{LossNotice: notice}}
 		reply, err := s.node.Exchange(ctx, owner, frame)
@@ -36,7 +46,50 @@
 		for _, a := range reply.GetLossNoticeReply().GetAnswered() {
 			s.learnAnswer(a)
 		}
+		elsewhere.add(reply.GetLossNoticeReply().GetRunning())
 	})
+	s.awaitOtherRuns(loss, &elsewhere)
+}
+
+// runningElsewhere gathers the requests that other owners run.
+type runningElsewhere struct {
+	mutex        sync.Mutex
+	fingerprints map[cassiaid.Fingerprint]bool
+}
+
+func (r *runningElsewhere) add(running []uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.fingerprints == nil {
+		r.fingerprints = make(map[cassiaid.Fingerprint]bool)
+	}
+	for _, f := range running {
+		r.fingerprints[cassiaid.Fingerprint(f)] = true
+	}
+}
+
+// awaitOtherRuns returns when every request of a loss is quarantined, cleared, or runs nowhere else, or after a while.
+func (s *server) awaitOtherRuns(loss cassiaquarantine.Loss, elsewhere *runningElsewhere) {
+	timeout := time.After(otherRunsTimeout)
+	ticker := time.NewTicker(otherRunsInterval)
+	defer ticker.Stop()
+	for s.runsOn(loss, elsewhere) {
+		select {
+		case <-timeout:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *server) runsOn(loss cassiaquarantine.Loss, elsewhere *runningElsewhere) bool {
+	for _, r := range loss.Runs {
+		running := elsewhere.fingerprints[r.Fingerprint] || s.quarantine.Running(r.Fingerprint, r.Shard)
+		if running && s.quarantine.Undecided(r.Fingerprint, r.Shard) {
+			return true
+		}
+	}
+	return false
 }
 
 // ShareAnswer tells the owners of the front's targets that a suspected request was answered.
@@ -93,6 +146,11 @@
 	for _, a := range s.quarantine.Learn(cassiaquarantine.LossLearned{Loss: loss}) {
 		reply.Answered = append(reply.Answered, answerNotice(a))
 	}
+	for _, r := range loss.Runs {
+		if s.quarantine.Running(r.Fingerprint, r.Shard) {
+			reply.Running = append(reply.Running, uint64(r.Fingerprint))
+		}
+	}
 	return reply
 }
 
