--- a/io/cassiabench/caller.go
+++ b/io/cassiabench/caller.go
@@ -83,9 +83,9 @@
 		return false
 	}
 	call.GetBody = nil
-	requestID := uuid.NewString()
+	result.RequestID = uuid.NewString()
 	call.Header.Set("Content-Type", "application/json")
-	call.Header.Set("Request-Id", requestID)
+	call.Header.Set("Request-Id", result.RequestID)
 	if r.Key != "" {
 		call.Header.Set("Idempotency-Key", r.Key)
 	}
@@ -105,21 +105,18 @@
 		return false
 	}
 	result.Failure = ""
-	readReply(result, response.StatusCode, content, requestID)
+	readReply(result, response.StatusCode, content)
 	return false
 }
 
 // readReply fills in what the bytes of a response say.
-func readReply(result *reply, status int, content []byte, requestID string) {
+func readReply(result *reply, status int, content []byte) {
 	if status == http.StatusOK {
 		a := &answer{}
 		if err := json.Unmarshal(content, a); err != nil {
 			result.Failure = "answer is not readable: " + err.Error()
 			return
 		}
-		if a.RequestID != "" && a.RequestID != requestID {
-			result.Failure = failureForeignID
-		}
 		result.Answer = a
 		return
 	}
@@ -130,6 +127,3 @@
 	}
 	result.Refusal = f
 }
-
-// failureForeignID tells that an answer carries another request's identifier.
-const failureForeignID = "answer to another request"
--- a/io/cassiabench/checker.go
+++ b/io/cassiabench/checker.go
@@ -87,10 +87,7 @@
 
 func (c *checker) checkReply(r *reply) {
 	name := r.Request.Team + "/" + r.Request.Front.GetName() + " " + r.Request.BodyHash
-	switch {
-	case r.Failure == failureForeignID:
-		c.report(&c.found.ForeignAnswer, "%s: %s", name, r.Failure)
-	case r.Failure != "":
+	if r.Failure != "" {
 		c.report(&c.found.Unanswered, "%s by %s: %s", name, r.VM, r.Failure)
 	}
 	if r.Answer != nil {
@@ -102,9 +99,9 @@
 	}
 }
 
-// checkRows checks that all rows are the request's own and of the one snapshot.
+// checkRows checks that the answer and all its rows are the request's own and that the rows are of the one snapshot.
 func (c *checker) checkRows(r *reply, name string) {
-	mixed, foreign := false, false
+	mixed, foreign := false, !c.ownID(r)
 	for _, rows := range r.Answer.Rows {
 		mixed = mixed || rows.Snapshot != r.Answer.Snapshot
 		foreign = foreign || rows.BodyHash != r.Request.BodyHash
@@ -113,8 +110,20 @@
 		c.report(&c.found.MixedSnapshot, "%s: rows of several snapshots, stated %d", name, r.Answer.Snapshot)
 	}
 	if foreign {
-		c.report(&c.found.ForeignAnswer, "%s: rows of another request", name)
+		c.report(&c.found.ForeignAnswer, "%s: identifier or rows of another request", name)
+	}
+}
+
+// ownID tells whether an answer carries the request's identifier, or that of an earlier sending of the same key whose
+// answer was remembered.
+func (c *checker) ownID(r *reply) bool {
+	id := r.Answer.RequestID
+	if id == "" || id == r.RequestID {
+		return true
 	}
+	return slices.ContainsFunc(c.replies[r.Request.BodyHash], func(other *reply) bool {
+		return r.Request.Key != "" && other.RequestID == id
+	})
 }
 
 // checkCoverage checks the stated coverage against the rows and the targets' logs.
@@ -152,25 +161,32 @@
 	return true
 }
 
-// checkNotRun checks that no target ran a request that was refused as not run. An idempotent request that is sent
-// again is judged by what began before its next sending.
+// checkNotRun checks that no target ran a request that was refused as not run. What began before the refusal of a
+// request with a key makes the refusal false, whichever sending it came from. Else an execution is put down to another
+// sending of the same body if there is one that may have caused it.
 func (c *checker) checkNotRun(r *reply, name string) {
-	until := time.Now()
-	for _, other := range c.replies[r.Request.BodyHash] {
-		if r.Request.Key == "" && other.Sent.After(r.Sent) && other.Sent.Before(until) {
-			until = other.Sent
-		}
-	}
 	for _, x := range c.byBody[r.Request.BodyHash] {
-		began := time.UnixMicro(x.StartedUnixMicros)
-		if !x.Started() || !began.Before(until) || r.Request.Key == "" && began.Before(r.Sent) {
+		if !x.Started() {
 			continue
 		}
-		c.report(&c.found.FalseNotRun, "%s: refused as %s by %s, but %s ran it", name, r.Refusal.Kind, r.VM, x.Target)
-		return
+		began := time.UnixMicro(x.StartedUnixMicros)
+		keyed := r.Request.Key != "" && began.Before(r.Finished)
+		if keyed || !c.explained(r, began) {
+			c.report(&c.found.FalseNotRun, "%s: refused as %s by %s (%s), but %s began it %v before the refusal",
+				name, r.Refusal.Kind, r.VM, r.Refusal.Message, x.Target, r.Finished.Sub(began))
+			return
+		}
 	}
 }
 
+// explained tells whether another sending of a refused request may have caused an execution.
+func (c *checker) explained(refused *reply, began time.Time) bool {
+	return slices.ContainsFunc(c.replies[refused.Request.BodyHash], func(other *reply) bool {
+		notRun := other.Refusal != nil && other.Refusal.Ran == cassiaplan.RanNo
+		return other != refused && !notRun && !other.Sent.After(began)
+	})
+}
+
 func (c *checker) checkDoubleRun(body string, executions []cassiashard.Execution) {
 	replies := c.replies[body]
 	if len(replies) == 0 || replies[0].Request.Front.GetKind() != cassiaschema.RequestKind_nonIdempotent {
--- a/io/cassiabench/checker_test.go
+++ b/io/cassiabench/checker_test.go
@@ -58,7 +58,20 @@
 			e.Replies[0].Answer.Rows[1].BodyHash = "other"
 			e.Executions = append(e.Executions, cassiashard.Execution{Shard: "s-2", BodyHash: "other", Outcome: cassiashard.OutcomeRan})
 		}, Violations{ForeignAnswer: 1}},
-		{"foreign identifier", 0, func(e *evidence) { e.Replies[0].Failure = failureForeignID }, Violations{ForeignAnswer: 1}},
+		{"foreign identifier", 0, func(e *evidence) { e.Replies[0].Answer.RequestID = "other" }, Violations{ForeignAnswer: 1}},
+		{"identifier of another sending without a key", 0, func(e *evidence) {
+			sendAgain(e, time.Microsecond)
+			e.Replies[1].RequestID, e.Replies[0].Answer.RequestID = "second", "second"
+		}, Violations{ForeignAnswer: 1}},
+		{"identifier of another sending of the key", 1, func(e *evidence) {
+			e.Executions = e.Executions[:1]
+			e.Replies[0].Request.Front.Shards = e.Replies[0].Request.Front.Shards[:1]
+			e.Replies[0].Answer.Rows = e.Replies[0].Answer.Rows[:1]
+			e.Replies[0].Answer.Coverage = coverage{Asked: 1, Answered: 1, Fraction: 1}
+			e.Replies[0].RequestID, e.Replies[0].Answer.RequestID = "first", "first"
+			sendAgain(e, time.Millisecond)
+			e.Replies[1].RequestID = "second"
+		}, Violations{}},
 		{"too much coverage stated", 0, func(e *evidence) {
 			e.Replies[0].Answer.Rows = e.Replies[0].Answer.Rows[:1]
 		}, Violations{FalseCoverage: 1}},
@@ -73,14 +86,31 @@
 		{"refused as not run", 0, refuse, Violations{FalseNotRun: 1}},
 		{"refused as not run, next sending ran", 0, func(e *evidence) {
 			refuse(e)
-			sendAgain(e, 0)
-			e.Replies[1].Sent = e.Replies[0].Sent.Add(500 * time.Microsecond)
+			sendAgain(e, 500*time.Microsecond)
 			e.Replies[1].Refusal = &refusal{Ran: cassiaplan.RanUnknown}
 		}, Violations{}},
-		{"keyed request refused while its repeat ran", 1, func(e *evidence) {
+		{"refused as not run, next sending came after the execution", 0, func(e *evidence) {
+			refuse(e)
+			sendAgain(e, 2*time.Millisecond)
+			e.Replies[1].Refusal = &refusal{Ran: cassiaplan.RanUnknown}
+		}, Violations{FalseNotRun: 1}},
+		{"both sendings refused as not run", 0, func(e *evidence) {
+			refuse(e)
+			sendAgain(e, 500*time.Microsecond)
+		}, Violations{FalseNotRun: 2}},
+		{"keyed request refused after its repeat ran", 1, func(e *evidence) {
 			refuse(e)
 			e.Executions = e.Executions[:1]
+			sendAgain(e, 500*time.Microsecond)
+			e.Replies[1].Refusal = &refusal{Ran: cassiaplan.RanUnknown}
 		}, Violations{FalseNotRun: 1}},
+		{"keyed request refused before its repeat ran", 1, func(e *evidence) {
+			refuse(e)
+			e.Executions = e.Executions[:1]
+			sendAgain(e, 500*time.Microsecond)
+			e.Replies[1].Refusal = &refusal{Ran: cassiaplan.RanUnknown}
+			e.Replies[0].Finished = e.Replies[0].Sent.Add(100 * time.Microsecond)
+		}, Violations{}},
 		{"ran twice", 1, func(e *evidence) { sendAgain(e, time.Millisecond) }, Violations{DoubleRun: 1}},
 		{"begun after the deadline", 0, func(e *evidence) {
 			e.Executions[0].StartedUnixMicros = e.Replies[0].Sent.Add(time.Second).UnixMicro()
--- a/io/cassiabench/report.go
+++ b/io/cassiabench/report.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	for _, x := range r.results() {
-		fmt.Fprintf(w, "\n%s: refusals %v, missing shards %v\n", x.Policy, x.Refusals, x.Missing)
+		fmt.Fprintf(w, "\n%s: refusals %v, the slowest after %.1f ms, missing shards %v\n", x.Policy, x.Refusals, x.SlowestRefusalMs, x.Missing)
 		fmt.Fprintf(w, "  crashed targets %d, connections over the cap %d, processor time %.2f ms a query (VMs, stand-ins and callers together)\n",
 			x.TargetCrashes, x.ConnectionsRefused, x.ProcessCPUMsPerQuery)
 		if p := x.PeerMessagesPerQuery; p != nil {
--- a/io/cassiabench/request.go
+++ b/io/cassiabench/request.go
@@ -56,6 +56,8 @@
 	// Latency counts from the planned time of arrival.
 	Latency time.Duration
 	VM      string
+	// RequestID is the identifier that the caller sent.
+	RequestID string
 	// Answer and Refusal are both nil when the caller was left without a final answer.
 	Answer  *answer
 	Refusal *refusal
--- a/io/cassiabench/result.go
+++ b/io/cassiabench/result.go
@@ -61,6 +61,8 @@
 	ExtraLoad float64 `json:"extraLoad"`
 	// Refusals counts requests without an answer by their reason.
 	Refusals map[string]int `json:"refusals"`
+	// SlowestRefusalMs is the longest time until a final refusal.
+	SlowestRefusalMs float64 `json:"slowestRefusalMs"`
 	// Missing counts missing shards of answers by their reason.
 	Missing map[string]int `json:"missing"`
 }
@@ -109,12 +111,14 @@
 	latencies := hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)
 	sendings := map[string]int{}
 	covered := 0.0
+	var slowest time.Duration
 	for _, r := range replies {
 		sendings[r.Request.BodyHash]++
 		latency := r.Latency
 		if r.Answer == nil {
 			latency = max(latency, r.Request.deadline())
 			m.Refusals[reasonOf(r)]++
+			slowest = max(slowest, r.Latency)
 		} else {
 			fraction := float64(len(r.Answer.Rows)) / float64(r.Request.shards())
 			covered += fraction
@@ -127,6 +131,7 @@
 		}
 		_ = latencies.RecordValue(min(max(latency.Microseconds(), minLatencyMicros), maxLatencyMicros))
 	}
+	m.SlowestRefusalMs = roundTo(slowest.Seconds()*1000, 1)
 	m.ExtraLoad = roundTo(extraLoad(sendings, started), 4)
 	if len(replies) > 0 {
 		m.CoverageMean = roundTo(covered/float64(len(replies)), 5)
