Let a claim call expire by its receiver's clock

Cause: the frozen-VM test saw a call that reached a VM after its pause take over a claim for a sender that had given up; the key then stayed without an outcome. Change: replies carry the receiver's clock, calls say when they end by it; a stale call wins nothing. Ruled out: comparing the clocks of two VMs. Conclusion: a late call leaves nothing behind.

--- a/io/cassiaclaimer/claimer.go
+++ b/io/cassiaclaimer/claimer.go
@@ -60,7 +60,7 @@
 	// open counts the calls to the store that are under way.
 	open     int
 	stopping bool
-	silent   silentWriters
+	writers  writers
 }
 
 // outcome ends one wait for a claim.
--- a/io/cassiaclaimer/writer.go
+++ b/io/cassiaclaimer/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -30,34 +29,13 @@
 	Call(ctx context.Context, vm cassiaid.VMName, call *cassiaschema.ClaimCall) (*cassiaschema.ClaimReply, error)
 }
 
-// silentWriters remembers the VMs that gave no reply.
-type silentWriters struct {
-	mutex sync.Mutex
-	until map[cassiaid.VMName]time.Time
-}
-
-func (s *silentWriters) add(vm cassiaid.VMName, until time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.until == nil {
-		s.until = map[cassiaid.VMName]time.Time{}
-	}
-	s.until[vm] = until
-}
-
-func (s *silentWriters) has(vm cassiaid.VMName, now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return now.Before(s.until[vm])
-}
-
 // writer returns the other VM to ask for a key's claim, or "".
 func (c *Claimer) writer(key cassiaclaim.Key) cassiaid.VMName {
 	if c.peers == nil {
 		return ""
 	}
 	vm := c.peers.Writer(key.Bucket())
-	if vm == "" || c.silent.has(vm, c.clock.Now()) {
+	if vm == "" || c.writers.silent(vm, c.clock.Now()) {
 		return ""
 	}
 	return vm
@@ -71,17 +49,30 @@
 	reply, err := c.peers.Call(limited, vm, call)
 	if err != nil && ctx.Err() == nil {
 		c.metrics.Counter("writerSilent").Inc(1)
-		c.silent.add(vm, c.clock.Now().Add(silentTime))
+		c.writers.silence(vm, c.clock.Now().Add(silentTime))
+	}
+	if err == nil {
+		c.writers.hear(vm, reply.GetWriterUnixMillis(), c.clock.Now())
 	}
 	return reply, err
 }
 
 // askWriter asks another VM for a claim and tells whether that decided it.
 func (c *Claimer) askWriter(ctx context.Context, vm cassiaid.VMName, ask cassiaclaim.Ask) (outcome, bool) {
-	wait := min(ask.Deadline.Sub(c.clock.Now())/2, maxWriterWait)
+	now := c.clock.Now()
+	wait := min(ask.Deadline.Sub(now)/2, maxWriterWait)
+	expires := c.writers.millis(vm, now.Add(wait))
+	if expires == 0 {
+		// An empty call tells the writer's clock.
+		reply, err := c.callWriter(ctx, vm, wait, &cassiaschema.ClaimCall{})
+		if err != nil || reply.GetWriterUnixMillis() == 0 {
+			return outcome{}, false
+		}
+		return c.askWriter(ctx, vm, ask)
+	}
 	reply, err := c.callWriter(ctx, vm, wait, &cassiaschema.ClaimCall{
 		Key: ask.Key.Scoped, KeyUnixMillis: ask.Key.Time.UnixMilli(), BodyHash: ask.BodyHash, Nonce: uint64(ask.Nonce),
-		Remaining: durationpb.New(wait),
+		Remaining: durationpb.New(wait), ExpiresWriterMillis: expires,
 	})
 	if err != nil {
 		return outcome{uncertain: true}, false
@@ -119,21 +110,37 @@
 
 // Serve answers the call of another VM.
 func (c *Claimer) Serve(ctx context.Context, call *cassiaschema.ClaimCall) *cassiaschema.ClaimReply {
+	reply := &cassiaschema.ClaimReply{}
 	key := cassiaclaim.Key{Scoped: call.GetKey(), Time: time.UnixMilli(call.GetKeyUnixMillis())}
 	nonce := cassiaclaim.Nonce(call.GetNonce())
-	if call.GetSettled() {
+	switch {
+	case call.GetKey() == "":
+	case call.GetSettled():
 		c.post(ctx, served{cassiaclaim.Settle{Key: key, BodyHash: call.GetBodyHash(), Nonce: nonce,
 			Outcome: call.GetOutcome(), Answer: call.GetAnswer()}})
-		return &cassiaschema.ClaimReply{}
+	default:
+		reply = replyOf(c.winFor(ctx, call, key, nonce))
+	}
+	reply.WriterUnixMillis = c.clock.Now().UnixMilli()
+	return reply
+}
+
+// winFor asks this VM's ledger for a claim of another VM, unless that VM waits no more.
+func (c *Claimer) winFor(ctx context.Context, call *cassiaschema.ClaimCall, key cassiaclaim.Key, nonce cassiaclaim.Nonce) outcome {
+	now := c.clock.Now()
+	left := min(call.GetRemaining().AsDuration(), time.UnixMilli(call.GetExpiresWriterMillis()).Sub(now))
+	if left <= 0 {
+		c.metrics.Counter("staleCalls").Inc(1)
+		return outcome{refusal: refusedStopping()}
 	}
 	w := wait{reply: make(chan outcome, 1), ask: cassiaclaim.Ask{
 		ID: cassiaclaim.ClaimID(c.lastID.Add(1)), Key: key, BodyHash: call.GetBodyHash(), Nonce: nonce, Forwarded: true,
-		Deadline: c.clock.Now().Add(call.GetRemaining().AsDuration()),
+		Deadline: now.Add(left),
 	}}
 	if !c.post(ctx, w) {
-		return replyOf(outcome{refusal: refusedStopping(), uncertain: true})
+		return outcome{refusal: refusedStopping(), uncertain: true}
 	}
-	return replyOf(c.await(ctx, w))
+	return c.await(ctx, w)
 }
 
 // settle brings an outcome to the bucket's writer, or into this VM's own ledger.
--- a/io/cassiaclaimer/writer_test.go
+++ b/io/cassiaclaimer/writer_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"cassiasaddle/core/cassiaclaim"
 	"cassiasaddle/core/cassiaid"
@@ -144,6 +146,22 @@
 	})
 }
 
+// TestStaleCallWinsNothing proves that a call which arrives after its sender gave up leaves no claim behind.
+func TestStaleCallWinsNothing(t *testing.T) {
+	c := qt.New(t)
+	s := newMemoryStore()
+	writer := start(t, s, tally.NoopScope)
+	key := newKey()
+	parsed, err := cassiaclaim.ParseKey(cassiaid.FrontKey{Team: "team", Front: "front"}, key)
+	c.Assert(err, qt.IsNil)
+	hello := writer.Serve(context.Background(), &cassiaschema.ClaimCall{})
+	reply := writer.Serve(context.Background(), &cassiaschema.ClaimCall{Key: parsed.Scoped, KeyUnixMillis: parsed.Time.UnixMilli(),
+		BodyHash: 5, Nonce: 7, Remaining: durationpb.New(time.Second), ExpiresWriterMillis: hello.WriterUnixMillis - 1})
+	c.Assert(reply.Granted, qt.IsFalse)
+	_, refusal := writer.Claim(context.Background(), request(key))
+	c.Assert(refusal == nil, qt.IsTrue)
+}
+
 func TestWriterThatCannotWriteIsPassedOver(t *testing.T) {
 	c := qt.New(t)
 	cut, whole := newMemoryStore(), newMemoryStore()
