Compare members after three differing digests, also with equal ones in between

Cause: a VM restarted while its zone was cut off stayed unknown in the other zone: its VMs agreed with each other, which reset the count of differing digests each time. Ruled out: loss of the repair packets; there was no loss in the schedule. Change: equal digests no longer reset the count; a VM asks a peer that differs.

--- a/core/cassiamember/config.go
+++ b/core/cassiamember/config.go
@@ -44,7 +44,7 @@
 	ReviveInterval time.Duration
 	// ForgetAfter is how long a dead member is remembered.
 	ForgetAfter time.Duration
-	// MismatchLimit is the number of differing digests in a row after which members are compared in detail.
+	// MismatchLimit is the number of differing digests after which members are compared in detail.
 	MismatchLimit int
 	// BytesPerSecond bounds the bytes sent, beyond which packets carry nothing but the probe itself.
 	BytesPerSecond int
--- a/core/cassiamember/membership_test.go
+++ b/core/cassiamember/membership_test.go
@@ -122,6 +122,22 @@
 	assertAgree(t, n, n.vms, "healed")
 }
 
+// TestRestartDuringCutIsLearned checks that a zone whose VMs all missed a restart learns of it after the cut.
+func TestRestartDuringCutIsLearned(t *testing.T) {
+	for seed := range uint64(40) {
+		n := newNetwork(seed, Tuning{})
+		n.addAll(4, 2)
+		assertAgree(t, n, n.vms, "start")
+		n.run(10*time.Second + time.Duration(seed)*TickInterval)
+		n.cut = func(from, to *vm) bool { return from.index%2 != to.index%2 }
+		n.stop(n.vms[2])
+		n.add("vm-002", 0, n.seeds(3)...)
+		n.run(time.Second)
+		n.cut = nil
+		assertAgree(t, n, n.running(), fmt.Sprintf("healed, seed %d", seed))
+	}
+}
+
 // TestFalselySuspectedRefutes checks that a live VM that one peer cannot reach is never declared dead.
 func TestFalselySuspectedRefutes(t *testing.T) {
 	n := newNetwork(4, Tuning{})
--- a/core/cassiamember/packet.go
+++ b/core/cassiamember/packet.go
@@ -104,11 +104,13 @@
 	}
 }
 
-// answerPing acknowledges a probe, and asks for members where views have differed for some time.
+// answerPing acknowledges a probe, and asks a peer with another view for members once views have differed some times.
+// Equal views in between do not count, since the peers of one zone may all lack the same.
 func (m *Membership) answerPing(from cassiaid.VMName, source Address, p *cassiaschema.GossipPacket) {
 	ack := &cassiaschema.GossipPacket{Kind: cassiaschema.GossipKind_ack, Sequence: p.GetSequence()}
 	receiver, known := m.members[from]
-	if !known || m.mismatches >= m.tuning.MismatchLimit {
+	differs := p.GetDigest() != m.digest.root()
+	if !known || differs && m.mismatches >= m.tuning.MismatchLimit {
 		m.askSync(ack)
 	}
 	m.send(source, ack, receiver)
--- a/core/cassiamember/sync.go
+++ b/core/cassiamember/sync.go
@@ -10,10 +10,9 @@
 	"cassiasaddle/core/cassiaschema"
 )
 
-// compareDigest counts how often in a row a peer's view differed from this one.
+// compareDigest counts the peers whose view differed from this one since members were compared last.
 func (m *Membership) compareDigest(root uint64) {
 	if root == m.digest.root() {
-		m.mismatches = 0
 		m.joiner.joined = !m.Alone()
 		return
 	}
