Ask the other owners before a suspect starts

Change: an owner records the start, then asks the front's other owners, and gives way when one runs the request; of two that ask at once neither goes on.

--- a/io/cassiaowner/quarantine.go
+++ b/io/cassiaowner/quarantine.go
@@ -16,6 +16,8 @@
 	ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss)
 	// ShareAnswer tells the owners of the front's targets that a suspected request was answered.
 	ShareAnswer(front cassiaid.FrontKey, answer cassiaquarantine.ShareAnswer)
+	// RunsElsewhere asks the other owners of the front's targets whether one of them runs a request for a shard.
+	RunsElsewhere(front cassiaid.FrontKey, run cassiaquarantine.Run) bool
 	// ShareQuarantine tells all VMs to refuse a request.
 	ShareQuarantine(fingerprint cassiaid.Fingerprint, remaining time.Duration)
 }
@@ -39,8 +41,27 @@
 	return q.core.Admit(fingerprint, shard)
 }
 
-// Begin decides again when an attempt is about to start and records the start.
-func (q *Quarantine) Begin(run cassiaquarantine.Run, target cassiaid.TargetName) cassiaquarantine.Verdict {
+// Begin decides again when an attempt is about to start and records the start. A suspect starts only when no other owner
+// runs it: both record the start before they ask, so that of two that ask at once neither goes on.
+func (q *Quarantine) Begin(front cassiaid.FrontKey, run cassiaquarantine.Run, target cassiaid.TargetName) cassiaquarantine.Verdict {
+	verdict := q.record(run, target)
+	if verdict != cassiaquarantine.VerdictAlone || q.sharer == nil {
+		return verdict
+	}
+	switch {
+	case q.sharer.RunsElsewhere(front, run):
+		verdict = cassiaquarantine.VerdictHold
+	case q.Remaining(run.Fingerprint) > 0:
+		verdict = cassiaquarantine.VerdictRefuse
+	default:
+		return verdict
+	}
+	q.share(front, q.update(cassiaquarantine.Ended{Attempt: run.Attempt}))
+	return verdict
+}
+
+// record decides on an attempt that is about to start and records the start.
+func (q *Quarantine) record(run cassiaquarantine.Run, target cassiaid.TargetName) cassiaquarantine.Verdict {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	verdict := q.core.Admit(run.Fingerprint, run.Shard)
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -130,7 +130,7 @@
 func (t *target) perform(ctx context.Context, a *attempt) *cassiaschema.ShardResult {
 	quarantine := t.owner.config.Quarantine
 	run := cassiaquarantine.Run{Attempt: a.id(), Fingerprint: a.fingerprint(), Shard: a.shard(), Alone: a.alone}
-	if verdict := quarantine.Begin(run, t.owned.Name); refuses(verdict) {
+	if verdict := quarantine.Begin(t.owned.Front, run, t.owned.Name); refuses(verdict) {
 		t.owner.countRefusal(refusalOf(verdict))
 		return a.notStarted(refusalOf(verdict))
 	}
--- a/io/cassiaserver/blame.go
+++ b/io/cassiaserver/blame.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -92,6 +93,23 @@
 	return false
 }
 
+// RunsElsewhere asks the other owners of the front's targets whether one of them runs a request for a shard; one that
+// can't be reached in time counts as not running it.
+func (s *server) RunsElsewhere(front cassiaid.FrontKey, run cassiaquarantine.Run) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
+	defer cancel()
+	inquiry := &cassiaschema.RunInquiry{Fingerprint: uint64(run.Fingerprint), Shard: uint32(run.Shard)}
+	var running atomic.Bool
+	s.eachOwner(front, func(owner cassiaid.VMName) {
+		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiry{RunInquiry: inquiry}}
+		reply, err := s.node.Exchange(ctx, owner, frame)
+		if err == nil && reply.GetRunInquiryReply().GetRunning() {
+			running.Store(true)
+		}
+	})
+	return running.Load()
+}
+
 // ShareAnswer tells the owners of the front's targets that a suspected request was answered.
 func (s *server) ShareAnswer(front cassiaid.FrontKey, answer cassiaquarantine.ShareAnswer) {
 	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
--- a/io/cassiaserver/frames.go
+++ b/io/cassiaserver/frames.go
@@ -30,6 +30,11 @@
 	case *cassiaschema.PeerFrame_LossNotice:
 		answered := s.learnLoss(body.LossNotice)
 		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: answered}})
+	case *cassiaschema.PeerFrame_RunInquiry:
+		running := s.quarantine.Running(cassiaid.Fingerprint(body.RunInquiry.Fingerprint), cassiaid.ShardIndex(body.RunInquiry.Shard))
+		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiryReply{
+			RunInquiryReply: &cassiaschema.RunInquiryReply{Running: running},
+		}})
 	case *cassiaschema.PeerFrame_AnswerNotice:
 		s.learnAnswer(body.AnswerNotice)
 	case *cassiaschema.PeerFrame_ClaimCall:
