--- a/io/cassiaentry/once.go
+++ b/io/cassiaentry/once.go
@@ -10,17 +10,14 @@
 	"cassiasaddle/io/cassiahttp"
 )
 
-// countPaused counts claims that were won too late to send their request.
-const countPaused cassiaplan.Counter = "claimWonTooLate"
-
-// Claims decides which send of a non-idempotent request may run.
-type Claims interface {
+// Claimer wins the right to run a non-idempotent request.
+type Claimer interface {
 	Claim(ctx context.Context, request cassiaclaimer.ClaimRequest) (*cassiaclaimer.Grant, *cassiaplan.Refusal)
 }
 
-// askOnce answers a non-idempotent question: it runs at most once, whatever VMs its repeats reach.
+// askOnce runs a non-idempotent question under a claim, or returns the remembered answer of an earlier send.
 func (e *Entry) askOnce(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) ([]byte, *cassiaplan.Refusal) {
-	grant, refusal := e.config.Claims.Claim(ctx, cassiaclaimer.ClaimRequest{
+	grant, refusal := e.config.Claimer.Claim(ctx, cassiaclaimer.ClaimRequest{
 		Team: question.Key.Team, Front: question.Key.Front, Key: question.IdempotencyKey,
 		BodyHash: uint64(fingerprint), Deadline: question.Deadline,
 	})
@@ -28,26 +25,29 @@
 		return nil, refusal
 	}
 	if answer, ok := grant.Remembered(); ok {
+		e.count("answerRemembered")
 		return answer, nil
 	}
-	// The outcome is worth learning for repeats even when this caller leaves.
+	// A caller that goes away will repeat the request: it runs to its end, so that the repeat learns the outcome.
 	ctx = context.WithoutCancel(ctx)
-	if !grant.MayDispatch(e.config.Clock.Now()) {
-		e.count(countPaused)
-		grant.Finish(ctx, cassiaschema.ClaimOutcome_notStarted, nil)
-		return nil, &cassiaplan.Refusal{
-			Kind: cassiaplan.RefusalNotRun, Ran: cassiaplan.RanNo, RetryAfter: retryAfterLeaving,
-			Message: "the deadline passed before the request could be sent; repeat it with the same Idempotency-Key",
-		}
-	}
-	answer, refusal := e.answer(ctx, question, fingerprint)
+	answer, refusal := e.answer(ctx, question, fingerprint, false, grant)
+	grant.Finish(ctx, outcomeOf(refusal), answer)
+	return answer, refusal
+}
+
+// outcomeOf returns what a repeat of the request is to learn.
+func outcomeOf(refusal *cassiaplan.Refusal) cassiaschema.ClaimOutcome {
 	switch {
 	case refusal == nil:
-		grant.Finish(ctx, cassiaschema.ClaimOutcome_finished, answer)
+		return cassiaschema.ClaimOutcome_finished
 	case refusal.Ran == cassiaplan.RanNo:
-		grant.Finish(ctx, cassiaschema.ClaimOutcome_notStarted, nil)
-	case refusal.Ran == cassiaplan.RanYes:
-		grant.Finish(ctx, cassiaschema.ClaimOutcome_finished, nil)
+		return cassiaschema.ClaimOutcome_notStarted
+	default:
+		return cassiaschema.ClaimOutcome_unknown
 	}
-	return answer, refusal
+}
+
+// mayDispatch tells whether a batch of the run may still leave this VM.
+func (r *run) mayDispatch() bool {
+	return r.grant == nil || r.grant.MayDispatch(r.entry.config.Clock.Now())
 }
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -106,9 +106,9 @@
 		Self: s.self, Rules: rules{s.routes}, Observer: observer{s.routes}, Quarantine: s.quarantine,
 		Clock: clock, Logger: s.logger, Scope: scope,
 	})
+	// Calls for claims may arrive as soon as the node listens.
 	s.claimer = cassiaclaimer.NewClaimer(cassiaclaimer.Options{
-		Store: cassiaclaimer.PlatformStore{Client: s.store}, Peers: claimPeers{s},
-		Clock: clock, Metrics: scope, Logger: s.logger,
+		Store: cassiaclaimer.PlatformStore{Client: s.store}, Peers: claimPeers{s}, Clock: clock, Metrics: scope, Logger: s.logger,
 	})
 	s.node, err = cassiapeer.Listen(cassiapeer.Config{
 		Self: s.self, Address: s.config.PeerAddress, Identity: identity, Resolver: s.members, Handler: s,
@@ -124,7 +124,8 @@
 	})
 	s.entry = cassiaentry.New(cassiaentry.Config{
 		Self: s.self, Routes: s.routes, Peers: s.node, Owner: s.owner, Fronts: fronts{s.tree}, Quarantine: s.quarantine,
-		Claims: s.claimer, Clock: clock, Logger: s.logger, Scope: scope,
+		Claimer: s.claimer,
+		Clock:   clock, Logger: s.logger, Scope: scope,
 	})
 	return s.buildHTTP()
 }
@@ -157,10 +158,10 @@
 	s.setMembers(s.gossip.Members())
 	parts.Go(func() error { return s.gossip.Run(running) })
 	parts.Go(func() error { return s.tree.Run(running) })
-	parts.Go(func() error { return s.claimer.Run(running) })
 	parts.Go(func() error { return s.followSettings(running) })
 	parts.Go(func() error { return s.watchLeavingTargets(running) })
 	parts.Go(func() error { return s.entry.WatchSilence(running) })
+	parts.Go(func() error { return s.claimer.Run(running) })
 	endpoints, err := s.listen(parts)
 	if err != nil {
 		stop()
