Tell the loss of dead VMs, count the wait for connections, refuse fronts without connections

Cause: a VM killed without a word left its callers of non-idempotent requests waiting until their deadline (60 s in the test); a target was given the time that was left before the wait for a connection; a front with fewer than two connections had no owner. Change: a VM that membership declares dead loses its connection here; the deadline a target is told is taken when the connection is there; such settings are refused.

--- a/core/cassiasettings/check.go
+++ b/core/cassiasettings/check.go
@@ -6,6 +6,7 @@
 	"sort"
 
 	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaroute"
 	"cassiasaddle/core/cassiaschema"
 )
 
@@ -55,6 +56,12 @@
 		}
 		seen[front.GetName()] = true
 		problems = append(problems, checkShards(t, i, front)...)
+		if cassiaroute.ShareOf(front.GetTargetLimits()).Owners == 0 {
+			at := place{t, []any{"fronts", i, "targetLimits"}}
+			problems = append(problems, at.problem(ProblemConnectionShare,
+				"raise maxConnections or connectionShare so that their product is at least 2",
+				"front %q leaves no connection to its targets", front.GetName()))
+		}
 	}
 	return problems
 }
--- a/core/cassiasettings/parse_test.go
+++ b/core/cassiasettings/parse_test.go
@@ -47,6 +47,7 @@
 		{"lone carriage return", "\r0", ProblemSyntax, 1, "line break"},
 		{"line separator", goodTeam + "#\u2028\n", ProblemSyntax, 10, "line break"},
 		{"address", replaced("10.0.0.1:80", "db.example:80"), ProblemAddress, 8, "db.example"},
+		{"no connections", replaced("deadline: 0.350s", "targetLimits: {maxConnections: 1}"), ProblemConnectionShare, 4, "no connection"},
 		{"target twice", replaced("name: t1", "name: t0"), ProblemDuplicate, 9, "t0"},
 		{"front twice", goodTeam + goodTeam[strings.Index(goodTeam, "  - name: leit"):], ProblemDuplicate, 10, "leit"},
 		{"shard twice", goodTeam + goodTeam[strings.Index(goodTeam, "      - name: s0"):], ProblemDuplicate, 10, "s0"},
--- a/io/cassiaserver/members.go
+++ b/io/cassiaserver/members.go
@@ -27,14 +27,24 @@
 	return m
 }
 
-// update takes over the live members.
-func (m *members) update(live []cassiamember.Member) {
+// update takes over the live members and returns those that are gone or run at another address now.
+func (m *members) update(live []cassiamember.Member) []cassiaid.VMName {
 	addresses := make(map[cassiaid.VMName]string, len(live))
 	for _, l := range live {
 		addresses[l.Name] = string(l.PeerAddress)
 	}
-	m.addresses.Store(&addresses)
+	before := m.addresses.Swap(&addresses)
 	m.signal()
+	if before == nil {
+		return nil
+	}
+	var gone []cassiaid.VMName
+	for name, address := range *before {
+		if addresses[name] != address {
+			gone = append(gone, name)
+		}
+	}
+	return gone
 }
 
 func (m *members) signal() {
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -213,7 +213,10 @@
 }
 
 func (s *server) setMembers(live []cassiamember.Member) {
-	s.members.update(live)
+	for _, gone := range s.members.update(live) {
+		// A dead VM does not close its connections; whoever waits for it learns of its loss by this.
+		s.node.Drop(gone)
+	}
 	s.routes.Update(forRoutes(live))
 }
 
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -78,9 +78,13 @@
 	written   atomic.Bool
 }
 
-func (p *progress) trace() *httptrace.ClientTrace {
+// trace follows the request; the wait for a connection counts against the time that the target is given.
+func (p *progress) trace(header http.Header, deadline time.Time) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { p.connected.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			p.connected.Store(true)
+			setDeadline(header, time.Until(deadline))
+		},
 		// Header bytes are buffered; from here on some of them may have left.
 		WroteHeaderField: func(string, []string) { p.written.Store(true) },
 	}
@@ -107,7 +111,10 @@
 	defer unhook()
 
 	var reached progress
-	reply, err := c.transport.RoundTrip(c.request(httptrace.WithClientTrace(runContext, reached.trace()), call, remaining))
+	header := c.header(call, remaining)
+	request := c.request(httptrace.WithClientTrace(runContext, reached.trace(header, call.Deadline)), call)
+	request.Header = header
+	reply, err := c.transport.RoundTrip(request)
 	if err != nil {
 		c.judgeFailure(ctx, result, &reached, call.Deadline)
 	} else {
@@ -117,7 +124,7 @@
 	return result
 }
 
-func (c *Client) request(ctx context.Context, call Call, remaining time.Duration) *http.Request {
+func (c *Client) request(ctx context.Context, call Call) *http.Request {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+"/shard", bytes.NewReader(call.Body))
 	if err != nil {
 		// The address was checked with the settings; a placeholder fails to connect and is reported as unreachable.
@@ -127,17 +134,26 @@
 	request.GetBody = nil
 	request.Body = io.NopCloser(bytes.NewReader(call.Body))
 	request.ContentLength = int64(len(call.Body))
-	h := request.Header
+	return request
+}
+
+func (c *Client) header(call Call, remaining time.Duration) http.Header {
+	h := make(http.Header)
 	h.Set("Content-Type", "application/json")
 	h.Set(headerAttempt, strconv.FormatUint(uint64(call.Attempt), 10))
 	h.Set(headerShard, call.ShardName)
 	h.Set(headerSnapshot, strconv.FormatUint(uint64(call.Snapshot), 10))
 	h.Set(headerEpoch, strconv.FormatUint(uint64(call.Epoch), 10))
-	h.Set(headerDeadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	setDeadline(h, remaining)
 	if call.IdempotencyKey != "" {
 		h.Set(headerIdempotencyKey, call.IdempotencyKey)
 	}
-	return request
+	return h
+}
+
+// setDeadline gives the target its remaining time; a target that gets none does not start.
+func setDeadline(h http.Header, remaining time.Duration) {
+	h.Set(headerDeadline, strconv.FormatInt(max(0, remaining.Milliseconds()), 10))
 }
 
 // cancel tells the target to stop an attempt, which keeps the connection usable.
--- a/test/claims_test.go
+++ b/test/claims_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"cassiasaddle/core/cassiaclaim"
 	"cassiasaddle/core/cassiaid"
@@ -381,3 +382,26 @@
 	qt.Assert(c.t, json.Unmarshal(body, &counters), qt.IsNil)
 	return counters["put"]
 }
+
+// TestLostOwnerIsToldBeforeTheDeadline: a caller learns that the owner of its booking is dead once membership does, and
+// does not wait for a far deadline.
+func TestLostOwnerIsToldBeforeTheDeadline(t *testing.T) {
+	c := qt.New(t)
+	const farDeadline = 60 * time.Second
+	l := ownersInFirstZone()
+	l.fronts[0].Shards = l.fronts[0].Shards[:1]
+	l.fronts[0].Deadline = durationpb.New(farDeadline)
+	cl := startCluster(t, l)
+	key := bookingKey()
+	cl.behave("all", `{"medianMs":40000,"sigma":0}`)
+	end := inBackground(cl.vms[2], key)
+	eventually(t, startTimeout, "a target runs the booking", func() bool { return cl.starts()[key] > 0 })
+	killed := time.Now()
+	cl.vmNamed(cl.firstOwner(cl.vms[2], "booking")).process.signal(syscall.SIGKILL)
+	first, err := end()
+	c.Assert(err, qt.IsNil)
+	c.Check(outcome(first), qt.Equals, "outcomeUnknown unknown")
+	c.Check(time.Since(killed) < callTimeout, qt.IsTrue, qt.Commentf("after %v", time.Since(killed)))
+	t.Logf("told after %v", time.Since(killed))
+	c.Check(cl.starts()[key], qt.Equals, 1)
+}
