--- a/io/cassiabench/report.go
+++ b/io/cassiabench/report.go
@@ -111,6 +111,9 @@
 			fmt.Fprintf(w, "  messages between VMs a query: %.2f out, %.2f in\n", p.Out, p.In)
 		}
 		fmt.Fprintf(w, "  violations %+v\n", x.Violations)
+		for _, kind := range slices.Sorted(maps.Keys(x.RefusalMessages)) {
+			fmt.Fprintf(w, "  %s: %s\n", kind, x.RefusalMessages[kind])
+		}
 		for _, example := range x.Examples {
 			fmt.Fprintf(w, "    %s\n", example)
 		}
--- a/io/cassiabench/result.go
+++ b/io/cassiabench/result.go
@@ -28,6 +28,8 @@
 	TargetCrashes        int           `json:"targetCrashes"`
 	ConnectionsRefused   int           `json:"connectionsRefused"`
 	Violations           Violations    `json:"violations"`
+	// RefusalMessages holds one message for each kind of refusal.
+	RefusalMessages map[string]string `json:"refusalMessages,omitempty"`
 	// Examples tells some of the violations in words.
 	Examples []string            `json:"examples,omitempty"`
 	Fronts   map[string]Measures `json:"fronts"`
@@ -74,6 +76,7 @@
 	started := startedByShard(e.Executions)
 	inTime := slices.DeleteFunc(slices.Clone(e.Replies), func(r *reply) bool { return r.Request.At < s.WarmUp })
 	result.Measures = measure(inTime, started)
+	result.RefusalMessages = refusalMessages(inTime)
 	for _, l := range s.Loads {
 		of := func(r *reply) bool { return r.Request.Team == l.Team && r.Request.Front.GetName() == l.Front }
 		result.Fronts[l.Team+"/"+l.Front] = measure(filter(inTime, of), started)
@@ -85,6 +88,20 @@
 	return result
 }
 
+// refusalMessages returns one message for each kind of refusal.
+func refusalMessages(replies []*reply) map[string]string {
+	messages := map[string]string{}
+	for _, r := range replies {
+		if r.Answer == nil && messages[reasonOf(r)] == "" {
+			messages[reasonOf(r)] = r.Failure
+			if r.Refusal != nil {
+				messages[reasonOf(r)] = r.Refusal.Message
+			}
+		}
+	}
+	return messages
+}
+
 func filter(replies []*reply, keep func(*reply) bool) []*reply {
 	return slices.DeleteFunc(slices.Clone(replies), func(r *reply) bool { return !keep(r) })
 }
