Show the settings generation of each VM in status

Cause: status showed generation 0 for every VM: the published view of members was renewed only when members came or went. Change: also when a generation is heard. TestWholePath asks for it.

--- a/io/cassiagossip/gossip.go
+++ b/io/cassiagossip/gossip.go
@@ -161,6 +161,7 @@
 func (g *Gossip) update(message cassiamember.Message) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	_, viewChanged := message.(cassiamember.SettingsChanged)
 	for _, effect := range g.core.Update(message) {
 		switch effect := effect.(type) {
 		case cassiamember.SendPacket:
@@ -168,12 +169,14 @@
 		case cassiamember.Count:
 			g.scope.Counter(string(effect.Counter)).Inc(1)
 		case cassiamember.MembersChanged:
-			g.membersChanged = true
+			g.membersChanged, viewChanged = true, true
+		case cassiamember.PeerSettings:
+			g.learned, viewChanged = append(g.learned, effect), true
 		default:
 			g.learned = append(g.learned, effect)
 		}
 	}
-	if g.membersChanged {
+	if viewChanged {
 		g.publish()
 	}
 	if g.membersChanged || len(g.learned) > 0 {
--- a/test/thin_test.go
+++ b/test/thin_test.go
@@ -13,6 +13,16 @@
 	for _, v := range cl.vms {
 		checkWhole(c, cl.ask(v, "search", `{"fit":"slim"}`), 20)
 	}
+	for _, v := range cl.vms {
+		eventually(t, startTimeout, v.name+" knows the settings in force on each VM", func() bool {
+			for _, m := range cl.status(v).Members {
+				if m.SettingsGeneration != 2 {
+					return false
+				}
+			}
+			return true
+		})
+	}
 	for _, e := range cl.executions() {
 		c.Assert(e.ShardMapEpoch, qt.Equals, uint64(1))
 	}
