Never tell a repeat that it was not run when an earlier send ran

Ruled out: outcomeUnknown for every request during an outage, which tells first sends less than is known; the key's time, which proves nothing. Change: VMs remember the keys that left them and ask each other before such a refusal.

--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -72,6 +72,7 @@
 	Fronts     Fronts
 	Quarantine Quarantine
 	Claims     Claims
+	Inquirer   Inquirer
 	Clock      cassiaplan.Clock
 	Logger     log.Logger
 	Scope      tally.Scope
@@ -93,6 +94,7 @@
 	leaving      bool
 	quiet        chan struct{}
 	silence      silence
+	sent         sentKeys
 }
 
 // New returns an entry that answers until Close.
--- a/io/cassiaentry/once.go
+++ b/io/cassiaentry/once.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
+	"cassiasaddle/core/cassiaclaim"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaschema"
@@ -13,6 +16,9 @@
 // countPaused counts claims that were won too late to send their request.
 const countPaused cassiaplan.Counter = "claimWonTooLate"
 
+// countEarlierSend counts repeats refused because an earlier send may have run.
+const countEarlierSend cassiaplan.Counter = "earlierSendFound"
+
 // Claims decides which send of a non-idempotent request may run.
 type Claims interface {
 	Claim(ctx context.Context, request cassiaclaimer.ClaimRequest) (*cassiaclaimer.Grant, *cassiaplan.Refusal)
@@ -25,7 +31,7 @@
 		BodyHash: uint64(fingerprint), Deadline: question.Deadline,
 	})
 	if refusal != nil {
-		return nil, refusal
+		return nil, e.afterEarlierSend(ctx, question, refusal)
 	}
 	if answer, ok := grant.Remembered(); ok {
 		return answer, nil
@@ -40,6 +46,7 @@
 			Message: "the deadline passed before the request could be sent; repeat it with the same Idempotency-Key",
 		}
 	}
+	e.sent.add(e.config.Clock.Now(), question)
 	answer, refusal := e.answer(ctx, question, fingerprint, false, grant)
 	switch {
 	case refusal == nil:
@@ -56,3 +63,55 @@
 func (r *run) mayDispatch() bool {
 	return r.grant == nil || r.grant.MayDispatch(r.entry.config.Clock.Now())
 }
+
+// Inquirer asks other VMs about requests.
+type Inquirer interface {
+	// SentElsewhere tells whether a request, named by its scoped key, is known to have left another VM.
+	SentElsewhere(ctx context.Context, scoped string) bool
+}
+
+// afterEarlierSend corrects a refusal as not run for a request that an earlier send has run: while the claims can't be
+// read, only the VMs that sent requests know.
+func (e *Entry) afterEarlierSend(ctx context.Context, question *cassiahttp.Question, refusal *cassiaplan.Refusal) *cassiaplan.Refusal {
+	key, err := keyOf(question)
+	if refusal.Ran != cassiaplan.RanNo || refusal.Kind == cassiaplan.RefusalBadRequest || err != nil {
+		return refusal
+	}
+	if !e.Sent(key.Scoped) && !e.config.Inquirer.SentElsewhere(ctx, key.Scoped) {
+		return refusal
+	}
+	e.count(countEarlierSend)
+	return &cassiaplan.Refusal{
+		Kind: cassiaplan.RefusalOutcomeUnknown, Ran: cassiaplan.RanUnknown, RetryAfter: refusal.RetryAfter,
+		Message: "an earlier send of this request left for a target, and its outcome can't be read now; repeat it with the same Idempotency-Key",
+	}
+}
+
+// Sent tells whether a request left this VM within the retention of claims.
+func (e *Entry) Sent(scoped string) bool { return e.sent.has(e.config.Clock.Now(), scoped) }
+
+func keyOf(question *cassiahttp.Question) (cassiaclaim.Key, error) {
+	return cassiaclaim.ParseKey(question.Key, question.IdempotencyKey)
+}
+
+// sentKeys guards the keys of the requests that left this VM.
+type sentKeys struct {
+	mutex sync.Mutex
+	keys  cassiaclaim.Sent
+}
+
+func (s *sentKeys) add(now time.Time, question *cassiahttp.Question) {
+	key, err := keyOf(question)
+	if err != nil {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.keys.Add(now, key)
+}
+
+func (s *sentKeys) has(now time.Time, scoped string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.keys.Has(now, scoped)
+}
--- a/io/cassiaserver/claims.go
+++ b/io/cassiaserver/claims.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"cassiasaddle/core/cassiaclaim"
 	"cassiasaddle/core/cassiaid"
@@ -44,10 +46,46 @@
 	return reply, nil
 }
 
+const (
+	// inquiryTimeout bounds the question whether a request left another VM.
+	inquiryTimeout = 150 * time.Millisecond
+	// maxInquiries bounds how many VMs are asked.
+	maxInquiries = 64
+)
+
+// SentElsewhere asks the other VMs whether a request left one of them; those that give no reply count as not.
+func (s *server) SentElsewhere(ctx context.Context, scoped string) bool {
+	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+	defer cancel()
+	var sent atomic.Bool
+	var group errgroup.Group
+	call := &cassiaschema.ClaimCall{Key: scoped, Inquiry: true}
+	for i, m := range s.gossip.Members() {
+		if m.Name == s.self || i >= maxInquiries {
+			continue
+		}
+		group.Go(func() error {
+			reply, err := claimPeers{s}.Call(ctx, m.Name, call)
+			if err == nil && reply.GetSent() {
+				sent.Store(true)
+				cancel()
+			}
+			return nil
+		})
+	}
+	group.Wait() //nolint:errcheck // the calls return no error
+	return sent.Load()
+}
+
 // replyClaim answers the claim call of another VM.
 func (s *server) replyClaim(from cassiaid.VMName, call *cassiaschema.ClaimCall, reply cassiapeer.Replier) {
 	ctx, cancel := context.WithTimeout(context.Background(), max(call.GetRemaining().AsDuration(), time.Second))
 	defer cancel()
-	answer := s.claimer.Serve(ctx, call)
+	var answer *cassiaschema.ClaimReply
+	if call.GetInquiry() {
+		answer = &cassiaschema.ClaimReply{Sent: s.entry.Sent(call.GetKey())}
+	} else {
+		answer = s.claimer.Serve(ctx, call)
+	}
 	s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ClaimReply{ClaimReply: answer}})
 }
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -124,7 +124,7 @@
 	})
 	s.entry = cassiaentry.New(cassiaentry.Config{
 		Self: s.self, Routes: s.routes, Peers: s.node, Owner: s.owner, Fronts: fronts{s.tree}, Quarantine: s.quarantine,
-		Claims: s.claimer, Clock: clock, Logger: s.logger, Scope: scope,
+		Claims: s.claimer, Inquirer: s, Clock: clock, Logger: s.logger, Scope: scope,
 	})
 	return s.buildHTTP()
 }
--- a/test/claims_test.go
+++ b/test/claims_test.go
@@ -405,3 +405,41 @@
 	t.Logf("told after %v", time.Since(killed))
 	c.Check(cl.starts()[key], qt.Equals, 1)
 }
+
+// TestRepeatWhileTheStoreIsDown: a booking that ran is never refused as not run, also when its claim can't be read and
+// the VM that wrote it is dead.
+func TestRepeatWhileTheStoreIsDown(t *testing.T) {
+	c := qt.New(t)
+	cl := startCluster(t, bookingLayout())
+	key := bookingKey()
+	writer := cl.claimWriter(key)
+	var others []*vm
+	for _, v := range cl.vms {
+		if v != writer {
+			others = append(others, v)
+		}
+	}
+	cl.repeatUntil(others[0], key, "answered")
+	cl.faults(`{"down":true}`)
+	writer.process.signal(syscall.SIGKILL)
+	for range 5 {
+		for _, v := range others {
+			a, err := book(v, key, `{"jacket":1}`)
+			c.Assert(err, qt.IsNil)
+			c.Check(a.Ran, qt.Not(qt.Equals), "no", qt.Commentf("%s: %s", outcome(a), a.Message))
+		}
+	}
+	cl.checkRunOnce([]string{key}, 1)
+}
+
+// claimWriter returns the VM that writes a key's claim for all.
+func (c *cluster) claimWriter(text string) *vm {
+	c.t.Helper()
+	var names []cassiaid.VMName
+	for _, v := range c.vms {
+		names = append(names, cassiaid.VMName(v.name))
+	}
+	key, err := cassiaclaim.ParseKey(cassiaid.FrontKey{Team: team, Front: "booking"}, text)
+	qt.Assert(c.t, err, qt.IsNil)
+	return c.vmNamed(string(cassiaclaim.WriterOf(key.Bucket(), names)))
+}
