--- a/standin/cassiashard/attempt.go
+++ b/standin/cassiashard/attempt.go
@@ -105,7 +105,7 @@
 // postShard runs an attempt and answers it.
 func (t *Target) postShard(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	a, err := readAttempt(r, arrival(r.Context(), now))
+	a, err := readAttempt(r, arrivalOf(r))
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, "send decimal Attempt-Id, Snapshot, Shard-Map-Epoch and Deadline-Ms and a whole body")
 		return
--- a/standin/cassiashard/listener.go
+++ b/standin/cassiashard/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,7 +44,10 @@
 // promptRead is how soon after the set-up bytes are read that had come before its end.
 const promptRead = time.Millisecond
 
-type connKey struct{}
+type (
+	connKey    struct{}
+	arrivalKey struct{}
+)
 
 // withConn lets a request find its connection.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
@@ -59,6 +63,23 @@
 	return c.accepted
 }
 
+// withArrival notes when each request reached the target.
+func withArrival(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		at := arrival(r.Context(), time.Now())
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), arrivalKey{}, at)))
+	})
+}
+
+// arrivalOf returns what withArrival noted.
+func arrivalOf(r *http.Request) time.Time {
+	at, noted := r.Context().Value(arrivalKey{}).(time.Time)
+	if !noted {
+		return time.Now()
+	}
+	return at
+}
+
 // Read waits for the set-up of the connection before its first byte.
 func (c *admittedConn) Read(buffer []byte) (int, error) {
 	var first bool
--- a/standin/cassiashard/target.go
+++ b/standin/cassiashard/target.go
@@ -200,7 +200,7 @@
 
 // serveWhileAvailable serves until the target crashes, is lost or is stopped.
 func (t *Target) serveWhileAvailable(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: t.mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: discardLogger, ConnContext: withConn}
+	server := &http.Server{Handler: withArrival(t.mux), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: discardLogger, ConnContext: withConn}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		err := server.Serve(&cappedListener{Listener: listener, target: t})
