--- a/standin/cassiashard/target.go
+++ b/standin/cassiashard/target.go
@@ -247,6 +247,9 @@
 func (t *Target) admit(conn net.Conn) *admittedConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.behaviour.Lost || time.Now().Before(t.downUntil) {
+		return nil
+	}
 	if maximum := t.behaviour.MaxConnections; maximum > 0 && len(t.conns)+t.behaviour.OtherConnections >= maximum {
 		t.counters.ConnectionsRefused++
 		return nil
