--- a/io/cassiaserver/frames.go
+++ b/io/cassiaserver/frames.go
@@ -30,6 +30,11 @@
 	case *cassiaschema.PeerFrame_LossNotice:
 		answered := s.learnLoss(body.LossNotice)
 		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: answered}})
+	case *cassiaschema.PeerFrame_RunInquiry:
+		running := s.quarantine.Running(cassiaid.Fingerprint(body.RunInquiry.Fingerprint), cassiaid.ShardIndex(body.RunInquiry.Shard))
+		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiryReply{
+			RunInquiryReply: &cassiaschema.RunInquiryReply{Running: running},
+		}})
 	case *cassiaschema.PeerFrame_AnswerNotice:
 		s.learnAnswer(body.AnswerNotice)
 	case *cassiaschema.PeerFrame_ClaimCall:
@@ -48,11 +53,6 @@
 	s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_KnowledgeReply{KnowledgeReply: knowledge}})
 }
 
-func (s *server) replyClaim(from cassiaid.VMName, call *cassiaschema.ClaimCall, reply cassiapeer.Replier) {
-	answer := s.claimer.Serve(context.Background(), call)
-	s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ClaimReply{ClaimReply: answer}})
-}
-
 func (s *server) reply(to cassiaid.VMName, reply cassiapeer.Replier, frame *cassiaschema.PeerFrame) {
 	if err := reply(frame); err != nil {
 		s.metrics.Scope.Counter("replyLost").Inc(1)
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -106,6 +106,10 @@
 		Self: s.self, Rules: rules{s.routes}, Observer: observer{s.routes}, Quarantine: s.quarantine,
 		Clock: clock, Logger: s.logger, Scope: scope,
 	})
+	s.claimer = cassiaclaimer.NewClaimer(cassiaclaimer.Options{
+		Store: cassiaclaimer.PlatformStore{Client: s.store}, Peers: claimPeers{s},
+		Clock: clock, Metrics: scope, Logger: s.logger,
+	})
 	s.node, err = cassiapeer.Listen(cassiapeer.Config{
 		Self: s.self, Address: s.config.PeerAddress, Identity: identity, Resolver: s.members, Handler: s,
 		Wrap: s.options.wrap, Logger: s.logger, Scope: scope,
@@ -118,13 +122,9 @@
 		Store: s.store, Peers: settingsPeers{s.node}, Members: s.members, Clock: clock, Seed: rand.Uint64(),
 		Logger: s.logger, Scope: scope,
 	})
-	s.claimer = cassiaclaimer.NewClaimer(cassiaclaimer.Options{
-		Store: cassiaclaimer.PlatformStore{Client: s.store}, Peers: claimPeers{s}, Clock: clock, Metrics: scope, Logger: s.logger,
-	})
 	s.entry = cassiaentry.New(cassiaentry.Config{
 		Self: s.self, Routes: s.routes, Peers: s.node, Owner: s.owner, Fronts: fronts{s.tree}, Quarantine: s.quarantine,
-		Claimer: s.claimer,
-		Clock:   clock, Logger: s.logger, Scope: scope,
+		Claims: s.claimer, Clock: clock, Logger: s.logger, Scope: scope,
 	})
 	return s.buildHTTP()
 }
@@ -155,12 +155,13 @@
 	parts, running := errgroup.WithContext(running)
 	s.gossip.Subscribe(s.subscriber())
 	s.setMembers(s.gossip.Members())
+	s.node.Serve()
 	parts.Go(func() error { return s.gossip.Run(running) })
 	parts.Go(func() error { return s.tree.Run(running) })
+	parts.Go(func() error { return s.claimer.Run(running) })
 	parts.Go(func() error { return s.followSettings(running) })
 	parts.Go(func() error { return s.watchLeavingTargets(running) })
 	parts.Go(func() error { return s.entry.WatchSilence(running) })
-	parts.Go(func() error { return s.claimer.Run(running) })
 	endpoints, err := s.listen(parts)
 	if err != nil {
 		stop()
