--- a/standin/cassiashard/target.go
+++ b/standin/cassiashard/target.go
@@ -200,7 +200,7 @@
 
 // serveWhileAvailable serves until the target crashes, is lost or is stopped.
 func (t *Target) serveWhileAvailable(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: t.mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: discardLogger, ConnContext: withConn}
+	server := &http.Server{Handler: withArrival(t.mux), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: discardLogger, ConnContext: withConn}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		err := server.Serve(&cappedListener{Listener: listener, target: t})
@@ -247,6 +247,9 @@
 func (t *Target) admit(conn net.Conn) *admittedConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.behaviour.Lost || time.Now().Before(t.downUntil) {
+		return nil
+	}
 	if maximum := t.behaviour.MaxConnections; maximum > 0 && len(t.conns)+t.behaviour.OtherConnections >= maximum {
 		t.counters.ConnectionsRefused++
 		return nil
