Eject targets that take attempts and answer none; hand out each test address once

Ruled out: a larger hedge budget (extra load). Change: five attempts in a row given up late eject a target, with the floor for a shard's last replicas; an answer starts the count again. Beside it: a test address is handed out once; a VM's port had been offered twice (bind: address already in use), the cause of the two failures as not live within 20 s.

--- a/core/cassiaroute/effect.go
+++ b/core/cassiaroute/effect.go
@@ -40,6 +40,7 @@
 const (
 	EjectSlow        EjectReason = "slow"
 	EjectFailing     EjectReason = "failing"
+	EjectUnanswered  EjectReason = "unanswered"
 	EjectUnreachable EjectReason = "unreachable"
 	EjectLost        EjectReason = "lost"
 	EjectHealth      EjectReason = "health"
--- a/core/cassiaroute/evidence.go
+++ b/core/cassiaroute/evidence.go
@@ -82,7 +82,7 @@
 		}
 		return nil
 	case r.GetOutcome() == cassiaschema.ShardOutcome_answered:
-		s.failures = 0
+		s.failures, s.unanswered = 0, 0
 	}
 	if t.isSlow(m.Front, s) {
 		return t.eject(now, s, EjectSlow, slowBase)
@@ -108,7 +108,7 @@
 	if now.Before(s.ejectedUntil) {
 		return nil
 	}
-	if reason == EjectSlow || reason == EjectFailing {
+	if reason == EjectSlow || reason == EjectFailing || reason == EjectUnanswered {
 		if !s.mayDoubt(now) {
 			return []Effect{EjectKept{Target: s.name, Reason: reason}}
 		}
--- a/core/cassiaroute/table.go
+++ b/core/cassiaroute/table.go
@@ -67,7 +67,7 @@
 	case AttemptSent:
 		t.countSent(now, m)
 	case AttemptEnded:
-		t.endAttempt(m)
+		return t.endAttempt(now, m)
 	}
 	return nil
 }
@@ -202,15 +202,23 @@
 }
 
 // endAttempt takes one attempt off a target's load; one that was given up would have taken longer still.
-func (t *Table) endAttempt(m AttemptEnded) {
+func (t *Table) endAttempt(now time.Time, m AttemptEnded) []Effect {
 	s := t.targets[m.Target]
 	if s == nil {
-		return
+		return nil
 	}
 	s.load = max(0, s.load-1)
 	if m.GaveUpAfter > s.typical && s.typical > 0 {
 		s.observe(m.GaveUpAfter)
 	}
+	if peers := s.peers(); peers == 0 || m.GaveUpAfter < unansweredFactor*peers+hedgeFloor {
+		return nil
+	}
+	s.unanswered++
+	if s.unanswered < unansweredToEject {
+		return nil
+	}
+	return t.eject(now, s, EjectUnanswered, slowBase)
 }
 
 func (t *Table) countSent(now time.Time, m AttemptSent) {
--- a/core/cassiaroute/table_test.go
+++ b/core/cassiaroute/table_test.go
@@ -293,3 +293,31 @@
 	c.Assert(b.Target("t0-0").Epoch, qt.Equals, cassiaid.Epoch(2))
 	c.Assert(b.targets, qt.HasLen, 4)
 }
+
+// TestSilentTargetIsEjected: a target that takes attempts and answers none is ejected, unless its shard has no other.
+func TestSilentTargetIsEjected(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(4, 2)
+	for range 2 * peersEvery {
+		for _, name := range []string{"t1-0", "t1-1", "t2-0", "t2-1"} {
+			b.answer(name, 5*time.Millisecond)
+		}
+	}
+	giveUp := func(name string) {
+		b.Update(AttemptSent{Front: testKey, Target: cassiaid.TargetName(name)})
+		b.Update(AttemptEnded{Target: cassiaid.TargetName(name), GaveUpAfter: 30 * time.Millisecond})
+	}
+	for range unansweredToEject - 1 {
+		giveUp("t1-0")
+	}
+	c.Assert(b.usable("t1-0"), qt.IsTrue)
+	b.answer("t1-0", 5*time.Millisecond)
+	giveUp("t1-0")
+	c.Assert(b.usable("t1-0"), qt.IsTrue, qt.Commentf("an answer counts from the beginning"))
+	for range unansweredToEject {
+		giveUp("t1-0")
+		giveUp("t1-1")
+	}
+	c.Assert(b.usable("t1-0"), qt.IsFalse)
+	c.Assert(b.usable("t1-1"), qt.IsTrue, qt.Commentf("the shard's last open replica"))
+}
--- a/core/cassiaroute/target.go
+++ b/core/cassiaroute/target.go
@@ -19,6 +19,10 @@
 	ejectMax  = time.Minute
 	// ejectForget is how long a target must behave before its ejections start from the base again.
 	ejectForget = 2 * time.Minute
+	// unansweredToEject is the number of attempts in a row, given up late, that eject a target which answers none.
+	unansweredToEject = 5
+	// unansweredFactor is how many times the peers' latency an attempt has had before giving it up counts.
+	unansweredFactor = 2
 	// failuresToEject is the number of failures in a row that eject a target.
 	failuresToEject = 3
 )
@@ -58,7 +62,9 @@
 	ejectedUntil time.Time
 	ejections    int
 	failures     int
-	trickleAt    time.Time
+	// unanswered counts the attempts given up since the last answer.
+	unanswered int
+	trickleAt  time.Time
 }
 
 // shard is one shard of a front and the targets that hold it.
@@ -145,6 +151,8 @@
 	t.ejectedUntil = now.Add(hold)
 	t.trickleAt = now.Add(trickle)
 	t.failures = 0
+	// One more unanswered attempt ejects it again.
+	t.unanswered = min(t.unanswered, unansweredToEject-1)
 	return hold
 }
 
@@ -152,7 +160,7 @@
 func (t *target) reopen() {
 	t.leavingUntil, t.noticedUntil, t.ejectedUntil = time.Time{}, time.Time{}, time.Time{}
 	t.healthDoubt, t.wasDown = false, false
-	t.failures = 0
+	t.failures, t.unanswered = 0, 0
 }
 
 const (
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -143,6 +143,9 @@
 	}
 }
 
+// handedOut holds the addresses that freeAddress has returned.
+var handedOut sync.Map
+
 // freeAddress returns a loopback address whose port was free for TCP and UDP a moment ago.
 func freeAddress(t testing.TB, host string) string {
 	t.Helper()
@@ -156,7 +159,10 @@
 			continue
 		}
 		qt.Assert(t, socket.Close(), qt.IsNil)
-		return address
+		// The system may offer a port again that was handed out and is not listened on yet.
+		if _, taken := handedOut.LoadOrStore(address, true); !taken {
+			return address
+		}
 	}
 	t.Fatal("no free port")
 	return ""
