Read-through: one status type, one way to run stand-ins, names of shards by their epoch

Cause: read as a newcomer. A refusal's coverage after a restart on a larger shard map named shards by the older settings and would have ended the caller's connection by a panic (TestCoverageOfANewerShardMap, index out of range before); an attempt's shard was named by the settings in force instead of those of its epoch; rows that are no JSON failed the whole answer instead of their shard; the stand-ins ran their servers in three copies of the same code; status existed twice. Change: as the title says. Behaviour of the stand-ins stays.

--- a/cmd/cassiasaddle/status.go
+++ b/cmd/cassiasaddle/status.go
@@ -12,38 +12,12 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
-	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/io/cassiaserver"
 )
 
 // maxStatusBytes bounds a status, which grows with the members and the slices.
 const maxStatusBytes = 64 << 20
 
-// vmStatus is what a VM reports at /v1/status.
-type vmStatus struct {
-	VM                 cassiaid.VMName     `json:"vm"`
-	Zone               cassiaid.Zone       `json:"zone"`
-	Ready              bool                `json:"ready"`
-	SettingsGeneration cassiaid.Generation `json:"settingsGeneration"`
-	Members            []memberStatus      `json:"members"`
-	Owners             []sliceStatus       `json:"owners"`
-}
-
-// memberStatus is one member as the VM sees it.
-type memberStatus struct {
-	Name               cassiaid.VMName     `json:"name"`
-	AvailabilityZone   cassiaid.Zone       `json:"availabilityZone"`
-	State              string              `json:"state"`
-	SettingsGeneration cassiaid.Generation `json:"settingsGeneration"`
-}
-
-// sliceStatus names the VMs that own a slice of a front's targets in a zone.
-type sliceStatus struct {
-	Front  string            `json:"front"`
-	Slice  uint32            `json:"slice"`
-	Zone   cassiaid.Zone     `json:"zone"`
-	Owners []cassiaid.VMName `json:"owners"`
-}
-
 // statusCommand returns the command that shows members, owners and settings as one VM sees them.
 func statusCommand() *cli.Command {
 	return &cli.Command{
@@ -65,7 +39,7 @@
 	if err != nil {
 		return cli.Exit(err.Error(), exitFailed)
 	}
-	var status vmStatus
+	var status cassiaserver.Status
 	if err := json.Unmarshal(content, &status); err != nil {
 		return cli.Exit("the answer is no status; check that --address is a VM's operator address", exitFailed)
 	}
@@ -93,7 +67,7 @@
 	return io.ReadAll(io.LimitReader(response.Body, maxStatusBytes))
 }
 
-func printStatus(out io.Writer, s vmStatus) error {
+func printStatus(out io.Writer, s cassiaserver.Status) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintf(w, "VM %s in %s: ready %t, settings generation %d\n\n", s.VM, s.Zone, s.Ready, s.SettingsGeneration)
 	_, _ = fmt.Fprintln(w, "MEMBER\tZONE\tSTATE\tSETTINGS")
--- a/cmd/cassiastandin/main.go
+++ b/cmd/cassiastandin/main.go
@@ -3,17 +3,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/standin/cassialaunch"
 )
 
 func main() {
@@ -38,20 +37,5 @@
 	if address == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return eris.Wrapf(err, "cannot listen; free the address %s", address)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
-	return nil
+	return cassialaunch.HTTP(ctx, group, address, handler)
 }
--- a/cmd/cassiastandin/platform.go
+++ b/cmd/cassiastandin/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"os"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
@@ -13,9 +12,6 @@
 	"cassiasaddle/standin/cassiaplatform"
 )
 
-// readHeaderTimeout bounds how long a client may take to send a request's headers.
-const readHeaderTimeout = 30 * time.Second
-
 func platformCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "platform",
--- a/io/cassiabench/environment.go
+++ b/io/cassiabench/environment.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -14,6 +13,7 @@
 
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/core/cassiasettings"
+	"cassiasaddle/standin/cassialaunch"
 	"cassiasaddle/standin/cassiaplatform"
 	"cassiasaddle/standin/cassiarelay"
 	"cassiasaddle/standin/cassiashard"
@@ -21,9 +21,8 @@
 
 // Times of starting and stopping.
 const (
-	readHeaderTimeout = 30 * time.Second
-	startTimeout      = 20 * time.Second
-	pollPause         = 20 * time.Millisecond
+	startTimeout = 20 * time.Second
+	pollPause    = 20 * time.Millisecond
 )
 
 // Rates of the platform's key-value service, in calls a second.
@@ -103,21 +102,9 @@
 
 // startStandins starts targets and platform in the group and returns when they listen.
 func (e *environment) startStandins(ctx context.Context, group *errgroup.Group) error {
-	listener, err := net.Listen("tcp", e.layout.VMs[0].GetPlatformAddress())
-	if err != nil {
-		return eris.Wrap(err, "the platform's address is taken; end other runs")
+	if err := cassialaunch.HTTP(ctx, group, e.layout.VMs[0].GetPlatformAddress(), e.platform); err != nil {
+		return err
 	}
-	server := &http.Server{Handler: e.platform, ReadHeaderTimeout: readHeaderTimeout}
-	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
 	ready := make(chan struct{})
 	group.Go(func() error { return e.fleet.Run(ctx, func() { close(ready) }) })
 	select {
--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -156,11 +156,11 @@
 	if rows := finish.Answer.Rows; canary && len(rows) > 0 {
 		e.config.Quarantine.Answered(fingerprint, rows[0].Shard)
 	}
-	answer, err := cassiahttp.EncodeAnswer(question.RequestID, r.answeredFront(finish.Answer), finish.Answer)
+	answer, err := cassiahttp.EncodeAnswer(question.RequestID, r.frontAt(finish.Answer.Epoch), finish.Answer)
 	if err != nil {
 		return nil, &cassiaplan.Refusal{
-			Kind: cassiaplan.RefusalNotReady, Ran: cassiaplan.RanYes,
-			Message: "a target's rows are not valid JSON: " + err.Error(),
+			Kind: cassiaplan.RefusalInsufficientCoverage, Ran: cassiaplan.RanYes,
+			Message: "the answer could not be written as JSON: " + err.Error() + "; report the front and the request",
 		}
 	}
 	return answer, nil
@@ -234,10 +234,10 @@
 	}
 }
 
-// answeredFront returns the settings that name the answer's shards.
-func (r *run) answeredFront(answer *cassiaplan.Answer) *cassiaschema.Front {
+// frontAt returns the settings that name the shards of an epoch.
+func (r *run) frontAt(epoch cassiaid.Epoch) *cassiaschema.Front {
 	front := r.question.Front
-	if uint64(answer.Epoch) == front.ShardMapEpoch {
+	if uint64(epoch) == front.ShardMapEpoch {
 		return front
 	}
 	if now := r.entry.front(r.question.Key); now != nil {
--- a/io/cassiaentry/run.go
+++ b/io/cassiaentry/run.go
@@ -217,23 +217,15 @@
 		Fingerprint: uint64(r.fingerprint), IdempotencyKey: r.question.IdempotencyKey, Body: r.question.Body,
 		Attempts: make([]*cassiaschema.ShardAttempt, 0, len(e.Attempts)),
 	}
+	shards := r.frontAt(e.Epoch)
 	for _, a := range e.Attempts {
 		batch.Attempts = append(batch.Attempts, &cassiaschema.ShardAttempt{
-			AttemptId: uint64(a.ID), Shard: uint32(a.Shard), ShardName: r.shardName(a.Shard), Target: string(a.Target), Hedge: a.Hedge,
+			AttemptId: uint64(a.ID), Shard: uint32(a.Shard), ShardName: cassiahttp.ShardName(shards, a.Shard), Target: string(a.Target), Hedge: a.Hedge,
 		})
 	}
 	return batch
 }
 
-// shardName returns a shard's name by the settings in force, which a restart may have changed since the question came.
-func (r *run) shardName(shard cassiaid.ShardIndex) string {
-	front := r.entry.front(r.question.Key)
-	if int(shard) >= len(front.GetShards()) {
-		front = r.question.Front
-	}
-	return front.Shards[shard].Name
-}
-
 func (r *run) askKnowledge(e cassiaplan.AskKnowledge) {
 	request := &cassiaschema.KnowledgeRequest{Team: string(r.question.Key.Team), Front: string(r.question.Key.Front)}
 	for _, t := range e.Targets {
--- a/io/cassiahttp/handler_test.go
+++ b/io/cassiahttp/handler_test.go
@@ -126,3 +126,15 @@
 	c.Check(refusal.RetryAfterMs, qt.Equals, int64(1200))
 	c.Check(refusal.RequestID, qt.Equals, "r-1")
 }
+
+// TestCoverageOfANewerShardMap: a query that restarted on a front with more shards may lack one that its caller's settings
+// did not have.
+func TestCoverageOfANewerShardMap(t *testing.T) {
+	c := qt.New(t)
+	asker := &fakeAsker{refusal: &cassiaplan.Refusal{
+		Kind: cassiaplan.RefusalInsufficientCoverage, Ran: cassiaplan.RanYes, Message: "too few; retry",
+		Coverage: &cassiaplan.Coverage{Asked: 9, Answered: 8, Missing: []cassiaplan.MissingShard{{Shard: 8, Reason: cassiaplan.MissingLate}}},
+	}}
+	_, refusal := post(c, newServer(c, asker), teamPath+"search/query", `{}`)
+	c.Check(refusal.Coverage.Missing, qt.DeepEquals, []missingBody{{Shard: "shard 8", Reason: "late"}})
+}
--- a/io/cassiahttp/message.go
+++ b/io/cassiahttp/message.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
+	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaschema"
 )
@@ -46,11 +48,20 @@
 		Missing: make([]missingBody, 0, len(coverage.Missing)),
 	}
 	for _, m := range coverage.Missing {
-		body.Missing = append(body.Missing, missingBody{Shard: front.Shards[m.Shard].Name, Reason: string(m.Reason)})
+		body.Missing = append(body.Missing, missingBody{Shard: ShardName(front, m.Shard), Reason: string(m.Reason)})
 	}
 	return body
 }
 
+// ShardName returns a shard's name, or its number when a query that restarted asked shards that the settings known to
+// the caller's request did not have.
+func ShardName(front *cassiaschema.Front, shard cassiaid.ShardIndex) string {
+	if int(shard) < len(front.GetShards()) {
+		return front.Shards[shard].Name
+	}
+	return fmt.Sprintf("shard %d", shard)
+}
+
 // EncodeAnswer returns the JSON form of an answer.
 func EncodeAnswer(requestID string, front *cassiaschema.Front, answer *cassiaplan.Answer) ([]byte, error) {
 	rows := make([]json.RawMessage, 0, len(answer.Rows))
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -74,17 +75,13 @@
 
 // progress records how far an attempt got, from which follows whether the target may have started it.
 type progress struct {
-	connected atomic.Bool
-	written   atomic.Bool
+	written atomic.Bool
 }
 
 // trace follows the request; the wait for a connection counts against the time that the target is given.
 func (p *progress) trace(header http.Header, deadline time.Time) *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			p.connected.Store(true)
-			setDeadline(header, time.Until(deadline))
-		},
+		GotConn: func(httptrace.GotConnInfo) { setDeadline(header, time.Until(deadline)) },
 		// Header bytes are buffered; from here on some of them may have left.
 		WroteHeaderField: func(string, []string) { p.written.Store(true) },
 	}
@@ -223,7 +220,7 @@
 		result.Outcome = cassiaschema.ShardOutcome_badReply
 	case err != nil:
 		result.Outcome = cassiaschema.ShardOutcome_cancelled
-	case len(rows) > maxRowsBytes, !echoes(call, reply.Header):
+	case len(rows) > maxRowsBytes, !echoes(call, reply.Header), !json.Valid(rows):
 		result.Outcome = cassiaschema.ShardOutcome_badReply
 	default:
 		result.Outcome = cassiaschema.ShardOutcome_answered
--- a/io/cassiatarget/client_test.go
+++ b/io/cassiatarget/client_test.go
@@ -70,6 +70,10 @@
 		{"foreign attempt", answerOf(func(h http.Header) { h.Set(headerAttempt, "6") }), cassiaschema.ShardOutcome_badReply, true, false},
 		{"foreign shard", answerOf(func(h http.Header) { h.Set(headerShard, "other") }), cassiaschema.ShardOutcome_badReply, true, false},
 		{"truncated", answerOf(func(h http.Header) { h.Set("Content-Length", "100") }), cassiaschema.ShardOutcome_badReply, true, false},
+		{"no JSON", func(w http.ResponseWriter, r *http.Request) {
+			answerOf(same)(w, r)
+			w.Write([]byte("}")) //nolint:errcheck // the test sees what the client gets
+		}, cassiaschema.ShardOutcome_badReply, true, false},
 		{"overloaded", refusalOf(503, "overloaded"), cassiaschema.ShardOutcome_overloaded, false, false},
 		{"cold", refusalOf(503, "cold"), cassiaschema.ShardOutcome_overloaded, false, false},
 		{"draining", refusalOf(503, "draining"), cassiaschema.ShardOutcome_draining, false, true},
--- a/standin/cassiarelay/control.go
+++ b/standin/cassiarelay/control.go
@@ -5,9 +5,8 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
-	"sync"
 
-	"golang.org/x/sync/errgroup"
+	"cassiasaddle/standin/cassialaunch"
 )
 
 // faultsRequest is the body of POST /standin/relays/{listen}/faults.
@@ -42,27 +41,7 @@
 type Set []*Relay
 
 // Run runs all relays until the context ends; ready is called once when all listen.
-func (s Set) Run(ctx context.Context, ready func()) error {
-	group, ctx := errgroup.WithContext(ctx)
-	var listening sync.WaitGroup
-	for _, r := range s {
-		listening.Add(1)
-		group.Go(func() error {
-			var once sync.Once
-			done := func() { once.Do(listening.Done) }
-			defer done()
-			return r.Run(ctx, done)
-		})
-	}
-	group.Go(func() error {
-		listening.Wait()
-		if ctx.Err() == nil && ready != nil {
-			ready()
-		}
-		return nil
-	})
-	return group.Wait()
-}
+func (s Set) Run(ctx context.Context, ready func()) error { return cassialaunch.All(ctx, s, ready) }
 
 // named returns the relays that a path names: one by its listening address, or all.
 func (s Set) named(listen string) []*Relay {
--- a/standin/cassiashard/fleet.go
+++ b/standin/cassiashard/fleet.go
@@ -5,12 +5,11 @@
 	"io"
 	"net/http"
 	"slices"
-	"sync"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sync/errgroup"
 
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/standin/cassialaunch"
 )
 
 // Fleet is all the targets of some teams in one process.
@@ -119,25 +118,7 @@
 
 // Run serves all targets until the context ends; ready is called once when all listen.
 func (f *Fleet) Run(ctx context.Context, ready func()) error {
-	group, ctx := errgroup.WithContext(ctx)
-	var listening sync.WaitGroup
-	for _, t := range f.targets {
-		listening.Add(1)
-		group.Go(func() error {
-			var once sync.Once
-			done := func() { once.Do(listening.Done) }
-			defer done()
-			return t.Run(ctx, done)
-		})
-	}
-	group.Go(func() error {
-		listening.Wait()
-		if ctx.Err() == nil && ready != nil {
-			ready()
-		}
-		return nil
-	})
-	return group.Wait()
+	return cassialaunch.All(ctx, f.targets, ready)
 }
 
 // ControlHandler serves /standin/targets/{name}/behaviour and /standin/targets/{name}/log, and with the name "all"
