--- a/core/cassiaclaim/schedule_test.go
+++ b/core/cassiaclaim/schedule_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "cassiasaddle/test/cassiaseed"
 )
 
 // uniform draws a number below 32 without the preference for small ones that integers have.
--- a/core/cassiadelay/lateness_test.go
+++ b/core/cassiadelay/lateness_test.go
@@ -6,6 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "cassiasaddle/test/cassiaseed"
 )
 
 func TestLatenessIgnoresClockDifference(t *testing.T) {
--- a/core/cassialimit/limiter_test.go
+++ b/core/cassialimit/limiter_test.go
@@ -11,6 +11,8 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
+
+	_ "cassiasaddle/test/cassiaseed"
 )
 
 var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/core/cassiamember/membership_test.go
+++ b/core/cassiamember/membership_test.go
@@ -9,6 +9,8 @@
 	"pgregory.net/rapid"
 
 	"cassiasaddle/core/cassiaid"
+
+	_ "cassiasaddle/test/cassiaseed"
 )
 
 // settle is the time within which views have to agree once nothing changes any more.
--- a/core/cassiaplan/judge_test.go
+++ b/core/cassiaplan/judge_test.go
@@ -7,6 +7,8 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
+
+	_ "cassiasaddle/test/cassiaseed"
 )
 
 // sentAttempt is what the judge saw of one attempt.
--- a/core/cassiaquarantine/quarantine_test.go
+++ b/core/cassiaquarantine/quarantine_test.go
@@ -11,6 +11,8 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
+
+	_ "cassiasaddle/test/cassiaseed"
 )
 
 // cluster is a few owners of the targets of one front; losses and quarantines reach all of them before a caller learns.
--- a/core/cassiaroute/owners_test.go
+++ b/core/cassiaroute/owners_test.go
@@ -13,6 +13,8 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
+
+	_ "cassiasaddle/test/cassiaseed"
 )
 
 var testKey = cassiaid.FrontKey{Team: "team", Front: "front"}
--- a/core/cassiasettings/simulation_test.go
+++ b/core/cassiasettings/simulation_test.go
@@ -12,6 +12,8 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
+
+	_ "cassiasaddle/test/cassiaseed"
 )
 
 type testClock struct{ now time.Time }
