--- a/core/cassiaplan/attempt.go
+++ b/core/cassiaplan/attempt.go
@@ -20,6 +20,8 @@
 	cancelled      bool
 	// ownerFailed is true when the owner, not the target, was the obstacle.
 	ownerFailed bool
+	// passedOver is true once another owner was asked beside this one's silence.
+	passedOver bool
 }
 
 // newAttempt registers an attempt under an identifier that this query has not used.
--- a/core/cassiaplan/silent.go
+++ b/core/cassiaplan/silent.go
@@ -19,7 +19,7 @@
 		if !s.pending() || !s.waitsOnlyFor(owner) {
 			continue
 		}
-		s.ownersFailed(owner)
+		s.passOver(owner)
 		if options, _ := q.candidates(s, notUsable); len(options) > 0 {
 			q.outbox.count(CountHedgeOwnerSilent)
 			choices = append(choices, choice{shard: s, options: options})
@@ -28,16 +28,24 @@
 	q.ask(choices, true, now)
 }
 
-// waitsOnlyFor tells whether the shard's only attempt in flight is at an owner.
+// waitsOnlyFor tells whether the shard's only attempt in flight is at an owner that was not passed over for it yet.
 func (s *shard) waitsOnlyFor(owner cassiaid.VMName) bool {
-	return s.inFlight() == 1 && s.inFlightAt(owner)
+	if s.inFlight() != 1 {
+		return false
+	}
+	for _, a := range s.attempts {
+		if a.open {
+			return a.owner == owner && !a.passedOver
+		}
+	}
+	return false
 }
 
-// ownersFailed lets the targets of open attempts at an owner be asked through another one.
-func (s *shard) ownersFailed(owner cassiaid.VMName) {
+// passOver lets the targets of open attempts at an owner be asked through another one, once for each attempt.
+func (s *shard) passOver(owner cassiaid.VMName) {
 	for _, a := range s.attempts {
 		if a.open && a.owner == owner {
-			a.ownerFailed = true
+			a.ownerFailed, a.passedOver = true, true
 		}
 	}
 }
--- a/core/cassiaplan/silent_test.go
+++ b/core/cassiaplan/silent_test.go
@@ -42,3 +42,20 @@
 	again := w.query.Update(OwnerSilent{Owner: effectsOf[SendBatch](first)[0].Owner})
 	c.Assert(effectsOf[SendBatch](again), qt.HasLen, 0)
 }
+
+// TestSilentOwnerIsPassedOverOnce: an owner that is silent again pays for no second attempt of a shard.
+func TestSilentOwnerIsPassedOverOnce(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	w.hedges, w.retries = 0, 0
+	silent := effectsOf[SendBatch](w.begin())[0]
+	w.clock.now = epochStart.Add(50 * time.Millisecond)
+	again := w.query.Update(OwnerSilent{Owner: silent.Owner})
+	c.Assert(effectsOf[SendBatch](again), qt.HasLen, 1)
+	w.reply(again, func(b SendBatch, a Attempt) *cassiaschema.ShardResult {
+		r := refused(b, a, cassiaschema.ShardOutcome_failed)
+		r.Started = true
+		return r
+	})
+	c.Assert(effectsOf[SendBatch](w.query.Update(OwnerSilent{Owner: silent.Owner})), qt.HasLen, 0)
+}
