Use all slow replicas of a slow shard

Its first replica had been ejected for slowness; then the second one became as slow, was kept as the last one, and had to carry all calls with two slots until the ejection of the first ended 20 s later. The hedge could not help: an ejected replica gets none. Change: a target ejected for slowness is usable while its shard's open replicas are no more than twice as fast; and once a shard has waited for as long as such a replica takes, a hedge may go there, if it can still answer in time. TestSlowShardUsesAllItsReplicas fails without the first part.

--- a/core/cassiaplan/hedge.go
+++ b/core/cassiaplan/hedge.go
@@ -19,9 +19,9 @@
 		if !q.hedgeDue(s, now) {
 			continue
 		}
-		options, _ := q.candidates(s, notKnown)
+		options, due := q.hedgeOptions(s, now)
 		if len(options) == 0 {
-			s.hedgeAt = q.request.Deadline
+			s.hedgeAt = due
 			continue
 		}
 		if !q.view.TakeHedge(q.request.Key) {
@@ -36,6 +36,24 @@
 	q.ask(choices, true, now)
 }
 
+// hedgeOptions returns where a hedge may be sent now, or when to look again. A replica that is out of use for its
+// latency may get one once the shard has waited for as long as that replica takes, if it can still answer in time.
+func (q *Query) hedgeOptions(s *shard, now time.Time) ([]candidate, time.Time) {
+	options, _ := q.candidates(s, onlySlow)
+	if len(options) == 0 || options[0].fit < onlySlow {
+		return options, q.request.Deadline
+	}
+	cost := options[0].cost
+	due := s.attempts[len(s.attempts)-1].sent.Add(cost)
+	switch {
+	case now.Before(due):
+		return nil, due
+	case now.Add(cost).Before(q.request.Deadline):
+		return options, due
+	}
+	return nil, q.request.Deadline
+}
+
 // mayHedge tells whether a second attempt may run beside the first one.
 func (q *Query) mayHedge() bool {
 	return q.idempotent() && q.view.HedgeAfter(q.request.Key) > 0 && !q.crash.suspects()
--- a/core/cassiaplan/learned.go
+++ b/core/cassiaplan/learned.go
@@ -22,7 +22,7 @@
 		v.Held, v.Epoch = l.held, l.epoch
 	}
 	if l.unfit || l.leaves {
-		v.Usable = false
+		v.Usable, v.OnlySlow = false, false
 	}
 	return v
 }
--- a/core/cassiaplan/query_test.go
+++ b/core/cassiaplan/query_test.go
@@ -1,6 +1,8 @@
 package cassiaplan
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -354,3 +356,29 @@
 	c.Assert(effectsOf[SendBatch](w.begin())[0].Owner, qt.Equals, cassiaid.VMName("zone-0/1"))
 	c.Assert(effectsOf[SendBatch](w.at(20 * time.Millisecond))[0].Owner, qt.Equals, cassiaid.VMName("zone-0/2"))
 }
+
+// TestHedgeToASlowReplica has one of two replicas out of use for its latency; the other one hangs.
+func TestHedgeToASlowReplica(t *testing.T) {
+	tests := []struct {
+		name     string
+		typical  time.Duration
+		onlySlow bool
+		hedges   map[time.Duration]int
+	}{
+		{"waits for as long as the slow one takes", 80 * time.Millisecond, true,
+			map[time.Duration]int{20 * time.Millisecond: 0, 79 * time.Millisecond: 0, 80 * time.Millisecond: 1}},
+		{"too slow for the deadline", 160 * time.Millisecond, true, map[time.Duration]int{20 * time.Millisecond: 0, 160 * time.Millisecond: 0}},
+		{"not usable for another reason", 10 * time.Millisecond, false, map[time.Duration]int{20 * time.Millisecond: 0, 80 * time.Millisecond: 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(1)
+			w.targets["t0-1"] = TargetView{Held: []cassiaid.Snapshot{41, 42}, Epoch: 7, OnlySlow: tt.onlySlow, Typical: tt.typical}
+			c.Assert(effectsOf[SendBatch](w.begin()), qt.HasLen, 1)
+			for _, after := range slices.Sorted(maps.Keys(tt.hedges)) {
+				c.Check(effectsOf[SendBatch](w.at(after)), qt.HasLen, tt.hedges[after], qt.Commentf("after %v", after))
+			}
+		})
+	}
+}
--- a/core/cassiaplan/replica.go
+++ b/core/cassiaplan/replica.go
@@ -14,6 +14,7 @@
 const (
 	holdsSnapshot fitness = iota
 	notKnown
+	onlySlow
 	notUsable
 	lacksSnapshot
 )
@@ -61,6 +62,8 @@
 		return lacksSnapshot
 	case v.Held != nil && !slices.Contains(v.Held, q.snapshot):
 		return lacksSnapshot
+	case !v.Usable && v.OnlySlow:
+		return onlySlow
 	case !v.Usable:
 		return notUsable
 	case v.Held == nil || v.Epoch != 0 && v.Epoch < q.epoch:
--- a/core/cassiaplan/view.go
+++ b/core/cassiaplan/view.go
@@ -34,6 +34,8 @@
 	Epoch cassiaid.Epoch
 	// Usable is false for a target that leaves, is ejected or cannot be reached.
 	Usable bool
+	// OnlySlow is true for a target that is not usable for no other reason than its latency.
+	OnlySlow bool
 	// Typical and Slow are the target's median and 95th percentile latency, zero when not known.
 	Typical, Slow time.Duration
 	// Load is the number of attempts of this VM in flight on the target.
--- a/core/cassiaroute/evidence.go
+++ b/core/cassiaroute/evidence.go
@@ -113,7 +113,7 @@
 			return []Effect{EjectKept{Target: s.name, Reason: reason}}
 		}
 	}
-	hold := s.eject(now, base, t.trickleEvery())
+	hold := s.eject(now, reason, base, t.trickleEvery())
 	return []Effect{Ejected{Target: s.name, Reason: reason, For: hold}}
 }
 
--- a/core/cassiaroute/table.go
+++ b/core/cassiaroute/table.go
@@ -91,12 +91,13 @@
 	}
 	now := t.clock.Now()
 	return cassiaplan.TargetView{
-		Held:    s.held,
-		Epoch:   s.epoch,
-		Usable:  s.usable(now),
-		Typical: s.expected(now, s.peers()),
-		Slow:    s.slow,
-		Load:    s.load,
+		Held:     s.held,
+		Epoch:    s.epoch,
+		Usable:   s.usable(now),
+		OnlySlow: s.onlySlow(now),
+		Typical:  s.expected(now, s.peers()),
+		Slow:     s.slow,
+		Load:     s.load,
 	}
 }
 
--- a/core/cassiaroute/table_test.go
+++ b/core/cassiaroute/table_test.go
@@ -136,6 +136,37 @@
 	c.Assert(slow(), qt.DeepEquals, []time.Duration{2 * slowBase})
 }
 
+// TestSlowShardUsesAllItsReplicas has a replica ejected for slowness, then its shard's other one become as slow.
+func TestSlowShardUsesAllItsReplicas(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(8, 2)
+	run := func(first, second time.Duration) {
+		for range targetWindow {
+			for s := range 8 {
+				b.answer(fmt.Sprintf("t%d-1", s), 5*time.Millisecond)
+			}
+			b.answer("t0-0", first)
+			b.answer("t0-1", second)
+		}
+	}
+	run(200*time.Millisecond, 5*time.Millisecond)
+	c.Assert(b.usable("t0-0"), qt.IsFalse)
+	for range 2 * targetWindow {
+		b.answer("t0-1", 250*time.Millisecond)
+	}
+	c.Assert(b.usable("t0-0"), qt.IsTrue)
+	c.Assert(b.usable("t0-1"), qt.IsTrue)
+	for range 2 * targetWindow {
+		b.answer("t0-1", 5*time.Millisecond)
+	}
+	c.Assert(b.usable("t0-0"), qt.IsFalse, qt.Commentf("the other one recovered"))
+	b.Update(TargetLeaving{Target: "t0-0", Source: SourceNotice})
+	for range 2 * targetWindow {
+		b.answer("t0-1", 250*time.Millisecond)
+	}
+	c.Assert(b.usable("t0-0"), qt.IsFalse, qt.Commentf("another VM says that it leaves"))
+}
+
 func TestFailingTargetIsEjected(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(4, 2)
--- a/core/cassiaroute/target.go
+++ b/core/cassiaroute/target.go
@@ -23,6 +23,8 @@
 	unansweredToEject = 5
 	// unansweredFactor is how many times the peers' latency an attempt has had before giving it up counts.
 	unansweredFactor = 2
+	// fasterFactor is how many times faster an open replica has to be for a slow one to stay out of use.
+	fasterFactor = 2
 	// failuresToEject is the number of failures in a row that eject a target.
 	failuresToEject = 3
 )
@@ -62,6 +64,8 @@
 	ejectedUntil time.Time
 	ejections    int
 	failures     int
+	// ejectedFor is why the target was ejected last.
+	ejectedFor EjectReason
 	// unanswered counts the attempts given up since the last answer.
 	unanswered int
 	trickleAt  time.Time
@@ -83,7 +87,8 @@
 	return conditionOpen
 }
 
-// usable tells whether a query may be sent to the target: it is open, due for a trickle, or the last resort of a shard.
+// usable tells whether a query may be sent to the target: it is open, due for a trickle, the last resort of a shard, or
+// ejected for slowness while the open replicas of a shard are no faster.
 func (t *target) usable(now time.Time) bool {
 	switch t.condition(now) {
 	case conditionOpen:
@@ -94,14 +99,21 @@
 	if t.trickles(now) {
 		return true
 	}
+	onlySlow := t.onlySlow(now)
 	for _, s := range t.shards {
-		if !s.hasOpen(now) {
+		if !s.hasOpen(now) || onlySlow && !s.hasFaster(t, now) {
 			return true
 		}
 	}
 	return len(t.shards) == 0
 }
 
+// onlySlow tells whether nothing but its slowness speaks against the target.
+func (t *target) onlySlow(now time.Time) bool {
+	return t.ejectedFor == EjectSlow && now.Before(t.ejectedUntil) && !t.healthDoubt && !now.Before(t.noticedUntil) &&
+		t.condition(now) != conditionClosed
+}
+
 // trickles tells whether an ejected target is due for an attempt that shows whether it has recovered; a target that is
 // said to be leaving gets none.
 func (t *target) trickles(now time.Time) bool {
@@ -117,6 +129,16 @@
 	return false
 }
 
+// hasFaster tells whether an open replica takes less than half of a target's latency.
+func (s *shard) hasFaster(t *target, now time.Time) bool {
+	for _, r := range s.replicas {
+		if r != t && r.condition(now) == conditionOpen && fasterFactor*r.typical < t.typical {
+			return true
+		}
+	}
+	return false
+}
+
 // mayDoubt tells whether at most half of the replicas of each of the target's shards would be out of use with it.
 func (t *target) mayDoubt(now time.Time) bool {
 	for _, s := range t.shards {
@@ -142,12 +164,13 @@
 }
 
 // eject takes the target out of use for a time that doubles with each ejection.
-func (t *target) eject(now time.Time, base, trickle time.Duration) time.Duration {
+func (t *target) eject(now time.Time, reason EjectReason, base, trickle time.Duration) time.Duration {
 	if !t.ejectedUntil.IsZero() && now.Sub(t.ejectedUntil) > ejectForget {
 		t.ejections = 0
 	}
 	hold := min(ejectMax, base<<min(t.ejections, 8))
 	t.ejections++
+	t.ejectedFor = reason
 	t.ejectedUntil = now.Add(hold)
 	t.trickleAt = now.Add(trickle)
 	t.failures = 0
