Keep a target's learned limit when its share changes

Cause: the owner made a target anew when its connection share changed, so the limiter started again from one attempt at a time, and a target's cap was counted twice while the old one's attempts ran on. Ruled out: keeping the client. Its transport can't take another bound while it is in use; the old one closes its connections as they come back. Change: setShare passes BoundsChanged to the limiter and replaces the client; what was learned is cut to a smaller bound. A target that moved to another address is another key and starts from nothing, as before.

--- a/core/cassialimit/adaptive.go
+++ b/core/cassialimit/adaptive.go
@@ -45,6 +45,9 @@
 	a.slowStart = true
 }
 
+// fit keeps what was learned as far as a new bound allows.
+func (a *adaptive) fit(bound int) { a.limit = min(a.limit, float64(bound)) }
+
 // current returns the limit as a number of attempts.
 func (a *adaptive) current(bound int) int {
 	if a.probes > 0 {
--- a/core/cassialimit/limiter.go
+++ b/core/cassialimit/limiter.go
@@ -73,6 +73,7 @@
 		effects = l.refuseAll(ReasonLost)
 	case BoundsChanged:
 		l.setBounds(m.Bounds)
+		l.adaptive.fit(l.bounds.Concurrency)
 	case Tick:
 		l.wakeAt = time.Time{}
 	}
--- a/core/cassialimit/message.go
+++ b/core/cassialimit/message.go
@@ -41,7 +41,7 @@
 // Tick tells that a time asked for by WakeAt has come.
 type Tick struct{}
 
-// BoundsChanged replaces the bounds.
+// BoundsChanged replaces the bounds and keeps what was learned.
 type BoundsChanged struct{ Bounds Bounds }
 
 func (Offer) isMessage()         {}
--- a/io/cassiaowner/health.go
+++ b/io/cassiaowner/health.go
@@ -33,7 +33,7 @@
 	var group errgroup.Group
 	group.SetLimit(maxHealthCalls)
 	for _, t := range owned {
-		keep[targetKey{front: t.Front, name: t.Name}] = true
+		keep[keyOf(t)] = true
 		group.Go(func() error { o.target(t).checkHealth(o.context); return nil })
 	}
 	group.Wait() //nolint:errcheck // the calls return no error
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -81,10 +81,15 @@
 	late     map[cassiaid.VMName]*cassiadelay.Lateness
 }
 
-// targetKey tells apart the shares that several fronts have in one target.
+// targetKey tells apart the shares that several fronts have in one target, and a target that moved from what it was.
 type targetKey struct {
-	front cassiaid.FrontKey
-	name  cassiaid.TargetName
+	front   cassiaid.FrontKey
+	name    cassiaid.TargetName
+	address string
+}
+
+func keyOf(owned OwnedTarget) targetKey {
+	return targetKey{front: owned.Front, name: owned.Name, address: owned.Address}
 }
 
 // New returns an owner that serves until Close.
@@ -173,20 +178,22 @@
 	o.config.Scope.Tagged(map[string]string{"reason": outcome.String()}).Counter("ownerRefusals").Inc(1)
 }
 
-// target returns the state of an owned target, making it on first use and anew when its share changed.
+// target returns the state of an owned target, making it on first use; a changed share keeps what was learned.
 func (o *Owner) target(owned OwnedTarget) *target {
-	key := targetKey{front: owned.Front, name: owned.Name}
+	t := o.lookUp(owned)
+	t.setShare(owned)
+	return t
+}
+
+func (o *Owner) lookUp(owned OwnedTarget) *target {
+	key := keyOf(owned)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	t := o.targets[key]
-	if t != nil && t.owned == owned {
-		return t
-	}
-	if t != nil {
-		t.retire()
+	if t == nil {
+		t = newTarget(o, owned)
+		o.targets[key] = t
 	}
-	t = newTarget(o, owned)
-	o.targets[key] = t
 	return t
 }
 
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -14,11 +14,13 @@
 
 // target holds this VM's connections to one target and the limiter that decides what starts when.
 type target struct {
-	owner  *Owner
-	owned  OwnedTarget
-	client *cassiatarget.Client
+	owner *Owner
+	key   targetKey
 
-	mutex     sync.Mutex
+	mutex sync.Mutex
+	// owned holds this VM's share, which client and limiter follow.
+	owned     OwnedTarget
+	client    *cassiatarget.Client
 	limiter   *cassialimit.Limiter
 	waiting   map[cassiaid.AttemptID]*attempt
 	running   map[cassiaid.AttemptID]*attempt
@@ -29,9 +31,9 @@
 
 func newTarget(o *Owner, owned OwnedTarget) *target {
 	t := &target{
-		owner: o, owned: owned,
-		client:    cassiatarget.New(owned.Name, owned.Address, owned.Connections),
-		limiter:   cassialimit.NewLimiter(o.config.Clock, cassialimit.Bounds{Concurrency: concurrencyOf(owned)}),
+		owner: o, key: keyOf(owned), owned: owned,
+		client:    newClient(owned),
+		limiter:   cassialimit.NewLimiter(o.config.Clock, boundsOf(owned)),
 		waiting:   make(map[cassiaid.AttemptID]*attempt),
 		running:   make(map[cassiaid.AttemptID]*attempt),
 		lastUsed:  o.config.Clock.Now(),
@@ -42,13 +44,39 @@
 	return t
 }
 
-// concurrencyOf returns the most attempts in flight; one connection is kept free for cancellations where there are two.
-func concurrencyOf(owned OwnedTarget) int {
+func newClient(owned OwnedTarget) *cassiatarget.Client {
+	return cassiatarget.New(owned.Name, owned.Address, owned.Connections)
+}
+
+// boundsOf returns the most attempts in flight; one connection is kept free for cancellations where there are two.
+func boundsOf(owned OwnedTarget) cassialimit.Bounds {
 	most := max(1, owned.Connections-1)
 	if owned.MaxConcurrency > 0 {
 		most = min(most, owned.MaxConcurrency)
 	}
-	return most
+	return cassialimit.Bounds{Concurrency: most}
+}
+
+// setShare follows a change of this VM's share: attempts that run keep their connections, the limiter what it learned.
+func (t *target) setShare(owned OwnedTarget) {
+	t.mutex.Lock()
+	if t.owned == owned {
+		t.mutex.Unlock()
+		return
+	}
+	before := t.client
+	t.owned, t.client = owned, newClient(owned)
+	refused := t.update(cassialimit.BoundsChanged{Bounds: boundsOf(owned)})
+	t.mutex.Unlock()
+	before.Close()
+	t.finish(refused)
+}
+
+// connections returns the client to use from now on.
+func (t *target) connections() *cassiatarget.Client {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.client
 }
 
 func (t *target) offer(a *attempt) {
@@ -116,7 +144,7 @@
 	t.owner.forget(a)
 	t.learn(result)
 	if a.batch.remote {
-		t.owner.config.Observer.ResultSeen(t.owned.Front, result)
+		t.owner.config.Observer.ResultSeen(t.key.front, result)
 	}
 	t.mutex.Lock()
 	delete(t.running, a.id())
@@ -130,12 +158,12 @@
 func (t *target) perform(ctx context.Context, a *attempt) *cassiaschema.ShardResult {
 	quarantine := t.owner.config.Quarantine
 	run := cassiaquarantine.Run{Attempt: a.id(), Fingerprint: a.fingerprint(), Shard: a.shard(), Alone: a.alone}
-	if verdict := quarantine.Begin(t.owned.Front, run, t.owned.Name); refuses(verdict) {
+	if verdict := quarantine.Begin(t.key.front, run, t.key.name); refuses(verdict) {
 		t.owner.countRefusal(refusalOf(verdict))
 		return a.notStarted(refusalOf(verdict))
 	}
-	result := t.client.Run(ctx, a.call())
-	quarantine.End(t.owned.Front, a.id(), result)
+	result := t.connections().Run(ctx, a.call())
+	quarantine.End(t.key.front, a.id(), result)
 	return result
 }
 
@@ -189,7 +217,7 @@
 
 // checkHealth asks the target for its state and passes it on.
 func (t *target) checkHealth(ctx context.Context) {
-	health, err := t.client.Health(ctx)
+	health, err := t.connections().Health(ctx)
 	t.mutex.Lock()
 	t.knowledge.Reachable = err == nil
 	if err == nil {
@@ -233,4 +261,4 @@
 }
 
 // retire gives the idle connections back; attempts that wait or run go on.
-func (t *target) retire() { t.client.Close() }
+func (t *target) retire() { t.connections().Close() }
