Refuse what waits for a leaving or lost target

Cause: the limiter's messages Drain, Undrain and Lost were sent by tests only. The owner looked itself whether a target leaves when an attempt came, so that attempts that waited already started on it later, and it kept the limit that a lost process had earned. Ruled out: removing the messages. A front's deadline may be longer than the 3 s after which a leaving target gets nothing new. Change: before each message, and with each health call, the owner tells the limiter whether the target leaves; a lost target sends Lost. The refusal is the same as before (draining, unreachable; not started). An attempt for a leaving target that is quarantined is now refused as quarantined. Before: TestLeavingTargetKeepsNothingWaiting gets no refusal in 5 s and TestLostTargetStartsSlowlyAgain finds limit 8. After: both pass, 40 of 40 with -race. By processes, once each: TestLeavingTargetGetsNoNewWork, TestDeadlyRequestCrashesFewTargets, TestDeadlyFanOut, TestLostReplica and TestWholePath pass.

--- a/io/cassiaowner/health.go
+++ b/io/cassiaowner/health.go
@@ -34,7 +34,13 @@
 	group.SetLimit(maxHealthCalls)
 	for _, t := range owned {
 		keep[keyOf(t)] = true
-		group.Go(func() error { o.target(t).checkHealth(o.context); return nil })
+		group.Go(func() error {
+			target := o.target(t)
+			// Those that wait learn at once that the target leaves, also when no other attempt comes or ends.
+			target.wake()
+			target.checkHealth(o.context)
+			return nil
+		})
 	}
 	group.Wait() //nolint:errcheck // the calls return no error
 	o.dropIdle(keep)
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -162,9 +162,6 @@
 	if !ok {
 		return nil, cassiaschema.ShardOutcome_notOwner
 	}
-	if o.config.Rules.Leaving(name) {
-		return nil, cassiaschema.ShardOutcome_draining
-	}
 	return o.target(owned), 0
 }
 
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -22,6 +22,7 @@
 	owned     OwnedTarget
 	client    *cassiatarget.Client
 	limiter   *cassialimit.Limiter
+	leaving   bool
 	waiting   map[cassiaid.AttemptID]*attempt
 	running   map[cassiaid.AttemptID]*attempt
 	timer     *time.Timer
@@ -98,9 +99,29 @@
 }
 
 // update passes a message to the limiter and performs its effects; the caller holds the mutex and finishes the refusals.
+// The limiter learns first whether the target leaves, so that nothing starts after the sign of it.
 func (t *target) update(message cassialimit.Message) []refusal {
+	effects := t.followLeaving()
+	effects = append(effects, t.limiter.Update(message)...)
+	return t.performAll(effects)
+}
+
+// followLeaving refuses what waits for a target that is about to stop, and starts slowly on one that is back.
+func (t *target) followLeaving() []cassialimit.Effect {
+	leaving := t.owner.config.Rules.Leaving(t.key.name)
+	if leaving == t.leaving {
+		return nil
+	}
+	t.leaving = leaving
+	if leaving {
+		return t.limiter.Update(cassialimit.Drain{})
+	}
+	return t.limiter.Update(cassialimit.Undrain{})
+}
+
+func (t *target) performAll(effects []cassialimit.Effect) []refusal {
 	var refused []refusal
-	for _, e := range t.limiter.Update(message) {
+	for _, e := range effects {
 		switch e := e.(type) {
 		case cassialimit.Start:
 			t.start(e.ID)
@@ -148,7 +169,11 @@
 	}
 	t.mutex.Lock()
 	delete(t.running, a.id())
-	refused := t.update(cassialimit.Done{ID: a.id(), Outcome: result.Outcome, Elapsed: result.Elapsed.AsDuration()})
+	var refused []refusal
+	if result.TargetLost {
+		refused = t.update(cassialimit.Lost{})
+	}
+	refused = append(refused, t.update(cassialimit.Done{ID: a.id(), Outcome: result.Outcome, Elapsed: result.Elapsed.AsDuration()})...)
 	t.mutex.Unlock()
 	t.finish(refused)
 	a.batch.add(result)
--- a/io/cassiaowner/target_test.go
+++ b/io/cassiaowner/target_test.go
@@ -1,6 +1,9 @@
 package cassiaowner
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -8,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/jonboulle/clockwork"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassialimit"
@@ -15,13 +19,16 @@
 )
 
 // fakeRules owns one target.
-type fakeRules struct{ owned OwnedTarget }
+type fakeRules struct {
+	owned   OwnedTarget
+	leaving atomic.Bool
+}
 
-func (r *fakeRules) Owned() []OwnedTarget { return nil }
+func (r *fakeRules) Owned() []OwnedTarget { return []OwnedTarget{r.owned} }
 func (r *fakeRules) Accepts(cassiaid.FrontKey, cassiaid.ShardIndex, cassiaid.TargetName) (OwnedTarget, bool) {
 	return r.owned, true
 }
-func (r *fakeRules) Leaving(cassiaid.TargetName) bool { return false }
+func (r *fakeRules) Leaving(cassiaid.TargetName) bool { return r.leaving.Load() }
 
 type fakeObserver struct{}
 
@@ -41,6 +48,8 @@
 // grow lets a target's limiter find that it may run as many attempts as its bound allows.
 func grow(t *target) {
 	const rounds, perRound = 8, 16
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
 	id := cassiaid.AttemptID(0)
 	for range rounds {
 		first := id + 1
@@ -54,18 +63,86 @@
 	}
 }
 
+func limitOf(t *target) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.limiter.Limit()
+}
+
 // TestChangedShareKeepsTheLimit: a new share of the connections bounds what the limiter has found and does not undo it.
 func TestChangedShareKeepsTheLimit(t *testing.T) {
 	c := qt.New(t)
 	owned := OwnedTarget{Name: "t", Address: "127.0.0.1:1", Connections: 9}
-	o := newTestOwner(t, &fakeRules{})
+	o := newTestOwner(t, &fakeRules{owned: owned})
 	before := o.target(owned)
 	grow(before)
-	c.Assert(before.limiter.Limit(), qt.Equals, 8)
+	c.Assert(limitOf(before), qt.Equals, 8)
 	for _, share := range []struct{ connections, limit int }{{13, 8}, {5, 4}} {
 		owned.Connections = share.connections
-		c.Check(o.target(owned).limiter.Limit(), qt.Equals, share.limit)
+		c.Check(limitOf(o.target(owned)), qt.Equals, share.limit)
 	}
 	owned.Address = "127.0.0.1:2"
-	c.Check(o.target(owned).limiter.Limit(), qt.Equals, 1)
+	c.Check(limitOf(o.target(owned)), qt.Equals, 1)
+}
+
+// ask sends one attempt to the owner's target; its result comes on the channel.
+func ask(o *Owner, id uint64) <-chan *cassiaschema.ShardResult {
+	results := make(chan *cassiaschema.ShardResult, 1)
+	request := &cassiaschema.ShardBatch{
+		Remaining: durationpb.New(time.Minute), FlushAfter: durationpb.New(time.Minute),
+		Attempts: []*cassiaschema.ShardAttempt{{AttemptId: id, Target: "t"}},
+	}
+	o.HandleBatch("vm-1", request, func(reply *cassiaschema.ShardBatchReply) { results <- reply.Results[0] })
+	return results
+}
+
+// serve returns a target that is named "t" and replies to shard calls by a function.
+func serve(t *testing.T, reply func(w http.ResponseWriter)) (OwnedTarget, *httptest.Server) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/shard" {
+			reply(w)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return OwnedTarget{Name: "t", Address: server.Listener.Addr().String(), Connections: 9}, server
+}
+
+// TestLeavingTargetKeepsNothingWaiting: what waits for a target is refused as not started once the target is known to
+// leave, though what runs goes on.
+func TestLeavingTargetKeepsNothingWaiting(t *testing.T) {
+	c := qt.New(t)
+	began, end := make(chan struct{}), make(chan struct{})
+	owned, _ := serve(t, func(http.ResponseWriter) { close(began); <-end })
+	defer close(end)
+	rules := &fakeRules{owned: owned}
+	o := newTestOwner(t, rules)
+	ask(o, 1)
+	<-began
+	waiting := ask(o, 2)
+	rules.leaving.Store(true)
+	o.checkHealth()
+	for _, refused := range []<-chan *cassiaschema.ShardResult{waiting, ask(o, 3)} {
+		result := <-refused
+		c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_draining)
+		c.Check(result.Started, qt.IsFalse)
+	}
+}
+
+// TestLostTargetStartsSlowlyAgain: the limit that was found on a process says nothing of the one that follows it.
+func TestLostTargetStartsSlowlyAgain(t *testing.T) {
+	c := qt.New(t)
+	var server *httptest.Server
+	owned, server := serve(t, func(w http.ResponseWriter) {
+		server.Listener.Close() //nolint:errcheck // the target crashes
+		connection, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			connection.Close() //nolint:errcheck // it is dropped on purpose
+		}
+	})
+	o := newTestOwner(t, &fakeRules{owned: owned})
+	target := o.target(owned)
+	grow(target)
+	result := <-ask(o, 1000)
+	c.Check(result.TargetLost, qt.IsTrue)
+	c.Check(limitOf(target), qt.Equals, 1)
 }
