Keep and spread both kinds of gossip notices by one generic

Cause: storeQuarantine and storeTarget, their adding and the reminding of them were the same functions twice. Ruled out: a generic for storing alone; adding and reminding repeat the same steps. Change: news[K, U] holds the board and how its notices become updates; behaviour stays. Tests of core/cassiamember and io/cassiagossip pass unchanged.

--- a/core/cassiamember/membership.go
+++ b/core/cassiamember/membership.go
@@ -33,8 +33,8 @@
 	budget              budget
 	prober              prober
 	joiner              joiner
-	quarantines         board[cassiaid.Fingerprint]
-	targets             board[cassiaid.TargetName]
+	quarantines         news[cassiaid.Fingerprint, *cassiaschema.QuarantineUpdate]
+	targets             news[cassiaid.TargetName, *cassiaschema.TargetUpdate]
 	sequence            uint64
 	lastTick            time.Time
 	nextForget          time.Time
@@ -53,12 +53,14 @@
 // New returns the view of a VM that knows nobody yet.
 func New(config Config) *Membership {
 	m := &Membership{
-		self:     config.Self,
-		clock:    config.Clock,
-		config:   config,
-		tuning:   config.Tuning.withDefaults(),
-		members:  make(map[cassiaid.VMName]*record),
-		sequence: config.Random.Uint64() >> 16,
+		self:        config.Self,
+		clock:       config.Clock,
+		config:      config,
+		tuning:      config.Tuning.withDefaults(),
+		members:     make(map[cassiaid.VMName]*record),
+		sequence:    config.Random.Uint64() >> 16,
+		quarantines: newQuarantineNews(),
+		targets:     newTargetNews(),
 	}
 	m.self.State = Alive
 	m.self.Incarnation = Incarnation(uint64(m.clock.Now().UnixMilli()) << refutationBits)
@@ -109,9 +111,9 @@
 	case SettingsChanged:
 		m.changeSettings(message.Generation)
 	case QuarantineAdded:
-		m.addQuarantine(message)
+		m.quarantines.add(m, message.Fingerprint, true, message.Remaining)
 	case TargetLeaving:
-		m.addTarget(message)
+		m.targets.add(m, message.Target, message.Leaving, message.Remaining)
 	}
 	m.pushNews()
 	return m.effects
--- a/core/cassiamember/news.go
+++ b/core/cassiamember/news.go
@@ -4,85 +4,98 @@
 	"cmp"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 )
 
-// newer tells whether first-hand news extends or changes an entry enough to be spread again.
-func newer[K cmp.Ordered](known notice[K], active bool, remaining time.Duration, now time.Time) bool {
-	if active != known.active {
-		return true
-	}
-	return active && known.expiry.Sub(now) < remaining/2
-}
-
-func (m *Membership) addQuarantine(message QuarantineAdded) {
-	now := m.clock.Now()
-	if newer(m.quarantines.get(message.Fingerprint), true, message.Remaining, now) {
-		m.storeQuarantine(notice[cassiaid.Fingerprint]{
-			key: message.Fingerprint, active: true, expiry: now.Add(message.Remaining), origin: now.UnixMilli(),
-		})
-	}
+// news is what is known of one kind of notice and how it is spread: as updates of type U in one field of a packet.
+type news[K cmp.Ordered, U proto.Message] struct {
+	board[K]
+	full   Counter
+	key    func(K) rumourKey
+	update func(n notice[K], remaining time.Duration) U
+	field  func(*cassiaschema.GossipPacket) *[]U
 }
 
-// storeQuarantine keeps and spreads a quarantine, and returns false when it is known.
-func (m *Membership) storeQuarantine(n notice[cassiaid.Fingerprint]) bool {
-	stored, full := m.quarantines.set(n)
-	if full {
-		m.count(CountQuarantineFull)
-	}
-	if stored {
-		m.pushDue = urgent
-		m.rumours.add(rumour{
-			key:    rumourKey{kind: quarantineRumour, fingerprint: uint64(n.key)},
-			size:   embeddedSize(m.quarantineUpdate(n)),
-			attach: func(p *cassiaschema.GossipPacket) { p.Quarantines = append(p.Quarantines, m.quarantineUpdate(n)) },
-		})
+func newQuarantineNews() news[cassiaid.Fingerprint, *cassiaschema.QuarantineUpdate] {
+	return news[cassiaid.Fingerprint, *cassiaschema.QuarantineUpdate]{
+		full: CountQuarantineFull,
+		key: func(f cassiaid.Fingerprint) rumourKey {
+			return rumourKey{kind: quarantineRumour, fingerprint: uint64(f)}
+		},
+		update: func(n notice[cassiaid.Fingerprint], remaining time.Duration) *cassiaschema.QuarantineUpdate {
+			return &cassiaschema.QuarantineUpdate{
+				Fingerprint: uint64(n.key), RemainingMillis: remaining.Milliseconds(), OriginUnixMillis: n.origin,
+			}
+		},
+		field: func(p *cassiaschema.GossipPacket) *[]*cassiaschema.QuarantineUpdate { return &p.Quarantines },
 	}
-	return stored
 }
 
-func (m *Membership) quarantineUpdate(n notice[cassiaid.Fingerprint]) *cassiaschema.QuarantineUpdate {
-	return &cassiaschema.QuarantineUpdate{
-		Fingerprint:      uint64(n.key),
-		RemainingMillis:  n.expiry.Sub(m.clock.Now()).Milliseconds(),
-		OriginUnixMillis: n.origin,
+func newTargetNews() news[cassiaid.TargetName, *cassiaschema.TargetUpdate] {
+	return news[cassiaid.TargetName, *cassiaschema.TargetUpdate]{
+		full: CountTargetFull,
+		key:  func(name cassiaid.TargetName) rumourKey { return rumourKey{kind: targetRumour, name: string(name)} },
+		update: func(n notice[cassiaid.TargetName], remaining time.Duration) *cassiaschema.TargetUpdate {
+			return &cassiaschema.TargetUpdate{
+				Target: string(n.key), Leaving: n.active, RemainingMillis: remaining.Milliseconds(), OriginUnixMillis: n.origin,
+			}
+		},
+		field: func(p *cassiaschema.GossipPacket) *[]*cassiaschema.TargetUpdate { return &p.Targets },
 	}
 }
 
-func (m *Membership) addTarget(message TargetLeaving) {
+// add stores first-hand news if it extends or changes an entry enough to be spread again.
+func (w *news[K, U]) add(m *Membership, key K, active bool, remaining time.Duration) {
 	now := m.clock.Now()
-	if newer(m.targets.get(message.Target), message.Leaving, message.Remaining, now) {
-		m.storeTarget(notice[cassiaid.TargetName]{
-			key: message.Target, active: message.Leaving, expiry: now.Add(message.Remaining), origin: now.UnixMilli(),
-		})
+	known := w.get(key)
+	if active != known.active || active && known.expiry.Sub(now) < remaining/2 {
+		w.store(m, notice[K]{key: key, active: active, expiry: now.Add(remaining), origin: now.UnixMilli()})
 	}
 }
 
-// storeTarget keeps and spreads that a target leaves or is back, and returns false when it is known.
-func (m *Membership) storeTarget(n notice[cassiaid.TargetName]) bool {
-	stored, full := m.targets.set(n)
+// store keeps and spreads a notice, and returns false when it is known.
+func (w *news[K, U]) store(m *Membership, n notice[K]) bool {
+	stored, full := w.set(n)
 	if full {
-		m.count(CountTargetFull)
+		m.count(w.full)
 	}
 	if stored {
 		m.pushDue = urgent
 		m.rumours.add(rumour{
-			key:    rumourKey{kind: targetRumour, name: string(n.key)},
-			size:   embeddedSize(m.targetUpdate(n)),
-			attach: func(p *cassiaschema.GossipPacket) { p.Targets = append(p.Targets, m.targetUpdate(n)) },
+			key:    w.key(n.key),
+			size:   embeddedSize(w.updateOf(m, n)),
+			attach: func(p *cassiaschema.GossipPacket) { w.attach(p, w.updateOf(m, n)) },
 		})
 	}
 	return stored
 }
 
-func (m *Membership) targetUpdate(n notice[cassiaid.TargetName]) *cassiaschema.TargetUpdate {
-	return &cassiaschema.TargetUpdate{
-		Target:           string(n.key),
-		Leaving:          n.active,
-		RemainingMillis:  n.expiry.Sub(m.clock.Now()).Milliseconds(),
-		OriginUnixMillis: n.origin,
+// updateOf returns a notice with the time that it has left.
+func (w *news[K, U]) updateOf(m *Membership, n notice[K]) U {
+	return w.update(n, n.expiry.Sub(m.clock.Now()))
+}
+
+func (w *news[K, U]) attach(p *cassiaschema.GossipPacket, u U) {
+	updates := w.field(p)
+	*updates = append(*updates, u)
+}
+
+// remind adds one notice in turn to a packet that has room and holds none, and returns the bytes added.
+func (w *news[K, U]) remind(m *Membership, p *cassiaschema.GossipPacket, room int) int {
+	n, ok := w.take()
+	if !ok || len(*w.field(p)) > 0 {
+		return 0
+	}
+	u := w.updateOf(m, n)
+	size := embeddedSize(u)
+	if size > room {
+		return 0
 	}
+	w.attach(p, u)
+	return size
 }
 
 // learnNews takes in the quarantines and targets of a packet.
@@ -93,7 +106,7 @@
 		n := notice[cassiaid.Fingerprint]{
 			key: cassiaid.Fingerprint(u.GetFingerprint()), active: true, expiry: now.Add(remaining), origin: u.GetOriginUnixMillis(),
 		}
-		if remaining > 0 && m.storeQuarantine(n) {
+		if remaining > 0 && m.quarantines.store(m, n) {
 			m.emit(QuarantineLearned{Fingerprint: n.key, Remaining: remaining})
 		}
 	}
@@ -102,7 +115,7 @@
 		n := notice[cassiaid.TargetName]{
 			key: cassiaid.TargetName(u.GetTarget()), active: u.GetLeaving(), expiry: now.Add(remaining), origin: u.GetOriginUnixMillis(),
 		}
-		if remaining > 0 && m.storeTarget(n) {
+		if remaining > 0 && m.targets.store(m, n) {
 			m.emit(TargetLearned{Target: n.key, Leaving: n.active, Remaining: remaining})
 		}
 	}
@@ -110,18 +123,6 @@
 
 // remind adds one quarantine and one target in turn to a packet that has room, for VMs that missed the news.
 func (m *Membership) remind(p *cassiaschema.GossipPacket, room int) int {
-	added := 0
-	if n, ok := m.quarantines.take(); ok && len(p.GetQuarantines()) == 0 {
-		if u := m.quarantineUpdate(n); embeddedSize(u) <= room {
-			p.Quarantines = append(p.Quarantines, u)
-			added = embeddedSize(u)
-		}
-	}
-	if n, ok := m.targets.take(); ok && len(p.GetTargets()) == 0 {
-		if u := m.targetUpdate(n); embeddedSize(u)+added <= room {
-			p.Targets = append(p.Targets, u)
-			added += embeddedSize(u)
-		}
-	}
-	return added
+	added := m.quarantines.remind(m, p, room)
+	return added + m.targets.remind(m, p, room-added)
 }
