Give the defaults of a front one home

Cause: the defaults of deadline, budgets, body, answer, connections and their share stood in four packages of the tier and in the bench, and could drift apart. Ruled out: filling them in when settings are parsed; what is stored and shown would no longer be what the operator wrote. Change: core/cassiafront has one accessor for each, used by cassiaroute, cassiasettings, cassiaplan, cassiahttp and cassiabench. Two tests name the default by its accessor. Values and behaviour stay: the tests of the five packages pass.

--- a/core/cassiaplan/front.go
+++ b/core/cassiaplan/front.go
@@ -7,9 +7,6 @@
 	"cassiasaddle/core/cassiaschema"
 )
 
-// defaultMaxAnswerBytes bounds an answer when the front sets no bound.
-const defaultMaxAnswerBytes = 4 << 20
-
 // ShardsFor returns the shards that a request to a front has to ask.
 func ShardsFor(front *cassiaschema.Front, shardKey string) []cassiaid.ShardIndex {
 	count := len(front.GetShards())
@@ -26,13 +23,6 @@
 	return shards
 }
 
-func maxAnswerBytes(front *cassiaschema.Front) int {
-	if n := front.GetMaxAnswerBytes(); n > 0 {
-		return int(n)
-	}
-	return defaultMaxAnswerBytes
-}
-
 func (q *Query) idempotent() bool {
 	return q.front.GetKind() == cassiaschema.RequestKind_idempotent
 }
--- a/core/cassiaplan/merge.go
+++ b/core/cassiaplan/merge.go
@@ -1,6 +1,7 @@
 package cassiaplan
 
 import (
+	"cassiasaddle/core/cassiafront"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 )
@@ -70,7 +71,7 @@
 		s.note(failures[cassiaschema.ShardOutcome_snapshotGone])
 	case !s.pending():
 		q.outbox.count(CountDroppedDuplicate)
-	case q.rowBytes+len(r.GetRows()) > maxAnswerBytes(q.front):
+	case q.rowBytes+len(r.GetRows()) > cassiafront.MaxAnswerBytes(q.front):
 		q.outbox.count(CountAnswerTooBig)
 		q.abandon(s, MissingAnswerTooBig)
 	default:
--- a/core/cassiaroute/front.go
+++ b/core/cassiaroute/front.go
@@ -4,13 +4,12 @@
 	"slices"
 	"time"
 
+	"cassiasaddle/core/cassiafront"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 )
 
 const (
-	defaultDeadline    = 350 * time.Millisecond
-	defaultBudgetRatio = 0.05
 	// unknownHedgeParts divides the deadline into the wait before a hedge while the latency is not known.
 	unknownHedgeParts = 4
 	// hedgeFloor keeps fast fronts from hedging on the jitter of links.
@@ -51,25 +50,12 @@
 	f.settings = settings
 	f.slices = Slices(settings)
 	f.share = ShareOf(settings.GetTargetLimits())
-	f.hedgeRatio = defaultBudgetRatio
-	if settings.HedgeBudget != nil {
-		f.hedgeRatio = settings.GetHedgeBudget()
-	}
-	f.retryRatio = defaultBudgetRatio
-	if settings.RetryBudget != nil {
-		f.retryRatio = settings.GetRetryBudget()
-	}
+	f.hedgeRatio = cassiafront.HedgeBudget(settings)
+	f.retryRatio = cassiafront.RetryBudget(settings)
 	f.latency.window = frontWindow
 	return f
 }
 
-func (f *front) deadline() time.Duration {
-	if d := f.settings.GetDeadline(); d != nil {
-		return d.AsDuration()
-	}
-	return defaultDeadline
-}
-
 // observe adds the time from an attempt's sending to its result.
 func (f *front) observe(d time.Duration) {
 	f.latency.Observe(d)
@@ -82,7 +68,7 @@
 	if f.hedgeAt != 0 {
 		return f.hedgeAt
 	}
-	deadline := f.deadline()
+	deadline := cassiafront.Deadline(f.settings)
 	if f.latency.Samples() < hedgeSamples {
 		return deadline / unknownHedgeParts
 	}
--- a/core/cassiaroute/share.go
+++ b/core/cassiaroute/share.go
@@ -1,11 +1,8 @@
 package cassiaroute
 
-import "cassiasaddle/core/cassiaschema"
-
-// Defaults of a front's target limits.
-const (
-	defaultMaxConnections  = 25
-	defaultConnectionShare = 0.5
+import (
+	"cassiasaddle/core/cassiafront"
+	"cassiasaddle/core/cassiaschema"
 )
 
 // Share is what one owner may use of each target of a front.
@@ -38,13 +35,5 @@
 }
 
 func allowedConnections(limits *cassiaschema.TargetLimits) int {
-	connections := int(limits.GetMaxConnections())
-	if connections == 0 {
-		connections = defaultMaxConnections
-	}
-	fraction := defaultConnectionShare
-	if limits != nil && limits.ConnectionShare != nil {
-		fraction = limits.GetConnectionShare()
-	}
-	return int(float64(connections) * fraction)
+	return int(float64(cassiafront.MaxConnections(limits)) * cassiafront.ConnectionShare(limits))
 }
--- a/core/cassiaroute/table.go
+++ b/core/cassiaroute/table.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cassiasaddle/core/cassiafront"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaschema"
@@ -171,7 +172,7 @@
 func (t *Table) HedgeAfter(key cassiaid.FrontKey) time.Duration {
 	f := t.fronts[key]
 	if f == nil {
-		return defaultDeadline / unknownHedgeParts
+		return cassiafront.Deadline(nil) / unknownHedgeParts
 	}
 	return f.hedgeAfter()
 }
--- a/core/cassiaroute/table_test.go
+++ b/core/cassiaroute/table_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 	"pgregory.net/rapid"
 
+	"cassiasaddle/core/cassiafront"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 )
@@ -251,7 +252,7 @@
 func TestHedgeAfterLeavesTheBudgetsShare(t *testing.T) {
 	c := qt.New(t)
 	b := newBench(4, 2)
-	c.Assert(b.HedgeAfter(testKey), qt.Equals, defaultDeadline/unknownHedgeParts)
+	c.Assert(b.HedgeAfter(testKey), qt.Equals, cassiafront.Deadline(nil)/unknownHedgeParts)
 	late := 0
 	const samples = 20000
 	for i := range samples {
--- a/core/cassiasettings/check.go
+++ b/core/cassiasettings/check.go
@@ -5,17 +5,14 @@
 	"net/netip"
 	"sort"
 
+	"cassiasaddle/core/cassiafront"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaroute"
 	"cassiasaddle/core/cassiaschema"
 )
 
-const (
-	defaultMaxConnections  = 25
-	defaultConnectionShare = 0.5
-	// shareTolerance absorbs the rounding of added fractions.
-	shareTolerance = 1e-9
-)
+// shareTolerance absorbs the rounding of added fractions.
+const shareTolerance = 1e-9
 
 // place names a field of a text for a problem.
 type place struct {
@@ -102,19 +99,7 @@
 	limits *cassiaschema.TargetLimits
 }
 
-func (u targetUse) maxConnections() uint32 {
-	if n := u.limits.GetMaxConnections(); n > 0 {
-		return n
-	}
-	return defaultMaxConnections
-}
-
-func (u targetUse) connectionShare() float64 {
-	if u.limits == nil || u.limits.ConnectionShare == nil {
-		return defaultConnectionShare
-	}
-	return u.limits.GetConnectionShare()
-}
+func (u targetUse) maxConnections() int { return cassiafront.MaxConnections(u.limits) }
 
 // checkTargets checks what all teams together say of each target.
 func checkTargets(t *Tree) []Problem {
@@ -173,7 +158,7 @@
 			continue
 		}
 		fronts[u.front] = true
-		sum += u.connectionShare()
+		sum += cassiafront.ConnectionShare(u.limits)
 	}
 	if sum <= 1+shareTolerance {
 		return Problem{}, false
--- a/io/cassiabench/request.go
+++ b/io/cassiabench/request.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"cassiasaddle/core/cassiafront"
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/standin/cassiashard"
@@ -28,17 +29,7 @@
 }
 
 // deadline returns how long the request may take.
-func (r *request) deadline() time.Duration { return frontDeadline(r.Front) }
-
-// defaultDeadline is the deadline of a front that sets none.
-const defaultDeadline = 350 * time.Millisecond
-
-func frontDeadline(front *cassiaschema.Front) time.Duration {
-	if d := front.GetDeadline().AsDuration(); d > 0 {
-		return d
-	}
-	return defaultDeadline
-}
+func (r *request) deadline() time.Duration { return cassiafront.Deadline(r.Front) }
 
 // shards returns how many shards the request is sent to.
 func (r *request) shards() int {
--- a/io/cassiahttp/handler.go
+++ b/io/cassiahttp/handler.go
@@ -16,6 +16,7 @@
 	"github.com/kataras/iris/v12"
 	"github.com/uber-go/tally/v4"
 
+	"cassiasaddle/core/cassiafront"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaschema"
@@ -29,12 +30,7 @@
 	HeaderRequestID      = "Request-Id"
 )
 
-const (
-	defaultMaxBodyBytes = 64 << 10
-	maxRequestIDBytes   = 128
-	// defaultDeadline bounds a query when its front sets no deadline.
-	defaultDeadline = 350 * time.Millisecond
-)
+const maxRequestIDBytes = 128
 
 // Question is one caller's request after the checks on its form.
 type Question struct {
@@ -131,15 +127,8 @@
 	return q, q.checkHeaders()
 }
 
-func frontDeadline(front *cassiaschema.Front) time.Duration {
-	if front.Deadline == nil {
-		return defaultDeadline
-	}
-	return front.Deadline.AsDuration()
-}
-
 func (q *Question) readDeadline(header string, now time.Time) *cassiaplan.Refusal {
-	allowed := frontDeadline(q.Front)
+	allowed := cassiafront.Deadline(q.Front)
 	if header != "" {
 		milliseconds, err := strconv.ParseInt(header, 10, 64)
 		if err != nil || milliseconds <= 0 {
@@ -153,11 +142,8 @@
 }
 
 func (q *Question) readBody(request *http.Request) *cassiaplan.Refusal {
-	limit := int64(q.Front.MaxBodyBytes)
-	if limit == 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, limit))
+	limit := cassiafront.MaxBodyBytes(q.Front)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &cassiaplan.Refusal{
--- a/io/cassiahttp/handler_test.go
+++ b/io/cassiahttp/handler_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 	"github.com/uber-go/tally/v4"
 
+	"cassiasaddle/core/cassiafront"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaschema"
@@ -103,10 +104,11 @@
 	c := qt.New(t)
 	asker := &fakeAsker{}
 	server := newServer(c, asker)
+	whole := cassiafront.Deadline(nil)
 	for _, test := range []struct {
 		header string
 		most   time.Duration
-	}{{"", defaultDeadline}, {"100", 100 * time.Millisecond}, {"999999999999", defaultDeadline}} {
+	}{{"", whole}, {"100", 100 * time.Millisecond}, {"999999999999", whole}} {
 		before := time.Now()
 		post(c, server, teamPath+"search/query", `{}`, HeaderRequestTimeout, test.header)
 		c.Check(asker.last.Deadline.Before(time.Now().Add(test.most)), qt.IsTrue)
