--- a/io/cassiabench/demo.go
+++ b/io/cassiabench/demo.go
@@ -16,7 +16,7 @@
 
 // Demo returns the scenario of the demonstration: calm, then a straggler, then a lost replica too.
 func Demo() Scenario {
-	s := hrafnsvik("demo", "Queries over 20 and 30 shards through 4 VMs: calm, then a straggler, then a lost replica as well.")
+	s := hrafnsvik.scenario("demo", "Queries over 20 and 30 shards through 4 VMs: calm, then a straggler, then a lost replica as well.")
 	s.WarmUp, s.Measured, s.VMsPerZone = demoWarmUp, 3*demoPhase, 1
 	s.Phases = []phase{
 		{"calm", 0, demoPhase},
--- /dev/null
+++ b/io/cassiabench/deployment.go
@@ -0,0 +1,26 @@
+package cassiabench
+
+// deployment is one of the example deployments with what all its scenarios share.
+type deployment struct {
+	name   string
+	loads  func() []load
+	delays delays
+}
+
+// scenario returns a scenario without faults.
+func (d deployment) scenario(name, about string) Scenario {
+	return Scenario{Name: d.name + "-" + name, About: about, Deployment: d.name, Loads: d.loads(), Delays: d.delays}
+}
+
+// common returns the scenarios that each deployment has.
+func (d deployment) common() []Scenario {
+	calm := d.scenario("calm", "No faults.")
+
+	stragglers := d.scenario("stragglers", "One target in 20 is 20 times slower, and one attempt in 100 is 10 times slower.")
+	stragglers.Prepare = withStragglers
+
+	snapshots := d.scenario("snapshot-change", "All targets move to a new snapshot one by one and drop the old one, twice.")
+	snapshots.Events = changingSnapshots
+
+	return []Scenario{calm, stragglers, snapshots}
+}
--- a/io/cassiabench/hrafnsvik.go
+++ b/io/cassiabench/hrafnsvik.go
@@ -7,8 +7,11 @@
 	"cassiasaddle/standin/cassiashard"
 )
 
-// hrafnsvikDelays are the one-way delays in sudurland.
-var hrafnsvikDelays = delays{Zones: 4 * time.Millisecond, Clients: 3 * time.Millisecond, Jitter: time.Millisecond}
+// hrafnsvik is the deployment with the one-way delays in sudurland.
+var hrafnsvik = deployment{
+	name: cassiaexample.Hrafnsvik, loads: hrafnsvikLoads,
+	delays: delays{Zones: 4 * time.Millisecond, Clients: 3 * time.Millisecond, Jitter: time.Millisecond},
+}
 
 func hrafnsvikLoads() []load {
 	return []load{
@@ -19,53 +22,38 @@
 	}
 }
 
-func hrafnsvik(name, about string) Scenario {
-	return Scenario{
-		Name: "hrafnsvik-" + name, About: about, Deployment: cassiaexample.Hrafnsvik,
-		Loads: hrafnsvikLoads(), Delays: hrafnsvikDelays,
-	}
-}
-
 func hrafnsvikScenarios() []Scenario {
-	calm := hrafnsvik("calm", "No faults.")
-
-	stragglers := hrafnsvik("stragglers", "One target in 20 is 20 times slower, and one attempt in 100 is 10 times slower.")
-	stragglers.Prepare = withStragglers
-
-	snapshots := hrafnsvik("snapshot-change", "All targets move to a new snapshot one by one and drop the old one, twice.")
-	snapshots.Events = changingSnapshots
-
-	repartition := hrafnsvik("repartition", "The shards of stilisti are repartitioned while queries run.")
+	repartition := hrafnsvik.scenario("repartition", "The shards of stilisti are repartitioned while queries run.")
 	repartition.Events = repartitioning("stilisti")
 
-	death := hrafnsvik("query-of-death", "One fit lookup crashes each target that runs it, and its caller sends it again and again.")
+	death := hrafnsvik.scenario("query-of-death", "One fit lookup crashes each target that runs it, and its caller sends it again and again.")
 	death.Loads = append(death.Loads, load{Team: "askrift", Front: "fit-lookup", Rate: 5, Crashing: true})
 	death.Prepare = func(e *environment) {
 		e.fleet.Change(func(b *cassiashard.Behaviour) { b.CrashMarker = crashMarker })
 	}
 
-	leaving := hrafnsvik("draining", "One target in 10 is announced as leaving, drains 4 s later and is gone after 6 s.")
+	leaving := hrafnsvik.scenario("draining", "One target in 10 is announced as leaving, drains 4 s later and is gone after 6 s.")
 	leaving.Events = draining
 
-	bad := hrafnsvik("bad-replies", "Some replies are doubled, truncated, late, of another attempt or of another snapshot.")
+	bad := hrafnsvik.scenario("bad-replies", "Some replies are doubled, truncated, late, of another attempt or of another snapshot.")
 	bad.Prepare = badReplies
 
-	health := hrafnsvik("lying-health", "Health reports of half the targets claim that they drain; the others lag by 30 s.")
+	health := hrafnsvik.scenario("lying-health", "Health reports of half the targets claim that they drain; the others lag by 30 s.")
 	health.Prepare = lyingHealth
 
-	booking := hrafnsvik("booking", "Members book boxes; every fifth booking is sent a second time to another VM.")
+	booking := hrafnsvik.scenario("booking", "Members book boxes; every fifth booking is sent a second time to another VM.")
 	booking.Loads = append(booking.Loads, load{
 		Team: "askrift", Front: "box-booking", Rate: 20, RepeatShare: 0.2, RepeatWithin: 500 * time.Millisecond,
 	})
 
-	pair := hrafnsvik("stragglers-and-lost-replica", "Stragglers as in hrafnsvik-stragglers while one shard in 5 loses a replica.")
+	pair := hrafnsvik.scenario("stragglers-and-lost-replica", "Stragglers as in hrafnsvik-stragglers while one shard in 5 loses a replica.")
 	pair.Prepare = withStragglers
 	pair.Events = losing(2 * time.Second)
 
-	lossy := hrafnsvik("lossy-links", "Links between availability zones lose one packet in 200 and vary by 3 ms.")
+	lossy := hrafnsvik.scenario("lossy-links", "Links between availability zones lose one packet in 200 and vary by 3 ms.")
 	lossy.Delays.Loss, lossy.Delays.Jitter = 0.005, 3*time.Millisecond
 
-	cut := hrafnsvik("zone-cut", "The VMs of sud-d are cut off from those of the other availability zones for 4 s.")
+	cut := hrafnsvik.scenario("zone-cut", "The VMs of sud-d are cut off from those of the other availability zones for 4 s.")
 	cut.Events = func(*environment) []event {
 		return []event{
 			{2 * time.Second, func(e *environment) error { e.links.setCut("sud-d", true); return nil }},
@@ -73,9 +61,7 @@
 		}
 	}
 
-	return []Scenario{
-		calm, stragglers, snapshots, repartition, death, leaving, bad, health, booking, pair, lossy, cut,
-	}
+	return append(hrafnsvik.common(), repartition, death, leaving, bad, health, booking, pair, lossy, cut)
 }
 
 // repartitioning raises a team's shard map epoch in the settings and within half a second on its targets.
--- a/io/cassiabench/manizales.go
+++ b/io/cassiabench/manizales.go
@@ -8,8 +8,11 @@
 	"cassiasaddle/standin/cassiashard"
 )
 
-// manizalesDelays are the one-way delays in caldas.
-var manizalesDelays = delays{Zones: 5 * time.Millisecond, Clients: time.Millisecond, Jitter: time.Millisecond}
+// manizales is the deployment with the one-way delays in caldas.
+var manizales = deployment{
+	name: cassiaexample.Manizales, loads: manizalesLoads,
+	delays: delays{Zones: 5 * time.Millisecond, Clients: time.Millisecond, Jitter: time.Millisecond},
+}
 
 func manizalesLoads() []load {
 	return []load{
@@ -20,28 +23,16 @@
 	}
 }
 
-func manizales(name, about string) Scenario {
-	return Scenario{
-		Name: "manizales-" + name, About: about, Deployment: cassiaexample.Manizales,
-		Loads: manizalesLoads(), Delays: manizalesDelays,
-	}
-}
-
 func manizalesScenarios() []Scenario {
-	calm := manizales("calm", "No faults.")
-
-	lost := manizales("lost-replica", "One shard in 5 loses a replica: most refuse connections, some never answer.")
+	lost := manizales.scenario("lost-replica", "One shard in 5 loses a replica: most refuse connections, some never answer.")
 	lost.Events = losing(time.Second)
 
-	stragglers := manizales("stragglers", "One target in 20 is 20 times slower, and one attempt in 100 is 10 times slower.")
-	stragglers.Prepare = withStragglers
-
-	stop := manizales("vm-stop", "Two VMs are stopped as planned while queries run.")
+	stop := manizales.scenario("vm-stop", "Two VMs are stopped as planned while queries run.")
 	stop.Events = func(e *environment) []event {
 		return append(stoppingVM(e, 0, 2*time.Second), stoppingVM(e, 4, 5*time.Second)...)
 	}
 
-	down := manizales("store-down", "The platform is out of reach for 6 s while queries and changes run.")
+	down := manizales.scenario("store-down", "The platform is out of reach for 6 s while queries and changes run.")
 	down.Loads = append(down.Loads, changes())
 	down.Events = func(*environment) []event {
 		return []event{
@@ -50,7 +41,7 @@
 		}
 	}
 
-	nonIdempotent := manizales("nonidempotent", "Standing orders change, every third change is sent a second time to another VM, "+
+	nonIdempotent := manizales.scenario("nonidempotent", "Standing orders change, every third change is sent a second time to another VM, "+
 		"replies of the store are lost, the store is down for a second and targets cut connections before their reply.")
 	nonIdempotent.Loads = append(nonIdempotent.Loads, changes())
 	nonIdempotent.Prepare = func(e *environment) {
@@ -66,13 +57,10 @@
 		}
 	}
 
-	cold := manizales("cold-start", "One target in 10 restarts, refuses as cold for a second and is slow for two more.")
+	cold := manizales.scenario("cold-start", "One target in 10 restarts, refuses as cold for a second and is slow for two more.")
 	cold.Events = coldStarts
 
-	snapshots := manizales("snapshot-change", "All targets move to a new snapshot one by one and drop the old one, twice.")
-	snapshots.Events = changingSnapshots
-
-	return []Scenario{calm, lost, stragglers, stop, down, nonIdempotent, cold, snapshots}
+	return append(manizales.common(), lost, stop, down, nonIdempotent, cold)
 }
 
 // changes is the load of standing-order changes.
