--- /dev/null
+++ b/cmd/cassiasaddle/inforce.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/io/cassiatree"
+)
+
+const inForcePoll = 200 * time.Millisecond
+
+// reportInForce prints where an accepted edit is in force and waits until it is in force everywhere.
+func reportInForce(ctx context.Context, c *cli.Command, client *cassiatree.OperatorClient, a cassiatree.Accepted) error {
+	w := c.Root().Writer
+	_, _ = fmt.Fprintf(w, "accepted: subtree %s revision %d, edit %s, generation %d\n",
+		a.Subtree, a.Revision, a.EditID, a.Generation)
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("wait"))
+	defer cancel()
+	behind := []cassiatree.MemberInForce{{Name: "(the VM asked does not answer)"}}
+	for {
+		reply, err := client.InForce(ctx, a.Generation)
+		if err == nil {
+			behind = membersBehind(reply, a.Generation)
+		}
+		if err == nil && len(behind) == 0 {
+			_, err = fmt.Fprintf(w, "in force on all %d VMs after %s\n", len(reply.Members), time.Since(begin).Round(time.Millisecond))
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			message := fmt.Sprintf("accepted, but not seen in force within %s on:", c.Duration("wait"))
+			for _, m := range behind {
+				message += fmt.Sprintf("\n  %s %s (generation %d)", m.Name, m.AvailabilityZone, m.Generation)
+			}
+			return cli.Exit(message+"\nit will be in force there once they are reachable; see cassiasaddle status", exitNotInForce)
+		case <-time.After(inForcePoll):
+		}
+	}
+}
+
+func membersBehind(reply cassiatree.InForceReply, g cassiaid.Generation) []cassiatree.MemberInForce {
+	var behind []cassiatree.MemberInForce
+	for _, m := range reply.Members {
+		if m.Generation < g {
+			behind = append(behind, m)
+		}
+	}
+	return behind
+}
--- /dev/null
+++ b/cmd/cassiasaddle/settingsedit.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/user"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiasettings"
+	"cassiasaddle/io/cassiatree"
+)
+
+// editOf builds the edit that the flags and the file describe, checked as far as possible offline.
+func editOf(c *cli.Command) (settingsFile, cassiatree.EditRequest, error) {
+	var request cassiatree.EditRequest
+	if c.Args().Len() != 1 {
+		return settingsFile{}, request, errors.New("name one file")
+	}
+	f, err := readSettingsFile(c.Args().First())
+	if err != nil {
+		return f, request, err
+	}
+	if err := cassiasettings.CheckTexts([]cassiasettings.Text{f.text}); err != nil {
+		return f, request, err
+	}
+	named, err := namedSubtree(c)
+	if err != nil {
+		return f, request, err
+	}
+	if named != "" && named != f.subtree {
+		return f, request, fmt.Errorf("%s holds subtree %q and not %q; name the right file", f.text.File, f.subtree, named)
+	}
+	if c.IsSet("base-revision") {
+		f.base = cassiaid.Revision(c.Uint64("base-revision"))
+	}
+	id, err := editIDOf(c)
+	request = cassiatree.EditRequest{YAML: string(f.text.YAML), BaseRevision: f.base, EditID: id, Author: authorOf(c)}
+	return f, request, err
+}
+
+func editIDOf(c *cli.Command) (cassiasettings.EditID, error) {
+	if id := c.String("edit"); id != "" {
+		parsed, err := uuid.Parse(id)
+		if err != nil {
+			return "", errors.New("--edit is not a UUID; copy it from the earlier answer, or leave it out")
+		}
+		return cassiasettings.EditID(parsed.String()), nil
+	}
+	id, err := uuid.NewV7()
+	return cassiasettings.EditID(id.String()), err
+}
+
+func authorOf(c *cli.Command) string {
+	if author := c.String("author"); author != "" {
+		return author
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func planSettings(ctx context.Context, c *cli.Command) error {
+	f, request, err := editOf(c)
+	if err != nil {
+		return exitError(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	plan, err := operatorClient(c).Plan(ctx, f.subtree, request)
+	if err != nil {
+		return exitError(err)
+	}
+	if plan.Diff == "" {
+		plan.Diff = "no change\n"
+	}
+	_, err = fmt.Fprint(c.Root().Writer, plan.Diff)
+	return err
+}
+
+func applySettings(ctx context.Context, c *cli.Command) error {
+	f, request, err := editOf(c)
+	if err != nil {
+		return exitError(err)
+	}
+	client := operatorClient(c)
+	accepted, err := resend(ctx, request.EditID, func(ctx context.Context) (cassiatree.Accepted, error) {
+		return client.Apply(ctx, f.subtree, request)
+	})
+	if err != nil {
+		return exitError(err)
+	}
+	if f.marked {
+		content := withBase(string(f.text.YAML), accepted.Revision)
+		if err := os.WriteFile(f.text.File, []byte(content), 0o644); err != nil {
+			_, _ = fmt.Fprintf(c.Root().ErrWriter, "%s: the base revision was not updated: %v\n", f.text.File, err)
+		}
+	}
+	return reportInForce(ctx, c, client, accepted)
+}
+
+func rollBackSettings(ctx context.Context, c *cli.Command) error {
+	subtree, err := requiredSubtree(c)
+	if err != nil {
+		return exitError(err)
+	}
+	id, err := editIDOf(c)
+	if err != nil {
+		return exitError(err)
+	}
+	request := cassiatree.RollbackRequest{ToRevision: cassiaid.Revision(c.Uint64("to")), EditID: id, Author: authorOf(c)}
+	client := operatorClient(c)
+	accepted, err := resend(ctx, id, func(ctx context.Context) (cassiatree.Accepted, error) {
+		return client.Rollback(ctx, subtree, request)
+	})
+	if err != nil {
+		return exitError(err)
+	}
+	return reportInForce(ctx, c, client, accepted)
+}
+
+func restoreSettings(ctx context.Context, c *cli.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	reply, err := operatorClient(c).Restore(ctx)
+	if err != nil {
+		return exitError(err)
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "the store holds generation %d again\n", reply.Generation)
+	return err
+}
--- /dev/null
+++ b/cmd/cassiasaddle/settingsfile.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiasettings"
+)
+
+// settingsFile is a file of settings and the base revision that its last line names.
+type settingsFile struct {
+	text    cassiasettings.Text
+	subtree cassiasettings.Subtree
+	base    cassiaid.Revision
+	marked  bool
+}
+
+var baseLine = regexp.MustCompile(`(?m)^# base revision: (\d+)\s*\z`)
+
+func readSettingsFile(name string) (settingsFile, error) {
+	f := settingsFile{text: cassiasettings.Text{File: name}}
+	file, err := os.Open(name)
+	if err != nil {
+		return f, fmt.Errorf("read settings: %w; check the path", err)
+	}
+	defer func() { _ = file.Close() }()
+	content, err := io.ReadAll(io.LimitReader(file, cassiasettings.MaxSubtreeBytes+1<<10))
+	if err != nil {
+		return f, fmt.Errorf("read settings: %w; check the path", err)
+	}
+	if m := baseLine.FindSubmatchIndex(content); m != nil {
+		revision, err := strconv.ParseUint(string(content[m[2]:m[3]]), 10, 64)
+		if err != nil {
+			return f, fmt.Errorf("%s: the base revision in the last line is too large; correct it", name)
+		}
+		f.base, f.marked = cassiaid.Revision(revision), true
+		content = content[:m[0]]
+	}
+	f.text.YAML = content
+	if len(content) <= cassiasettings.MaxSubtreeBytes {
+		f.subtree, err = cassiasettings.DetectSubtree(f.text)
+	}
+	return f, err
+}
+
+// withBase appends the line that names the base revision.
+func withBase(yaml string, revision cassiaid.Revision) string {
+	if yaml != "" && yaml[len(yaml)-1] != '\n' {
+		yaml += "\n"
+	}
+	return yaml + fmt.Sprintf("# base revision: %d\n", revision)
+}
+
+func checkSettings(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return cli.Exit("name the files to check", exitFailed)
+	}
+	var texts []cassiasettings.Text
+	for _, name := range c.Args().Slice() {
+		f, err := readSettingsFile(name)
+		if err != nil {
+			return exitError(err)
+		}
+		texts = append(texts, f.text)
+	}
+	if err := cassiasettings.CheckTexts(texts); err != nil {
+		return exitError(err)
+	}
+	_, err := fmt.Fprintf(c.Root().Writer, "%d files are valid\n", len(texts))
+	return err
+}
--- /dev/null
+++ b/core/cassiamember/learn.go
@@ -0,0 +1,67 @@
+package cassiamember
+
+import (
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// learn takes in an update of another member and spreads it when it is news.
+func (m *Membership) learn(u *cassiaschema.MemberUpdate) {
+	name := cassiaid.VMName(u.GetName())
+	if name == m.self.Name {
+		m.hearOfSelf(u)
+		return
+	}
+	known, ok := m.members[name]
+	if !ok {
+		m.introduce(u)
+		return
+	}
+	if !supersedes(u, known.Member) {
+		return
+	}
+	sameRun := Incarnation(u.GetIncarnation()).run() == known.Incarnation.run()
+	after := known.Member
+	switch {
+	case isFull(u):
+		after = memberOf(u)
+	case sameRun:
+		after.State, after.Incarnation = u.GetState(), Incarnation(u.GetIncarnation())
+	case u.GetState() == Dead && known.Live():
+		// A run after the known one has ended, hence so has the known one.
+		after.State = Dead
+	default:
+		m.count(CountUnknownBrief)
+		return
+	}
+	m.replace(known, after)
+	if isFull(u) && sameRun {
+		u = after.brief()
+	}
+	m.spread(u)
+}
+
+// introduce takes in a member that was not known.
+func (m *Membership) introduce(u *cassiaschema.MemberUpdate) {
+	if !isFull(u) || u.GetState() == Dead {
+		m.count(CountUnknownBrief)
+		return
+	}
+	r := &record{Member: memberOf(u)}
+	m.members[r.Name] = r
+	m.track(r)
+	m.spread(u)
+	m.emit(MembersChanged{})
+}
+
+// spread queues an update for the other members and asks for it to be pushed.
+func (m *Membership) spread(u *cassiaschema.MemberUpdate) {
+	if m.catchingUp && u.GetName() != string(m.self.Name) {
+		return
+	}
+	m.rumours.add(rumourOf(u))
+	m.pushDue = max(m.pushDue, routine)
+	if u.GetState() == Leaving {
+		m.pushDue = urgent
+	}
+}
--- /dev/null
+++ b/core/cassiamember/record.go
@@ -0,0 +1,72 @@
+package cassiamember
+
+import "time"
+
+// record is what this VM remembers of another one.
+type record struct {
+	Member
+	// suspectUntil is when the member is declared dead unless it refutes; zero when it is not suspected.
+	suspectUntil time.Time
+	// deadSince is when the member was declared dead.
+	deadSince time.Time
+}
+
+// track enters a record into the rings, the digest and the timers that its state asks for.
+func (m *Membership) track(r *record) {
+	m.setSuspectUntil(r, time.Time{})
+	r.deadSince = time.Time{}
+	if r.State == Dead {
+		r.deadSince = m.clock.Now()
+		m.dead.insert(r.Name, m.config.Random)
+		return
+	}
+	if r.State == Suspect {
+		m.setSuspectUntil(r, m.clock.Now().Add(m.tuning.suspicionTimeout(m.size())))
+	}
+	m.ringOf(r.Member).insert(r.Name, m.config.Random)
+	m.digest.toggle(r.Member)
+}
+
+// untrack takes a record out of the rings and the digest.
+func (m *Membership) untrack(r *record) {
+	if r.State == Dead {
+		m.dead.remove(r.Name)
+		return
+	}
+	m.ringOf(r.Member).remove(r.Name)
+	m.digest.toggle(r.Member)
+}
+
+// setSuspectUntil sets when a member is declared dead; a zero time calls that off.
+func (m *Membership) setSuspectUntil(r *record, until time.Time) {
+	if !r.suspectUntil.IsZero() {
+		m.suspects--
+	}
+	if r.suspectUntil = until; !until.IsZero() {
+		m.suspects++
+	}
+}
+
+func (m *Membership) ringOf(member Member) *ring {
+	if member.Zone == m.self.Zone {
+		return &m.local
+	}
+	return &m.remote
+}
+
+// replace gives a record new content.
+func (m *Membership) replace(r *record, after Member) {
+	before := r.Member
+	m.untrack(r)
+	r.Member = after
+	m.track(r)
+	if changed(before, after) {
+		m.emit(MembersChanged{})
+	}
+}
+
+// changed tells whether two descriptions of a member differ in more than a refutation.
+func changed(before, after Member) bool {
+	before.Incarnation = after.Incarnation
+	return before != after
+}
--- /dev/null
+++ b/core/cassiamember/tick.go
@@ -0,0 +1,74 @@
+package cassiamember
+
+import (
+	"slices"
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+func (m *Membership) tick() {
+	now := m.clock.Now()
+	m.skipPause(now)
+	if m.suspects > 0 {
+		m.expireSuspects(now)
+	}
+	if len(m.dead.names) > 0 && !now.Before(m.nextForget) {
+		m.nextForget = now.Add(m.tuning.ReviveInterval)
+		m.forgetDead(now)
+	}
+	m.quarantines.expire(now)
+	m.targets.expire(now)
+	m.join(now)
+	m.probe(now)
+	m.lastTick = now
+}
+
+// skipPause keeps a VM that was paused from blaming others for the answers that it slept through.
+func (m *Membership) skipPause(now time.Time) {
+	pause := now.Sub(m.lastTick)
+	if m.lastTick.IsZero() || pause < 2*m.tuning.ProbeInterval {
+		return
+	}
+	m.count(CountPaused)
+	m.prober.forget()
+	for _, r := range m.members {
+		if !r.suspectUntil.IsZero() {
+			r.suspectUntil = r.suspectUntil.Add(pause)
+		}
+	}
+}
+
+// expireSuspects declares those dead that did not refute in time.
+func (m *Membership) expireSuspects(now time.Time) {
+	for _, name := range m.expired(func(r *record) bool {
+		return !r.suspectUntil.IsZero() && !now.Before(r.suspectUntil)
+	}) {
+		u := m.members[name].brief()
+		u.State = Dead
+		m.count(CountDeclaredDead)
+		m.learn(u)
+	}
+}
+
+// forgetDead drops the members that have been dead for long.
+func (m *Membership) forgetDead(now time.Time) {
+	for _, name := range m.expired(func(r *record) bool {
+		return r.State == Dead && now.Sub(r.deadSince) >= m.tuning.ForgetAfter
+	}) {
+		m.dead.remove(name)
+		delete(m.members, name)
+	}
+}
+
+// expired returns the names of the members that a condition holds for, in order.
+func (m *Membership) expired(condition func(*record) bool) []cassiaid.VMName {
+	var names []cassiaid.VMName
+	for name, r := range m.members {
+		if condition(r) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
