Patch the behaviour of one target and of a fleet by one function

Cause: the control ports of a target and of a fleet read, applied and answered a patch each for itself. Change: patchBehaviour serves both. Looked at and left: tables of constants and marker methods that only look alike, the stand-ins' own statement of the targets' protocol, which shows when the tier's drifts, and two small JSON writers in separate stand-ins.

--- a/standin/cassiashard/control.go
+++ b/standin/cassiashard/control.go
@@ -37,10 +37,15 @@
 	return mux
 }
 
-func (t *Target) postBehaviour(w http.ResponseWriter, r *http.Request) {
+func (t *Target) postBehaviour(w http.ResponseWriter, r *http.Request) { patchBehaviour(w, r, t) }
+
+// patchBehaviour replaces the parts of the targets' behaviour that a request's body names.
+func patchBehaviour(w http.ResponseWriter, r *http.Request, targets ...*Target) {
 	patch, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	if err == nil {
-		err = t.Patch(patch)
+	for _, t := range targets {
+		if err == nil {
+			err = t.Patch(patch)
+		}
 	}
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, err.Error())
--- a/standin/cassiashard/fleet.go
+++ b/standin/cassiashard/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 
@@ -154,17 +153,7 @@
 }
 
 func (f *Fleet) postBehaviour(w http.ResponseWriter, r *http.Request) {
-	patch, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
-	for _, t := range f.targets {
-		if err == nil {
-			err = t.Patch(patch)
-		}
-	}
-	if err != nil {
-		writeProblem(w, http.StatusBadRequest, err.Error())
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
+	patchBehaviour(w, r, f.targets...)
 }
 
 // Counters returns the sums over all targets; peaks are the largest of any.
