Don't log a planned stop as an outage of the store

Cause: a VM that stops ends its watch of the store, and logged that the platform's service may be down, at each planned stop. Change: a cancelled call is not logged. Before: TestStopIsNoOutage fails for context.Canceled.

--- a/io/cassiatree/storage.go
+++ b/io/cassiatree/storage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/go-kit/log/level"
 	"github.com/rotisserie/eris"
@@ -80,7 +81,9 @@
 }
 
 func (s *Service) storeFailed(call cassiasettings.CallID, err error) cassiasettings.Message {
-	_ = level.Warn(s.config.Logger).Log("msg", "settings not read from the store; trying again", "err", err)
+	if !errors.Is(err, context.Canceled) {
+		_ = level.Warn(s.config.Logger).Log("msg", "settings not read from the store; trying again", "err", err)
+	}
 	return cassiasettings.StoreFailed{Call: call}
 }
 
--- /dev/null
+++ b/io/cassiatree/storage_test.go
@@ -0,0 +1,23 @@
+package cassiatree
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"cassiasaddle/io/cassiastore"
+)
+
+// TestStopIsNoOutage: a call that ends because the VM stops says nothing of the store.
+func TestStopIsNoOutage(t *testing.T) {
+	for cause, logged := range map[error]bool{context.Canceled: false, net.ErrClosed: true} {
+		var written bytes.Buffer
+		s := &Service{config: Config{Logger: log.NewLogfmtLogger(&written)}}
+		s.storeFailed(1, &cassiastore.Error{Kind: cassiastore.Unavailable, Cause: cause})
+		qt.Check(t, written.Len() > 0, qt.Equals, logged, qt.Commentf("%v", cause))
+	}
+}
