--- a/cmd/cassiasaddle/demo.go
+++ b/cmd/cassiasaddle/demo.go
@@ -14,9 +14,10 @@
 
 func demoCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "demo",
-		Usage:  "run VMs and stand-ins on loopback, send queries through a straggler and a lost replica, and report",
-		Action: runDemo,
+		Name:        "demo",
+		Usage:       "run VMs and stand-ins on loopback, send queries through a straggler and a lost replica, and report",
+		Description: "Exit status: 0 no promise broken, 1 a promise was broken or the run failed.",
+		Action:      runDemo,
 	}
 }
 
--- a/cmd/cassiasaddle/keys.go
+++ b/cmd/cassiasaddle/keys.go
@@ -20,7 +20,8 @@
 		ArgsUsage: "VM...",
 		Description: "Writes VM.pem and VM-key.pem for each VM named, signed by the directory's authority. The authority\n" +
 			"(authority.pem, authority-key.pem) and the cluster key (cluster.key) are made where missing and kept otherwise.\n" +
-			"Give each VM its own two files, authority.pem and cluster.key; keep authority-key.pem off the VMs.",
+			"Give each VM its own two files, authority.pem and cluster.key; keep authority-key.pem off the VMs.\n" +
+			"Exit status: 0 done, 1 a file could not be read or written.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "directory", Usage: "directory to write to", Value: "keys"},
 			&cli.DurationFlag{Name: "lifetime", Usage: "how long the certificates are valid", Value: cassiatls.DefaultLifetime},
