Have overlapping calls of a deadly request lose two targets

Cause: the bound of 2 targets held for calls one after the other only. Calls that overlap met different owners, or several at one owner, and each could lose a target before the first loss was known. Canaries of one request went to the shard with the fastest local replica, which differs from VM to VM.

Ruled out: single flight at the entry (calls through other VMs still overlap), one run in each zone (a loss for each zone), asking other owners before a first run (the same way over zones, and more messages), one probe target (nearby for fewer calls; the bound allows two).

Change: all VMs send first attempts of a request that nobody is known to have answered to the same two targets of the same shard, picked by the fingerprint. Owners run such a request one at a time for a shard; others wait until the first is answered (then all run) or lost (then they are refused as suspects), at most for the hedge delay and 15 ms. A suspect that nobody has answered does not start while it runs anywhere, for any shard: without this, refused canaries went on to a third owner that did not count a run of another shard, and a third target was lost. A canary is called late 15 ms after the hedge delay, since an owner looks twice, 10 ms apart, before it calls a target lost. The stand-in can crash some time after the start of a run.

Tests changed: TestLateCanaryDoesNotHoldTheOthersBack looks 15 ms later, the new limit; TestCanary and beginCanary follow the renamed query (Unproven), as it now concerns single shards, too.

--- a/core/cassiaplan/canary.go
+++ b/core/cassiaplan/canary.go
@@ -5,6 +5,9 @@
 // canaryDeadlineParts divides the remaining time into the wait for a canary while the front's latency is not known.
 const canaryDeadlineParts = 4
 
+// crashNotice is how long it may take after the crash of a target until the owners know of it.
+const crashNotice = 15 * time.Millisecond
+
 // canary has one shard answer before the others are asked, so that a request which crashes the targets that run it does
 // not reach all of them at once.
 type canary struct {
@@ -16,7 +19,7 @@
 
 // startCanary holds the other shards back if the request asks for it.
 func (q *Query) startCanary() {
-	q.canary.waiting = q.request.Canary && q.idempotent() && len(q.shards) > 1
+	q.canary.waiting = q.request.Unproven && q.idempotent() && len(q.shards) > 1
 	if q.canary.waiting {
 		q.outbox.count(CountCanary)
 	}
@@ -52,24 +55,15 @@
 
 func (q *Query) canaryWait(now time.Time) time.Duration {
 	if after := q.view.HedgeAfter(q.request.Key); after > 0 {
-		return after
+		return after + crashNotice
 	}
 	return q.request.Deadline.Sub(now) / canaryDeadlineParts
 }
 
-// pickCanary returns where to begin to look for a shard to ask: at the one whose local replica is the fastest.
+// pickCanary returns where to begin to look for a shard to ask.
 func (q *Query) pickCanary() int {
 	if !q.canary.waiting || q.crash.probe != nil {
 		return 0
 	}
-	best, bestCost := 0, time.Duration(0)
-	for i := range q.shards {
-		options, _ := q.candidates(&q.shards[i], holdsSnapshot)
-		for _, o := range options {
-			if o.zone == q.view.LocalZone() && (bestCost == 0 || o.cost < bestCost) {
-				best, bestCost = i, o.cost
-			}
-		}
-	}
-	return best
+	return q.probeShard()
 }
--- a/core/cassiaplan/canary_test.go
+++ b/core/cassiaplan/canary_test.go
@@ -7,12 +7,13 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 )
 
-// beginCanary starts the query with a canary and returns its first effects.
-func (w *world) beginCanary() []Effect {
-	request := Request{Front: w.front, ShardKey: testKey, Deadline: epochStart.Add(300 * time.Millisecond), Canary: true}
+// beginUnproven starts a query that nobody is known to have answered and returns its first effects.
+func (w *world) beginUnproven(f cassiaid.Fingerprint) []Effect {
+	request := Request{Front: w.front, ShardKey: testKey, Deadline: epochStart.Add(300 * time.Millisecond), Fingerprint: f, Unproven: true}
 	w.query = NewQuery(request, w, &w.clock, rand.New(rand.NewPCG(1, 2)))
 	return w.query.Update(Begin{})
 }
@@ -34,7 +35,7 @@
 func TestCanaryIsAnsweredBeforeTheOthersAreAsked(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(20)
-	first := w.beginCanary()
+	first := w.beginUnproven(7)
 	c.Assert(attempts(first), qt.Equals, 1)
 	rest := w.reply(first, answer)
 	c.Assert(attempts(rest), qt.Equals, 19)
@@ -47,7 +48,7 @@
 		w := newWorld(20)
 		w.retries = retries
 		lost := 0
-		effects := w.beginCanary()
+		effects := w.beginUnproven(7)
 		for len(effectsOf[SendBatch](effects)) > 0 {
 			lost += attempts(effects)
 			effects = w.reply(effects, crashed)
@@ -60,7 +61,7 @@
 func TestCanaryThatLosesItsTargetClearsByItsRetry(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(20)
-	again := w.reply(w.beginCanary(), crashed)
+	again := w.reply(w.beginUnproven(7), crashed)
 	c.Assert(attempts(again), qt.Equals, 1)
 	rest := w.reply(again, answer)
 	c.Assert(attempts(rest), qt.Equals, 19)
@@ -71,8 +72,8 @@
 	c := qt.New(t)
 	w := newWorld(20)
 	w.hedges = 0
-	w.beginCanary()
-	rest := w.at(w.hedgeAfter)
+	w.beginUnproven(7)
+	rest := w.at(w.hedgeAfter + crashNotice)
 	c.Assert(counted(rest, CountCanaryLate), qt.Equals, 1)
 	c.Assert(attempts(rest), qt.Equals, 19)
 }
@@ -84,7 +85,7 @@
 	overloaded := func(b SendBatch, a Attempt) *cassiaschema.ShardResult {
 		return refused(b, a, cassiaschema.ShardOutcome_overloaded)
 	}
-	sameShard := w.reply(w.beginCanary(), overloaded)
+	sameShard := w.reply(w.beginUnproven(7), overloaded)
 	c.Assert(attempts(sameShard), qt.Equals, 1)
 	nextShard := w.reply(sameShard, overloaded)
 	c.Assert(attempts(nextShard), qt.Equals, 1)
--- /dev/null
+++ b/core/cassiaplan/probe.go
@@ -0,0 +1,51 @@
+package cassiaplan
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// maxProbeTargets is the number of targets that attempts of an unproven request may choose from. Their owners run such a
+// request one at a time each, so that calls which overlap lose no more targets than this.
+const maxProbeTargets = 2
+
+// probing tells whether attempts go to the request's probe targets, where all calls of the request meet.
+func (q *Query) probing() bool {
+	return q.request.Unproven && !q.crash.cleared && (q.canary.waiting || len(q.shards) == 1)
+}
+
+// probeShard returns the index of the shard that is asked first; it is the same on all VMs.
+func (q *Query) probeShard() int { return int(uint64(q.request.Fingerprint) % uint64(len(q.shards))) }
+
+// probeTargets returns the targets of a shard where calls of a request meet, the same on all VMs: the two that rank first
+// for the fingerprint, in different zones where there are, so that more VMs have one nearby.
+func probeTargets(fingerprint cassiaid.Fingerprint, targets []*cassiaschema.Target) []*cassiaschema.Target {
+	if len(targets) <= maxProbeTargets {
+		return targets
+	}
+	ranked := slices.Clone(targets)
+	slices.SortFunc(ranked, func(a, b *cassiaschema.Target) int {
+		return cmp.Compare(rank(fingerprint, a), rank(fingerprint, b))
+	})
+	first, others := ranked[0], ranked[1:]
+	second := others[0]
+	for _, t := range others {
+		if t.GetAvailabilityZone() != first.GetAvailabilityZone() {
+			second = t
+			break
+		}
+	}
+	return []*cassiaschema.Target{first, second}
+}
+
+// rank orders targets differently for each fingerprint.
+func rank(fingerprint cassiaid.Fingerprint, t *cassiaschema.Target) uint64 {
+	const spread = 0x9e3779b97f4a7c15
+	mixed := (xxhash.Sum64String(t.GetName()) ^ uint64(fingerprint)) * spread
+	return mixed ^ mixed>>32
+}
--- /dev/null
+++ b/core/cassiaplan/probe_test.go
@@ -0,0 +1,69 @@
+package cassiaplan
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// widen gives each shard five targets in four zones, of which one seems the fastest.
+func (w *world) widen(fastest int) {
+	for i, s := range w.front.Shards {
+		for r := range 3 {
+			name := fmt.Sprintf("t%d-%d", i, 2+r)
+			s.Targets = append(s.Targets, &cassiaschema.Target{Name: name, AvailabilityZone: fmt.Sprint("zone-", r)})
+		}
+		for r, t := range s.Targets {
+			v := w.targets["t0-0"]
+			v.Typical = 10 * time.Millisecond
+			if r == fastest {
+				v.Typical = time.Millisecond
+			}
+			w.targets[cassiaid.TargetName(t.Name)] = v
+		}
+	}
+}
+
+// TestCallsOfAnUnprovenRequestMeet has VMs differ in which targets are the fastest; the first attempts of one request and
+// their retries still go to two targets, those of all requests to every target.
+func TestCallsOfAnUnprovenRequestMeet(t *testing.T) {
+	c := qt.New(t)
+	used := map[cassiaid.TargetName]bool{}
+	for f := range cassiaid.Fingerprint(200) {
+		met := map[cassiaid.TargetName]bool{}
+		for fastest := range 5 {
+			w := newWorld(4)
+			w.widen(fastest)
+			first := w.beginUnproven(f * 0x9e3779b97f4a7c15)
+			again := w.reply(first, crashed)
+			for _, b := range slices.Concat(effectsOf[SendBatch](first), effectsOf[SendBatch](again)) {
+				c.Assert(b.Attempts, qt.HasLen, 1)
+				met[b.Attempts[0].Target] = true
+				used[b.Attempts[0].Target] = true
+			}
+		}
+		c.Assert(met, qt.HasLen, maxProbeTargets)
+	}
+	c.Assert(used, qt.HasLen, 20)
+}
+
+func TestLookupMeetsOnlyUsableTargets(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	w.front.Fanout = cassiaschema.Fanout_oneShardByKey
+	w.widen(0)
+	for _, p := range probeTargets(7, w.front.Shards[0].Targets) {
+		v := w.targets[cassiaid.TargetName(p.Name)]
+		v.Usable = false
+		w.targets[cassiaid.TargetName(p.Name)] = v
+	}
+	first := effectsOf[SendBatch](w.beginUnproven(7))
+	c.Assert(first, qt.HasLen, 1)
+	c.Assert(w.targets[first[0].Attempts[0].Target].Usable, qt.IsTrue)
+}
--- a/core/cassiaplan/replica.go
+++ b/core/cassiaplan/replica.go
@@ -36,9 +36,20 @@
 
 // candidates returns the untried replicas of a shard up to a fitness, and why there is none.
 func (q *Query) candidates(s *shard, worst fitness) ([]candidate, MissingReason) {
+	if q.probing() {
+		probes := probeTargets(q.request.Fingerprint, s.targets)
+		if found, _ := q.candidatesAmong(s, probes, min(worst, notKnown)); len(found) > 0 {
+			return found, ""
+		}
+	}
+	return q.candidatesAmong(s, s.targets, worst)
+}
+
+// candidatesAmong is candidates for some of a shard's targets.
+func (q *Query) candidatesAmong(s *shard, targets []*cassiaschema.Target, worst fitness) ([]candidate, MissingReason) {
 	var found []candidate
 	reason := MissingUnreachable
-	for _, t := range s.targets {
+	for _, t := range targets {
 		name := cassiaid.TargetName(t.GetName())
 		v := q.target(name)
 		c := candidate{target: name, zone: cassiaid.Zone(t.GetAvailabilityZone()), fit: q.fitness(v), cost: cost(v)}
--- a/core/cassiaplan/view.go
+++ b/core/cassiaplan/view.go
@@ -21,10 +21,12 @@
 	// ShardKey picks the shard of a front that asks one shard by key.
 	ShardKey string
 	// Shards lists the shards to ask; when nil, ShardsFor decides.
-	Shards   []cassiaid.ShardIndex
-	Deadline time.Time
-	// Canary has one shard answer before the others are asked.
-	Canary bool
+	Shards      []cassiaid.ShardIndex
+	Deadline    time.Time
+	Fingerprint cassiaid.Fingerprint
+	// Unproven is true when nobody is known to have answered the request: its first attempts go to its probe targets,
+	// and one shard answers before the others are asked.
+	Unproven bool
 }
 
 // TargetView is what this VM knows of a target.
--- a/core/cassiaquarantine/admit.go
+++ b/core/cassiaquarantine/admit.go
@@ -18,6 +18,9 @@
 	VerdictAlone
 	// VerdictHold refuses the attempt for the moment, since another one of the same suspect runs.
 	VerdictHold
+	// VerdictWait lets the attempt wait for a moment, since nobody is known to have answered its request and another
+	// attempt of it runs for the same shard.
+	VerdictWait
 	// VerdictRefuse refuses the attempt because its request is quarantined.
 	VerdictRefuse
 )
@@ -28,19 +31,22 @@
 	if q.Remaining(f) > 0 {
 		return VerdictRefuse
 	}
-	if !q.suspected(now, f, shard) {
-		return VerdictRun
-	}
-	if q.retrying(f, shard) {
+	switch suspected := q.suspected(now, f, shard); {
+	case suspected && q.Retrying(f, shard):
 		return VerdictHold
+	case suspected:
+		return VerdictAlone
+	case !q.answered.has(now, Window, f) && q.Running(f, shard):
+		return VerdictWait
 	}
-	return VerdictAlone
+	return VerdictRun
 }
 
-// retrying tells whether the suspect already runs alone somewhere, or runs for the same shard.
-func (q *Quarantine) retrying(f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+// Retrying tells whether a suspect already runs here alone or for the same shard, or at all when nobody has answered it.
+func (q *Quarantine) Retrying(f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	unanswered := !q.answered.has(q.clock.Now(), Window, f)
 	for _, a := range q.attempts {
-		if a.run.Fingerprint == f && !a.counted && (a.run.Alone || a.run.Shard == shard) {
+		if a.run.Fingerprint == f && !a.counted && (unanswered || a.run.Alone || a.run.Shard == shard) {
 			return true
 		}
 	}
@@ -80,8 +86,8 @@
 	return len(s.strikes) > 0 && !q.answered.has(now, Window, f)
 }
 
-// Canary tells whether a request over many shards has to be answered by one of them before it goes to the others.
-func (q *Quarantine) Canary(f cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
+// Unproven tells whether a front's policy wants care with a request because nobody is known to have answered it.
+func (q *Quarantine) Unproven(f cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
 	now := q.clock.Now()
 	if policy == cassiaschema.Canary_never || q.answered.has(now, Window, f) {
 		return false
--- a/core/cassiaquarantine/quarantine_test.go
+++ b/core/cassiaquarantine/quarantine_test.go
@@ -246,13 +246,13 @@
 	c := qt.New(t)
 	k := newCluster(1)
 	q := k.owners[0]
-	c.Assert(q.Canary(1, cassiaschema.Canary_afterLosses), qt.IsFalse)
-	c.Assert(q.Canary(1, cassiaschema.Canary_always), qt.IsTrue)
+	c.Assert(q.Unproven(1, cassiaschema.Canary_afterLosses), qt.IsFalse)
+	c.Assert(q.Unproven(1, cassiaschema.Canary_always), qt.IsTrue)
 	q.Update(IdleLost{Target: "t"})
-	c.Assert(q.Canary(1, cassiaschema.Canary_afterLosses), qt.IsTrue)
-	c.Assert(q.Canary(1, cassiaschema.Canary_never), qt.IsFalse)
+	c.Assert(q.Unproven(1, cassiaschema.Canary_afterLosses), qt.IsTrue)
+	c.Assert(q.Unproven(1, cassiaschema.Canary_never), qt.IsFalse)
 	c.Assert(k.run(0, 1, 0), qt.IsTrue)
-	c.Assert(q.Canary(1, cassiaschema.Canary_always), qt.IsFalse)
+	c.Assert(q.Unproven(1, cassiaschema.Canary_always), qt.IsFalse)
 }
 
 // TestBoundHolds repeats deadly requests one after the other at random owners between innocent ones, with one
--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -57,8 +57,8 @@
 type Quarantine interface {
 	// Remaining returns how long a fingerprint stays refused, 0 when it is not.
 	Remaining(fingerprint cassiaid.Fingerprint) time.Duration
-	// Canary tells whether one shard has to answer a request before it goes to the others.
-	Canary(fingerprint cassiaid.Fingerprint, policy cassiaschema.Canary) bool
+	// Unproven tells whether a request needs care because nobody is known to have answered it.
+	Unproven(fingerprint cassiaid.Fingerprint, policy cassiaschema.Canary) bool
 	// Answered notes that a request was answered by a shard.
 	Answered(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex)
 }
@@ -143,17 +143,16 @@
 	if question.Front.Kind == cassiaschema.RequestKind_nonIdempotent {
 		return e.askOnce(ctx, question, fingerprint)
 	}
-	canary := e.wantsCanary(question, fingerprint)
-	return e.answer(ctx, question, fingerprint, canary, nil)
+	return e.answer(ctx, question, fingerprint, e.unproven(question, fingerprint), nil)
 }
 
 // answer runs a question and encodes its answer.
-func (e *Entry) answer(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, canary bool, grant *cassiaclaimer.Grant) ([]byte, *cassiaplan.Refusal) {
-	r, finish := e.run(ctx, question, fingerprint, canary, grant)
+func (e *Entry) answer(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, unproven bool, grant *cassiaclaimer.Grant) ([]byte, *cassiaplan.Refusal) {
+	r, finish := e.run(ctx, question, fingerprint, unproven, grant)
 	if finish.Refusal != nil {
 		return nil, finish.Refusal
 	}
-	if rows := finish.Answer.Rows; canary && len(rows) > 0 {
+	if rows := finish.Answer.Rows; unproven && len(rows) > 0 {
 		e.config.Quarantine.Answered(fingerprint, rows[0].Shard)
 	}
 	answer, err := cassiahttp.EncodeAnswer(question.RequestID, r.frontAt(finish.Answer.Epoch), finish.Answer)
@@ -166,16 +165,13 @@
 	return answer, nil
 }
 
-// wantsCanary tells whether one shard has to answer a question before the others are asked.
-func (e *Entry) wantsCanary(question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) bool {
-	if len(cassiaplan.ShardsFor(question.Front, question.ShardKey)) < 2 {
-		return false
-	}
-	return e.config.Quarantine.Canary(fingerprint, question.Front.Canary)
+// unproven tells whether a question needs care because nobody is known to have answered it.
+func (e *Entry) unproven(question *cassiahttp.Question, fingerprint cassiaid.Fingerprint) bool {
+	return e.config.Quarantine.Unproven(fingerprint, question.Front.Canary)
 }
 
 // run carries one planner from Begin to Finish.
-func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, canary bool, grant *cassiaclaimer.Grant) (*run, *cassiaplan.Finish) {
+func (e *Entry) run(ctx context.Context, question *cassiahttp.Question, fingerprint cassiaid.Fingerprint, unproven bool, grant *cassiaclaimer.Grant) (*run, *cassiaplan.Finish) {
 	r := &run{
 		entry: e, id: cassiaid.QueryID(uuid.New()), question: question, fingerprint: fingerprint, grant: grant,
 		events: newMailbox[event](),
@@ -184,7 +180,7 @@
 	}
 	request := cassiaplan.Request{
 		ID: r.id, Key: question.Key, Front: question.Front, ShardKey: question.ShardKey,
-		Deadline: question.Deadline, Canary: canary,
+		Deadline: question.Deadline, Fingerprint: fingerprint, Unproven: unproven,
 	}
 	e.config.Routes.With(func(t *cassiaroute.Table) {
 		r.query = cassiaplan.NewQuery(request, t, e.config.Clock, randomSource{})
--- a/io/cassiaentry/once.go
+++ b/io/cassiaentry/once.go
@@ -47,7 +47,7 @@
 		}
 	}
 	e.sent.add(e.config.Clock.Now(), question)
-	answer, refusal := e.answer(ctx, question, fingerprint, false, grant)
+	answer, refusal := e.answer(ctx, question, fingerprint, e.unproven(question, fingerprint), grant)
 	switch {
 	case refusal == nil:
 		grant.Finish(ctx, cassiaschema.ClaimOutcome_finished, answer)
--- a/io/cassiaowner/attempt.go
+++ b/io/cassiaowner/attempt.go
@@ -32,6 +32,12 @@
 	return cassiaid.Fingerprint(a.batch.request.Fingerprint)
 }
 
+// crashNotice is how long it may take after the crash of a target until its owner knows it from a closed connection.
+const crashNotice = 15 * time.Millisecond
+
+// turnLimit bounds the wait for another attempt of the same request: the entry hedges after twice its flush time.
+func (a *attempt) turnLimit() time.Duration { return 2*firstInterval(a.batch.request) + crashNotice }
+
 // notStarted returns the result of an attempt that its target never saw.
 func (a *attempt) notStarted(outcome cassiaschema.ShardOutcome) *cassiaschema.ShardResult {
 	return &cassiaschema.ShardResult{
--- a/io/cassiaowner/batch.go
+++ b/io/cassiaowner/batch.go
@@ -36,7 +36,7 @@
 	b := &batch{
 		request: request, deadline: deadline, reply: reply, ended: ended,
 		outstanding: len(request.Attempts),
-		interval:    max(request.FlushAfter.AsDuration(), minFlushInterval),
+		interval:    firstInterval(request),
 	}
 	copy(b.query[:], request.QueryId)
 	b.mutex.Lock()
@@ -45,6 +45,11 @@
 	return b
 }
 
+// firstInterval returns when the first results are sent.
+func firstInterval(request *cassiaschema.ShardBatch) time.Duration {
+	return max(request.FlushAfter.AsDuration(), minFlushInterval)
+}
+
 // add takes the final result of one attempt.
 func (b *batch) add(result *cassiaschema.ShardResult) {
 	b.mutex.Lock()
@@ -66,7 +71,7 @@
 func (b *batch) flushTimer() {
 	b.mutex.Lock()
 	results := b.take()
-	first := b.interval == max(b.request.FlushAfter.AsDuration(), minFlushInterval)
+	first := b.interval == firstInterval(b.request)
 	b.interval *= 2
 	if b.outstanding > 0 {
 		b.timer.Reset(b.interval)
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -173,6 +173,16 @@
 	o.config.Scope.Tagged(map[string]string{"reason": outcome.String()}).Counter("ownerRefusals").Inc(1)
 }
 
+// countTurn counts the attempts that waited for another one of their request.
+func (o *Owner) countTurn(turn Turn) {
+	if turn.Waited {
+		o.config.Scope.Counter("turnWaited").Inc(1)
+	}
+	if turn.Late {
+		o.config.Scope.Counter("turnLate").Inc(1)
+	}
+}
+
 // target returns the state of an owned target, making it on first use and anew when its share changed.
 func (o *Owner) target(owned OwnedTarget) *target {
 	key := targetKey{front: owned.Front, name: owned.Name}
--- a/io/cassiaowner/quarantine.go
+++ b/io/cassiaowner/quarantine.go
@@ -1,6 +1,7 @@
 package cassiaowner
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	mutex  sync.Mutex
 	core   *cassiaquarantine.Quarantine
 	sharer BlameSharer
+	// changed is closed at the next message that may let a waiting attempt go on; nil while none waits.
+	changed chan struct{}
 }
 
 // NewQuarantine returns an empty record; sharer may be nil.
@@ -41,30 +44,74 @@
 	return q.core.Admit(fingerprint, shard)
 }
 
-// Begin decides again when an attempt is about to start and records the start. A suspect starts only when no other owner
-// runs it: both record the start before they ask, so that of two that ask at once neither goes on.
-func (q *Quarantine) Begin(front cassiaid.FrontKey, run cassiaquarantine.Run, target cassiaid.TargetName) cassiaquarantine.Verdict {
-	verdict := q.record(run, target)
-	if verdict != cassiaquarantine.VerdictAlone || q.sharer == nil {
-		return verdict
+// Turn tells how an attempt came to its start.
+type Turn struct {
+	Verdict cassiaquarantine.Verdict
+	// Waited is true when another attempt of the request ran before; Late when the wait was over before its outcome.
+	Waited, Late bool
+}
+
+// Begin decides again when an attempt is about to start and records the start. Attempts of a request that nobody is known
+// to have answered wait for each other, up to a limit. A suspect starts only when no other owner runs it: both record the
+// start before they ask, so that of two that ask at once neither goes on.
+func (q *Quarantine) Begin(ctx context.Context, front cassiaid.FrontKey, run cassiaquarantine.Run, target cassiaid.TargetName, limit time.Duration) Turn {
+	turn := q.await(ctx, run, target, limit)
+	if turn.Verdict != cassiaquarantine.VerdictAlone || q.sharer == nil {
+		return turn
 	}
 	switch {
 	case q.sharer.RunsElsewhere(front, run):
-		verdict = cassiaquarantine.VerdictHold
+		turn.Verdict = cassiaquarantine.VerdictHold
 	case q.Remaining(run.Fingerprint) > 0:
-		verdict = cassiaquarantine.VerdictRefuse
+		turn.Verdict = cassiaquarantine.VerdictRefuse
 	default:
-		return verdict
+		return turn
 	}
 	q.share(front, q.update(cassiaquarantine.Ended{Attempt: run.Attempt}))
-	return verdict
+	return turn
+}
+
+// await records the start of an attempt once no other attempt of its unproven request runs here, or after a limit.
+func (q *Quarantine) await(ctx context.Context, run cassiaquarantine.Run, target cassiaid.TargetName, limit time.Duration) Turn {
+	var turn Turn
+	var timeout <-chan time.Time
+	for {
+		verdict, changed := q.record(run, target, turn.Late)
+		turn.Verdict = verdict
+		if verdict != cassiaquarantine.VerdictWait {
+			return turn
+		}
+		if !turn.Waited {
+			turn.Waited = true
+			timer := time.NewTimer(limit)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			turn.Late = true
+		case <-ctx.Done():
+			return turn
+		}
+	}
 }
 
-// record decides on an attempt that is about to start and records the start.
-func (q *Quarantine) record(run cassiaquarantine.Run, target cassiaid.TargetName) cassiaquarantine.Verdict {
+// record decides on an attempt that is about to start and records the start; an attempt that has to wait gets a channel
+// that is closed when to ask again, unless it is late.
+func (q *Quarantine) record(run cassiaquarantine.Run, target cassiaid.TargetName, late bool) (cassiaquarantine.Verdict, <-chan struct{}) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	verdict := q.core.Admit(run.Fingerprint, run.Shard)
+	if verdict == cassiaquarantine.VerdictWait && !late {
+		if q.changed == nil {
+			q.changed = make(chan struct{})
+		}
+		return verdict, q.changed
+	}
+	if verdict == cassiaquarantine.VerdictWait {
+		verdict = cassiaquarantine.VerdictRun
+	}
 	if verdict == cassiaquarantine.VerdictAlone && !run.Alone {
 		// It came before the suspicion and would now start beside others; a later try runs alone.
 		verdict = cassiaquarantine.VerdictHold
@@ -72,7 +119,7 @@
 	if !refuses(verdict) {
 		q.core.Update(cassiaquarantine.Started{Run: run, Target: target})
 	}
-	return verdict
+	return verdict, nil
 }
 
 // End records how a started attempt ended and shares what follows before it returns.
@@ -102,6 +149,13 @@
 	return q.core.Undecided(fingerprint, shard)
 }
 
+// Retrying tells whether this VM runs a suspect so that another VM must not run it for a shard.
+func (q *Quarantine) Retrying(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.core.Retrying(fingerprint, shard)
+}
+
 // Running tells whether this VM runs a request for a shard.
 func (q *Quarantine) Running(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
 	q.mutex.Lock()
@@ -116,11 +170,11 @@
 	return q.core.Remaining(fingerprint)
 }
 
-// Canary tells whether one shard has to answer a request before it goes to the others.
-func (q *Quarantine) Canary(fingerprint cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
+// Unproven tells whether a request needs care because nobody is known to have answered it.
+func (q *Quarantine) Unproven(fingerprint cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.core.Canary(fingerprint, policy)
+	return q.core.Unproven(fingerprint, policy)
 }
 
 // Answered notes that a request was answered by a shard.
@@ -131,7 +185,12 @@
 func (q *Quarantine) update(m cassiaquarantine.Message) []cassiaquarantine.Effect {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.core.Update(m)
+	effects := q.core.Update(m)
+	if q.changed != nil {
+		close(q.changed)
+		q.changed = nil
+	}
+	return effects
 }
 
 func (q *Quarantine) share(front cassiaid.FrontKey, effects []cassiaquarantine.Effect) {
--- /dev/null
+++ b/io/cassiaowner/quarantine_test.go
@@ -0,0 +1,60 @@
+package cassiaowner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaquarantine"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// TestTurn has a second attempt of an unproven request wait for the first one's end, its own limit or its cancellation.
+func TestTurn(t *testing.T) {
+	const forever = time.Hour
+	run := func(id cassiaid.AttemptID) cassiaquarantine.Run {
+		return cassiaquarantine.Run{Attempt: id, Fingerprint: 9}
+	}
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	answered := &cassiaschema.ShardResult{Outcome: cassiaschema.ShardOutcome_answered}
+	lost := &cassiaschema.ShardResult{Outcome: cassiaschema.ShardOutcome_failed, TargetLost: true}
+	for name, test := range map[string]struct {
+		ctx   context.Context
+		limit time.Duration
+		ends  *cassiaschema.ShardResult
+		want  Turn
+	}{
+		"answered":  {ctx: t.Context(), limit: forever, ends: answered, want: Turn{Verdict: cassiaquarantine.VerdictRun, Waited: true}},
+		"lost":      {ctx: t.Context(), limit: forever, ends: lost, want: Turn{Verdict: cassiaquarantine.VerdictHold, Waited: true}},
+		"late":      {ctx: t.Context(), limit: time.Millisecond, want: Turn{Verdict: cassiaquarantine.VerdictRun, Waited: true, Late: true}},
+		"cancelled": {ctx: cancelled, limit: forever, want: Turn{Verdict: cassiaquarantine.VerdictWait, Waited: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			q := NewQuarantine(clockwork.NewFakeClock(), nil)
+			c.Assert(q.Begin(t.Context(), cassiaid.FrontKey{}, run(1), "t1", forever), qt.Equals, Turn{})
+			var second Turn
+			var group errgroup.Group
+			group.Go(func() error {
+				second = q.Begin(test.ctx, cassiaid.FrontKey{}, run(2), "t1", test.limit)
+				return nil
+			})
+			if test.ends != nil {
+				for waits := false; !waits; {
+					q.mutex.Lock()
+					waits = q.changed != nil
+					q.mutex.Unlock()
+				}
+				q.End(cassiaid.FrontKey{}, 1, test.ends)
+			}
+			c.Assert(group.Wait(), qt.IsNil)
+			c.Assert(second, qt.Equals, test.want)
+		})
+	}
+}
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -130,9 +130,14 @@
 func (t *target) perform(ctx context.Context, a *attempt) *cassiaschema.ShardResult {
 	quarantine := t.owner.config.Quarantine
 	run := cassiaquarantine.Run{Attempt: a.id(), Fingerprint: a.fingerprint(), Shard: a.shard(), Alone: a.alone}
-	if verdict := quarantine.Begin(t.owned.Front, run, t.owned.Name); refuses(verdict) {
-		t.owner.countRefusal(refusalOf(verdict))
-		return a.notStarted(refusalOf(verdict))
+	turn := quarantine.Begin(ctx, t.owned.Front, run, t.owned.Name, a.turnLimit())
+	t.owner.countTurn(turn)
+	if turn.Verdict == cassiaquarantine.VerdictWait {
+		return a.notStarted(cassiaschema.ShardOutcome_cancelled)
+	}
+	if refuses(turn.Verdict) {
+		t.owner.countRefusal(refusalOf(turn.Verdict))
+		return a.notStarted(refusalOf(turn.Verdict))
 	}
 	result := t.client.Run(ctx, a.call())
 	quarantine.End(t.owned.Front, a.id(), result)
--- a/io/cassiaserver/frames.go
+++ b/io/cassiaserver/frames.go
@@ -31,7 +31,7 @@
 		answered := s.learnLoss(body.LossNotice)
 		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: answered}})
 	case *cassiaschema.PeerFrame_RunInquiry:
-		running := s.quarantine.Running(cassiaid.Fingerprint(body.RunInquiry.Fingerprint), cassiaid.ShardIndex(body.RunInquiry.Shard))
+		running := s.quarantine.Retrying(cassiaid.Fingerprint(body.RunInquiry.Fingerprint), cassiaid.ShardIndex(body.RunInquiry.Shard))
 		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiryReply{
 			RunInquiryReply: &cassiaschema.RunInquiryReply{Running: running},
 		}})
--- a/standin/cassiashard/attempt.go
+++ b/standin/cassiashard/attempt.go
@@ -219,25 +219,41 @@
 	t.log.start(a.handle, now)
 	b := t.behaviour
 	runTime := b.runTime(t.random, now.Sub(t.started))
-	if b.CrashMarker != "" && strings.Contains(string(a.body), b.CrashMarker) {
+	deadly := b.CrashMarker != "" && strings.Contains(string(a.body), b.CrashMarker)
+	if deadly && b.CrashAfterMs == 0 {
 		t.crash(now)
 	}
+	if deadly {
+		runTime = milliseconds(b.CrashAfterMs)
+	}
 	t.mu.Unlock()
 
 	timer := time.NewTimer(runTime)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		if deadly {
+			t.mu.Lock()
+			t.crash(time.Now())
+			t.mu.Unlock()
+			t.endEarly(w, a)
+			return
+		}
 		t.log.finish(a.handle, time.Now(), OutcomeRan, "")
 		t.writeRows(w, a)
 	case <-a.stopped.Done():
-		outcome := OutcomeCancelled
-		if context.Cause(a.stopped) == errCrashed {
-			outcome = OutcomeCrashed
-		}
-		t.log.finish(a.handle, time.Now(), outcome, earlyEndReason(a))
-		t.writeEarlyEnd(w, a, true)
+		t.endEarly(w, a)
+	}
+}
+
+// endEarly ends an attempt that was cancelled or whose target crashed.
+func (t *Target) endEarly(w http.ResponseWriter, a *attempt) {
+	outcome := OutcomeCancelled
+	if context.Cause(a.stopped) == errCrashed {
+		outcome = OutcomeCrashed
 	}
+	t.log.finish(a.handle, time.Now(), outcome, earlyEndReason(a))
+	t.writeEarlyEnd(w, a, true)
 }
 
 func earlyEndReason(a *attempt) string {
--- a/standin/cassiashard/behaviour.go
+++ b/standin/cassiashard/behaviour.go
@@ -50,6 +50,8 @@
 	HealthLoad float64 `json:"healthLoad"`
 	// CrashMarker crashes the target when it runs a body that contains it.
 	CrashMarker string `json:"crashMarker"`
+	// CrashAfterMs is how long such a body runs before the crash.
+	CrashAfterMs float64 `json:"crashAfterMs"`
 	// RestartMs is how long the target refuses connections after a crash.
 	RestartMs float64 `json:"restartMs"`
 	// Lost closes all connections and refuses new ones.
--- /dev/null
+++ b/test/overlap_test.go
@@ -0,0 +1,70 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
+// TestOverlappingDeadlyRequests sends each of several deadly requests six times at nearly the same moment, through all
+// VMs, to a front of one shard by key and to one of all shards.
+func TestOverlappingDeadlyRequests(t *testing.T) {
+	const (
+		calls, rounds, shards = 6, 4, 20
+		// gap is the time between two calls; a target runs the request longer than a few of them.
+		gap = time.Millisecond
+	)
+	c := qt.New(t)
+	zones := []string{"zone-a", "zone-b"}
+	lookup, search := newFront("lookup", 4, zones), newFront("search", shards, zones)
+	lookup.Fanout = cassiaschema.Fanout_oneShardByKey
+	for i, s := range lookup.Shards {
+		for r := range 4 {
+			s.Targets = append(s.Targets, &cassiaschema.Target{
+				Name: fmt.Sprintf("lookup-%02d-%d", i, r), AvailabilityZone: zones[r%len(zones)],
+			})
+		}
+	}
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{lookup, search},
+		behaviour: `{"crashMarker":"deadly","crashAfterMs":5,"restartMs":300}`})
+	whole := func(front, body string) bool {
+		for _, v := range cl.vms {
+			a := cl.ask(v, front, body, "Shard-Key", "household-7")
+			if a.Status != http.StatusOK || a.Coverage.Answered != a.Coverage.Asked {
+				return false
+			}
+		}
+		return true
+	}
+	for round := range rounds {
+		for _, front := range []string{"lookup", "search"} {
+			for n := range 5 {
+				body := fmt.Sprintf(`{"innocent":%d}`, round*10+n)
+				eventually(t, startTimeout, "whole answers", func() bool { return whole(front, body) })
+			}
+			deadly := fmt.Sprintf(`{"deadly":%d}`, round)
+			if front == "search" {
+				deadly = fmt.Sprintf(`{"deadly":"everywhere %d"}`, round)
+			}
+			var group errgroup.Group
+			for n := range calls {
+				group.Go(func() error {
+					time.Sleep(time.Duration(n) * gap)
+					a, err := tryAsk(cl.vms[n%len(cl.vms)], front, deadly, "Shard-Key", "household-7")
+					c.Check(a.Status, qt.Not(qt.Equals), http.StatusOK)
+					return err
+				})
+			}
+			c.Assert(group.Wait(), qt.IsNil)
+			crashes := cl.crashesUnder(deadly)
+			t.Logf("%s, round %d: %d targets crashed", front, round, crashes)
+			c.Check(crashes > 0 && crashes <= crashBound, qt.IsTrue)
+		}
+	}
+}
