--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -175,6 +175,16 @@
 	o.config.Scope.Tagged(map[string]string{"reason": outcome.String()}).Counter("ownerRefusals").Inc(1)
 }
 
+// countTurn counts the attempts that waited for another one of their request.
+func (o *Owner) countTurn(turn Turn) {
+	if turn.Waited {
+		o.config.Scope.Counter("turnWaited").Inc(1)
+	}
+	if turn.Late {
+		o.config.Scope.Counter("turnLate").Inc(1)
+	}
+}
+
 // target returns the state of an owned target, making it on first use; a changed share keeps what was learned.
 func (o *Owner) target(owned OwnedTarget) *target {
 	t := o.lookUp(owned)
