--- a/io/cassiabench/checker_test.go
+++ b/io/cassiabench/checker_test.go
@@ -150,4 +150,5 @@
 	c.Assert(got.Refusals, qt.DeepEquals, map[string]int{"overloaded": 1})
 	c.Assert(got.P99Ms >= 350, qt.IsTrue, qt.Commentf("a refusal counts at least its deadline"))
 	c.Assert(got.P50Ms < 11, qt.IsTrue)
+	c.Assert(got.RefusalP99Ms < 2, qt.IsTrue, qt.Commentf("the time until the refusal itself"))
 }
--- a/io/cassiabench/report.go
+++ b/io/cassiabench/report.go
@@ -104,7 +104,8 @@
 		return err
 	}
 	for _, x := range r.results() {
-		fmt.Fprintf(w, "\n%s: refusals %v, the slowest after %.1f ms, missing shards %v\n", x.Policy, x.Refusals, x.SlowestRefusalMs, x.Missing)
+		fmt.Fprintf(w, "\n%s: refusals %v, p50 %.1f ms, p99 %.1f ms, the slowest after %.1f ms, missing shards %v\n",
+			x.Policy, x.Refusals, x.RefusalP50Ms, x.RefusalP99Ms, x.SlowestRefusalMs, x.Missing)
 		fmt.Fprintf(w, "  crashed targets %d, connections over the cap %d, processor time %.2f ms a query (VMs, stand-ins and callers together)\n",
 			x.TargetCrashes, x.ConnectionsRefused, x.ProcessCPUMsPerQuery)
 		if p := x.PeerMessagesPerQuery; p != nil {
--- a/io/cassiabench/result.go
+++ b/io/cassiabench/result.go
@@ -63,6 +63,9 @@
 	ExtraLoad float64 `json:"extraLoad"`
 	// Refusals counts requests without an answer by their reason.
 	Refusals map[string]int `json:"refusals"`
+	// RefusalP50Ms and RefusalP99Ms are times until a final refusal as the callers saw them.
+	RefusalP50Ms float64 `json:"refusalP50Ms"`
+	RefusalP99Ms float64 `json:"refusalP99Ms"`
 	// SlowestRefusalMs is the longest time until a final refusal.
 	SlowestRefusalMs float64 `json:"slowestRefusalMs"`
 	// Missing counts missing shards of answers by their reason.
@@ -125,7 +128,7 @@
 func measure(replies []*reply, started map[string]map[string]int) Measures {
 	replies = filter(replies, func(r *reply) bool { return !r.Request.Crashing })
 	m := Measures{Queries: len(replies), Refusals: map[string]int{}, Missing: map[string]int{}}
-	latencies := hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)
+	latencies, refusals := newLatencies(), newLatencies()
 	sendings := map[string]int{}
 	covered := 0.0
 	var slowest time.Duration
@@ -136,6 +139,7 @@
 			latency = max(latency, r.Request.deadline())
 			m.Refusals[reasonOf(r)]++
 			slowest = max(slowest, r.Latency)
+			record(refusals, r.Latency)
 		} else {
 			fraction := float64(len(r.Answer.Rows)) / float64(r.Request.shards())
 			covered += fraction
@@ -146,8 +150,9 @@
 				m.Missing[missing.Reason]++
 			}
 		}
-		_ = latencies.RecordValue(min(max(latency.Microseconds(), minLatencyMicros), maxLatencyMicros))
+		record(latencies, latency)
 	}
+	m.RefusalP50Ms, m.RefusalP99Ms = quantile(refusals, 0.5), quantile(refusals, 0.99)
 	m.SlowestRefusalMs = roundTo(slowest.Seconds()*1000, 1)
 	m.ExtraLoad = roundTo(extraLoad(sendings, started), 4)
 	if len(replies) > 0 {
@@ -157,6 +162,15 @@
 	return m
 }
 
+func newLatencies() *hdrhistogram.Histogram {
+	return hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits)
+}
+
+// record adds a latency within the histogram's bounds.
+func record(h *hdrhistogram.Histogram, latency time.Duration) {
+	_ = h.RecordValue(min(max(latency.Microseconds(), minLatencyMicros), maxLatencyMicros))
+}
+
 func reasonOf(r *reply) string {
 	if r.Refusal != nil {
 		return string(r.Refusal.Kind)
