End requests whose shards can't be reached before their deadline

Cause: in a zone that is cut off, a request whose shards have no owner within reach waited for its deadline until membership knew of the cut. Found on the way: a shard was passed over once only, and not at all when a hedge waited for a second silent owner, so two of the four owners of a shard were never tried; a handshake that does not end was no sign of silence. Ruled out: refusing on the first sign of silence, which a paused VM gives as well. Change: an owner counts as unreachable once signs of silence go on for 100 ms with no life in between (the first sign already is 100 ms of silence); a query whose minCoverage needs shards without an owner within reach ends after a grace, and is refused as not run at its start but for a probe each 100 ms; fronts that prefer coverage wait 100 ms longer and never give up for a part. Requests that must not run twice are waited for once sent.

--- a/core/cassiaplan/effect.go
+++ b/core/cassiaplan/effect.go
@@ -91,4 +91,6 @@
 	CountRetrySnapshot    Counter = "retrySnapshot"
 	CountRetryEpoch       Counter = "retryEpoch"
 	CountAnswerTooBig     Counter = "answerTooBig"
+	CountCutOffAtStart    Counter = "cutOffAtStart"
+	CountCutOffGivenUp    Counter = "cutOffGivenUp"
 )
--- a/core/cassiaplan/query.go
+++ b/core/cassiaplan/query.go
@@ -103,6 +103,9 @@
 	if q.phase == running {
 		q.recoverShards(now)
 	}
+	if q.phase == running {
+		q.giveUpCutOff(now)
+	}
 	if q.phase == running || q.phase == asking {
 		q.finishIfDone(now)
 	}
@@ -127,6 +130,9 @@
 			Message: "the request names no shard of the front; check the front's shards"})
 		return
 	}
+	if q.refuseCutOff(); q.phase == finished {
+		return
+	}
 	q.startCanary()
 	if !q.askIfCold(now) {
 		q.pin()
--- a/core/cassiaplan/replica.go
+++ b/core/cassiaplan/replica.go
@@ -52,7 +52,19 @@
 		}
 		found = append(found, c)
 	}
-	return fittest(found), reason
+	return fittest(q.withinReach(found)), reason
+}
+
+// withinReach leaves out candidates whose owner is unreachable while there are others.
+func (q *Query) withinReach(all []candidate) []candidate {
+	if !q.view.AnyUnreachable() {
+		return all
+	}
+	out := func(c candidate) bool { return q.view.Unreachable(c.owner) }
+	if !slices.ContainsFunc(all, func(c candidate) bool { return !out(c) }) {
+		return all
+	}
+	return slices.DeleteFunc(all, out)
 }
 
 func (q *Query) fitness(v TargetView) fitness {
--- a/core/cassiaplan/schedule_test.go
+++ b/core/cassiaplan/schedule_test.go
@@ -30,6 +30,10 @@
 			}
 		}
 	}
+	w.probes = rapid.IntRange(0, 1).Draw(t, "probes")
+	if rapid.IntRange(0, 4).Draw(t, "cutOff") == 0 {
+		w.cutZones("zone-1", "zone-2", "zone-3")
+	}
 	if rapid.Bool().Draw(t, "repartitioned") {
 		grown := newWorld(len(w.front.Shards) + 1)
 		grown.front.ShardMapEpoch = 8
@@ -70,12 +74,15 @@
 
 // drawMessage draws what happens next.
 func drawMessage(t *rapid.T, w *world, j *judge) Message {
-	n := rapid.IntRange(0, 24).Draw(t, "message")
+	n := rapid.IntRange(0, 25).Draw(t, "message")
 	switch {
 	case n == 0:
 		return Quarantined{Remaining: time.Second}
 	case n == 1:
 		return CallerGone{}
+	case n == 25:
+		w.cutZones(rapid.SliceOf(rapid.SampledFrom([]string{"zone-0", "zone-1", "zone-2", "zone-3"})).Draw(t, "cut")...)
+		return TimerFired{}
 	case n < 7 || len(j.order) == 0:
 		w.clock.now = w.clock.now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "pause")) * time.Millisecond)
 		return TimerFired{}
--- a/core/cassiaplan/silent.go
+++ b/core/cassiaplan/silent.go
@@ -16,10 +16,9 @@
 	var choices []choice
 	for i := range q.shards {
 		s := &q.shards[i]
-		if !s.pending() || !s.waitsOnlyFor(owner) {
+		if !s.pending() || !s.passOver(owner) {
 			continue
 		}
-		s.passOver(owner)
 		if options, _ := q.candidates(s, notUsable); len(options) > 0 {
 			q.outbox.count(CountHedgeOwnerSilent)
 			choices = append(choices, choice{shard: s, options: options})
@@ -28,24 +27,19 @@
 	q.ask(choices, true, now)
 }
 
-// waitsOnlyFor tells whether the shard's only attempt in flight is at an owner that was not passed over for it yet.
-func (s *shard) waitsOnlyFor(owner cassiaid.VMName) bool {
-	if s.inFlight() != 1 {
-		return false
-	}
-	for _, a := range s.attempts {
-		if a.open {
-			return a.owner == owner && !a.passedOver
-		}
-	}
-	return false
-}
-
-// passOver lets the targets of open attempts at an owner be asked through another one, once for each attempt.
-func (s *shard) passOver(owner cassiaid.VMName) {
+// passOver lets the targets of open attempts at an owner be asked through another one, once for each attempt, and tells
+// whether that leaves the shard waiting for nothing but silent owners.
+func (s *shard) passOver(owner cassiaid.VMName) bool {
+	marked, waits := false, false
 	for _, a := range s.attempts {
-		if a.open && a.owner == owner {
+		switch {
+		case !a.open || a.passedOver:
+		case a.owner == owner:
 			a.ownerFailed, a.passedOver = true, true
+			marked = true
+		default:
+			waits = true
 		}
 	}
+	return marked && !waits
 }
--- a/core/cassiaplan/silent_test.go
+++ b/core/cassiaplan/silent_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 )
 
@@ -59,3 +60,31 @@
 	})
 	c.Assert(effectsOf[SendBatch](w.query.Update(OwnerSilent{Owner: silent.Owner})), qt.HasLen, 0)
 }
+
+// TestEachSilentOwnerIsPassedOver: when the second owner is silent as well, a third one is asked.
+func TestEachSilentOwnerIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	w.hedges, w.retries = 0, 0
+	asked := map[cassiaid.VMName]bool{}
+	step := w.begin()
+	for i := range 4 {
+		sends := effectsOf[SendBatch](step)
+		c.Assert(sends, qt.HasLen, 1)
+		c.Assert(asked[sends[0].Owner], qt.IsFalse)
+		asked[sends[0].Owner] = true
+		w.clock.now = epochStart.Add(time.Duration(i+1) * 50 * time.Millisecond)
+		step = w.query.Update(OwnerSilent{Owner: sends[0].Owner})
+	}
+	c.Assert(effectsOf[SendBatch](step), qt.HasLen, 0)
+}
+
+// TestSilentOwnersOfAttemptAndHedgeArePassedOver: a hedge at a silent owner does not keep the shard from being asked elsewhere.
+func TestSilentOwnersOfAttemptAndHedgeArePassedOver(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(1)
+	first := effectsOf[SendBatch](w.begin())[0]
+	hedge := effectsOf[SendBatch](w.at(20 * time.Millisecond))[0]
+	c.Assert(effectsOf[SendBatch](w.query.Update(OwnerSilent{Owner: first.Owner})), qt.HasLen, 0)
+	c.Assert(effectsOf[SendBatch](w.query.Update(OwnerSilent{Owner: hedge.Owner})), qt.HasLen, 1)
+}
--- a/core/cassiaplan/timer.go
+++ b/core/cassiaplan/timer.go
@@ -36,6 +36,7 @@
 		sooner(q.canary.until)
 	}
 	hedging, stopping := q.mayHedge(), q.mayStopEarly()
+	cut := q.idempotent() && q.view.AnyUnreachable()
 	for i := range q.shards {
 		s := &q.shards[i]
 		if !s.pending() {
@@ -47,6 +48,9 @@
 		if stopping {
 			sooner(q.overdueAt(s))
 		}
+		if cut && q.cutOff(s) {
+			sooner(q.graceEnd(s))
+		}
 	}
 	return next
 }
--- a/core/cassiaplan/view.go
+++ b/core/cassiaplan/view.go
@@ -54,6 +54,13 @@
 	TakeHedge(front cassiaid.FrontKey) bool
 	// TakeRetry takes one retry from the front's budget, or returns false.
 	TakeRetry(front cassiaid.FrontKey) bool
+	// AnyUnreachable is false when Unreachable is false for every VM; it is asked far more often.
+	AnyUnreachable() bool
+	// Unreachable tells whether a VM has sent nothing for longer than a pause takes, though it had to.
+	Unreachable(owner cassiaid.VMName) bool
+	// TakeProbe returns true now and then, for a query of the front that is sent to unreachable owners to see whether
+	// they are back.
+	TakeProbe(front cassiaid.FrontKey) bool
 	// Front returns the front's settings in force now, which may be newer than the request's.
 	Front(front cassiaid.FrontKey) *cassiaschema.Front
 }
--- a/core/cassiaplan/world_test.go
+++ b/core/cassiaplan/world_test.go
@@ -28,6 +28,8 @@
 	retries       int
 	hedgesGranted int
 	retryGranted  int
+	unreachable   map[cassiaid.VMName]bool
+	probes        int
 	query         *Query
 }
 
@@ -75,6 +77,12 @@
 	w.retryGranted++
 	return true
 }
+func (w *world) AnyUnreachable() bool                   { return len(w.unreachable) > 0 }
+func (w *world) Unreachable(owner cassiaid.VMName) bool { return w.unreachable[owner] }
+func (w *world) TakeProbe(cassiaid.FrontKey) bool {
+	w.probes--
+	return w.probes >= 0
+}
 func (w *world) Front(cassiaid.FrontKey) *cassiaschema.Front {
 	if w.newer != nil {
 		return w.newer
--- /dev/null
+++ b/core/cassiaroute/doubt_test.go
@@ -0,0 +1,66 @@
+package cassiaroute
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+func TestUnreachableNeedsSignsThatOutlastAPause(t *testing.T) {
+	const silent, alive = "silent", "alive"
+	type sign struct {
+		at   time.Duration
+		what string
+	}
+	ms := time.Millisecond
+	tests := []struct {
+		name  string
+		signs []sign
+		at    time.Duration
+		want  bool
+	}{
+		{"no sign", nil, 0, false},
+		{"one sign", []sign{{0, silent}}, 500 * ms, false},
+		{"two signs at once", []sign{{0, silent}, {50 * ms, silent}}, 60 * ms, false},
+		{"signs for longer than a pause", []sign{{0, silent}, {100 * ms, silent}}, 100 * ms, true},
+		{"life in between", []sign{{0, silent}, {50 * ms, alive}, {100 * ms, silent}}, 100 * ms, false},
+		{"life afterwards", []sign{{0, silent}, {100 * ms, silent}, {110 * ms, alive}}, 110 * ms, false},
+		{"signs that are over", []sign{{0, silent}, {100 * ms, silent}}, 1100 * ms, false},
+		{"signs far apart", []sign{{0, silent}, {1100 * ms, silent}}, 1100 * ms, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			clock := clockwork.NewFakeClock()
+			table := NewTable("vm0", "z0", clock)
+			start := clock.Now()
+			for _, s := range test.signs {
+				clock.Advance(start.Add(s.at).Sub(clock.Now()))
+				if s.what == alive {
+					table.Update(OwnerReachable{Owner: "vm1"})
+				} else {
+					table.Update(OwnerUnreachable{Owner: "vm1"})
+				}
+			}
+			clock.Advance(start.Add(test.at).Sub(clock.Now()))
+			c.Assert(table.Unreachable("vm1"), qt.Equals, test.want)
+			c.Assert(table.AnyUnreachable() || !test.want, qt.IsTrue)
+		})
+	}
+}
+
+func TestProbesOfAFrontAreSpaced(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	table := NewTable("vm0", "z0", clock)
+	table.Update(SettingsChanged{Fronts: map[cassiaid.FrontKey]*cassiaschema.Front{testKey: testFront(1, 1, 1)}})
+	c.Assert(table.TakeProbe(testKey), qt.IsTrue)
+	c.Assert(table.TakeProbe(testKey), qt.IsFalse)
+	clock.Advance(probeEvery)
+	c.Assert(table.TakeProbe(testKey), qt.IsTrue)
+}
--- a/core/cassiaroute/front.go
+++ b/core/cassiaroute/front.go
@@ -41,6 +41,8 @@
 	// peers is the median of the targets' medians, computed again after peersEvery results.
 	peers    time.Duration
 	peersDue int
+	// probeAt is when the next probe of unreachable owners is due.
+	probeAt time.Time
 }
 
 func newFront(settings *cassiaschema.Front, before *front) *front {
--- a/core/cassiaroute/table.go
+++ b/core/cassiaroute/table.go
@@ -21,8 +21,7 @@
 	fronts  map[cassiaid.FrontKey]*front
 	targets map[cassiaid.TargetName]*target
 	owners  map[sliceID][]cassiaid.VMName
-	// avoid holds until when an unreachable owner is ranked last.
-	avoid map[cassiaid.VMName]time.Time
+	doubts  doubts
 }
 
 // NewTable returns the table of one VM.
@@ -35,13 +34,10 @@
 		fronts:  make(map[cassiaid.FrontKey]*front),
 		targets: make(map[cassiaid.TargetName]*target),
 		owners:  make(map[sliceID][]cassiaid.VMName),
-		avoid:   make(map[cassiaid.VMName]time.Time),
+		doubts:  make(doubts),
 	}
 }
 
-// ownerAvoid is how long an unreachable owner is ranked last.
-const ownerAvoid = time.Second
-
 // Update takes one message and returns what the caller has to do.
 func (t *Table) Update(m Message) []Effect {
 	now := t.clock.Now()
@@ -61,9 +57,9 @@
 	case PlatformLeaving:
 		return t.setPlatformList(now, m.Targets)
 	case OwnerUnreachable:
-		t.avoid[m.Owner] = now.Add(ownerAvoid)
+		t.doubts.add(m.Owner, now)
 	case OwnerReachable:
-		delete(t.avoid, m.Owner)
+		delete(t.doubts, m.Owner)
 	case AttemptSent:
 		t.countSent(now, m)
 	case AttemptEnded:
@@ -112,29 +108,12 @@
 		owners = rankOwners(t.members[zone], id.key(), f.share.Owners)
 		t.owners[id] = owners
 	}
-	if len(t.avoid) == 0 {
+	if len(t.doubts) == 0 {
 		return owners
 	}
 	return t.avoidLast(owners)
 }
 
-// avoidLast moves owners that could not be reached lately to the end.
-func (t *Table) avoidLast(owners []cassiaid.VMName) []cassiaid.VMName {
-	now := t.clock.Now()
-	ranked := slices.Clone(owners)
-	slices.SortStableFunc(ranked, func(a, b cassiaid.VMName) int {
-		avoidA, avoidB := now.Before(t.avoid[a]), now.Before(t.avoid[b])
-		switch {
-		case avoidA == avoidB:
-			return 0
-		case avoidA:
-			return 1
-		}
-		return -1
-	})
-	return ranked
-}
-
 // Owned is a target that this VM owns.
 type Owned struct {
 	Front  cassiaid.FrontKey
@@ -199,6 +178,7 @@
 	for _, m := range members {
 		t.members[m.Zone] = append(t.members[m.Zone], m)
 	}
+	t.doubts.keep(members)
 }
 
 // endAttempt takes one attempt off a target's load; one that was given up would have taken longer still.
--- a/io/cassiaentry/owners.go
+++ b/io/cassiaentry/owners.go
@@ -32,12 +32,13 @@
 	defer cancel()
 	batch.SentUnixMicros = e.config.Clock.Now().UnixMicro()
 	frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ShardBatch{ShardBatch: batch}}
+	// Before the sending, since a handshake with a VM that is cut off does not end in time.
+	e.silence.expect(owner, e.config.Clock.Now().Add(batch.FlushAfter.AsDuration()+silenceGrace))
 	err := e.config.Peers.Send(ctx, owner, laneOf(query), frame)
 	if err != nil {
-		e.config.Routes.Update(cassiaroute.OwnerUnreachable{Owner: owner})
+		e.doubt(owner)
 		return err
 	}
-	e.silence.expect(owner, e.config.Clock.Now().Add(batch.FlushAfter.AsDuration()+silenceGrace))
 	return nil
 }
 
@@ -86,7 +87,9 @@
 
 // HandleReply takes results from an owner.
 func (e *Entry) HandleReply(owner cassiaid.VMName, reply *cassiaschema.ShardBatchReply) {
-	e.silence.heard(owner)
+	if e.silence.heard(owner) {
+		e.config.Routes.Update(cassiaroute.OwnerReachable{Owner: owner})
+	}
 	if owner != e.config.Self {
 		e.count(countReplies)
 	}
@@ -107,10 +110,16 @@
 // PeerLost tells every run that waits for a VM that it will not answer.
 func (e *Entry) PeerLost(owner cassiaid.VMName) {
 	e.silence.heard(owner)
-	e.config.Routes.Update(cassiaroute.OwnerUnreachable{Owner: owner})
+	e.doubt(owner)
 	e.each(func(r *run) { r.events.put(event{lostOwner: owner}) })
 }
 
+// doubt ranks an owner last until something is heard from it.
+func (e *Entry) doubt(owner cassiaid.VMName) {
+	e.silence.doubt(owner)
+	e.config.Routes.Update(cassiaroute.OwnerUnreachable{Owner: owner})
+}
+
 // Quarantined stops the runs of a request that crashes targets.
 func (e *Entry) Quarantined(fingerprint cassiaid.Fingerprint, remaining time.Duration) {
 	e.each(func(r *run) {
@@ -139,17 +148,25 @@
 		case <-ticker.C:
 			for _, owner := range e.silence.overdue(e.config.Clock.Now()) {
 				e.count("ownerSilent")
-				e.config.Routes.Update(cassiaroute.OwnerUnreachable{Owner: owner})
+				e.doubt(owner)
 				e.each(func(r *run) { r.post(cassiaplan.OwnerSilent{Owner: owner}) })
 			}
 		}
 	}
 }
 
-// silence remembers by when each owner has to send something.
+// silence remembers by when each owner has to send something, and which owners are in doubt since they did not.
 type silence struct {
 	mutex    sync.Mutex
-	expected map[cassiaid.VMName]time.Time
+	expected map[cassiaid.VMName]owed
+	doubted  map[cassiaid.VMName]bool
+}
+
+// owed is what an owner has to send.
+type owed struct {
+	by time.Time
+	// again is true after the first time that it did not.
+	again bool
 }
 
 // expect notes that an owner has to send something by a time, unless it already owes something earlier.
@@ -157,28 +174,47 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.expected == nil {
-		s.expected = make(map[cassiaid.VMName]time.Time)
+		s.expected = make(map[cassiaid.VMName]owed)
 	}
 	if _, owes := s.expected[owner]; !owes {
-		s.expected[owner] = by
+		s.expected[owner] = owed{by: by}
 	}
 }
 
-func (s *silence) heard(owner cassiaid.VMName) {
+// heard tells whether the owner was in doubt.
+func (s *silence) heard(owner cassiaid.VMName) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.expected, owner)
+	doubted := s.doubted[owner]
+	delete(s.doubted, owner)
+	return doubted
+}
+
+func (s *silence) doubt(owner cassiaid.VMName) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.doubted == nil {
+		s.doubted = make(map[cassiaid.VMName]bool)
+	}
+	s.doubted[owner] = true
 }
 
-// overdue returns the owners that were to send something before now; each is returned once.
+// overdue returns the owners that were to send something before now; each is returned twice, so that one sign is told
+// from a lasting silence also when no further batch goes to the owner.
 func (s *silence) overdue(now time.Time) []cassiaid.VMName {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var owners []cassiaid.VMName
-	for owner, by := range s.expected {
-		if by.Before(now) {
-			owners = append(owners, owner)
+	for owner, o := range s.expected {
+		if !o.by.Before(now) {
+			continue
+		}
+		owners = append(owners, owner)
+		if o.again {
 			delete(s.expected, owner)
+		} else {
+			s.expected[owner] = owed{by: now.Add(silenceGrace), again: true}
 		}
 	}
 	return owners
--- a/test/zone_test.go
+++ b/test/zone_test.go
@@ -1,10 +1,12 @@
 package test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"cassiasaddle/core/cassiaschema"
 )
@@ -44,6 +46,32 @@
 	})
 }
 
+// TestZoneCutRefusesAtOnce proves that a request that can't reach its coverage isn't held until its deadline.
+func TestZoneCutRefusesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	zones := []string{"zone-a", "zone-b", "zone-c"}
+	front := newFront("search", 9, zones)
+	const deadline = 2 * time.Second
+	front.MinCoverage, front.Deadline = 0.9, durationpb.New(deadline)
+	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front}, relayed: true})
+	inside := cl.vms[0]
+	for range 20 {
+		checkWhole(c, cl.ask(inside, "search", `{"fit":"slim"}`), 9)
+	}
+	cl.cut("zone-a", true)
+	// The first request has to find out; those after it are told, but for probes, which wait for an answer for a moment.
+	for i, bound := range []time.Duration{deadline, deadline / 8, deadline / 8, deadline / 8, deadline / 8} {
+		a := cl.ask(inside, "search", `{"fit":"wide"}`)
+		c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", a.Message))
+		c.Assert(a.RetryAfterMs > 0, qt.IsTrue)
+		c.Assert(a.Took < bound, qt.IsTrue, qt.Commentf("request %d took %v: %s", i, a.Took, a.Message))
+	}
+	cl.cut("zone-a", false)
+	eventually(t, healBound, "whole again", func() bool {
+		return cl.ask(inside, "search", `{"fit":"wide"}`).Status == http.StatusOK
+	})
+}
+
 // TestLossyLinks proves whole answers over links between zones that delay, jitter and lose packets.
 func TestLossyLinks(t *testing.T) {
 	c := qt.New(t)
