Wait for a shard map that is being taken over

Cause: while targets and settings move to a new shard map one by one, a shard whose replicas were all on another one was given up at once, so a query was refused after some 19 ms with 300 ms left; retries for it took from the budget; and a newer map in the settings restarted queries that another replica could answer. Change: a refusal for the shard map that started nothing is not charged; a shard without a replica on the query's map is asked again after 10 to 40 ms, or the query restarts, once as before, when its settings come; at most 12 attempts a shard. An idempotent query restarts for the shard map only when no replica is left on its own. The property test's judge allows these repeats, bounded by the same 12. Test: TestShardMapIsWaitedFor, four of its five cases fail without the change.

--- a/core/cassiaplan/attempt.go
+++ b/core/cassiaplan/attempt.go
@@ -22,6 +22,10 @@
 	ownerFailed bool
 	// passedOver is true once another owner was asked beside this one's silence.
 	passedOver bool
+	// refusedEpoch is true when the target refused the attempt for its shard map without starting it.
+	refusedEpoch bool
+	// again is true when the target may be asked again since it is to take over the query's shard map.
+	again bool
 }
 
 // newAttempt registers an attempt under an identifier that this query has not used.
--- a/core/cassiaplan/cutoff.go
+++ b/core/cassiaplan/cutoff.go
@@ -105,7 +105,7 @@
 // settled tells whether an attempt at a target has an outcome that rules another one out.
 func (s *shard) settled(target cassiaid.TargetName) bool {
 	for _, a := range s.attempts {
-		if a.Target == target && !a.open && !a.ownerFailed {
+		if a.Target == target && !a.open && !a.ownerFailed && !a.again {
 			return true
 		}
 	}
--- a/core/cassiaplan/effect.go
+++ b/core/cassiaplan/effect.go
@@ -91,6 +91,7 @@
 	CountRetrySnapshot    Counter = "retrySnapshot"
 	CountRetryEpoch       Counter = "retryEpoch"
 	CountAnswerTooBig     Counter = "answerTooBig"
+	CountEpochWait        Counter = "epochWait"
 	CountCutOffAtStart    Counter = "cutOffAtStart"
 	CountCutOffGivenUp    Counter = "cutOffGivenUp"
 )
--- a/core/cassiaplan/finish.go
+++ b/core/cassiaplan/finish.go
@@ -68,7 +68,7 @@
 		switch {
 		case s.merged:
 			c.Answered++
-		case s.closed && s.reason != "":
+		case (s.closed || s.epochPauses > 0 && !s.waiting()) && s.reason != "":
 			c.Missing = append(c.Missing, MissingShard{Shard: s.index, Reason: s.reason})
 		default:
 			c.Missing = append(c.Missing, MissingShard{Shard: s.index, Reason: unsettled})
--- a/core/cassiaplan/recover.go
+++ b/core/cassiaplan/recover.go
@@ -55,6 +55,7 @@
 		s.refusedOnce = true
 		f.free = true
 	}
+	q.noteEpoch(s, a, outcome, &f)
 	s.note(f)
 }
 
@@ -84,10 +85,10 @@
 	first := q.pickCanary()
 	for i := range q.shards {
 		s := &q.shards[(first+i)%len(q.shards)]
-		if !s.pending() || s.waiting() || q.awaitsCanary(s, now) || q.crash.holdsBack(s) {
+		if !s.pending() || s.waiting() || now.Before(s.resumeAt) || q.awaitsCanary(s, now) || q.crash.holdsBack(s) {
 			continue
 		}
-		if options := q.nextOptions(s); len(options) > 0 {
+		if options := q.nextOptions(s, now); len(options) > 0 {
 			choices = append(choices, choice{shard: s, options: options})
 		}
 	}
@@ -107,7 +108,7 @@
 }
 
 // nextOptions returns where to ask for a shard next; it closes the shard when nothing is left to try.
-func (q *Query) nextOptions(s *shard) []candidate {
+func (q *Query) nextOptions(s *shard, now time.Time) []candidate {
 	first := len(s.attempts) == 0
 	if !first && !q.mayRetry(s) {
 		s.close(s.reason)
@@ -121,6 +122,8 @@
 	if len(options) == 0 {
 		if first {
 			s.reason = reason
+		} else if q.waitForEpoch(s, now) {
+			return nil
 		}
 		s.close(s.reason)
 		return nil
--- a/core/cassiaplan/restart.go
+++ b/core/cassiaplan/restart.go
@@ -36,8 +36,7 @@
 		if !s.pending() || s.waiting() || s.reason != reason {
 			continue
 		}
-		options, _ := q.candidates(s, holdsSnapshot)
-		if len(options) == 0 || reason == MissingRepartitioned {
+		if options, _ := q.candidates(s, holdsSnapshot); len(options) == 0 || reason == MissingRepartitioned && !q.idempotent() {
 			return true
 		}
 	}
--- a/core/cassiaplan/shard.go
+++ b/core/cassiaplan/shard.go
@@ -29,6 +29,9 @@
 	hedgeAt time.Time
 	// hedgeDenials counts how often the budget denied a hedge.
 	hedgeDenials int
+	// resumeAt is when a shard that waits for its shard map is asked again; epochPauses counts the pauses.
+	resumeAt    time.Time
+	epochPauses int
 }
 
 func (s *shard) pending() bool { return !s.merged && !s.closed }
@@ -72,7 +75,7 @@
 // tried tells whether a target was already asked for this shard by an owner that could answer for it.
 func (s *shard) tried(target cassiaid.TargetName) bool {
 	for _, a := range s.attempts {
-		if a.Target == target && !a.ownerFailed {
+		if a.Target == target && !a.ownerFailed && !a.again {
 			return true
 		}
 	}
--- a/core/cassiaplan/timer.go
+++ b/core/cassiaplan/timer.go
@@ -42,6 +42,7 @@
 		if !s.pending() {
 			continue
 		}
+		sooner(s.resumeAt)
 		if hedging && q.hedgeOpen(s) {
 			sooner(s.hedgeAt)
 		}
