Send no hedge out of reach and wait longer for a shard map

Cause: hedges at unreachable owners took from the budget for nothing; 12 attempts were used up after 240 ms where each pause asks both replicas of a shard. Change: no hedge when every other owner is unreachable; 24 attempts.

--- a/core/cassiaplan/cutoff_test.go
+++ b/core/cassiaplan/cutoff_test.go
@@ -143,6 +143,19 @@
 	c.Assert(timers[0].At, qt.Equals, epochStart.Add(150*time.Millisecond))
 }
 
+// TestNoHedgeGoesOutOfReach: a hedge at an owner that is unreachable would only take from the budget.
+func TestNoHedgeGoesOutOfReach(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(12)
+	w.probes = 1
+	w.front.MinCoverage = 1
+	w.cutZones("zone-1", "zone-2", "zone-3")
+	first := w.begin()
+	w.reply(first, w.reachable)
+	c.Assert(effectsOf[SendBatch](w.at(20*time.Millisecond)), qt.HasLen, 0)
+	c.Assert(w.hedgesGranted, qt.Equals, 0)
+}
+
 // TestShardIsAskedWithinReach: a replica whose owners are unreachable is not asked while another one is open.
 func TestShardIsAskedWithinReach(t *testing.T) {
 	c := qt.New(t)
--- a/core/cassiaplan/epoch.go
+++ b/core/cassiaplan/epoch.go
@@ -13,7 +13,7 @@
 	epochPause    = 10 * time.Millisecond
 	maxEpochPause = 40 * time.Millisecond
 	// maxEpochAttempts bounds the attempts at a shard in one run that end as refused for its shard map and not run.
-	maxEpochAttempts = 12
+	maxEpochAttempts = 24
 )
 
 // waitForEpoch keeps a shard pending that no replica serves by the query's shard map, and tells whether it did: targets
--- a/core/cassiaplan/hedge.go
+++ b/core/cassiaplan/hedge.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		options, _ := q.candidates(s, notKnown)
-		if len(options) == 0 {
+		if len(options) == 0 || q.view.Unreachable(options[0].owner) {
 			s.hedgeAt = q.request.Deadline
 			continue
 		}
