--- /dev/null
+++ b/io/cassiaentry/owners_test.go
@@ -0,0 +1,33 @@
+package cassiaentry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+// TestSilenceIsToldTwice: a lasting silence gives two signs though only one batch was sent, and life ends the doubt.
+func TestSilenceIsToldTwice(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	overdue := func(s *silence, after time.Duration) int { return len(s.overdue(now.Add(after))) }
+	var s silence
+	s.expect("vm", now)
+	s.expect("vm", now.Add(time.Hour))
+	c.Assert(overdue(&s, 0), qt.Equals, 0)
+	c.Assert(overdue(&s, time.Millisecond), qt.Equals, 1)
+	c.Assert(overdue(&s, silenceGrace), qt.Equals, 0)
+	c.Assert(overdue(&s, silenceGrace+2*time.Millisecond), qt.Equals, 1)
+	c.Assert(overdue(&s, time.Hour), qt.Equals, 0)
+
+	const vm cassiaid.VMName = "vm"
+	c.Assert(s.heard(vm), qt.IsFalse)
+	s.doubt(vm)
+	s.expect(vm, now)
+	c.Assert(s.heard(vm), qt.IsTrue)
+	c.Assert(s.heard(vm), qt.IsFalse)
+	c.Assert(overdue(&s, time.Hour), qt.Equals, 0)
+}
