--- a/core/cassiaplan/hedge.go
+++ b/core/cassiaplan/hedge.go
@@ -40,7 +40,10 @@
 // latency may get one once the shard has waited for as long as that replica takes, if it can still answer in time.
 func (q *Query) hedgeOptions(s *shard, now time.Time) ([]candidate, time.Time) {
 	options, _ := q.candidates(s, onlySlow)
-	if len(options) == 0 || options[0].fit < onlySlow {
+	switch {
+	case len(options) == 0 || q.view.Unreachable(options[0].owner):
+		return nil, q.request.Deadline
+	case options[0].fit < onlySlow:
 		return options, q.request.Deadline
 	}
 	cost := options[0].cost
--- a/core/cassiaplan/timer.go
+++ b/core/cassiaplan/timer.go
@@ -36,17 +36,22 @@
 		sooner(q.canary.until)
 	}
 	hedging, stopping := q.mayHedge(), q.mayStopEarly()
+	cut := q.idempotent() && q.view.AnyUnreachable()
 	for i := range q.shards {
 		s := &q.shards[i]
 		if !s.pending() {
 			continue
 		}
+		sooner(s.resumeAt)
 		if hedging && q.hedgeOpen(s) {
 			sooner(s.hedgeAt)
 		}
 		if stopping {
 			sooner(q.overdueAt(s))
 		}
+		if cut && q.cutOff(s) {
+			sooner(q.graceEnd(s))
+		}
 	}
 	return next
 }
