Prove suspicion, the order of incarnations and the free retry

Change: TestShortSilenceIsNoDeath cuts a VM off for half of the time to refute; TestOldNewsChangesNothing gives late news of an older incarnation; TestLeavingSpreads asks that the own zone is told first-hand, as the code states, not only within 3 s; TestLostOwnerPaysForOneRetry empties the retry budget.

Not proved by it: that a leaving VM's announcement matters within 3 s; every packet of a leaving VM says so, and that alone keeps the bound.

--- a/core/cassiamember/membership_test.go
+++ b/core/cassiamember/membership_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
 
 	_ "cassiasaddle/test/cassiaseed"
 )
@@ -155,6 +156,25 @@
 	assertAgree(t, n, n.vms, "healed")
 }
 
+// TestShortSilenceIsNoDeath checks that a VM that nobody reaches for less than the time to refute is only suspected.
+func TestShortSilenceIsNoDeath(t *testing.T) {
+	n := newNetwork(11, Tuning{})
+	n.addAll(8, 2)
+	assertAgree(t, n, n.vms, "start")
+	n.run(settle)
+	silent := n.vms[3]
+	n.cut = func(from, to *vm) bool { return from == silent || to == silent }
+	n.run(silent.tuning.suspicionTimeout(len(n.vms)) / 2)
+	n.cut = nil
+	assertAgree(t, n, n.vms, "heard again")
+	suspected := 0
+	for _, v := range n.vms {
+		suspected += v.counts[CountSuspected]
+		qt.Check(t, v.counts[CountDeclaredDead], qt.Equals, 0, qt.Commentf("%s", v.Self().Name))
+	}
+	qt.Assert(t, suspected > 0, qt.IsTrue)
+}
+
 // TestPausedVMBlamesNobody checks that a VM that slept declares none of the others dead when it wakes.
 func TestPausedVMBlamesNobody(t *testing.T) {
 	n := newNetwork(5, Tuning{})
@@ -187,6 +207,21 @@
 	}
 }
 
+// TestOldNewsChangesNothing checks that a late packet about an older incarnation does not replace a newer one.
+func TestOldNewsChangesNothing(t *testing.T) {
+	n := newNetwork(12, Tuning{})
+	n.addAll(3, 1)
+	assertAgree(t, n, n.vms, "start")
+	told, known := n.vms[0], *n.vms[0].members["vm-001"]
+	for _, state := range []State{Alive, Suspect, Leaving, Dead} {
+		older := known.full()
+		older.Incarnation, older.State, older.GossipAddress = older.Incarnation-1, state, "10.9.9.9:7946"
+		packet := &cassiaschema.GossipPacket{From: "vm-002", Kind: cassiaschema.GossipKind_push, Updates: []*cassiaschema.MemberUpdate{older}}
+		n.update(told, Packet{Source: n.vms[2].address, Packet: packet})
+		qt.Check(t, told.members["vm-001"].Member, qt.Equals, known.Member, qt.Commentf("%v", state))
+	}
+}
+
 // leavingLimit is the time within which a VM that leaves receives no new work.
 const leavingLimit = 3 * time.Second
 
@@ -197,6 +232,12 @@
 	assertAgree(t, n, n.vms, "start")
 	n.run(time.Minute)
 	n.update(n.vms[5], Leave{})
+	n.run(TickInterval)
+	for _, v := range n.vms {
+		if v != n.vms[5] && v.self.Zone == n.vms[5].self.Zone {
+			qt.Check(t, v.members[n.vms[5].self.Name].State, qt.Equals, Leaving, qt.Commentf("%s is told first-hand", v.self.Name))
+		}
+	}
 	took, ok := n.runUntil(leavingLimit, func() bool { return agree(n.vms) })
 	qt.Assert(t, ok, qt.IsTrue)
 	t.Logf("leaving known everywhere after %v", took)
--- /dev/null
+++ b/core/cassiaplan/ownerlost_test.go
@@ -0,0 +1,41 @@
+package cassiaplan
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cassiasaddle/core/cassiaid"
+)
+
+// lose tells a query that the owner of a batch is lost though the batch was sent.
+func (w *world) lose(b SendBatch) []Effect {
+	m := OwnerLost{Owner: b.Owner, Sent: true}
+	for _, a := range b.Attempts {
+		m.Attempts = append(m.Attempts, a.ID)
+	}
+	return w.query.Update(m)
+}
+
+// TestLostOwnerPaysForOneRetry: the shards of a lost owner are asked once elsewhere though the retry budget is empty, and
+// a second lost owner pays for nothing.
+func TestLostOwnerPaysForOneRetry(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(12)
+	w.retries = 0
+	lost := effectsOf[SendBatch](w.begin())[0]
+	again := effectsOf[SendBatch](w.lose(lost))
+	asked := map[cassiaid.ShardIndex]bool{}
+	for _, b := range again {
+		c.Assert(b.Owner, qt.Not(qt.Equals), lost.Owner)
+		for _, a := range b.Attempts {
+			asked[a.Shard] = true
+		}
+	}
+	c.Assert(asked, qt.HasLen, len(lost.Attempts))
+	for _, b := range again {
+		effects := w.lose(b)
+		c.Assert(effectsOf[SendBatch](effects), qt.HasLen, 0)
+		c.Assert(counted(effects, CountRetryDenied), qt.Equals, len(b.Attempts))
+	}
+}
