Prove that a lost packet delays only its lane

Cause: "several streams a connection" had no test; package cassiapeer had only benchmarks, and nothing failed with one stream a connection.

Change: a test loses every large datagram, so that a frame of one lane is held up for as long as the test likes, and asks that a frame of another lane arrives meanwhile, and that the held up frame arrives after.

--- /dev/null
+++ b/io/cassiapeer/lane_test.go
@@ -0,0 +1,115 @@
+package cassiapeer_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+	"github.com/uber-go/tally/v4"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiapeer"
+	"cassiasaddle/io/cassiatls"
+)
+
+const (
+	// largeBytes is the size from which a lossyConn loses datagrams, and that of the frame that it holds up.
+	largeBytes = 900
+	// arrivalLimit bounds the wait for a frame.
+	arrivalLimit = 20 * time.Second
+	// resendInterval is the time between two frames of the lane that nothing holds up.
+	resendInterval = 5 * time.Millisecond
+)
+
+// lossyConn loses large datagrams while lossy is set.
+type lossyConn struct {
+	net.PacketConn
+	lossy *atomic.Bool
+	lost  *atomic.Int64
+}
+
+// WriteTo sends or loses a datagram.
+func (l lossyConn) WriteTo(datagram []byte, to net.Addr) (int, error) {
+	if l.lossy.Load() && len(datagram) >= largeBytes {
+		l.lost.Add(1)
+		return len(datagram), nil
+	}
+	return l.PacketConn.WriteTo(datagram, to)
+}
+
+// lanes tells by their body sizes which frames arrive.
+type lanes struct{ arrived chan int }
+
+// HandleFrame notes a frame.
+func (l lanes) HandleFrame(_ cassiaid.VMName, frame *cassiaschema.PeerFrame, _ cassiapeer.Replier) {
+	l.arrived <- len(frame.GetShardBatch().GetBody())
+}
+
+// PeerLost does nothing.
+func (lanes) PeerLost(cassiaid.VMName) {}
+
+type addresses map[cassiaid.VMName]string
+
+// PeerAddress returns the address of a node.
+func (a addresses) PeerAddress(vm cassiaid.VMName) (string, bool) { return a[vm], a[vm] != "" }
+
+// TestLostPacketDelaysOnlyItsLane loses every packet of a frame again and again: frames of another lane arrive all the
+// same, and the held up frame arrives once nothing is lost any more.
+func TestLostPacketDelaysOnlyItsLane(t *testing.T) {
+	c := qt.New(t)
+	directory, known := cassiatls.Directory(c.TempDir()), addresses{"a": "127.9.251.1:24900", "b": "127.9.251.2:24900"}
+	c.Assert(directory.Issue(time.Now(), time.Hour, "a", "b"), qt.IsNil)
+	var lossy atomic.Bool
+	var lost atomic.Int64
+	start := func(name cassiaid.VMName, handler lanes, wrap func(net.PacketConn) net.PacketConn) *cassiapeer.Node {
+		credentials, err := cassiatls.New(directory.Files(name))
+		c.Assert(err, qt.IsNil)
+		n, err := cassiapeer.Listen(cassiapeer.Config{Self: name, Address: known[name], Identity: credentials, Resolver: known,
+			Handler: handler, Wrap: wrap, Logger: log.NewNopLogger(), Scope: tally.NoopScope})
+		c.Assert(err, qt.IsNil)
+		n.Serve()
+		c.Cleanup(func() { c.Check(n.Close(), qt.IsNil) })
+		return n
+	}
+	receiver := lanes{make(chan int, 1<<14)}
+	start("b", receiver, nil)
+	sender := start("a", lanes{make(chan int, 1)}, func(inner net.PacketConn) net.PacketConn {
+		return lossyConn{PacketConn: inner, lossy: &lossy, lost: &lost}
+	})
+	send := func(lane uint64, bytes int) {
+		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ShardBatch{ShardBatch: &cassiaschema.ShardBatch{Body: make([]byte, bytes)}}}
+		c.Assert(sender.Send(context.Background(), "b", lane, frame), qt.IsNil)
+	}
+	// next returns the size of the next frame to arrive, and sends again and again until then.
+	next := func(resend func()) int {
+		limit, ticker := time.After(arrivalLimit), time.NewTicker(resendInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case size := <-receiver.arrived:
+				return size
+			case <-ticker.C:
+				resend()
+			case <-limit:
+				c.Fatalf("no frame in %v", arrivalLimit)
+			}
+		}
+	}
+	nothing := func() {}
+	for lane := range uint64(2) {
+		send(lane, 1)
+		c.Assert(next(nothing), qt.Equals, 1)
+	}
+	lossy.Store(true)
+	send(0, largeBytes)
+	c.Assert(next(func() { send(1, 1) }), qt.Equals, 1)
+	c.Assert(lost.Load() > 0, qt.IsTrue)
+	lossy.Store(false)
+	for next(nothing) != largeBytes {
+	}
+}
