Hedge only towards a replica that is expected to answer sooner

Cause: a shard both of whose replicas straggle got a hedge beside nearly every attempt, which takes the few slots from other queries and the budget from other shards: the budget is asked first come, first served.

Change: a hedge waits until another replica's time (median times attempts in flight) is below what the attempt in flight still needs, or below what it has taken when that is more. Counter hedgeNoSooner.

--- a/core/cassiaplan/effect.go
+++ b/core/cassiaplan/effect.go
@@ -68,6 +68,7 @@
 	CountHedge            Counter = "hedge"
 	CountHedgeWon         Counter = "hedgeWon"
 	CountHedgeDenied      Counter = "hedgeDenied"
+	CountHedgeNoSooner    Counter = "hedgeNoSooner"
 	CountHedgeOwnerSilent Counter = "hedgeOwnerSilent"
 	CountRetryOverloaded  Counter = "retryOverloaded"
 	CountRetryDraining    Counter = "retryDraining"
--- a/core/cassiaplan/hedge.go
+++ b/core/cassiaplan/hedge.go
@@ -1,6 +1,10 @@
 package cassiaplan
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // maxInFlight bounds the attempts at one shard that run at the same time.
 const maxInFlight = 2
@@ -24,6 +28,11 @@
 			s.hedgeAt = q.request.Deadline
 			continue
 		}
+		if later := q.hedgeLater(s, options, now); later > 0 {
+			q.outbox.count(CountHedgeNoSooner)
+			s.hedgeAt = now.Add(later)
+			continue
+		}
 		if !q.view.TakeHedge(q.request.Key) {
 			q.outbox.count(CountHedgeDenied)
 			s.hedgeDenials++
@@ -50,3 +59,18 @@
 	open := s.inFlight()
 	return s.pending() && open > 0 && open < maxInFlight && s.hedgeDenials < maxHedgeDenials
 }
+
+// hedgeLater returns how long to wait until one of the replicas is expected to answer before the attempt in flight does.
+// That one needs the rest of what its target usually takes, and once it has taken longer, as long again as it has
+// taken. A hedge beside it that needs more only takes the slots of a shard all of whose replicas are slow.
+func (q *Query) hedgeLater(s *shard, options []candidate, now time.Time) time.Duration {
+	a := s.firstOpen()
+	v := q.target(a.Target)
+	v.Load = max(0, v.Load-1)
+	waited := now.Sub(a.sent)
+	quickest := slices.MinFunc(options, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) }).cost
+	if quickest <= max(cost(v)-waited, waited) {
+		return 0
+	}
+	return quickest - waited
+}
--- a/core/cassiaplan/query_test.go
+++ b/core/cassiaplan/query_test.go
@@ -354,3 +354,40 @@
 	c.Assert(effectsOf[SendBatch](w.begin())[0].Owner, qt.Equals, cassiaid.VMName("zone-0/1"))
 	c.Assert(effectsOf[SendBatch](w.at(20 * time.Millisecond))[0].Owner, qt.Equals, cassiaid.VMName("zone-0/2"))
 }
+
+// TestHedgeWaitsForAReplicaThatIsSooner: a hedge beside a slow target goes to a quick replica at once, to one as slow
+// only when the first attempt has taken longer than that one would.
+func TestHedgeWaitsForAReplicaThatIsSooner(t *testing.T) {
+	tests := []struct {
+		name          string
+		first, second time.Duration
+		at            time.Duration
+		want          int
+	}{
+		{"a late attempt at a quick target", 8, 8, 20, 1},
+		{"a slow target beside a quick one", 100, 8, 20, 1},
+		{"both slow, early", 100, 100, 20, 0},
+		{"both slow, late", 100, 100, 100, 1},
+		{"the other one is busy", 8, 60, 20, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(1)
+			first := effectsOf[SendBatch](w.begin())[0].Attempts[0].Target
+			for name, v := range w.targets {
+				v.Typical = tt.second * time.Millisecond
+				if name == first {
+					v.Typical, v.Load = tt.first*time.Millisecond, 1
+				}
+				w.targets[name] = v
+			}
+			effects := w.at(20 * time.Millisecond)
+			if tt.at > 20 {
+				c.Assert(counted(effects, CountHedgeNoSooner), qt.Equals, 1)
+				effects = w.at(tt.at * time.Millisecond)
+			}
+			c.Assert(counted(effects, CountHedge), qt.Equals, tt.want)
+		})
+	}
+}
--- a/core/cassiaplan/shard.go
+++ b/core/cassiaplan/shard.go
@@ -49,6 +49,16 @@
 	return count
 }
 
+// firstOpen returns the earliest open attempt, nil when there is none.
+func (s *shard) firstOpen() *attempt {
+	for _, a := range s.attempts {
+		if a.open {
+			return a
+		}
+	}
+	return nil
+}
+
 func (s *shard) waiting() bool { return s.inFlight() > 0 }
 
 func (s *shard) inFlightAt(owner cassiaid.VMName) bool {
