Pay for an overdue hedge out of the retry budget

Cause: shards of manizales-lost-replica missing as late had one attempt, at a target that takes requests and never answers, and no second one: the hedge budget was empty at the three times it was asked (40, 120 and 280 ms), while the retry budget was full. A target that fails at once costs a retry; one that hangs got none.

Ruled out: a replica without room (the other one was idle), ejection (only the first attempts at the target and those that try it again every 5 s are lost).

Change: a hedge that its budget denies is taken from the retry budget once the attempt in flight is three hedge delays old. Counter hedgeOverdue.

TestOverdueHedgeIsPaidAsARetry fails before the change.

--- a/core/cassiaplan/effect.go
+++ b/core/cassiaplan/effect.go
@@ -69,6 +69,7 @@
 	CountHedgeWon         Counter = "hedgeWon"
 	CountHedgeDenied      Counter = "hedgeDenied"
 	CountHedgeNoSooner    Counter = "hedgeNoSooner"
+	CountHedgeOverdue     Counter = "hedgeOverdue"
 	CountHedgeOwnerSilent Counter = "hedgeOwnerSilent"
 	CountRetryOverloaded  Counter = "retryOverloaded"
 	CountRetryDraining    Counter = "retryDraining"
--- a/core/cassiaplan/hedge.go
+++ b/core/cassiaplan/hedge.go
@@ -33,7 +33,7 @@
 			s.hedgeAt = now.Add(later)
 			continue
 		}
-		if !q.view.TakeHedge(q.request.Key) {
+		if !q.payHedge(s, now) {
 			q.outbox.count(CountHedgeDenied)
 			s.hedgeDenials++
 			s.hedgeAt = now.Add(q.view.HedgeAfter(q.request.Key) << s.hedgeDenials)
@@ -45,6 +45,20 @@
 	q.ask(choices, true, now)
 }
 
+// payHedge takes a hedge from its budget. One that is overdue may take it from the retry budget: the attempt in flight
+// has all but failed, and would be retried had its target said so.
+func (q *Query) payHedge(s *shard, now time.Time) bool {
+	if q.view.TakeHedge(q.request.Key) {
+		return true
+	}
+	waited := now.Sub(s.firstOpen().sent)
+	if waited < overdueFactor*q.view.HedgeAfter(q.request.Key) || !q.view.TakeRetry(q.request.Key) {
+		return false
+	}
+	q.outbox.count(CountHedgeOverdue)
+	return true
+}
+
 // mayHedge tells whether a second attempt may run beside the first one.
 func (q *Query) mayHedge() bool {
 	return q.idempotent() && q.view.HedgeAfter(q.request.Key) > 0 && !q.crash.suspects()
--- a/core/cassiaplan/query_test.go
+++ b/core/cassiaplan/query_test.go
@@ -391,3 +391,24 @@
 		})
 	}
 }
+
+// TestOverdueHedgeIsPaidAsARetry: a target that takes an attempt and never answers costs one retry when the hedge budget
+// is empty, and the shard only when that is empty too.
+func TestOverdueHedgeIsPaidAsARetry(t *testing.T) {
+	for _, retries := range []int{1, 0} {
+		c := qt.New(t)
+		w := newWorld(1)
+		w.hedges, w.retries = 0, retries
+		w.begin()
+		early := w.at(20 * time.Millisecond)
+		c.Assert(counted(early, CountHedgeDenied), qt.Equals, 1)
+		c.Assert(w.retryGranted, qt.Equals, 0)
+		overdue := w.at(60 * time.Millisecond)
+		c.Assert(counted(overdue, CountHedge), qt.Equals, retries)
+		c.Assert(counted(overdue, CountHedgeOverdue), qt.Equals, retries)
+		c.Assert(effectsOf[SendBatch](overdue), qt.HasLen, retries)
+		if retries > 0 {
+			c.Assert(finishOf(c, w.reply(overdue, answer)).Answer.Coverage.Answered, qt.Equals, 1)
+		}
+	}
+}
