Start attempts that can end before those that hardly can

The limiter starts the earliest deadline first, which under overload is the one with the least chance.

Change: an attempt with less than 1.5 times the target's usual time left goes behind those of its priority that have more.

--- a/core/cassialimit/limiter.go
+++ b/core/cassialimit/limiter.go
@@ -12,6 +12,9 @@
 	defaultQueue = 64
 	// waitMargin is the factor on the estimated wait, so that few of the admitted attempts turn out to be too late.
 	waitMargin = 1.25
+	// startMargin is how many times the usual time an attempt should have left at its start; others that have so much
+	// go first.
+	startMargin = 1.5
 )
 
 // Bounds are the fixed bounds of a limiter; zero values give the defaults.
@@ -115,7 +118,7 @@
 	if len(l.queue.offers) <= l.bounds.Queue {
 		return nil
 	}
-	if l.canStart(now, l.queue.offers[0]) {
+	if l.canStart(now, l.queue.offers[l.queue.next(now, l.needed(now))]) {
 		return nil
 	}
 	return []Effect{Refuse{ID: l.queue.takeLast().ID, Reason: ReasonOverloaded}}
@@ -127,6 +130,11 @@
 	return ok || l.queue.has(id)
 }
 
+// needed returns the time in which an attempt that starts now ends almost surely.
+func (l *Limiter) needed(now time.Time) time.Duration {
+	return time.Duration(startMargin * float64(l.adaptive.estimate.typical(now)))
+}
+
 // waitFor estimates how long an attempt waits behind a number of others.
 func (l *Limiter) waitFor(now time.Time, ahead int) time.Duration {
 	limit := l.Limit()
@@ -176,8 +184,12 @@
 	for _, o := range l.queue.expired(now, l.adaptive.estimate.typical(now)) {
 		effects = append(effects, Refuse{ID: o.ID, Reason: ReasonTimedOut})
 	}
-	for len(l.queue.offers) > 0 && l.canStart(now, l.queue.offers[0]) {
-		o := l.queue.take()
+	for len(l.queue.offers) > 0 {
+		at := l.queue.next(now, l.needed(now))
+		if !l.canStart(now, l.queue.offers[at]) {
+			break
+		}
+		o := l.queue.take(at)
 		l.running[o.ID] = runningAttempt{alone: o.Alone, first: len(l.running) == 0}
 		l.alone = l.alone || o.Alone
 		effects = append(effects, Start{ID: o.ID})
--- a/core/cassialimit/limiter_test.go
+++ b/core/cassialimit/limiter_test.go
@@ -50,6 +50,10 @@
 			return []Message{offerAt(k, 1, second), offerAt(k, 2, 2*second), offerAt(k, 3, second), urgent,
 				Done{ID: 1, Outcome: cassiaschema.ShardOutcome_failed}, Done{ID: 4, Outcome: cassiaschema.ShardOutcome_failed}}
 		}, []Effect{Start{ID: 1}, Start{ID: 4}, Start{ID: 3}}},
+		{"one with enough time goes before one with too little", func(k clockwork.Clock) []Message {
+			return []Message{offerAt(k, 1, 9*second), offerAt(k, 2, 1400*time.Millisecond), offerAt(k, 3, 3*second),
+				Done{ID: 1, Outcome: answered, Elapsed: second}, Done{ID: 3, Outcome: answered, Elapsed: second}}
+		}, []Effect{Start{ID: 1}, Start{ID: 3}, Start{ID: 2}}},
 		{"draining refuses all that wait and come", func(k clockwork.Clock) []Message {
 			return []Message{offerAt(k, 1, second), offerAt(k, 2, second), Drain{}, offerAt(k, 3, second), Undrain{}, offerAt(k, 4, second),
 				Done{ID: 1, Outcome: answered, Elapsed: time.Millisecond}}
--- a/core/cassialimit/queue.go
+++ b/core/cassialimit/queue.go
@@ -40,9 +40,23 @@
 
 func (q *queue) insert(at int, o Offer) { q.offers = slices.Insert(q.offers, at, o) }
 
-func (q *queue) take() Offer {
-	o := q.offers[0]
-	q.offers = slices.Delete(q.offers, 0, 1)
+// next returns the place of the attempt to start: the first, unless it will hardly end in the time that attempts need and
+// another of its priority will.
+func (q *queue) next(now time.Time, needed time.Duration) int {
+	for i, o := range q.offers {
+		if rank(o.Priority) != rank(q.offers[0].Priority) {
+			break
+		}
+		if !now.Add(needed).After(o.Deadline) {
+			return i
+		}
+	}
+	return 0
+}
+
+func (q *queue) take(at int) Offer {
+	o := q.offers[at]
+	q.offers = slices.Delete(q.offers, at, at+1)
 	return o
 }
 
