--- a/core/cassiaplan/effect.go
+++ b/core/cassiaplan/effect.go
@@ -68,6 +68,8 @@
 	CountHedge            Counter = "hedge"
 	CountHedgeWon         Counter = "hedgeWon"
 	CountHedgeDenied      Counter = "hedgeDenied"
+	CountHedgeNoSooner    Counter = "hedgeNoSooner"
+	CountHedgeOverdue     Counter = "hedgeOverdue"
 	CountHedgeOwnerSilent Counter = "hedgeOwnerSilent"
 	CountRetryOverloaded  Counter = "retryOverloaded"
 	CountRetryDraining    Counter = "retryDraining"
--- a/core/cassiaplan/query_test.go
+++ b/core/cassiaplan/query_test.go
@@ -382,3 +382,61 @@
 		})
 	}
 }
+
+// TestHedgeWaitsForAReplicaThatIsSooner: a hedge beside a slow target goes to a quick replica at once, to one as slow
+// only when the first attempt has taken longer than that one would.
+func TestHedgeWaitsForAReplicaThatIsSooner(t *testing.T) {
+	tests := []struct {
+		name          string
+		first, second time.Duration
+		at            time.Duration
+		want          int
+	}{
+		{"a late attempt at a quick target", 8, 8, 20, 1},
+		{"a slow target beside a quick one", 100, 8, 20, 1},
+		{"both slow, early", 100, 100, 20, 0},
+		{"both slow, late", 100, 100, 100, 1},
+		{"the other one is busy", 8, 60, 20, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(1)
+			first := effectsOf[SendBatch](w.begin())[0].Attempts[0].Target
+			for name, v := range w.targets {
+				v.Typical = tt.second * time.Millisecond
+				if name == first {
+					v.Typical, v.Load = tt.first*time.Millisecond, 1
+				}
+				w.targets[name] = v
+			}
+			effects := w.at(20 * time.Millisecond)
+			if tt.at > 20 {
+				c.Assert(counted(effects, CountHedgeNoSooner), qt.Equals, 1)
+				effects = w.at(tt.at * time.Millisecond)
+			}
+			c.Assert(counted(effects, CountHedge), qt.Equals, tt.want)
+		})
+	}
+}
+
+// TestOverdueHedgeIsPaidAsARetry: a target that takes an attempt and never answers costs one retry when the hedge budget
+// is empty, and the shard only when that is empty too.
+func TestOverdueHedgeIsPaidAsARetry(t *testing.T) {
+	for _, retries := range []int{1, 0} {
+		c := qt.New(t)
+		w := newWorld(1)
+		w.hedges, w.retries = 0, retries
+		w.begin()
+		early := w.at(20 * time.Millisecond)
+		c.Assert(counted(early, CountHedgeDenied), qt.Equals, 1)
+		c.Assert(w.retryGranted, qt.Equals, 0)
+		overdue := w.at(60 * time.Millisecond)
+		c.Assert(counted(overdue, CountHedge), qt.Equals, retries)
+		c.Assert(counted(overdue, CountHedgeOverdue), qt.Equals, retries)
+		c.Assert(effectsOf[SendBatch](overdue), qt.HasLen, retries)
+		if retries > 0 {
+			c.Assert(finishOf(c, w.reply(overdue, answer)).Answer.Coverage.Answered, qt.Equals, 1)
+		}
+	}
+}
