Measure slow targets by attempts alone less often

Cause: every 2 s the limiter runs three attempts one after another to measure the latency without others. On a target whose attempts take 170 ms that is a fifth of the time with all but one slot idle.

Change: the measurement is repeated so seldom that it takes at most 5% of the time.

--- a/core/cassialimit/adaptive.go
+++ b/core/cassialimit/adaptive.go
@@ -23,6 +23,8 @@
 	// probeEvery is how long the unloaded latency counts before probeSamples attempts run alone to measure it again.
 	probeEvery   = 2 * time.Second
 	probeSamples = 3
+	// probeShare is the largest part of the time in which a slow target runs attempts alone.
+	probeShare = 0.05
 )
 
 // adaptive finds how many attempts a target can run at once for this VM: it keeps the number that wait at the target,
@@ -88,11 +90,17 @@
 	case busy && waiting < max(growBelow, growBelowShare*a.limit):
 		a.limit = min(float64(bound), a.limit+1/a.limit)
 	}
-	if a.limit > minLimit && now.Sub(a.estimate.aloneAt) > probeEvery {
+	if a.limit > minLimit && now.Sub(a.estimate.aloneAt) > a.probeAfter(now) {
 		a.probes = probeSamples
 	}
 }
 
+// probeAfter returns how long the unloaded latency counts: longer on slow targets, whose other slots idle meanwhile.
+func (a *adaptive) probeAfter(now time.Time) time.Duration {
+	probing := probeSamples * float64(a.estimate.typical(now))
+	return max(probeEvery, time.Duration(probing/probeShare))
+}
+
 func (a *adaptive) shed(now time.Time) {
 	if a.limit <= minLimit {
 		pause := min(pauseMax, pauseBase<<min(a.sheds, 8))
--- a/core/cassialimit/simulation_test.go
+++ b/core/cassialimit/simulation_test.go
@@ -203,3 +203,15 @@
 	t.Logf("%d answered of about 500", s.answered)
 	c.Check(s.answered > 250, qt.IsTrue)
 }
+
+// TestLimiterUsesTheSlotsOfASlowTarget overloads a target whose runs take a third of the deadline: to measure it by
+// attempts that run alone, or to start those that are cut off, costs many of its slots.
+func TestLimiterUsesTheSlotsOfASlowTarget(t *testing.T) {
+	c := qt.New(t)
+	const median, length = 160 * time.Millisecond, 60 * time.Second
+	s := newSimulation(Bounds{Concurrency: 3}, 2, median)
+	s.run(40*time.Millisecond, 480*time.Millisecond, length)
+	capacity := 2 * float64(length) / (1.063 * float64(median))
+	t.Logf("%.2f of capacity answered, %d of %d late", float64(s.answered)/capacity, s.late, s.answered)
+	c.Check(float64(s.answered-s.late) > 0.85*capacity, qt.IsTrue)
+}
