--- a/core/cassiaquarantine/quarantine_test.go
+++ b/core/cassiaquarantine/quarantine_test.go
@@ -51,6 +51,7 @@
 		switch e := e.(type) {
 		case ShareLoss:
 			if k.silent {
+				k.update(owner, LossShared(e))
 				continue
 			}
 			shared = LossLearned(e)
@@ -65,6 +66,9 @@
 				k.update(i, shared)
 			}
 		}
+		if loss, ok := e.(ShareLoss); ok {
+			k.update(owner, LossShared(loss))
+		}
 	}
 }
 
