--- a/test/pair_test.go
+++ b/test/pair_test.go
@@ -20,10 +20,12 @@
 	l := cl.startHonestLoad("search", 4)
 	l.waitWhole(c, 50)
 	victim.process.signal(syscall.SIGKILL)
-	l.end(c, 100)
-	c.Check(l.others.Load(), qt.Equals, int64(0))
+	l.endWhole(c, 100)
 }
 
+// wholeShare is the stated share of answers that are good.
+const wholeShare = 0.99
+
 // TestLossyLinksWithLostReplica is a pair: links between zones lose packets while targets are lost, one of each shard.
 func TestLossyLinksWithLostReplica(t *testing.T) {
 	c := qt.New(t)
@@ -35,7 +37,9 @@
 	for _, s := range cl.layout.fronts[0].Shards {
 		cl.behave(s.Targets[0].Name, `{"lost":true}`)
 	}
-	l.end(c, 100)
+	l.end(c, 500)
+	// What runs on several targets that are lost at once is not sent again for each of them, lest it had crashed them.
+	c.Check(float64(l.whole.Load()) >= wholeShare*float64(l.answered.Load()+l.others.Load()), qt.IsTrue)
 	for _, v := range cl.vms {
 		checkWhole(c, cl.ask(v, "search", `{"fit":"slim"}`), 8)
 	}
--- a/test/snapshot_test.go
+++ b/test/snapshot_test.go
@@ -83,6 +83,14 @@
 	c.Assert(l.lie, qt.Equals, "")
 }
 
+// endWhole ends the load as end does and requires that every call got a whole answer.
+func (l *honestLoad) endWhole(c *qt.C, further int64) {
+	c.Helper()
+	l.end(c, further)
+	c.Check(l.answered.Load(), qt.Equals, l.whole.Load())
+	c.Check(l.others.Load(), qt.Equals, int64(0))
+}
+
 func (l *honestLoad) waitWhole(c *qt.C, further int64) {
 	c.Helper()
 	enough := l.whole.Load() + further
