Count one crash for one deadly request in the stand-in

Cause: TestCrashEndsAllConnectionsAndRestarts failed in a run of the whole suite, 2 crashes in place of 1. Since a crash can come some time after the start of a run, a crash without delay was made at the start and again when the run's timer of 0 ms won against the stop that the crash itself had sent. Ruled out: a request sent twice by the caller; the log has two attempts. Change: the crash is made in one place, and not for an attempt that was stopped.

--- a/standin/cassiashard/attempt.go
+++ b/standin/cassiashard/attempt.go
@@ -220,9 +220,6 @@
 	b := t.behaviour
 	runTime := b.runTime(t.random, now.Sub(t.started))
 	deadly := b.CrashMarker != "" && strings.Contains(string(a.body), b.CrashMarker)
-	if deadly && b.CrashAfterMs == 0 {
-		t.crash(now)
-	}
 	if deadly {
 		runTime = milliseconds(b.CrashAfterMs)
 	}
@@ -233,9 +230,7 @@
 	select {
 	case <-timer.C:
 		if deadly {
-			t.mu.Lock()
-			t.crash(time.Now())
-			t.mu.Unlock()
+			t.crashUnder(a)
 			t.endEarly(w, a)
 			return
 		}
@@ -246,6 +241,15 @@
 	}
 }
 
+// crashUnder crashes the target while it runs an attempt, unless the attempt was stopped meanwhile.
+func (t *Target) crashUnder(a *attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a.stopped.Err() == nil {
+		t.crash(time.Now())
+	}
+}
+
 // endEarly ends an attempt that was cancelled or whose target crashed.
 func (t *Target) endEarly(w http.ResponseWriter, a *attempt) {
 	outcome := OutcomeCancelled
