--- a/test/pair_test.go
+++ b/test/pair_test.go
@@ -37,7 +37,7 @@
 	for _, s := range cl.layout.fronts[0].Shards {
 		cl.behave(s.Targets[0].Name, `{"lost":true}`)
 	}
-	l.end(c, 500)
+	l.end(c, 1000)
 	// What runs on several targets that are lost at once is not sent again for each of them, lest it had crashed them.
 	c.Check(float64(l.whole.Load()) >= wholeShare*float64(l.answered.Load()+l.others.Load()), qt.IsTrue)
 	for _, v := range cl.vms {
