Compare a VM's first batch with its other frames

An owner learns how late a batch is from the fastest batch of the same sender; a standby owner that had no batch before took one that the cut had held back for one in time. Ruled out: the wait for a connection to the target, which the deadline told to targets leaves out; the deadline at the target itself. Change: each frame between VMs carries its time of sending, and frames of every kind set the mark that batches are compared with.

--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -112,7 +112,7 @@
 		return
 	}
 	now := o.config.Clock.Now()
-	deadline := now.Add(request.Remaining.AsDuration() - hopMargin - o.lateness(from, request, now))
+	deadline := now.Add(request.Remaining.AsDuration() - hopMargin - o.lateness(from, request))
 	front := cassiaid.FrontKey{Team: cassiaid.TeamName(request.Team), Front: cassiaid.FrontName(request.Front)}
 	b := newBatch(request, deadline, reply, o.batchEnded)
 	b.remote = from != o.config.Self
@@ -137,11 +137,20 @@
 	}
 }
 
+// Heard takes the time at which another VM sent a frame of any kind. Without it, the first batch of a VM would have nothing
+// to be compared with, also when a cut link has held it for seconds.
+func (o *Owner) Heard(from cassiaid.VMName, sent time.Time) { o.observe(from, sent) }
+
 // lateness returns how much of a batch's remaining time passed on its way, for example while this VM was paused.
-func (o *Owner) lateness(from cassiaid.VMName, request *cassiaschema.ShardBatch, now time.Time) time.Duration {
+func (o *Owner) lateness(from cassiaid.VMName, request *cassiaschema.ShardBatch) time.Duration {
 	if from == o.config.Self || request.SentUnixMicros == 0 {
 		return 0
 	}
+	return o.observe(from, time.UnixMicro(request.SentUnixMicros))
+}
+
+func (o *Owner) observe(from cassiaid.VMName, sent time.Time) time.Duration {
+	now := o.config.Clock.Now()
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	l := o.late[from]
@@ -149,7 +158,7 @@
 		l = &cassiadelay.Lateness{}
 		o.late[from] = l
 	}
-	return l.Observe(now, time.UnixMicro(request.SentUnixMicros))
+	return l.Observe(now, sent)
 }
 
 // place finds the target of an attempt, or why it can't be served here.
--- a/io/cassiaowner/target_test.go
+++ b/io/cassiaowner/target_test.go
@@ -107,6 +107,16 @@
 	return OwnedTarget{Name: "t", Address: server.Listener.Addr().String(), Connections: 9}, server
 }
 
+// TestFirstBatchThatWasHeldUpIsLate: the first batch of a VM is compared with its other frames.
+func TestFirstBatchThatWasHeldUpIsLate(t *testing.T) {
+	const skew, held = -3 * time.Second, 1600 * time.Millisecond
+	c := qt.New(t)
+	o := newTestOwner(t, &fakeRules{})
+	heldUp := &cassiaschema.ShardBatch{SentUnixMicros: time.Now().Add(skew - held).UnixMicro()}
+	o.Heard("vm-2", time.Now().Add(skew))
+	c.Check(o.lateness("vm-2", heldUp) >= held, qt.IsTrue)
+}
+
 // TestLeavingTargetKeepsNothingWaiting: what waits for a target is refused as not started once the target is known to
 // leave, though what runs goes on.
 func TestLeavingTargetKeepsNothingWaiting(t *testing.T) {
--- a/io/cassiapeer/peer.go
+++ b/io/cassiapeer/peer.go
@@ -101,12 +101,15 @@
 	buffer     writeBuffer
 }
 
-// write sends one frame in a single write.
+// write sends one frame in a single write. The frame may be shared with other streams, so a copy carries the time.
 func (s *frameStream) write(frame *cassiaschema.PeerFrame) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.buffer.reset()
-	if _, err := protodelim.MarshalTo(&s.buffer, frame); err != nil {
+	stamped := &cassiaschema.PeerFrame{
+		ExchangeId: frame.ExchangeId, SentUnixMicros: time.Now().UnixMicro(), Body: frame.Body,
+	}
+	if _, err := protodelim.MarshalTo(&s.buffer, stamped); err != nil {
 		return errors.Join(ErrNotSent, err)
 	}
 	if err := s.stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
--- a/io/cassiaserver/frames.go
+++ b/io/cassiaserver/frames.go
@@ -16,6 +16,7 @@
 
 // HandleFrame takes a frame from another VM.
 func (s *server) HandleFrame(from cassiaid.VMName, frame *cassiaschema.PeerFrame, reply cassiapeer.Replier) {
+	s.owner.Heard(from, time.UnixMicro(frame.SentUnixMicros))
 	switch body := frame.Body.(type) {
 	case *cassiaschema.PeerFrame_ShardBatch:
 		s.owner.HandleBatch(from, body.ShardBatch, func(results *cassiaschema.ShardBatchReply) {
