Have the stand-in count a crash at the start of a run once

Cause: since bodies may crash a target some time after their start, a run that crashed its target at once ended by its timer or by the crash, whichever was picked; by its timer it crashed the target a second time.

Change: such a run waits for its end only, and a target that is down does not crash again.

--- a/standin/cassiashard/attempt.go
+++ b/standin/cassiashard/attempt.go
@@ -222,6 +222,7 @@
 	deadly := b.CrashMarker != "" && strings.Contains(string(a.body), b.CrashMarker)
 	if deadly && b.CrashAfterMs == 0 {
 		t.crash(now)
+		deadly = false
 	}
 	if deadly {
 		runTime = milliseconds(b.CrashAfterMs)
@@ -234,7 +235,9 @@
 	case <-timer.C:
 		if deadly {
 			t.mu.Lock()
-			t.crash(time.Now())
+			if a.stopped.Err() == nil {
+				t.crash(time.Now())
+			}
 			t.mu.Unlock()
 			t.endEarly(w, a)
 			return
