Hold a suspect back until its loss is known to all owners

Cause: two races found in the pure model and by reading. An owner that had just lost a target refused other attempts of the request, or told an inquiry that it did not run it, before its notice had reached a third owner, which then started it. And one target's loss may be told twice, by each of its owners or for attempts that came after the first; the second telling counted as a target lost without the request, so that its own two crashes could look like an outage, which needs a third.

Ruled out: waiting a fixed 10 ms after each loss (the model holds without it, and it needs a poll).

Change: between a loss and the end of its sharing, attempts of the request wait at the owner (LossShared ends it), late ones are refused, and an inquiry is answered as running; also when the owner has quarantined the request. Targets with a strike of the request count for no outage. TestBoundHoldsForOverlappingCalls has notices of losses arrive one by one in any order and tells no quarantines.

TestLossesSeenByTwoOwnersAreNoOutage fails without its change.

The cluster of the core's tests ends the sharing of a loss as the owner does. TestTurn uses the real clock.

--- a/core/cassiaquarantine/admit.go
+++ b/core/cassiaquarantine/admit.go
@@ -18,8 +18,8 @@
 	VerdictAlone
 	// VerdictHold refuses the attempt for the moment, since another one of the same suspect runs.
 	VerdictHold
-	// VerdictWait lets the attempt wait for a moment, since nobody is known to have answered its request and another
-	// attempt of it runs for the same shard.
+	// VerdictWait lets the attempt wait for a moment: nobody is known to have answered its request and another attempt of
+	// it runs for the same shard, or the other owners do not know yet of a target that it lost.
 	VerdictWait
 	// VerdictRefuse refuses the attempt because its request is quarantined.
 	VerdictRefuse
@@ -32,6 +32,8 @@
 		return VerdictRefuse
 	}
 	switch suspected := q.suspected(now, f, shard); {
+	case suspected && q.unshared[f] > 0:
+		return VerdictWait
 	case suspected && q.Retrying(f, shard):
 		return VerdictHold
 	case suspected:
@@ -42,8 +44,24 @@
 	return VerdictRun
 }
 
-// Retrying tells whether a suspect already runs here alone or for the same shard, or at all when nobody has answered it.
+// AdmitLate decides on an attempt that has waited for as long as it may.
+func (q *Quarantine) AdmitLate(f cassiaid.Fingerprint, shard cassiaid.ShardIndex) Verdict {
+	verdict := q.Admit(f, shard)
+	switch {
+	case verdict != VerdictWait:
+		return verdict
+	case q.suspected(q.clock.Now(), f, shard):
+		return VerdictHold
+	}
+	return VerdictRun
+}
+
+// Retrying tells whether a suspect must not start elsewhere for a shard: it is quarantined, it has lost a target of which
+// not all owners know, or it runs here alone, for the same shard, or at all when nobody has answered it.
 func (q *Quarantine) Retrying(f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	if q.unshared[f] > 0 || q.Remaining(f) > 0 {
+		return true
+	}
 	unanswered := !q.answered.has(q.clock.Now(), Window, f)
 	for _, a := range q.attempts {
 		if a.run.Fingerprint == f && !a.counted && (unanswered || a.run.Alone || a.run.Shard == shard) {
--- a/core/cassiaquarantine/message.go
+++ b/core/cassiaquarantine/message.go
@@ -57,6 +57,9 @@
 // LossLearned brings a loss that another VM has seen.
 type LossLearned struct{ Loss Loss }
 
+// LossShared tells that the other owners know of a loss that ShareLoss asked to tell them.
+type LossShared struct{ Loss Loss }
+
 // Learned brings a quarantine that another VM has decided.
 type Learned struct {
 	Fingerprint cassiaid.Fingerprint
@@ -68,6 +71,7 @@
 func (IdleLost) isMessage()      {}
 func (AnswerLearned) isMessage() {}
 func (LossLearned) isMessage()   {}
+func (LossShared) isMessage()    {}
 func (Learned) isMessage()       {}
 
 // Loss is one target's crash and the attempts that ran on it.
--- a/core/cassiaquarantine/overlap_test.go
+++ b/core/cassiaquarantine/overlap_test.go
@@ -48,38 +48,92 @@
 	c.Assert(verdict, qt.Equals, VerdictHold)
 }
 
-// TestBoundHoldsForOverlappingCalls has calls of one deadly request overlap in any way: each goes to the owners of the
-// request's two probe targets in its own order, then to others for other shards.
-func TestBoundHoldsForOverlappingCalls(t *testing.T) {
-	type call struct {
-		order   []int
-		tried   int
-		running cassiaid.AttemptID
+// notice is a loss on its way to one owner.
+type notice struct {
+	to   int
+	loss *lossOnItsWay
+}
+
+// lossOnItsWay is a loss that its owner is telling the others.
+type lossOnItsWay struct {
+	owner, left int
+	loss        Loss
+	// call is the one that learns of the loss when all owners know.
+	call *overlapping
+}
+
+// overlapping is a call that tries owners in its own order.
+type overlapping struct {
+	order   []int
+	tried   int
+	running cassiaid.AttemptID
+	waits   bool
+}
+
+// step starts, or ends by a loss, the call's next attempt, and returns the loss's notices.
+func (l *overlapping) step(k *cluster) []notice {
+	if l.waits || l.tried == len(l.order) {
+		return nil
+	}
+	owner, shard := l.order[l.tried], cassiaid.ShardIndex(max(0, l.tried-1))
+	if l.running == 0 {
+		id, verdict := k.begin(owner, 1, shard)
+		l.running = id
+		switch {
+		case verdict == VerdictRefuse:
+			l.tried = len(l.order)
+		case id == 0 && verdict != VerdictWait:
+			l.tried++
+		}
+		return nil
 	}
+	k.crashes[1]++
+	var notices []notice
+	for _, e := range k.owners[owner].Update(Ended{Attempt: l.running, Ending: EndingLost}) {
+		if e, ok := e.(ShareLoss); ok {
+			loss := &lossOnItsWay{owner: owner, left: len(k.owners) - 1, loss: e.Loss, call: l}
+			for to := range k.owners {
+				if to != owner {
+					notices = append(notices, notice{to: to, loss: loss})
+				}
+			}
+		}
+	}
+	l.running, l.waits = 0, true
+	return notices
+}
+
+// deliver brings a notice; the call goes on once all owners know of its loss.
+func (n notice) deliver(k *cluster) {
+	k.owners[n.to].Update(LossLearned{Loss: n.loss.loss})
+	if n.loss.left--; n.loss.left == 0 {
+		k.owners[n.loss.owner].Update(LossShared{Loss: n.loss.loss})
+		n.loss.call.waits = false
+		n.loss.call.tried++
+	}
+}
+
+// TestBoundHoldsForOverlappingCalls has calls of one deadly request overlap in any way, while notices of losses arrive in any
+// order and quarantines are not told: each call goes to the owners of the request's two probe targets in its own order, then
+// to others for other shards.
+func TestBoundHoldsForOverlappingCalls(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k := newCluster(5, 1)
-		calls := make([]call, 6)
+		calls := make([]overlapping, 6)
 		for i := range calls {
-			calls[i].order = append(rapid.Permutation([]int{0, 1}).Draw(t, "probes"), rapid.Permutation([]int{2, 3, 4}).Draw(t, "others")...)
+			probes, others := rapid.Permutation([]int{0, 1}).Draw(t, "probes"), rapid.Permutation([]int{2, 3, 4}).Draw(t, "others")
+			calls[i].order = append(probes, others...)
 		}
-		for range 60 {
-			l := &calls[rapid.IntRange(0, len(calls)-1).Draw(t, "call")]
-			if l.tried == len(l.order) {
+		var notices []notice
+		for range 80 {
+			at := rapid.IntRange(0, len(calls)+len(notices)-1).Draw(t, "step")
+			if at < len(calls) {
+				notices = append(notices, calls[at].step(k)...)
 				continue
 			}
-			owner, shard := l.order[l.tried], cassiaid.ShardIndex(max(0, l.tried-1))
-			if l.running != 0 {
-				k.crashes[1]++
-				k.update(owner, Ended{Attempt: l.running, Ending: EndingLost})
-				l.running = 0
-				l.tried++
-				continue
-			}
-			id, verdict := k.begin(owner, 1, shard)
-			l.running = id
-			if id == 0 && verdict != VerdictWait {
-				l.tried++
-			}
+			at -= len(calls)
+			notices[at].deliver(k)
+			notices = append(notices[:at:at], notices[at+1:]...)
 		}
 		if k.crashes[1] > lossesToBlame {
 			t.Fatalf("%d targets crashed", k.crashes[1])
--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -57,6 +57,8 @@
 	suspects  map[cassiaid.Fingerprint]*suspect
 	sentences map[cassiaid.Fingerprint]sentence
 	losses    []seenLoss
+	// unshared counts for each request its runs on lost targets of which the other owners may not know yet.
+	unshared map[cassiaid.Fingerprint]int
 	// answered remembers which requests, and which shards' parts of them, were answered lately.
 	answered      recent[cassiaid.Fingerprint]
 	answeredParts recent[runKey]
@@ -69,6 +71,7 @@
 		attempts:  make(map[cassiaid.AttemptID]*running),
 		suspects:  make(map[cassiaid.Fingerprint]*suspect),
 		sentences: make(map[cassiaid.Fingerprint]sentence),
+		unshared:  make(map[cassiaid.Fingerprint]int),
 	}
 }
 
@@ -86,6 +89,8 @@
 		q.learnAnswer(now, m)
 	case LossLearned:
 		return q.learnLoss(now, m.Loss)
+	case LossShared:
+		q.noteShared(m.Loss)
 	case Learned:
 		q.learnSentence(now, m)
 	}
@@ -171,11 +176,23 @@
 		}
 	}
 	slices.SortFunc(loss.Runs, func(x, y Run) int { return compare(x.Attempt, y.Attempt) })
+	for _, r := range loss.Runs {
+		q.unshared[r.Fingerprint]++
+	}
 	effects := []Effect{ShareLoss{Loss: loss}}
 	q.strike(now, loss, true)
 	return append(effects, q.judgeAll(now, loss.Runs, a.run.Attempt)...)
 }
 
+// noteShared takes that the other owners know of a loss.
+func (q *Quarantine) noteShared(loss Loss) {
+	for _, r := range loss.Runs {
+		if q.unshared[r.Fingerprint]--; q.unshared[r.Fingerprint] <= 0 {
+			delete(q.unshared, r.Fingerprint)
+		}
+	}
+}
+
 func compare(a, b cassiaid.AttemptID) int {
 	switch {
 	case a < b:
@@ -330,7 +347,8 @@
 	return needed
 }
 
-// unrelatedLosses counts the targets lost lately that did not run the request nor any request that is quarantined.
+// unrelatedLosses counts the targets lost lately that did not run the request nor any request that is quarantined. One
+// target's loss may be told several times: by each of its owners, and again for attempts that came after the first.
 func (q *Quarantine) unrelatedLosses(now time.Time, f cassiaid.Fingerprint) int {
 	targets := make(map[cassiaid.TargetName]struct{})
 	for _, l := range q.losses {
@@ -340,7 +358,7 @@
 		explained := slices.ContainsFunc(l.loss.Runs, func(r Run) bool {
 			return r.Fingerprint == f || q.Remaining(r.Fingerprint) > 0
 		})
-		if !explained {
+		if !explained && !q.suspects[f].lost(l.loss.Target) {
 			targets[l.loss.Target] = struct{}{}
 		}
 	}
--- a/core/cassiaquarantine/quarantine_test.go
+++ b/core/cassiaquarantine/quarantine_test.go
@@ -51,6 +51,7 @@
 		switch e := e.(type) {
 		case ShareLoss:
 			if k.silent {
+				k.update(owner, LossShared(e))
 				continue
 			}
 			shared = LossLearned(e)
@@ -65,6 +66,9 @@
 				k.update(i, shared)
 			}
 		}
+		if loss, ok := e.(ShareLoss); ok {
+			k.update(owner, LossShared(loss))
+		}
 	}
 }
 
@@ -194,6 +198,20 @@
 	c.Assert(k.run(2, fresh, 5), qt.IsTrue)
 }
 
+// TestLossesSeenByTwoOwnersAreNoOutage has each target that a deadly request loses run innocent ones for another owner.
+func TestLossesSeenByTwoOwnersAreNoOutage(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(2)
+	for i, target := range []cassiaid.TargetName{"a", "b"} {
+		deadly, innocent := cassiaid.AttemptID(10+i), cassiaid.AttemptID(20+i)
+		k.update(0, Started{Run: Run{Attempt: deadly, Fingerprint: 1, Alone: i > 0}, Target: target})
+		k.update(1, Started{Run: Run{Attempt: innocent, Fingerprint: cassiaid.Fingerprint(5 + i)}, Target: target})
+		k.update(1, Ended{Attempt: innocent, Ending: EndingLost})
+		k.update(0, Ended{Attempt: deadly, Ending: EndingLost})
+	}
+	c.Assert(k.refused, qt.DeepEquals, map[cassiaid.Fingerprint]bool{1: true})
+}
+
 // TestFanOutThatNobodyAnswersIsQuarantined sends one request to many shards at once; all its targets are lost.
 func TestFanOutThatNobodyAnswersIsQuarantined(t *testing.T) {
 	c := qt.New(t)
--- a/core/cassiaquarantine/suspect.go
+++ b/core/cassiaquarantine/suspect.go
@@ -23,6 +23,11 @@
 // suspect is a request that ran on a target which was lost and that has not been cleared by an answer.
 type suspect struct{ strikes []strike }
 
+// lost tells whether a target was lost while it ran the request; it is false without a suspect.
+func (s *suspect) lost(target cassiaid.TargetName) bool {
+	return s != nil && slices.ContainsFunc(s.strikes, func(k strike) bool { return k.target == target })
+}
+
 // forget drops strikes from before a time.
 func (s *suspect) forget(before time.Time) {
 	s.strikes = slices.DeleteFunc(s.strikes, func(k strike) bool { return k.at.Before(before) })
--- a/io/cassiaowner/quarantine.go
+++ b/io/cassiaowner/quarantine.go
@@ -102,16 +102,17 @@
 func (q *Quarantine) record(run cassiaquarantine.Run, target cassiaid.TargetName, late bool) (cassiaquarantine.Verdict, <-chan struct{}) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	verdict := q.core.Admit(run.Fingerprint, run.Shard)
-	if verdict == cassiaquarantine.VerdictWait && !late {
+	admit := q.core.Admit
+	if late {
+		admit = q.core.AdmitLate
+	}
+	verdict := admit(run.Fingerprint, run.Shard)
+	if verdict == cassiaquarantine.VerdictWait {
 		if q.changed == nil {
 			q.changed = make(chan struct{})
 		}
 		return verdict, q.changed
 	}
-	if verdict == cassiaquarantine.VerdictWait {
-		verdict = cassiaquarantine.VerdictRun
-	}
 	if verdict == cassiaquarantine.VerdictAlone && !run.Alone {
 		// It came before the suspicion and would now start beside others; a later try runs alone.
 		verdict = cassiaquarantine.VerdictHold
@@ -193,19 +194,26 @@
 	return effects
 }
 
+// share performs effects; a loss counts as shared when its sharing is over.
 func (q *Quarantine) share(front cassiaid.FrontKey, effects []cassiaquarantine.Effect) {
-	if q.sharer == nil {
-		return
-	}
 	for _, e := range effects {
-		switch e := e.(type) {
-		case cassiaquarantine.ShareLoss:
-			q.sharer.ShareLoss(front, e.Loss)
-		case cassiaquarantine.ShareAnswer:
-			q.sharer.ShareAnswer(front, e)
-		case cassiaquarantine.ShareQuarantine:
-			q.sharer.ShareQuarantine(e.Fingerprint, e.Remaining)
+		if q.sharer != nil {
+			q.tell(front, e)
 		}
+		if loss, ok := e.(cassiaquarantine.ShareLoss); ok {
+			q.update(cassiaquarantine.LossShared(loss))
+		}
+	}
+}
+
+func (q *Quarantine) tell(front cassiaid.FrontKey, e cassiaquarantine.Effect) {
+	switch e := e.(type) {
+	case cassiaquarantine.ShareLoss:
+		q.sharer.ShareLoss(front, e.Loss)
+	case cassiaquarantine.ShareAnswer:
+		q.sharer.ShareAnswer(front, e)
+	case cassiaquarantine.ShareQuarantine:
+		q.sharer.ShareQuarantine(e.Fingerprint, e.Remaining)
 	}
 }
 
--- a/io/cassiaowner/quarantine_test.go
+++ b/io/cassiaowner/quarantine_test.go
@@ -37,7 +37,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			q := NewQuarantine(clockwork.NewFakeClock(), nil)
+			q := NewQuarantine(clockwork.NewRealClock(), nil)
 			c.Assert(q.Begin(t.Context(), cassiaid.FrontKey{}, run(1), "t1", forever), qt.Equals, Turn{})
 			var second Turn
 			var group errgroup.Group
--- a/test/routing_test.go
+++ b/test/routing_test.go
@@ -214,7 +214,7 @@
 			front := newFront("search", 20, zones)
 			front.Canary = canary
 			cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front},
-				behaviour: `{"crashMarker":"deadly","restartMs":300}`})
+				behaviour: `{"crashMarker":"deadly","crashAfterMs":5,"restartMs":300}`})
 			for n := range 20 {
 				checkWhole(c, cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"n":%d}`, n)), 20)
 			}
