--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -347,7 +347,8 @@
 	return needed
 }
 
-// unrelatedLosses counts the targets lost lately that did not run the request nor any request that is quarantined.
+// unrelatedLosses counts the targets lost lately that did not run the request nor any request that is quarantined. One
+// target's loss may be told several times: by each of its owners, and again for attempts that came after the first.
 func (q *Quarantine) unrelatedLosses(now time.Time, f cassiaid.Fingerprint) int {
 	targets := make(map[cassiaid.TargetName]struct{})
 	for _, l := range q.losses {
@@ -357,7 +358,7 @@
 		explained := slices.ContainsFunc(l.loss.Runs, func(r Run) bool {
 			return r.Fingerprint == f || q.Remaining(r.Fingerprint) > 0
 		})
-		if !explained {
+		if !explained && !q.suspects[f].lost(l.loss.Target) {
 			targets[l.loss.Target] = struct{}{}
 		}
 	}
