Remember recent keys by one generic set

Cause: the set of two generations stood twice, in claims and in quarantine, with the same limit and the same turn. Ruled out: a difference in behaviour; the lines are the same but for the period, which is a constant of each user. Change: core/cassiarecent holds it; both use it. Conclusion: no change of behaviour.

--- a/core/cassiaquarantine/admit.go
+++ b/core/cassiaquarantine/admit.go
@@ -38,7 +38,7 @@
 		return VerdictHold
 	case suspected:
 		return VerdictAlone
-	case !q.answered.has(now, Window, f) && q.Running(f, shard):
+	case !q.answered.Has(now, Window, f) && q.Running(f, shard):
 		return VerdictWait
 	}
 	return VerdictRun
@@ -62,7 +62,7 @@
 	if q.unshared[f] > 0 || q.Remaining(f) > 0 {
 		return true
 	}
-	unanswered := !q.answered.has(q.clock.Now(), Window, f)
+	unanswered := !q.answered.Has(q.clock.Now(), Window, f)
 	for _, a := range q.attempts {
 		if a.run.Fingerprint == f && !a.counted && (unanswered || a.run.Alone || a.run.Shard == shard) {
 			return true
@@ -90,7 +90,7 @@
 // suspected tells whether a run of the request's part might lose a target: the part was lost before, or the request
 // was lost on any shard and has been answered by none, or it was quarantined lately.
 func (q *Quarantine) suspected(now time.Time, f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
-	if q.onParole(now, f) && !q.answeredParts.has(now, Window, runKey{f, shard}) {
+	if q.onParole(now, f) && !q.answeredParts.Has(now, Window, runKey{f, shard}) {
 		return true
 	}
 	s := q.suspects[f]
@@ -101,13 +101,13 @@
 	if len(s.of(shard)) > 0 {
 		return true
 	}
-	return len(s.strikes) > 0 && !q.answered.has(now, Window, f)
+	return len(s.strikes) > 0 && !q.answered.Has(now, Window, f)
 }
 
 // Unproven tells whether a front's policy wants care with a request because nobody is known to have answered it.
 func (q *Quarantine) Unproven(f cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
 	now := q.clock.Now()
-	if policy == cassiaschema.Canary_never || q.answered.has(now, Window, f) {
+	if policy == cassiaschema.Canary_never || q.answered.Has(now, Window, f) {
 		return false
 	}
 	return policy == cassiaschema.Canary_always || q.losing(now) || q.onParole(now, f)
--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -6,6 +6,7 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiarecent"
 )
 
 const (
@@ -60,8 +61,8 @@
 	// unshared counts for each request its runs on lost targets of which the other owners may not know yet.
 	unshared map[cassiaid.Fingerprint]int
 	// answered remembers which requests, and which shards' parts of them, were answered lately.
-	answered      recent[cassiaid.Fingerprint]
-	answeredParts recent[runKey]
+	answered      cassiarecent.Set[cassiaid.Fingerprint]
+	answeredParts cassiarecent.Set[runKey]
 }
 
 // NewQuarantine returns an empty quarantine.
@@ -135,14 +136,14 @@
 		q.clearByAnswer(now, m.Fingerprint, m.Shard)
 		return
 	}
-	q.answered.add(now, Window, m.Fingerprint)
-	q.answeredParts.add(now, Window, runKey{m.Fingerprint, m.Shard})
+	q.answered.Add(now, Window, m.Fingerprint)
+	q.answeredParts.Add(now, Window, runKey{m.Fingerprint, m.Shard})
 }
 
 // clearByAnswer drops the suspicion of a request's part that a target has answered, and tells whether there was any.
 func (q *Quarantine) clearByAnswer(now time.Time, f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
-	q.answered.add(now, Window, f)
-	q.answeredParts.add(now, Window, runKey{f, shard})
+	q.answered.Add(now, Window, f)
+	q.answeredParts.Add(now, Window, runKey{f, shard})
 	if p, ok := q.sentences[f]; ok && !now.Before(p.until) {
 		delete(q.sentences, f)
 	}
@@ -215,7 +216,7 @@
 func (q *Quarantine) vouch(now time.Time, loss Loss) []Effect {
 	var effects []Effect
 	for _, r := range loss.Runs {
-		if q.answeredParts.has(now, Window, runKey{r.Fingerprint, r.Shard}) {
+		if q.answeredParts.Has(now, Window, runKey{r.Fingerprint, r.Shard}) {
 			effects = append(effects, ShareAnswer{Fingerprint: r.Fingerprint, Shard: r.Shard, Earlier: true})
 		}
 	}
@@ -328,7 +329,7 @@
 		if len(part) < needed || !onlyCommon(part) {
 			continue
 		}
-		if ranAlone(part) || !q.answeredParts.has(now, Window, runKey{f, k.shard}) {
+		if ranAlone(part) || !q.answeredParts.Has(now, Window, runKey{f, k.shard}) {
 			return true
 		}
 	}
@@ -368,7 +369,7 @@
 // failsEverywhere tells whether targets of different shards were lost and none has answered the request: either after
 // one that it ran on alone, or once none of its attempts runs any more among those that this VM has seen.
 func (q *Quarantine) failsEverywhere(now time.Time, f cassiaid.Fingerprint, s *suspect, needed int, ended cassiaid.AttemptID) bool {
-	if q.answered.has(now, Window, f) {
+	if q.answered.Has(now, Window, f) {
 		return false
 	}
 	if ranAlone(s.strikes) && differentTargets(s.strikes) >= needed && onlyCommon(s.strikes) {
