Wait for the end of work by one type

Cause: entry and owner each counted what runs, with the same flag, the same channel and the same closing of it. Ruled out: one counter for both; a planned stop waits for callers first and for other VMs' batches later. Change: io/cassiadrain.Work; a refused question counts for the moment of its refusal, as a refused batch did.

--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -19,6 +19,7 @@
 	"cassiasaddle/core/cassiaroute"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiaclaimer"
+	"cassiasaddle/io/cassiadrain"
 	"cassiasaddle/io/cassiahttp"
 	"cassiasaddle/io/cassiaowner"
 )
@@ -87,14 +88,12 @@
 
 	mutex sync.Mutex
 	runs  map[cassiaid.QueryID]*run
-	// questions is how many callers wait for an answer.
-	questions int
 	// lastQuestion is when the last caller asked.
 	lastQuestion time.Time
-	leaving      bool
-	quiet        chan struct{}
-	silence      silence
-	sent         sentKeys
+	// questions are those whose callers wait for an answer.
+	questions cassiadrain.Work
+	silence   silence
+	sent      sentKeys
 }
 
 // New returns an entry that answers until Close.
@@ -102,8 +101,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Entry{
 		config: config, context: ctx, stop: cancel,
-		runs:  make(map[cassiaid.QueryID]*run),
-		quiet: make(chan struct{}),
+		runs: make(map[cassiaid.QueryID]*run),
 	}
 }
 
@@ -136,10 +134,15 @@
 			Message: "this request crashed targets before; change it, or ask again after the quarantine",
 		}
 	}
-	if refusal := e.enter(); refusal != nil {
-		return nil, refusal
+	e.noteQuestion()
+	leaving := e.questions.Begin()
+	defer e.questions.End()
+	if leaving {
+		return nil, &cassiaplan.Refusal{
+			Kind: cassiaplan.RefusalNotRun, Ran: cassiaplan.RanNo, RetryAfter: retryAfterLeaving,
+			Message: "this VM is stopping; ask again to reach another VM",
+		}
 	}
-	defer e.exit()
 	if question.Front.Kind == cassiaschema.RequestKind_nonIdempotent {
 		return e.askOnce(ctx, question, fingerprint)
 	}
@@ -198,36 +201,10 @@
 	delete(e.runs, r.id)
 }
 
-// enter counts a question in, unless this VM is stopping.
-func (e *Entry) enter() *cassiaplan.Refusal {
+func (e *Entry) noteQuestion() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.lastQuestion = e.config.Clock.Now()
-	if e.leaving {
-		return &cassiaplan.Refusal{
-			Kind: cassiaplan.RefusalNotRun, Ran: cassiaplan.RanNo, RetryAfter: retryAfterLeaving,
-			Message: "this VM is stopping; ask again to reach another VM",
-		}
-	}
-	e.questions++
-	return nil
-}
-
-func (e *Entry) exit() {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.questions--
-	e.signalQuiet()
-}
-
-func (e *Entry) signalQuiet() {
-	if e.leaving && e.questions == 0 {
-		select {
-		case <-e.quiet:
-		default:
-			close(e.quiet)
-		}
-	}
 }
 
 // frontAt returns the settings that name the shards of an epoch.
@@ -261,11 +238,7 @@
 func (e *Entry) count(counter cassiaplan.Counter) { e.config.Scope.Counter(string(counter)).Inc(1) }
 
 // Leaving is true once Leave was called.
-func (e *Entry) Leaving() bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.leaving
-}
+func (e *Entry) Leaving() bool { return e.questions.Leaving() }
 
 // LastQuestion returns when the last caller asked, answered or not.
 func (e *Entry) LastQuestion() time.Time {
@@ -276,16 +249,7 @@
 
 // Leave refuses new questions and waits until those that run have ended or ctx is done.
 func (e *Entry) Leave(ctx context.Context) error {
-	e.mutex.Lock()
-	e.leaving = true
-	e.signalQuiet()
-	e.mutex.Unlock()
-	select {
-	case <-e.quiet:
-		return nil
-	case <-ctx.Done():
-		return eris.Wrap(ctx.Err(), "questions were still running when the time to stop was over")
-	}
+	return eris.Wrap(e.questions.Leave(ctx), "questions were still running when the time to stop was over")
 }
 
 // Close ends what Leave left.
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -14,6 +14,7 @@
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaquarantine"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiadrain"
 )
 
 const (
@@ -74,11 +75,11 @@
 
 	mutex    sync.Mutex
 	targets  map[targetKey]*target
-	leaving  bool
-	batches  int
-	quiet    chan struct{}
 	attempts map[cassiaid.AttemptID]*attempt
 	late     map[cassiaid.VMName]*cassiadelay.Lateness
+
+	// batches are those that have not got all their results yet.
+	batches cassiadrain.Work
 }
 
 // targetKey tells apart the shares that several fronts have in one target, and a target that moved from what it was.
@@ -100,7 +101,6 @@
 		targets:  make(map[targetKey]*target),
 		attempts: make(map[cassiaid.AttemptID]*attempt),
 		late:     make(map[cassiaid.VMName]*cassiadelay.Lateness),
-		quiet:    make(chan struct{}),
 	}
 	o.group.Go(func() error { o.watchHealth(); return nil })
 	return o
@@ -114,9 +114,9 @@
 	now := o.config.Clock.Now()
 	deadline := now.Add(request.Remaining.AsDuration() - hopMargin - o.lateness(from, request))
 	front := cassiaid.FrontKey{Team: cassiaid.TeamName(request.Team), Front: cassiaid.FrontName(request.Front)}
-	b := newBatch(request, deadline, reply, o.batchEnded)
+	b := newBatch(request, deadline, reply, o.batches.End)
 	b.remote = from != o.config.Self
-	leaving := o.batchBegun()
+	leaving := o.batches.Begin()
 	o.config.Scope.Counter("ownerBatches").Inc(1)
 	o.config.Scope.Counter("ownerAttempts").Inc(int64(len(request.Attempts)))
 	for _, wanted := range request.Attempts {
@@ -237,43 +237,8 @@
 	delete(o.attempts, a.id())
 }
 
-func (o *Owner) batchBegun() (leaving bool) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	o.batches++
-	return o.leaving
-}
-
-func (o *Owner) batchEnded() {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	o.batches--
-	o.signalQuiet()
-}
-
-func (o *Owner) signalQuiet() {
-	if o.leaving && o.batches == 0 {
-		select {
-		case <-o.quiet:
-		default:
-			close(o.quiet)
-		}
-	}
-}
-
 // Leave refuses new batches and waits until those that run have ended or ctx is done.
-func (o *Owner) Leave(ctx context.Context) error {
-	o.mutex.Lock()
-	o.leaving = true
-	o.signalQuiet()
-	o.mutex.Unlock()
-	select {
-	case <-o.quiet:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (o *Owner) Leave(ctx context.Context) error { return o.batches.Leave(ctx) }
 
 // Close stops all work; call Leave first to cut nothing off.
 func (o *Owner) Close() error {
