Drop options and a source that nobody uses

Cause: the VM's options for a stop's time and for a call when it listens, and the platform as a source of a leaving target, had no user, not even a test. Change: they are gone; the stop's 60 s are a constant, listen logs its addresses. Conclusion: no change of behaviour.

--- a/core/cassiaroute/message.go
+++ b/core/cassiaroute/message.go
@@ -78,16 +78,14 @@
 func (AttemptSent) isMessage()      {}
 func (AttemptEnded) isMessage()     {}
 
-// LeavingSource tells where the sign of a leaving target came from. The target's own reply and the platform's list
-// close a target even when it is the last of its shard; the other signs only put it behind the shard's others.
+// LeavingSource tells where the sign of a leaving target came from. The target's own reply closes a target even when it
+// is the last of its shard, as does the list of PlatformLeaving; the other signs only put it behind the shard's others.
 type LeavingSource string
 
 // Sources of the sign that a target leaves.
 const (
 	// SourceReply is the target's own reply.
 	SourceReply LeavingSource = "reply"
-	// SourcePlatform is the platform's list of leaving targets.
-	SourcePlatform LeavingSource = "platform"
 	// SourceNotice is a sign that another VM has seen.
 	SourceNotice LeavingSource = "notice"
 	// SourceHealth is the target's health endpoint, which may lag or mislead.
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -41,6 +41,8 @@
 	quietTime  = 500 * time.Millisecond
 	leaveLimit = 10 * time.Second
 	quietCheck = 50 * time.Millisecond
+	// stopTimeout bounds how long a planned stop waits for what runs.
+	stopTimeout = 60 * time.Second
 )
 
 // server is one running VM.
@@ -162,15 +164,10 @@
 	parts.Go(func() error { return s.followSettings(running) })
 	parts.Go(func() error { return s.watchLeavingTargets(running) })
 	parts.Go(func() error { return s.entry.WatchSilence(running) })
-	endpoints, err := s.listen(parts)
-	if err != nil {
+	if err := s.listen(parts); err != nil {
 		stop()
 		return errors.Join(err, s.close(), parts.Wait())
 	}
-	level.Info(s.logger).Log("msg", "listening", "callers", endpoints.Caller, "operators", endpoints.Operator)
-	if s.options.ready != nil {
-		s.options.ready(endpoints)
-	}
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
@@ -181,18 +178,19 @@
 }
 
 // listen opens the callers' and the operators' addresses.
-func (s *server) listen(parts *errgroup.Group) (Endpoints, error) {
+func (s *server) listen(parts *errgroup.Group) error {
 	callers, err := net.Listen("tcp", s.config.CallerAddress)
 	if err != nil {
-		return Endpoints{}, eris.Wrap(err, "callerAddress can't be opened; free it or configure another")
+		return eris.Wrap(err, "callerAddress can't be opened; free it or configure another")
 	}
 	operators, err := net.Listen("tcp", s.config.OperatorAddress)
 	if err != nil {
-		return Endpoints{}, errors.Join(eris.Wrap(err, "operatorAddress can't be opened; free it or configure another"), callers.Close())
+		return errors.Join(eris.Wrap(err, "operatorAddress can't be opened; free it or configure another"), callers.Close())
 	}
 	parts.Go(func() error { return serveUntilClosed(s.callers, callers) })
 	parts.Go(func() error { return serveUntilClosed(s.operators, operators) })
-	return Endpoints{Caller: callers.Addr().String(), Operator: operators.Addr().String()}, nil
+	level.Info(s.logger).Log("msg", "listening", "callers", callers.Addr().String(), "operators", operators.Addr().String())
+	return nil
 }
 
 func serveUntilClosed(server *http.Server, listener net.Listener) error {
@@ -246,7 +244,7 @@
 	if running.Err() != nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), s.options.stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	left := s.entry.Leave(ctx)
 	s.waitQuiet(ctx)
