Use the test layouts that are there

Cause: routing and overlap tests wrote out the two zones and the layout of a search front that query_test.go has as twoZones and searchLayout. Ruled out: other sizes; the layouts are equal. Change: the tests use both; every check stays. Conclusion: no change of behaviour.

--- a/test/overlap_test.go
+++ b/test/overlap_test.go
@@ -21,17 +21,16 @@
 		gap = time.Millisecond
 	)
 	c := qt.New(t)
-	zones := []string{"zone-a", "zone-b"}
-	lookup, search := newFront("lookup", 4, zones), newFront("search", shards, zones)
+	lookup, search := newFront("lookup", 4, twoZones), newFront("search", shards, twoZones)
 	lookup.Fanout = cassiaschema.Fanout_oneShardByKey
 	for i, s := range lookup.Shards {
 		for r := range 4 {
 			s.Targets = append(s.Targets, &cassiaschema.Target{
-				Name: fmt.Sprintf("lookup-%02d-%d", i, r), AvailabilityZone: zones[r%len(zones)],
+				Name: fmt.Sprintf("lookup-%02d-%d", i, r), AvailabilityZone: twoZones[r%len(twoZones)],
 			})
 		}
 	}
-	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{lookup, search},
+	cl := startCluster(t, layout{zones: twoZones, vmsPerZone: 2, fronts: []*cassiaschema.Front{lookup, search},
 		behaviour: `{"crashMarker":"deadly","crashAfterMs":5,"restartMs":300}`})
 	whole := func(front, body string) bool {
 		for _, v := range cl.vms {
--- a/test/routing_test.go
+++ b/test/routing_test.go
@@ -133,8 +133,7 @@
 
 // TestLeavingTargetGetsNoNewWork gives the sign that a target leaves through each source by itself, under load.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
-	zones := []string{"zone-a", "zone-b"}
-	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", 8, zones)}})
+	cl := startCluster(t, searchLayout(8))
 	signs := []struct {
 		name string
 		give func(target string)
@@ -167,8 +166,7 @@
 // TestMisleadingHealthDoesNotEmptyAShard has the health endpoint of every target say that it is leaving.
 func TestMisleadingHealthDoesNotEmptyAShard(t *testing.T) {
 	c := qt.New(t)
-	zones := []string{"zone-a", "zone-b"}
-	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", 8, zones)}})
+	cl := startCluster(t, searchLayout(8))
 	cl.behave("all", `{"healthState":"draining"}`)
 	given := time.Now()
 	l := cl.startLoad("search", 4)
@@ -180,10 +178,9 @@
 // TestDeadlyRequestCrashesFewTargets sends a request that crashes its targets to VM after VM, between innocent ones.
 func TestDeadlyRequestCrashesFewTargets(t *testing.T) {
 	c := qt.New(t)
-	zones := []string{"zone-a", "zone-b"}
-	front := newFront("lookup", 4, zones)
+	front := newFront("lookup", 4, twoZones)
 	front.Fanout = cassiaschema.Fanout_oneShardByKey
-	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front},
+	cl := startCluster(t, layout{zones: twoZones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front},
 		behaviour: `{"crashMarker":"deadly","restartMs":300}`})
 	const key = "household-7"
 	innocent := func(n int) answer {
@@ -216,10 +213,9 @@
 	for _, canary := range []cassiaschema.Canary{cassiaschema.Canary_always, cassiaschema.Canary_never} {
 		t.Run(canary.String(), func(t *testing.T) {
 			c := qt.New(t)
-			zones := []string{"zone-a", "zone-b"}
-			front := newFront("search", 20, zones)
+			front := newFront("search", 20, twoZones)
 			front.Canary = canary
-			cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front},
+			cl := startCluster(t, layout{zones: twoZones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front},
 				behaviour: `{"crashMarker":"deadly","crashAfterMs":5,"restartMs":300}`})
 			for n := range 20 {
 				checkWhole(c, cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"n":%d}`, n)), 20)
@@ -292,8 +288,7 @@
 	c := qt.New(t)
 	// extraBound is the stated extra load on targets with stragglers.
 	const extraBound, shards = 0.10, 8
-	zones := []string{"zone-a", "zone-b"}
-	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", shards, zones)}})
+	cl := startCluster(t, searchLayout(shards))
 	for n := range 20 {
 		checkWhole(c, cl.ask(cl.vms[n%len(cl.vms)], "search", fmt.Sprintf(`{"warm":%d}`, n)), shards)
 	}
@@ -316,8 +311,7 @@
 // that it gets work again.
 func TestColdTargetComesBack(t *testing.T) {
 	c := qt.New(t)
-	zones := []string{"zone-a", "zone-b"}
-	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{newFront("search", 8, zones)}})
+	cl := startCluster(t, searchLayout(8))
 	target := cl.layout.fronts[0].Shards[0].Targets[0].Name
 	l := cl.startLoad("search", 4)
 	eventually(t, startTimeout, "the target works", func() bool { return len(cl.runsOf(target, startedAfter(time.Time{}))) > 10 })
@@ -335,10 +329,9 @@
 // TestStragglerIsEjectedButNotTheLastReplica makes one replica of a shard far slower than its peers, then all of them.
 func TestStragglerIsEjectedButNotTheLastReplica(t *testing.T) {
 	c := qt.New(t)
-	zones := []string{"zone-a", "zone-b"}
-	front := newFront("search", 8, zones)
+	front := newFront("search", 8, twoZones)
 	front.Preference = cassiaschema.Preference_preferCoverage
-	cl := startCluster(t, layout{zones: zones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front}})
+	cl := startCluster(t, layout{zones: twoZones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front}})
 	shard := front.Shards[0]
 	runs := func(since time.Time) (slow, all int) {
 		for _, e := range cl.executions() {
