Score members by one rendezvous rule

The weighted rendezvous score stood twice, in cassiaroute and in cassiagateway. core/cassiarendezvous is now the one place; each caller keeps its own hash. Choices are the same. Tests of the three packages: green.

--- a/core/cassiagateway/path.go
+++ b/core/cassiagateway/path.go
@@ -1,7 +1,6 @@
 package cassiagateway
 
 import (
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -11,6 +10,7 @@
 	"cassiasaddle/core/cassiabackoff"
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiarendezvous"
 )
 
 const (
@@ -83,15 +83,7 @@
 
 // score is the weighted rendezvous score of a VM for a key.
 func (w *path) score(key string) float64 {
-	// 53 bits make a float64 in (0, 1).
-	const bits = 53
-	hash := xxhash.Sum64String(key + " " + string(w.vm.Name))
-	share := (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
-	weight := w.vm.Cores
-	if weight <= 0 {
-		weight = 1
-	}
-	return -weight / math.Log(share)
+	return cassiarendezvous.Score(xxhash.Sum64String(key+" "+string(w.vm.Name)), w.vm.Cores)
 }
 
 // heard notes an answer by way of a VM.
--- /dev/null
+++ b/core/cassiarendezvous/score.go
@@ -0,0 +1,16 @@
+package cassiarendezvous
+
+import "math"
+
+// fractionBits is how many bits of a hash make a float64 between 0 and 1.
+const fractionBits = 53
+
+// Score returns the score of a member by the hash of its name and a key: the largest is chosen, each member in proportion
+// to its weight. A weight of zero or less counts as 1.
+func Score(hash uint64, weight float64) float64 {
+	if weight <= 0 {
+		weight = 1
+	}
+	uniform := (float64(hash>>(64-fractionBits)) + 0.5) / (1 << fractionBits)
+	return -weight / math.Log(uniform)
+}
--- a/core/cassiaroute/member.go
+++ b/core/cassiaroute/member.go
@@ -1,11 +1,10 @@
 package cassiaroute
 
 import (
-	"math"
-
 	"github.com/cespare/xxhash/v2"
 
 	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiarendezvous"
 )
 
 // OwnersPerSlice is how many VMs own a slice of targets, unless the connection cap allows only one.
@@ -23,14 +22,7 @@
 
 // score returns the member's weighted rendezvous score for a key; the largest owns it.
 func (m Member) score(key uint64) float64 {
-	weight := m.Weight
-	if weight <= 0 {
-		weight = 1
-	}
-	const fractionBits = 53
-	hash := mix(xxhash.Sum64String(string(m.Name)) ^ key)
-	uniform := (float64(hash>>(64-fractionBits)) + 0.5) / (1 << fractionBits)
-	return -weight / math.Log(uniform)
+	return cassiarendezvous.Score(mix(xxhash.Sum64String(string(m.Name))^key), m.Weight)
 }
 
 // mix spreads the bits of a combined hash, by the finalizer of SplitMix64.
