Date the signs of an owner's silence by when it was judged

The second sign of a silence is judged 100 ms after the first, and an owner counts as unreachable once its signs span 100 ms; where the first sign waited longer for the table's lock than the second, the span came out as 99.9 ms. No third sign follows, so the first request waited for its deadline. Ruled out: lost connections (none was told in a failed run), the retry budget (the owners were asked), the second for which a doubt stands (earlier trial). Change: OwnerUnreachable carries when the silence was found; the repeat waits for cassiaroute.OwnerPause, the bound it has to outlast. TestLastingSilenceMakesAnOwnerUnreachable fails with the table's own time, passes now.

--- a/core/cassiaroute/doubt.go
+++ b/core/cassiaroute/doubt.go
@@ -11,9 +11,9 @@
 const (
 	// ownerAvoid is how long after a sign of silence an owner is ranked last.
 	ownerAvoid = time.Second
-	// ownerPause is how long an owner shows signs of silence, and none of life, before it counts as unreachable. Before
+	// OwnerPause is how long an owner shows signs of silence, and none of life, before it counts as unreachable. Before
 	// the first sign a batch was late by more than a resend or a garbage collection takes.
-	ownerPause = 100 * time.Millisecond
+	OwnerPause = 100 * time.Millisecond
 	// probeEvery is how often a query of each front may ask unreachable owners.
 	probeEvery = 100 * time.Millisecond
 )
@@ -23,6 +23,14 @@
 
 func (d doubt) stands(now time.Time) bool { return now.Before(d.last.Add(ownerAvoid)) }
 
+// foundAt returns when the owner was found unreachable.
+func (m OwnerUnreachable) foundAt(now time.Time) time.Time {
+	if m.At.IsZero() {
+		return now
+	}
+	return m.At
+}
+
 // doubts are the owners in doubt; those whose doubt is over are dropped with the next sign.
 type doubts map[cassiaid.VMName]doubt
 
@@ -48,7 +56,7 @@
 // unreachable tells whether the signs go on for longer than a pause.
 func (d doubts) unreachable(owner cassiaid.VMName, now time.Time) bool {
 	x := d[owner]
-	return x.stands(now) && x.last.Sub(x.first) >= ownerPause
+	return x.stands(now) && x.last.Sub(x.first) >= OwnerPause
 }
 
 // AnyUnreachable is false when Unreachable is false for every VM.
--- a/core/cassiaroute/message.go
+++ b/core/cassiaroute/message.go
@@ -46,7 +46,11 @@
 type PlatformLeaving struct{ Targets []cassiaid.TargetName }
 
 // OwnerUnreachable tells that a VM could not be reached.
-type OwnerUnreachable struct{ Owner cassiaid.VMName }
+type OwnerUnreachable struct {
+	Owner cassiaid.VMName
+	// At is when that was found, the time of the update when zero.
+	At time.Time
+}
 
 // OwnerReachable tells that a VM has answered.
 type OwnerReachable struct{ Owner cassiaid.VMName }
--- a/core/cassiaroute/table.go
+++ b/core/cassiaroute/table.go
@@ -58,7 +58,7 @@
 	case PlatformLeaving:
 		return t.setPlatformList(now, m.Targets)
 	case OwnerUnreachable:
-		t.doubts.add(m.Owner, now)
+		t.doubts.add(m.Owner, m.foundAt(now))
 	case OwnerReachable:
 		delete(t.doubts, m.Owner)
 	case AttemptSent:
--- a/io/cassiaentry/owners.go
+++ b/io/cassiaentry/owners.go
@@ -29,7 +29,7 @@
 	e.silence.expect(owner, e.config.Clock.Now().Add(batch.FlushAfter.AsDuration()+silenceGrace))
 	err := e.config.Peers.Send(ctx, owner, laneOf(query), frame)
 	if err != nil {
-		e.doubt(owner)
+		e.doubt(owner, e.config.Clock.Now())
 		return err
 	}
 	return nil
@@ -103,14 +103,14 @@
 // PeerLost tells every run that waits for a VM that it will not answer.
 func (e *Entry) PeerLost(owner cassiaid.VMName) {
 	e.silence.heard(owner)
-	e.doubt(owner)
+	e.doubt(owner, e.config.Clock.Now())
 	e.each(func(r *run) { r.events.put(event{lostOwner: owner}) })
 }
 
-// doubt ranks an owner last until something is heard from it.
-func (e *Entry) doubt(owner cassiaid.VMName) {
+// doubt ranks an owner that was found unreachable last until something is heard from it.
+func (e *Entry) doubt(owner cassiaid.VMName, at time.Time) {
 	e.silence.doubt(owner)
-	e.config.Routes.Update(cassiaroute.OwnerUnreachable{Owner: owner})
+	e.config.Routes.Update(cassiaroute.OwnerUnreachable{Owner: owner, At: at})
 }
 
 // Quarantined stops the runs of a request that crashes targets.
--- a/io/cassiaentry/owners_test.go
+++ b/io/cassiaentry/owners_test.go
@@ -5,8 +5,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
 	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaroute"
 )
 
 // TestSilenceIsToldTwice: a lasting silence gives two signs though only one batch was sent, and life ends the doubt.
@@ -31,3 +33,23 @@
 	c.Assert(s.heard(vm), qt.IsFalse)
 	c.Assert(overdue(&s, time.Hour), qt.Equals, 0)
 }
+
+// TestLastingSilenceMakesAnOwnerUnreachable: the two signs of a lasting silence outlast a pause also when the first of them
+// takes longer to reach the routing table than the second.
+func TestLastingSilenceMakesAnOwnerUnreachable(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	table := cassiaroute.NewTable("vm0", "z0", clock)
+	var s silence
+	s.expect("vm", clock.Now())
+	for _, delay := range []time.Duration{time.Millisecond, 0} {
+		clock.Advance(silenceGrace + time.Nanosecond)
+		judged := clock.Now()
+		c.Assert(s.overdue(judged), qt.DeepEquals, []cassiaid.VMName{"vm"})
+		c.Assert(table.Unreachable("vm"), qt.IsFalse)
+		clock.Advance(delay)
+		table.Update(cassiaroute.OwnerUnreachable{Owner: "vm", At: judged})
+		clock.Advance(-delay)
+	}
+	c.Assert(table.Unreachable("vm"), qt.IsTrue)
+}
--- a/io/cassiaentry/silence.go
+++ b/io/cassiaentry/silence.go
@@ -7,6 +7,7 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaroute"
 )
 
 const (
@@ -25,9 +26,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			for _, owner := range e.silence.overdue(e.config.Clock.Now()) {
+			now := e.config.Clock.Now()
+			for _, owner := range e.silence.overdue(now) {
 				e.count("ownerSilent")
-				e.doubt(owner)
+				e.doubt(owner, now)
 				e.each(func(r *run) { r.post(cassiaplan.OwnerSilent{Owner: owner}) })
 			}
 		}
@@ -93,7 +95,7 @@
 		if o.again {
 			delete(s.expected, owner)
 		} else {
-			s.expected[owner] = owed{by: now.Add(silenceGrace), again: true}
+			s.expected[owner] = owed{by: now.Add(cassiaroute.OwnerPause), again: true}
 		}
 	}
 	return owners
