Ask another zone when the one asked has no retry budget left

Ruled out: a larger share for each zone alone (the bound over all zones leaves none). Change: such a hedge goes to the target of another zone at once, such a retry too, each target once. TestHedgeOverBudgetGoesElsewhere failed before (no second hedge).

--- a/core/cassiagateway/path_test.go
+++ b/core/cassiagateway/path_test.go
@@ -152,3 +152,42 @@
 	c.Check(finish[0].Answer.Refusal.NotRun, qt.IsTrue)
 	c.Check(g.CanServe(), qt.IsTrue)
 }
+
+// scarceShard returns a gateway in zone a with one shard in three other zones, each of which is reached by one VM for all.
+func scarceShard(clock clockwork.Clock) (*Gateway, *cassiacatalog.Route) {
+	g, route := remoteShards(clock, 1)
+	g.Update(FleetChanged{VMs: []VM{{Name: "vm-a", Zone: "a"}, {Name: "vm-b", Zone: "b"}, {Name: "vm-c", Zone: "c"}, {Name: "vm-d", Zone: "d"}}})
+	name := serviceName(0)
+	g.Update(ServicesChanged{Services: map[cassiacatalog.ServiceName]cassiacatalog.Service{name: {Name: name, MaxConnections: 2}}})
+	var targets []cassiadirectory.Target
+	for i, zone := range []cassiaid.Zone{"b", "c", "d"} {
+		targets = append(targets, cassiadirectory.Target{Name: targetName(0, i), Service: name, Zone: zone, Slots: 2})
+	}
+	g.Update(TargetsChanged{Targets: targets})
+	route.MaxAttempts = 3
+	return g, route
+}
+
+// TestHedgeOverBudgetGoesElsewhere: where the VM on the way has no budget left for a service, the target of another zone is
+// asked, each once; the first attempt still counts.
+func TestHedgeOverBudgetGoesElsewhere(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	g, route := scarceShard(clock)
+	first := effectsOf[Send](g.Update(Arrived{Query: 1, Route: route, Deadline: clock.Now().Add(time.Second)}))
+	c.Assert(first, qt.HasLen, 1)
+	asked := map[cassiaid.VMName]bool{first[0].Via: true}
+	clock.Advance(40 * time.Millisecond)
+	for range 2 {
+		hedges := effectsOf[Send](g.Update(Tick{}))
+		c.Assert(hedges, qt.HasLen, 1)
+		c.Assert(hedges[0].Extra, qt.IsTrue)
+		asked[hedges[0].Via] = true
+		g.Update(AttemptsEnded{[]AttemptEnded{{Attempt: hedges[0].Attempt, Outcome: OutcomeOverBudget}}})
+	}
+	c.Check(asked, qt.HasLen, 3)
+	c.Check(effectsOf[Send](g.Update(Tick{})), qt.HasLen, 0)
+	finish := effectsOf[Finish](g.Update(AttemptsEnded{[]AttemptEnded{answerBy(first[0].Attempt, "first")}}))
+	c.Assert(finish, qt.HasLen, 1)
+	c.Check(finish[0].Answer.Merged.Stamps, qt.DeepEquals, []string{"first"})
+}
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -299,6 +299,10 @@
 		s.failure = m.Reply
 	}
 	if len(s.running) > 0 {
+		if m.Outcome == OutcomeOverBudget {
+			// A target of another zone may have budget left.
+			s.hedgeAt = now
+		}
 		return
 	}
 	if !s.mayRetry(m.Outcome) {
@@ -315,7 +319,7 @@
 	// What reached no target costs none.
 	free := !outcome.reachedTarget()
 	switch {
-	case found == unreachable, !free && !g.pay(now, s, t):
+	case found == unreachable, outcome == OutcomeOverBudget && slices.Contains(s.tried, t), !free && !g.pay(now, s, t):
 		g.kill(s)
 	case found == busy:
 		g.enqueue(now, s)
@@ -337,7 +341,7 @@
 // mayRetry tells whether a shard whose attempt ended so may be sent to another target.
 func (s *shard) mayRetry(outcome Outcome) bool {
 	r := s.query.route
-	return s.reached < max(1, r.MaxAttempts) && len(s.tried) < maxPlacements && outcome != OutcomeOverBudget &&
+	return s.reached < max(1, r.MaxAttempts) && len(s.tried) < maxPlacements &&
 		(r.Idempotent || !outcome.mayHaveRun())
 }
 
