Decline stalled and failing targets where one VM sends for all

Change: the VM that sends to a target for all sees all of its attempts. core/cassiafitness judges them: with an attempt that takes 2.5 times the usual time of its route, or two failures in a row, the target is unfit for a moment, and the attempt is handed back at once, unpaid and unsent. The asking VM goes to another replica, and forces the third. A part that was handed back can still be sieved. Tests of the monitor, of the gateway (TestUnfitTargetsAreLeftAtOnce) and of the aggregator (TestFailingTargetIsDeclined) fail without it.

--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -23,6 +23,8 @@
 	Whole bool
 	// Extra is true for an attempt beyond the first of a shard that Via has to pay for.
 	Extra bool
+	// Force has Via send the attempt also to a target that it finds unfit.
+	Force bool
 	// Fresh asks for a connection that no request was sent on before.
 	Fresh bool
 }
--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -107,6 +107,8 @@
 	// OutcomeOverBudget means that the VM on the way refused to send a request beyond the first, since the service got too
 	// many of them; nothing was sent.
 	OutcomeOverBudget Outcome = "overBudget"
+	// OutcomeUnfit means that the VM on the way, which sends to the target for all, found it stalled or failing; nothing was sent.
+	OutcomeUnfit Outcome = "unfit"
 	// OutcomeBroken means that the connection ended or the answer can't be used; the request may have run.
 	OutcomeBroken Outcome = "broken"
 	// OutcomeSilent means that no answer came for so long that the attempt was given up; the request may have run.
@@ -116,7 +118,7 @@
 // mayHaveRun is false when the target certainly did not run the request.
 func (o Outcome) mayHaveRun() bool {
 	switch o {
-	case OutcomeRejected, OutcomeWrongTarget, OutcomeUnsent, OutcomeAbandoned, OutcomePathUnfit, OutcomeOverBudget:
+	case OutcomeRejected, OutcomeWrongTarget, OutcomeUnsent, OutcomeAbandoned, OutcomePathUnfit, OutcomeOverBudget, OutcomeUnfit:
 		return false
 	default:
 		return true
@@ -125,7 +127,12 @@
 
 // reachedTarget is false when no target got the request.
 func (o Outcome) reachedTarget() bool {
-	return o != OutcomeUnsent && o != OutcomeAbandoned && o != OutcomePathUnfit && o != OutcomeOverBudget
+	switch o {
+	case OutcomeUnsent, OutcomeAbandoned, OutcomePathUnfit, OutcomeOverBudget, OutcomeUnfit:
+		return false
+	default:
+		return true
+	}
 }
 
 // Reply is a target's whole answer.
@@ -141,7 +148,7 @@
 func ParseOutcome(name string) Outcome {
 	switch o := Outcome(name); o {
 	case OutcomeAnswered, OutcomeFailed, OutcomeRejected, OutcomeWrongTarget, OutcomeUnsent, OutcomeAbandoned, OutcomePathLost,
-		OutcomePathUnfit, OutcomeOverBudget, OutcomeSilent:
+		OutcomePathUnfit, OutcomeOverBudget, OutcomeUnfit, OutcomeSilent:
 		return o
 	default:
 		return OutcomeBroken
--- a/core/cassiagateway/path_test.go
+++ b/core/cassiagateway/path_test.go
@@ -191,3 +191,25 @@
 	c.Assert(finish, qt.HasLen, 1)
 	c.Check(finish[0].Answer.Merged.Stamps, qt.DeepEquals, []string{"first"})
 }
+
+// TestUnfitTargetsAreLeftAtOnce: a shard whose target is found unfit goes to the next one without a wait and without a payment, and
+// is sent in any case once several are. Its part can still be sieved, since none came before it.
+func TestUnfitTargetsAreLeftAtOnce(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	g, route := scarceShard(clock)
+	sends := effectsOf[Send](g.Update(Arrived{Query: 1, Route: route, Deadline: clock.Now().Add(time.Second)}))
+	asked := map[cassiaid.TargetName]bool{}
+	for i := range maxDeclined + 1 {
+		c.Assert(sends, qt.HasLen, 1)
+		asked[sends[0].Target] = true
+		c.Check([]bool{sends[0].Force, sends[0].Extra, sends[0].Whole}, qt.DeepEquals, []bool{i == maxDeclined, false, false})
+		if i < maxDeclined {
+			sends = effectsOf[Send](g.Update(AttemptsEnded{[]AttemptEnded{{Attempt: sends[0].Attempt, Outcome: OutcomeUnfit}}}))
+		}
+	}
+	c.Check(asked, qt.HasLen, maxDeclined+1)
+	finish := effectsOf[Finish](g.Update(AttemptsEnded{[]AttemptEnded{answerBy(sends[0].Attempt, "0")}}))
+	c.Assert(finish, qt.HasLen, 1)
+	c.Check(finish[0].Answer.Merged.Stamps, qt.DeepEquals, []string{"0"})
+}
--- a/core/cassiagateway/query.go
+++ b/core/cassiagateway/query.go
@@ -41,7 +41,9 @@
 	// reached counts the attempts that are under way or reached a target.
 	reached int
 	running []*attempt
-	reply   *Reply
+	// declined counts the attempts that were not sent since their targets were unfit.
+	declined int
+	reply    *Reply
 	// failure is the last answer of a target that ran the request and failed.
 	failure *Reply
 	hedgeAt time.Time
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -143,8 +143,9 @@
 	q := s.query
 	g.nextID++
 	a := &attempt{id: g.nextID, shard: s, target: t, sent: now, usual: usual, via: g.pathFor(now, q.route, t)}
-	a.sieved, a.begun = a.via != "" && len(s.tried) == 0, a.via != ""
+	a.sieved, a.begun = a.via != "" && len(s.tried) == s.declined, a.via != ""
 	a.extra = a.via != "" && s.reached > 0 && s.service.scarce(g.vms)
+	force := slices.Contains(s.tried, t) || s.declined >= maxDeclined
 	a.way = g.wayOf(wayKey{zone: t.Zone, via: a.via})
 	a.way.began(a)
 	g.attempts[a.id] = a
@@ -157,7 +158,7 @@
 	q.trace.Attempts++
 	g.emit(Send{Query: q.id, Attempt: a.id, Target: t.Name, Address: t.Address,
 		Deadline: minTime(q.deadline, q.giveUpAt.Add(giveUpMargin)), Fresh: !q.route.Idempotent,
-		Via: a.via, Whole: !a.sieved, Extra: a.extra})
+		Via: a.via, Whole: !a.sieved, Extra: a.extra, Force: force})
 }
 
 func minTime(a, b time.Time) time.Time {
@@ -246,6 +247,10 @@
 	case OutcomeOverBudget:
 		g.paths.heard(a.via)
 		return
+	case OutcomeUnfit:
+		g.paths.heard(a.via)
+		a.target.unfitUntil = now.Add(unfitHold)
+		return
 	case OutcomePathLost, OutcomePathUnfit:
 		g.doubtPath(now, a.way.key, outcome)
 		return
@@ -295,12 +300,15 @@
 		return
 	}
 	q.noteFailure(a, m.Outcome)
+	if m.Outcome == OutcomeUnfit {
+		s.declined++
+	}
 	if m.Outcome == OutcomeFailed {
 		s.failure = m.Reply
 	}
 	if len(s.running) > 0 {
-		if m.Outcome == OutcomeOverBudget {
-			// A target of another zone may have budget left.
+		if m.Outcome == OutcomeOverBudget || m.Outcome == OutcomeUnfit {
+			// The target of another zone may do.
 			s.hedgeAt = now
 		}
 		return
@@ -345,6 +353,9 @@
 		(r.Idempotent || !outcome.mayHaveRun())
 }
 
+// maxDeclined is how many targets may be found unfit for a shard before it is sent in any case.
+const maxDeclined = 2
+
 // maxPlacements bounds the targets that one request is sent towards, reached or not.
 const maxPlacements = 6
 
--- a/core/cassiagateway/simulation_test.go
+++ b/core/cassiagateway/simulation_test.go
@@ -17,8 +17,10 @@
 	"cassiasaddle/core/cassiarecord"
 )
 
+// simulationSeed draws all that is random in a world.
+var simulationSeed uint64 = 1
+
 const (
-	simulationSeed = 1
 	zoneDelay      = 200 * time.Microsecond
 	crossDelay     = 4 * time.Millisecond
 	simulatedQueue = 12
@@ -305,7 +307,8 @@
 	for i := range vms {
 		v := &simulatedVM{world: w, zone: zones[i%len(zones)], asked: make(map[QueryID]func(Answer)),
 			works: make(map[cassiaid.AttemptID]*work), routes: make(map[QueryID]simulatedRoute)}
-		v.gateway = NewGateway(w, rand.New(rand.NewPCG(simulationSeed, uint64(i))), Settings{Retries: cassiabudget.Allowance{Ratio: 0.2, Slack: 54}, VMs: vms})
+		v.gateway = NewGateway(w, rand.New(rand.NewPCG(simulationSeed, uint64(i))), Settings{Retries: cassiabudget.Allowance{Ratio: 0.2, Slack: 54}, VMs: vms,
+			Name: cassiaid.VMName(fmt.Sprintf("vm-%d", i)), Zone: v.zone})
 		v.update(ServicesChanged{Services: services})
 		v.update(TargetsChanged{Targets: list})
 		w.vms = append(w.vms, v)
@@ -333,6 +336,12 @@
 
 // load sends requests at random times at a rate a second to VMs at random.
 func (w *world) load(r simulatedRoute, name string, rate float64, length time.Duration) {
+	w.begin(r, name, rate, length)
+	w.runFor(length + 2*time.Second)
+}
+
+// begin has requests sent for a time from now on.
+func (w *world) begin(r simulatedRoute, name string, rate float64, length time.Duration) {
 	end := w.now.Add(length)
 	var next func()
 	next = func() {
@@ -347,7 +356,6 @@
 		w.after(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), next)
 	}
 	next()
-	w.runFor(length + 2*time.Second)
 }
 
 // pauses has each target pause at its own time.
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -5,6 +5,7 @@
 
 	"cassiasaddle/core/cassiabackoff"
 	"cassiasaddle/core/cassiadirectory"
+	"cassiasaddle/core/cassiafitness"
 )
 
 const (
@@ -25,10 +26,8 @@
 	failurePenalty = 6.0
 	// doubtPenalty is how many times longer a target whose registration is gone is taken to need.
 	doubtPenalty = 3.0
-	// stallFactor is how many times the usual duration an attempt may take before its target counts as paused.
-	stallFactor = 2.5
-	// minStall is the least age of an attempt that counts as a pause; less is lost in scheduling delays.
-	minStall = 12 * time.Millisecond
+	// unfitHold is how long a target is left alone after the VM that sends to it for all has found it unfit.
+	unfitHold = 100 * time.Millisecond
 	// Pauses between probes of a target that can't be reached, doubled with each failure.
 	firstEjection = 250 * time.Millisecond
 	maxEjection   = 2 * time.Second
@@ -50,6 +49,7 @@
 	unreached    int
 	silences     int
 	ejectedUntil time.Time
+	unfitUntil   time.Time
 	probing      bool
 	// wantsProbe is true when a connection should be opened before a request needs it, warmed once that was asked for.
 	wantsProbe, warmed bool
@@ -151,13 +151,13 @@
 	return first
 }
 
-// stalled tells whether an attempt on the target has been running for much longer than it usually takes.
+// stalled tells whether an attempt on the target has been running for much longer than it usually takes, or the VM that sends to
+// it for all has found it unfit.
 func (t *target) stalled(now time.Time) bool {
 	for _, a := range t.running {
-		limit := time.Duration(stallFactor * max(1, t.pace) * float64(a.usual))
-		if now.Sub(a.sent) > max(minStall, limit) {
+		if now.Sub(a.sent) > cassiafitness.StallLimit(time.Duration(max(1, t.pace)*float64(a.usual))) {
 			return true
 		}
 	}
-	return false
+	return now.Before(t.unfitUntil)
 }
--- a/core/cassiagateway/way.go
+++ b/core/cassiagateway/way.go
@@ -50,7 +50,7 @@
 func (w *way) ended(now time.Time, a *attempt, outcome Outcome) {
 	w.running = without(w.running, a)
 	switch outcome {
-	case OutcomeAnswered, OutcomeFailed, OutcomeRejected, OutcomeWrongTarget:
+	case OutcomeAnswered, OutcomeFailed, OutcomeRejected, OutcomeWrongTarget, OutcomeUnfit:
 		w.heard = now
 		clear(w.silent)
 	case OutcomeUnsent, OutcomeSilent:
--- a/io/cassiaaggregate/aggregate_test.go
+++ b/io/cassiaaggregate/aggregate_test.go
@@ -52,7 +52,7 @@
 
 func (n *fakeNode) Drop(cassiaid.VMName) {}
 
-// fakeTargets answers each target with its part, after a time.
+// fakeTargets answers for each target with its part, breaks off for one whose part is nil, and is silent for others.
 type fakeTargets map[string][]byte
 
 func (f fakeTargets) Exchange(ctx context.Context, call cassiapool.Call) (cassiagateway.Outcome, *cassiagateway.Reply) {
@@ -61,6 +61,9 @@
 		<-ctx.Done()
 		return cassiagateway.OutcomeSilent, nil
 	}
+	if part == nil {
+		return cassiagateway.OutcomeBroken, nil
+	}
 	return cassiagateway.OutcomeAnswered, &cassiagateway.Reply{Status: 200, Stamp: "stamp-" + call.Instance, Body: part}
 }
 
@@ -166,3 +169,17 @@
 	node.paths.Send(testVM, batchOf("silent"))
 	c.Check(next(c, ended).Outcome, qt.Equals, cassiagateway.OutcomePathLost)
 }
+
+// TestFailingTargetIsDeclined: once a target has lost answers, attempts at it are sent only if they are forced.
+func TestFailingTargetIsDeclined(t *testing.T) {
+	c := qt.New(t)
+	node, ended := connect(fakeTargets{"failing": nil})
+	for _, want := range []cassiagateway.Outcome{cassiagateway.OutcomeBroken, cassiagateway.OutcomeBroken, cassiagateway.OutcomeUnfit} {
+		node.paths.Send(testVM, batchOf("failing"))
+		c.Check(next(c, ended).Outcome, qt.Equals, want)
+	}
+	forced := batchOf("failing")
+	forced.Attempts[0].Force = true
+	node.paths.Send(testVM, forced)
+	c.Check(next(c, ended).Outcome, qt.Equals, cassiagateway.OutcomeBroken)
+}
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -10,6 +10,7 @@
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiadirectory"
+	"cassiasaddle/core/cassiafitness"
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiarecord"
@@ -41,6 +42,7 @@
 
 	mutex   sync.Mutex
 	budgets cassiabudget.Shared[cassiacatalog.ServiceName]
+	fitness cassiafitness.Monitor
 	running map[cassiaid.VMName]map[uint64]context.CancelFunc
 }
 
@@ -63,7 +65,7 @@
 		a.begin(from, id, cancel)
 		a.group.Go(func() error {
 			defer cancel()
-			outcome, answer := a.exchange(ctx, decodeCall(m, attempt, now), attempt.GetExtra())
+			outcome, answer := a.exchange(ctx, decodeCall(m, attempt, now), m.GetRoute(), attempt)
 			a.end(from, id)
 			b.add(servedResult{attempt: attempt, outcome: outcome, answer: answer})
 			return nil
@@ -71,25 +73,52 @@
 	}
 }
 
-func (a *Aggregator) exchange(ctx context.Context, call cassiapool.Call, extra bool) (cassiagateway.Outcome, *cassiagateway.Reply) {
+func (a *Aggregator) exchange(ctx context.Context, call cassiapool.Call, route string,
+	attempt *cassiaschema.AggregateAttempt) (cassiagateway.Outcome, *cassiagateway.Reply) {
 	target, ok := a.targets.Target(cassiaid.TargetName(call.Instance))
 	if !ok {
 		return cassiagateway.OutcomePathUnfit, nil
 	}
-	if !a.admit(target.Service, extra) {
-		return cassiagateway.OutcomeOverBudget, nil
+	running, refusal := a.admit(target, route, attempt)
+	if running == nil {
+		return refusal, nil
 	}
 	call.Address = target.Address
-	return a.exchanger.Exchange(ctx, call)
+	outcome, answer := a.exchanger.Exchange(ctx, call)
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.fitness.End(time.Now(), running, resultOf(outcome))
+	return outcome, answer
 }
 
-// admit tells whether the retry budget of a service allows an attempt.
-func (a *Aggregator) admit(service cassiacatalog.ServiceName, extra bool) bool {
+// admit begins an attempt, or tells why it is not sent: its target is unfit, or the retry budget of the service does not allow it.
+func (a *Aggregator) admit(target cassiadirectory.Target, route string, attempt *cassiaschema.AggregateAttempt) (*cassiafitness.Attempt, cassiagateway.Outcome) {
 	zones := a.targets.Zones()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	now := time.Now()
+	running := a.fitness.Begin(now, target.Name, route, attempt.GetForce())
+	if running == nil {
+		return nil, cassiagateway.OutcomeUnfit
+	}
 	a.budgets.Zones = zones
-	return a.budgets.Admit(time.Now(), service, extra)
+	if !a.budgets.Admit(now, target.Service, attempt.GetExtra()) {
+		a.fitness.End(now, running, cassiafitness.Unknown)
+		return nil, cassiagateway.OutcomeOverBudget
+	}
+	return running, ""
+}
+
+// resultOf tells what the outcome of an attempt says of its target.
+func resultOf(o cassiagateway.Outcome) cassiafitness.Result {
+	switch o {
+	case cassiagateway.OutcomeAnswered:
+		return cassiafitness.Answered
+	case cassiagateway.OutcomeFailed, cassiagateway.OutcomeRejected, cassiagateway.OutcomeBroken, cassiagateway.OutcomeUnsent:
+		return cassiafitness.Failed
+	default:
+		return cassiafitness.Unknown
+	}
 }
 
 // Cancel ends attempts of a VM; their results still follow.
--- a/io/cassiaaggregate/batch.go
+++ b/io/cassiaaggregate/batch.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
@@ -20,6 +21,8 @@
 	Whole bool
 	// Extra is true for an attempt beyond the first, which the receiver's budget pays for.
 	Extra bool
+	// Force asks for the attempt to be sent also while its target is unfit.
+	Force bool
 }
 
 // Batch is a request to several targets of a zone.
@@ -27,6 +30,7 @@
 	Query cassiagateway.QueryID
 	// Call is the request; its address and instance are not used.
 	Call     cassiapool.Call
+	Route    cassiacatalog.RouteName
 	TopK     int
 	Attempts []Attempt
 }
@@ -34,7 +38,8 @@
 // encode returns the message for a batch.
 func (b *Batch) encode(now time.Time) *cassiaschema.PeerFrame {
 	m := &cassiaschema.AggregateBatch{QueryId: uint64(b.Query), Method: b.Call.Method, Uri: b.Call.URI, Host: b.Call.Host,
-		RequestId: b.Call.RequestID, Body: b.Call.Body, Remaining: durationpb.New(b.Call.Deadline.Sub(now)), TopK: uint32(b.TopK)}
+		RequestId: b.Call.RequestID, Body: b.Call.Body, Remaining: durationpb.New(b.Call.Deadline.Sub(now)), TopK: uint32(b.TopK),
+		Route: string(b.Route)}
 	for name, values := range b.Call.Header {
 		for _, value := range values {
 			m.Headers = append(m.Headers, &cassiaschema.HeaderField{Name: name, Value: value})
@@ -43,7 +48,7 @@
 	m.FirstAttemptId = uint64(b.Attempts[0].ID)
 	for _, a := range b.Attempts {
 		m.Attempts = append(m.Attempts, &cassiaschema.AggregateAttempt{Number: uint64(a.ID) - m.GetFirstAttemptId(),
-			Target: string(a.Target), Whole: a.Whole, Extra: a.Extra})
+			Target: string(a.Target), Whole: a.Whole, Extra: a.Extra, Force: a.Force})
 	}
 	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_AggregateBatch{AggregateBatch: m}}
 }
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -22,6 +22,7 @@
 // question is a caller's request while it is served.
 type question struct {
 	call   cassiapool.Call
+	route  cassiacatalog.RouteName
 	topK   int
 	answer chan cassiagateway.Answer
 }
@@ -186,7 +187,7 @@
 
 // ask serves one request and returns its answer; false means that the caller has gone.
 func (g *Gate) ask(ctx context.Context, route *cassiacatalog.Route, call cassiapool.Call) (cassiagateway.Answer, bool) {
-	q := &question{call: call, topK: route.TopK, answer: make(chan cassiagateway.Answer, 1)}
+	q := &question{call: call, route: route.Name, topK: route.TopK, answer: make(chan cassiagateway.Answer, 1)}
 	g.mutex.Lock()
 	g.nextQuery++
 	id := g.nextQuery
@@ -272,11 +273,12 @@
 	key := batchKey{vm: e.Via, query: e.Query}
 	batch := batches[key]
 	if batch == nil {
-		batch = &cassiaaggregate.Batch{Query: e.Query, Call: q.call, TopK: q.topK}
+		batch = &cassiaaggregate.Batch{Query: e.Query, Call: q.call, Route: q.route, TopK: q.topK}
 		batch.Call.Deadline = e.Deadline
 		batches[key] = batch
 	}
-	batch.Attempts = append(batch.Attempts, cassiaaggregate.Attempt{ID: e.Attempt, Target: e.Target, Whole: e.Whole, Extra: e.Extra})
+	batch.Attempts = append(batch.Attempts, cassiaaggregate.Attempt{ID: e.Attempt, Target: e.Target, Whole: e.Whole,
+		Extra: e.Extra, Force: e.Force})
 }
 
 // cancel ends an attempt.
