Serve metrics on the platform, and tell what a changed settings file takes

Cause: deploy/system.toml named no metrics address, so the counters that the front has were nowhere to be read; SIGHUP was only noted. A metrics port that was taken ended the process. TestFrontServesMetrics and TestFrontReadsItsSettingsAnew failed before.

--- a/io/cassiagate/server.go
+++ b/io/cassiagate/server.go
@@ -67,20 +67,26 @@
 	ready.HandleFunc(s.config.ReadyPath, s.readiness)
 	servers := []*http.Server{s.callers}
 	group.Go(func() error { return serve(s.callers, callers) })
-	pages := map[string]*http.ServeMux{s.config.ReadyAddress: ready}
-	if s.config.MetricsAddress != "" {
-		mux := http.NewServeMux()
-		mux.Handle(s.config.MetricsPath, s.config.Metrics)
-		pages[s.config.MetricsAddress] = mux
-	}
-	for address, mux := range pages {
+	page := func(address string, mux *http.ServeMux) error {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return eris.Wrap(err, "listen for the balancer or for metrics; check that the address is this VM's and free")
+			return err
 		}
 		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 		servers = append(servers, server)
 		group.Go(func() error { return serve(server, listener) })
+		return nil
+	}
+	if err := page(s.config.ReadyAddress, ready); err != nil {
+		return eris.Wrap(err, "listen for the balancer; check that the address is this VM's and free")
+	}
+	if s.config.MetricsAddress != "" {
+		mux := http.NewServeMux()
+		mux.Handle(s.config.MetricsPath, s.config.Metrics)
+		if err := page(s.config.MetricsAddress, mux); err != nil {
+			// Callers are served all the same.
+			s.gate.report.event("metricsNotServed", "address", s.config.MetricsAddress, "error", err)
+		}
 	}
 	stopSweep := make(chan struct{})
 	group.Go(func() error { s.sweep(stopSweep); return nil })
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -38,14 +39,15 @@
 	server  *httptest.Server
 	targets []*cassiastage.Target
 	version int
-	sent    atomic.Int64
+	// connections is how many connections a target of a shard takes, 26 when zero.
+	connections int
+	sent        atomic.Int64
 }
 
 // newStage returns a store with a configuration and two replicas of each of some shards, and a service of one target.
 func newStage(t *testing.T) *stage {
 	s := &stage{c: qt.New(t), store: cassiastage.NewStore()}
-	s.server = httptest.NewServer(s.store)
-	t.Cleanup(s.server.Close)
+	s.serveStore(t)
 	for shard := range stageShards {
 		for replica := range 2 {
 			part := bytes.Repeat([]byte{byte('a' + shard)}, 2*cassiarecord.Bytes)
@@ -56,6 +58,11 @@
 	return s
 }
 
+func (s *stage) serveStore(t *testing.T) {
+	s.server = httptest.NewServer(s.store)
+	t.Cleanup(s.server.Close)
+}
+
 func (s *stage) addTarget(t *testing.T, name, service string, part []byte) *cassiastage.Target {
 	target := cassiastage.NewTarget(name, service, part)
 	t.Cleanup(target.Close)
@@ -87,7 +94,7 @@
 	for shard := range stageShards {
 		name := fmt.Sprintf("shard-%d", shard)
 		shards = append(shards, name)
-		services = append(services, map[string]any{"name": name, "health_path": "/health", "max_conns": 26})
+		services = append(services, map[string]any{"name": name, "health_path": "/health", "max_conns": cmp.Or(s.connections, 26)})
 	}
 	search := map[string]any{"name": "search", "host": stageHost, "prefix": "/search/", "route_type": "idempotent", "timeout_ms": 2000,
 		"target_latency_ms": 300, "priority": 1, "gather": shards, "max_attempts": 2, "top_k": 5, "min_coverage": 0.75}
@@ -100,6 +107,8 @@
 	process *process
 	callers string
 	ready   string
+	// settings is its settings file.
+	settings string
 }
 
 // freePort returns a port of loopback that nobody uses now.
@@ -110,16 +119,16 @@
 	return strconv.Itoa(listener.Addr().(*net.TCPAddr).Port)
 }
 
-// launch starts a VM without waiting until it is ready.
-func (s *stage) launch(t *testing.T, name, zone string) *stageVM {
+// launch starts a VM with some flags without waiting until it is ready.
+func (s *stage) launch(t *testing.T, name, zone string, flags ...string) *stageVM {
 	vm := &stageVM{callers: "127.0.0.1:" + freePort(t), ready: "127.0.0.1:" + freePort(t)}
 	lines := []string{"node_name=" + name, "zone=" + zone, "ip=127.0.0.1", "listen.front=" + vm.callers,
 		"listen.ready_addr=" + vm.ready, "internal_ports=" + freePort(t) + ",65535", "limits.memory_mb=284", "limits.cpu_share=0.4",
 		"platform.address=" + s.server.Listener.Addr().String(), "platform.min_ttl_ms=1000", "bounds.drain_ms=3000", "bounds.grace_s=6",
 		"bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=54", "bounds.budget_window_s=10", "something.new=1"}
-	file := filepath.Join(t.TempDir(), "boot.conf")
-	qt.Assert(t, os.WriteFile(file, []byte(strings.Join(lines, "\n")), 0o600), qt.IsNil)
-	vm.process = start(t, "cassiafront", "--settings", file)
+	vm.settings = filepath.Join(t.TempDir(), "boot.conf")
+	qt.Assert(t, os.WriteFile(vm.settings, []byte(strings.Join(lines, "\n")), 0o600), qt.IsNil)
+	vm.process = start(t, "cassiafront", append([]string{"--settings", vm.settings}, flags...)...)
 	return vm
 }
 
@@ -409,3 +418,44 @@
 		return answer.status == http.StatusOK && answer.body == want
 	}, "a VM whose way is lost does not go on alone")
 }
+
+// TestFrontServesMetrics: counters are served on the metrics port, and a port that is taken keeps no VM from its callers.
+func TestFrontServesMetrics(t *testing.T) {
+	s := newStage(t)
+	s.configure()
+	port := freePort(t)
+	vm := s.launch(t, "vm-1", stageZone, "--metrics-port", port)
+	s.eventually(vm.isReady, "the VM is not ready")
+	s.mustAsk(vm, http.MethodGet, "/search/x", "")
+	s.eventually(func() bool {
+		reply, err := http.Get("http://127.0.0.1:" + port + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer reply.Body.Close() //nolint:errcheck // it was read
+		page, err := io.ReadAll(reply.Body)
+		return err == nil && strings.Contains(string(page), "cassiasaddle_attempts")
+	}, "the metrics lack the attempts")
+	other := s.launch(t, "vm-2", stageZone, "--metrics-port", port)
+	s.eventually(other.isReady, "a VM whose metrics port is taken is not ready")
+	s.c.Check(strings.Contains(other.process.output.String(), "event=metricsNotServed"), qt.IsTrue)
+}
+
+// TestFrontReadsItsSettingsAnew: SIGHUP tells whether what has changed takes a restart, and bad settings change nothing.
+func TestFrontReadsItsSettingsAnew(t *testing.T) {
+	s := newStage(t)
+	s.configure()
+	vm := s.launchReady(t, "vm-1", stageZone)
+	before, err := os.ReadFile(vm.settings)
+	s.c.Assert(err, qt.IsNil)
+	for _, change := range []struct{ lines, event string }{
+		{"\nbootstrap=false", "event=reload restartNeeded=false"},
+		{"\nlimits.cpu_share=0.8", "event=reload restartNeeded=true"},
+		{"\nlimits.cpu_share=much", "event=reloadRefused"},
+	} {
+		s.c.Assert(os.WriteFile(vm.settings, append(bytes.Clone(before), change.lines...), 0o600), qt.IsNil)
+		vm.process.signal(syscall.SIGHUP)
+		s.eventually(func() bool { return strings.Contains(vm.process.output.String(), change.event) }, "no "+change.event)
+	}
+	s.c.Check(vm.isReady(), qt.IsTrue)
+}
