--- /dev/null
+++ b/test/soak_test.go
@@ -0,0 +1,289 @@
+package test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/platform/cassiastage"
+	"cassiasaddle/standin/cassiarelay"
+)
+
+var (
+	soakFirst = flag.Uint64("soak.first", 1, "the first seed of TestSoak")
+	soakSeeds = flag.Uint64("soak.seeds", 2, "how many seeds TestSoak plays")
+	soakFor   = flag.Duration("soak.for", 5*time.Second, "how long the faults of each seed last")
+)
+
+// soakFailed are seeds that failed once, each with its cause; they are played every time.
+var soakFailed = []uint64{}
+
+const (
+	// What the platform's settings promise; the bounds of the checks.
+	soakDrain   = 3 * time.Second
+	soakApply   = 3 * time.Second
+	soakContact = 4 * time.Second
+	soakRecover = 12 * time.Second
+	soakTimeout = 2 * time.Second
+	// soakLate is how long after its timeout a request may still be without a final answer.
+	soakLate    = 500 * time.Millisecond
+	soakCallers = 6
+)
+
+// TestSoak plays random faults, alone and together, against VMs as processes, and checks what callers and targets see.
+func TestSoak(t *testing.T) {
+	seeds := soakFailed
+	for i := range *soakSeeds {
+		seeds = append(seeds, *soakFirst+i)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			newSoak(t, seed).play()
+		})
+	}
+}
+
+// soak is one seed: a platform in small behind relays, and what happened to it.
+type soak struct {
+	*stage
+	t      *testing.T
+	seed   uint64
+	random *rand.Rand
+	start  time.Time
+	// maxConnections is what each target takes; with few of them, one VM sends for all.
+	maxConnections int
+	vms            []*soakVM
+	callers        errgroup.Group
+	faults         errgroup.Group
+
+	mutex        sync.Mutex
+	replicas     []*soakReplica
+	disturbances []disturbance
+	requests     []soakRequest
+	versions     []soakVersion
+	drains       []drain
+}
+
+// soakVM is a VM with the relays between it and the others.
+type soakVM struct {
+	*stageVM
+	name, zone   string
+	store, peers *cassiarelay.Relay
+	announced    string
+
+	mutex sync.Mutex
+	// lifetimes counts the starts of its process; stopping is when SIGTERM was last sent to this one.
+	lifetimes int
+	up        bool
+	stopping  time.Time
+	// claims counts the faults that end its process or stand it still.
+	claims int
+}
+
+// soakReplica is a target with the relay in front of it.
+type soakReplica struct {
+	*cassiastage.Target
+	zone    string
+	address string
+	relay   *cassiarelay.Relay
+}
+
+// soakVersion is a version of the configuration and when the store had it.
+type soakVersion struct {
+	number   int
+	accepted time.Time
+}
+
+// host returns an address of loopback that no other seed uses.
+func (s *soak) host(kind, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 10+s.seed%200, kind, number)
+}
+
+// Kinds of addresses.
+const (
+	hostOfVM = iota + 1
+	hostOfPeers
+	hostOfStore
+	hostOfTarget
+)
+
+const soakPort = ":7400"
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	s := &soak{stage: &stage{c: qt.New(t), store: cassiastage.NewStore()}, t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), start: time.Now()}
+	s.serveStore(t)
+	ctx, stop := context.WithCancel(context.Background())
+	var relays errgroup.Group
+	t.Cleanup(func() {
+		stop()
+		relays.Wait() //nolint:errcheck // they end with the context
+	})
+	relay := func(network, listen, upstream string) *cassiarelay.Relay {
+		r := cassiarelay.New(cassiarelay.Options{Network: network, Listen: listen, Upstream: upstream, Seed: seed})
+		ready := make(chan struct{})
+		relays.Go(func() error { return r.Run(ctx, func() { close(ready) }) })
+		<-ready
+		return r
+	}
+	s.addReplicas(relay)
+	s.maxConnections = []int{26, 3}[s.random.IntN(2)]
+	s.nextVersion()
+	perZone := []int{2, 4}[s.random.IntN(2)]
+	for i := range 2 * perZone {
+		vm := &soakVM{name: fmt.Sprintf("vm-%d", i), zone: []string{"zone-a", "zone-b"}[i%2]}
+		ip := s.host(hostOfVM, i+1)
+		vm.announced = s.host(hostOfPeers, i+1) + soakPort
+		storeAddress := s.host(hostOfStore, i+1) + soakPort
+		vm.peers = relay("udp", vm.announced, ip+":7402")
+		vm.store = relay("tcp", storeAddress, s.server.Listener.Addr().String())
+		vm.stageVM = &stageVM{callers: ip + soakPort, ready: ip + ":7401", settings: filepath.Join(t.TempDir(), "boot.conf")}
+		lines := []string{"node_name=" + vm.name, "zone=" + vm.zone, "ip=" + ip, "listen.front=" + vm.callers,
+			"listen.ready_addr=" + vm.ready, "internal_ports=7402,7410", "limits.memory_mb=284", "limits.cpu_share=0.4",
+			"platform.address=" + storeAddress, "platform.min_ttl_ms=1000", "bounds.drain_ms=3000", "bounds.grace_s=6",
+			"bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=54", "bounds.budget_window_s=10"}
+		qt.Assert(t, os.WriteFile(vm.settings, []byte(strings.Join(lines, "\n")), 0o600), qt.IsNil)
+		s.vms = append(s.vms, vm)
+		s.startVM(vm)
+	}
+	for _, vm := range s.vms {
+		s.eventually(vm.isReady, vm.name+" is not ready")
+	}
+	return s
+}
+
+// addReplicas adds two replicas of each shard and of the single service, one in each zone.
+func (s *soak) addReplicas(relay func(network, listen, upstream string) *cassiarelay.Relay) {
+	for i := range 2 * (stageShards + 1) {
+		service, part := "single", []byte("the whole answer")
+		if shard := i / 2; shard < stageShards {
+			service, part = fmt.Sprintf("shard-%d", shard), partOf(shard)
+		}
+		r := &soakReplica{Target: cassiastage.NewTarget(fmt.Sprintf("t-%s-%d", service, i%2), service, part),
+			zone: []string{"zone-a", "zone-b"}[i%2], address: s.host(hostOfTarget, i+1) + soakPort}
+		r.relay = relay("tcp", r.address, r.Listen())
+		s.t.Cleanup(r.Close)
+		r.Behave(cassiastage.Behaviour{Work: 3 * time.Millisecond})
+		s.replicas = append(s.replicas, r)
+		s.register(r, "ready")
+	}
+}
+
+// register writes a replica's entry.
+func (s *soak) register(r *soakReplica, state string) {
+	entry := r.Entry(r.zone, state, 1)
+	entry["address"] = r.address
+	s.store.Put("servers/"+r.Name, entry)
+}
+
+// startVM starts a VM's process.
+func (s *soak) startVM(vm *soakVM) {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	vm.process = start(s.t, "cassiafront", "--settings", vm.settings, "--announce", vm.announced)
+	vm.lifetimes++
+	vm.up, vm.stopping = true, time.Time{}
+}
+
+// state returns what a caller may need to know of a VM.
+func (v *soakVM) state() (lifetime int, up bool, stopping time.Time) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return v.lifetimes, v.up, v.stopping
+}
+
+// end sends a signal that ends a VM's process and waits for it.
+func (v *soakVM) end(signal syscall.Signal) {
+	v.mutex.Lock()
+	process := v.process
+	v.up = signal == syscall.SIGTERM
+	if signal == syscall.SIGTERM {
+		v.stopping = time.Now()
+	}
+	v.mutex.Unlock()
+	process.signal(signal)
+	<-process.ended
+	v.mutex.Lock()
+	v.up = false
+	v.mutex.Unlock()
+}
+
+// nextVersion has the operator replace the route that only the newest version has.
+func (s *soak) nextVersion() {
+	s.mutex.Lock()
+	number := len(s.versions) + 1
+	s.mutex.Unlock()
+	s.connections = s.maxConnections
+	s.configure(stageRoute("/one/", "idempotent", "single"), stageRoute("/book/", "non_idempotent", "single"),
+		stageRoute(versionPath(number), "idempotent", "single"))
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.versions = append(s.versions, soakVersion{number: number, accepted: time.Now()})
+}
+
+func versionPath(number int) string { return fmt.Sprintf("/v%d/", number) }
+
+// play runs callers and faults, heals everything, and checks what was seen.
+func (s *soak) play() {
+	stop := make(chan struct{})
+	for i := range soakCallers {
+		random := rand.New(rand.NewPCG(s.seed, uint64(i)+1))
+		s.callers.Go(func() error { s.call(random, stop); return nil })
+	}
+	s.disturb()
+	s.heal()
+	s.checkRecovered()
+	close(stop)
+	s.c.Assert(s.callers.Wait(), qt.IsNil)
+	s.check()
+	if s.t.Failed() {
+		s.t.Logf("seed %d: %s", s.seed, s.history())
+	}
+}
+
+// heal ends all faults and starts what was stopped.
+func (s *soak) heal() {
+	s.c.Assert(s.faults.Wait(), qt.IsNil)
+	s.store.SetFaults(cassiastage.Faults{})
+	for _, vm := range s.vms {
+		if _, up, _ := vm.state(); !up {
+			s.startVM(vm)
+		}
+	}
+}
+
+// checkRecovered waits until each VM serves everything again.
+func (s *soak) checkRecovered() {
+	s.c.Helper()
+	end := time.Now().Add(soakRecover)
+	for _, vm := range s.vms {
+		for {
+			answer, _, err := s.ask(vm.stageVM, http.MethodGet, "/search/x", "")
+			if err == nil && answer.status == http.StatusOK && answer.header.Get("X-Cassiasaddle-Missing-Parts") == "0" {
+				break
+			}
+			if time.Now().After(end) {
+				s.t.Errorf("%s does not serve all shards %v after the last fault: %d %v", vm.name, soakRecover, answer.status, err)
+				return
+			}
+			pause(50 * time.Millisecond)
+		}
+	}
+}
+
+func pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	<-timer.C
+}
--- /dev/null
+++ b/test/soakcheck_test.go
@@ -0,0 +1,240 @@
+package test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cassiasaddle/core/cassiarecord"
+)
+
+// soakRequest is one request as its caller saw it.
+type soakRequest struct {
+	id       string
+	path     string
+	vm       *soakVM
+	lifetime int
+	// stopping is true when the VM had been told to stop before the request ended.
+	stopping bool
+	from, to time.Duration
+	answer   stageAnswer
+	err      error
+}
+
+// soakTop is how many records an answer of all shards holds.
+const soakTop = 5
+
+// partOf is the part of a shard.
+func partOf(shard int) []byte { return bytes.Repeat([]byte{byte('a' + shard)}, 2*cassiarecord.Bytes) }
+
+// call sends requests of all kinds, one after the other, to VMs that run.
+func (s *soak) call(random *rand.Rand, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		vm := s.vms[random.IntN(len(s.vms))]
+		lifetime, up, _ := vm.state()
+		if !up {
+			pause(5 * time.Millisecond)
+			continue
+		}
+		method, path := http.MethodGet, "/search/x"
+		switch draw := random.Float64(); {
+		case draw < 0.2:
+			method, path = http.MethodPost, "/book/x"
+		case draw < 0.3:
+			path = "/one/x"
+		case draw < 0.45:
+			path = s.anyVersion(random)
+		}
+		r := soakRequest{path: path, vm: vm, lifetime: lifetime, from: time.Since(s.start)}
+		r.answer, r.id, r.err = s.ask(vm.stageVM, method, path, "x")
+		r.to = time.Since(s.start)
+		_, _, stopping := vm.state()
+		r.stopping = !stopping.IsZero()
+		s.mutex.Lock()
+		s.requests = append(s.requests, r)
+		s.mutex.Unlock()
+	}
+}
+
+// anyVersion returns the route of the newest version or of the one before it.
+func (s *soak) anyVersion(random *rand.Rand) string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return versionPath(max(1, len(s.versions)-random.IntN(2))) + "x"
+}
+
+// Kinds of disturbance after which a VM is not held to bounds of time.
+const (
+	ownTrouble   = "kill pause stop"
+	storeTrouble = "storeDown storeLosesReplies storeForgets storeLink"
+	pathTrouble  = "peerLink targetLink targetFails targetLapses targetDrains"
+)
+
+// check compares all that callers and targets saw with what is promised.
+func (s *soak) check() {
+	runs := make(map[string]int)
+	for _, r := range s.replicas {
+		for id, n := range r.Runs() {
+			runs[id] += n
+		}
+	}
+	answered := 0
+	for _, r := range s.requests {
+		if r.err == nil && r.answer.status == http.StatusOK {
+			answered++
+		}
+		s.checkRuns(r, runs[r.id])
+		s.checkAnswer(r)
+		s.checkTime(r, runs[r.id])
+		s.checkVersion(r)
+	}
+	s.checkRegress()
+	s.checkDrains()
+	s.t.Logf("seed %d: %d of %d requests answered, %d disturbances", s.seed, answered, len(s.requests), len(s.disturbances))
+	if answered == 0 {
+		s.t.Errorf("no request was answered")
+	}
+}
+
+func (r soakRequest) String() string {
+	return fmt.Sprintf("%s %s at %s, lifetime %d, %.3f to %.3f s: %d %v", r.id, r.path, r.vm.name, r.lifetime, r.from.Seconds(), r.to.Seconds(),
+		r.answer.status, r.err)
+}
+
+// checkRuns: what is not idempotent runs once at most, and what was told as not run did not.
+func (s *soak) checkRuns(r soakRequest, runs int) {
+	if !strings.HasPrefix(r.path, "/book/") {
+		return
+	}
+	if runs > 1 {
+		s.t.Errorf("ran %d times: %v", runs, r)
+	}
+	notRun := r.err == nil && (r.answer.status == http.StatusServiceUnavailable || r.answer.status == http.StatusTooManyRequests)
+	if notRun && runs > 0 {
+		s.t.Errorf("told as not run: %v", r)
+	}
+}
+
+// checkAnswer: each answer is whole, the caller's own, and true about what it covers.
+func (s *soak) checkAnswer(r soakRequest) {
+	if r.err != nil || r.answer.status != http.StatusOK {
+		return
+	}
+	if !strings.HasPrefix(r.path, "/search/") {
+		stamp := r.answer.header.Get("X-Cassiasaddle-Server-Stamp")
+		if r.answer.body != "the whole answer" || !strings.HasSuffix(stamp, "."+r.id) {
+			s.t.Errorf("a foreign or broken answer: %v: %q %s", r, r.answer.body, stamp)
+		}
+		return
+	}
+	missing, err := strconv.Atoi(r.answer.header.Get("X-Cassiasaddle-Missing-Parts"))
+	stamps := strings.Split(r.answer.header.Get("X-Cassiasaddle-Part-Stamps"), ", ")
+	parts := make(map[int][]byte)
+	for _, stamp := range stamps {
+		var shard, replica int
+		var id string
+		if n, _ := fmt.Sscanf(stamp, "stamp.t-shard-%d-%d.%s", &shard, &replica, &id); n != 3 || id != r.id || parts[shard] != nil {
+			s.t.Errorf("a foreign or doubled part: %v: %v", r, stamps)
+			return
+		}
+		parts[shard] = partOf(shard)
+	}
+	var bodies [][]byte
+	for _, part := range parts {
+		bodies = append(bodies, part)
+	}
+	want := string(cassiarecord.Greatest(bodies, soakTop))
+	if err != nil || missing+len(parts) != stageShards || len(parts) < stageShards*3/4 || r.answer.body != want {
+		s.t.Errorf("an untrue answer: %v: %v missing %d body %q", r, stamps, missing, r.answer.body)
+	}
+}
+
+// checkTime: a VM without trouble of its own ends each request in time, and a stop cuts none off that a target works on.
+func (s *soak) checkTime(r soakRequest, runs int) {
+	if held := r.to - r.from; held > soakTimeout+soakLate && s.calm(r.vm.name, r.from-soakContact, r.to, ownTrouble) {
+		s.t.Errorf("held for %v: %v", held, r)
+	}
+	if r.err != nil && runs > 0 && s.calm(r.vm.name, r.from-soakContact, r.to, "kill pause") &&
+		s.calm("", r.from-soakContact, r.to, pathTrouble) {
+		s.t.Errorf("cut off: %v", r)
+	}
+}
+
+// checkVersion: at a VM in touch, the newest version is in force within its bound.
+func (s *soak) checkVersion(r soakRequest) {
+	var asked int
+	if n, _ := fmt.Sscanf(r.path, "/v%d/", &asked); n != 1 || r.err != nil {
+		return
+	}
+	if !s.calm(r.vm.name, r.from-soakApply-soakContact, r.to, ownTrouble+storeTrouble) {
+		return
+	}
+	for _, v := range s.versions {
+		due := v.accepted.Sub(s.start)+soakApply < r.from
+		switch found := r.answer.status != http.StatusNotFound; {
+		case due && v.number == asked && !found && s.newestAt(r.to) == asked:
+			s.t.Errorf("version %d is not in force: %v", v.number, r)
+		case due && v.number > asked && found && r.answer.status == http.StatusOK:
+			s.t.Errorf("version %d is in force after %d: %v", asked, v.number, r)
+		}
+	}
+}
+
+// newestAt returns the newest version that the store had at a time.
+func (s *soak) newestAt(at time.Duration) int {
+	newest := 0
+	for _, v := range s.versions {
+		if v.accepted.Sub(s.start) <= at {
+			newest = v.number
+		}
+	}
+	return newest
+}
+
+// checkRegress: a process never goes back behind a version that it has served.
+func (s *soak) checkRegress() {
+	type life struct {
+		vm       string
+		lifetime int
+	}
+	type seen struct {
+		version int
+		at      time.Duration
+	}
+	newest := make(map[life]seen)
+	for _, r := range s.requests {
+		var asked int
+		if n, _ := fmt.Sscanf(r.path, "/v%d/", &asked); n != 1 || r.err != nil || r.answer.status != http.StatusOK {
+			continue
+		}
+		of := life{r.vm.name, r.lifetime}
+		const slack = 250 * time.Millisecond
+		if before := newest[of]; asked < before.version && r.from > before.at+slack {
+			s.t.Errorf("back behind version %d, which was served at %v: %v", before.version, before.at, r)
+		}
+		if asked > newest[of].version {
+			newest[of] = seen{asked, r.to}
+		}
+	}
+}
+
+// checkDrains: within its bound a leaving target gets nothing more from VMs in touch.
+func (s *soak) checkDrains() {
+	for _, d := range s.drains {
+		if !s.calm("", d.from-soakContact, d.to, ownTrouble+storeTrouble) {
+			continue
+		}
+		if d.late > 0 {
+			s.t.Errorf("%s got %d requests more than %v after its word at %v", d.target, d.late, soakDrain, d.from)
+		}
+	}
+}
--- /dev/null
+++ b/test/soakfault_test.go
@@ -0,0 +1,200 @@
+package test
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"time"
+
+	"cassiasaddle/platform/cassiastage"
+	"cassiasaddle/standin/cassiarelay"
+)
+
+// disturbance is one fault or planned change, and whom it touched.
+type disturbance struct {
+	kind string
+	// vm is empty when all VMs are touched.
+	vm       string
+	from, to time.Duration
+}
+
+// drain is what a target got after the bound of its drain.
+type drain struct {
+	target   string
+	from, to time.Duration
+	late     int
+}
+
+// soakFault begins a fault and returns what ends it.
+type soakFault struct {
+	kind string
+	// begin returns the VM that is touched, if it is one alone, and what ends the fault.
+	begin func(s *soak) (vm string, end func())
+}
+
+// soakFaults are drawn from with equal chances.
+var soakFaults = []soakFault{
+	{"kill", func(s *soak) (string, func()) {
+		vm := s.anyVM()
+		if !vm.begin() {
+			return vm.name, vm.finish
+		}
+		vm.end(syscall.SIGKILL)
+		return vm.name, func() { s.startVM(vm); vm.finish() }
+	}},
+	{"pause", func(s *soak) (string, func()) {
+		vm := s.anyVM()
+		if !vm.begin() {
+			return vm.name, vm.finish
+		}
+		process := vm.process
+		process.signal(syscall.SIGSTOP)
+		return vm.name, func() { process.signal(syscall.SIGCONT); vm.finish() }
+	}},
+	{"stop", func(s *soak) (string, func()) {
+		vm := s.anyVM()
+		if !vm.begin() {
+			return vm.name, vm.finish
+		}
+		return vm.name, func() { vm.end(syscall.SIGTERM); s.startVM(vm); vm.finish() }
+	}},
+	{"storeDown", func(s *soak) (string, func()) {
+		s.store.SetFaults(cassiastage.Faults{Busy: true})
+		return "", func() { s.store.SetFaults(cassiastage.Faults{}) }
+	}},
+	{"storeLosesReplies", func(s *soak) (string, func()) {
+		s.store.SetFaults(cassiastage.Faults{LoseReplies: true})
+		return "", func() { s.store.SetFaults(cassiastage.Faults{}) }
+	}},
+	{"storeForgets", func(s *soak) (string, func()) { s.store.Compact(); return "", func() {} }},
+	{"storeLink", func(s *soak) (string, func()) {
+		vm := s.anyVM()
+		vm.store.SetFaults(s.linkFaults(200))
+		return vm.name, func() { vm.store.SetFaults(cassiarelay.Faults{}) }
+	}},
+	{"peerLink", func(s *soak) (string, func()) {
+		vm := s.anyVM()
+		vm.peers.SetFaults(s.linkFaults(20))
+		return vm.name, func() { vm.peers.SetFaults(cassiarelay.Faults{}) }
+	}},
+	{"targetLink", func(s *soak) (string, func()) {
+		r := s.anyReplica()
+		r.relay.SetFaults(s.linkFaults(50))
+		return "", func() { r.relay.SetFaults(cassiarelay.Faults{}) }
+	}},
+	{"targetFails", func(s *soak) (string, func()) {
+		r := s.anyReplica()
+		r.Behave([]cassiastage.Behaviour{{Drop: true}, {Silent: true}, {Truncate: true}, {Extra: true}, {Shed: true}, {Status: 500},
+			{Work: 150 * time.Millisecond}}[s.random.IntN(7)])
+		return "", func() { r.Behave(cassiastage.Behaviour{Work: 3 * time.Millisecond}) }
+	}},
+	{"targetLapses", func(s *soak) (string, func()) {
+		r := s.anyReplica()
+		s.store.Delete("servers/" + r.Name)
+		return "", func() { s.register(r, "ready") }
+	}},
+	{"targetDrains", func(s *soak) (string, func()) {
+		r := s.anyReplica()
+		s.register(r, "draining")
+		said := time.Since(s.start)
+		return "", func() { s.endDrain(r, said) }
+	}},
+	{"configuration", func(s *soak) (string, func()) { s.nextVersion(); return "", func() {} }},
+	{"configuration", func(s *soak) (string, func()) { s.nextVersion(); return "", func() {} }},
+}
+
+// endDrain counts what a replica still gets after the bound of its drain, and has it start anew.
+func (s *soak) endDrain(r *soakReplica, said time.Duration) {
+	pause(said + soakDrain - time.Since(s.start))
+	before := len(r.Runs())
+	pause(time.Second)
+	d := drain{target: r.Name, from: said, to: time.Since(s.start), late: len(r.Runs()) - before}
+	s.mutex.Lock()
+	s.drains = append(s.drains, d)
+	s.mutex.Unlock()
+	s.register(r, "ready")
+}
+
+// begin claims a VM for a fault that ends its process or stands it still; false means that another one has it.
+func (v *soakVM) begin() bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.claims++
+	return v.claims == 1
+}
+
+func (v *soakVM) finish() {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.claims--
+}
+
+// linkFaults draws what a link does wrong, with a delay of up to so many milliseconds.
+func (s *soak) linkFaults(delay float64) cassiarelay.Faults {
+	return []cassiarelay.Faults{{Cut: true}, {HalfOpen: true}, {SwallowReplies: true}, {Loss: 0.2},
+		{DelayMs: delay * s.random.Float64(), JitterMs: delay}}[s.random.IntN(5)]
+}
+
+func (s *soak) anyVM() *soakVM { return s.vms[s.random.IntN(len(s.vms))] }
+
+func (s *soak) anyReplica() *soakReplica { return s.replicas[s.random.IntN(len(s.replicas))] }
+
+// Bounds of the pauses between faults and of how long they last.
+const (
+	soakMostPause = 700 * time.Millisecond
+	soakMostFault = 2500 * time.Millisecond
+)
+
+// disturb begins faults in series that overlap.
+func (s *soak) disturb() {
+	end := time.Now().Add(*soakFor)
+	for time.Now().Before(end) {
+		pause(time.Duration(s.random.Float64() * float64(soakMostPause)))
+		fault := soakFaults[s.random.IntN(len(soakFaults))]
+		lasts := time.Duration((0.1 + 0.9*s.random.Float64()) * float64(soakMostFault))
+		from := time.Since(s.start)
+		vm, finish := fault.begin(s)
+		// Until it has ended, it touches everything that comes.
+		number := s.note(disturbance{kind: fault.kind, vm: vm, from: from, to: time.Hour})
+		s.faults.Go(func() error {
+			pause(lasts)
+			finish()
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.disturbances[number].to = time.Since(s.start)
+			return nil
+		})
+	}
+}
+
+func (s *soak) note(d disturbance) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.disturbances = append(s.disturbances, d)
+	return len(s.disturbances) - 1
+}
+
+// calm tells whether none of some kinds of disturbance touched a VM in a time; an empty name stands for any VM.
+func (s *soak) calm(vm string, from, to time.Duration, kinds string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, d := range s.disturbances {
+		touched := d.vm == "" || vm == "" || d.vm == vm
+		if touched && strings.Contains(kinds, d.kind) && d.from < to && from < d.to {
+			return false
+		}
+	}
+	return true
+}
+
+// history lists the disturbances.
+func (s *soak) history() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d VMs, %d connections a target\n", len(s.vms), s.maxConnections)
+	for _, d := range s.disturbances {
+		fmt.Fprintf(&b, "%8.3f to %8.3f s %s %s\n", d.from.Seconds(), d.to.Seconds(), d.kind, d.vm)
+	}
+	return b.String()
+}
