--- a/io/cassiafollow/journal.go
+++ b/io/cassiafollow/journal.go
@@ -101,11 +101,14 @@
 	}
 }
 
-// Await waits until there are events after a revision or ctx is done, and returns them or all keys.
+// Await waits until there are events after a revision or ctx is done, and returns them or all keys. Who knows nothing yet, and asks
+// for what came after no revision, waits for a journal that is still empty, too.
 func (j *Journal) Await(ctx context.Context, after Revision) (events []Event, to Revision, verdict Verdict) {
 	for {
 		j.mutex.Lock()
-		if verdict := j.verdict(after); verdict != JournalKnows || j.to > after || ctx.Err() != nil {
+		verdict := j.verdict(after)
+		waits := verdict == JournalKnows && j.to == after || after == 0 && j.to == 0 && !j.lost
+		if !waits || ctx.Err() != nil {
 			defer j.mutex.Unlock()
 			return j.since(after, verdict), max(after, j.to), verdict
 		}
