--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -89,7 +89,6 @@
 	until, stop := context.WithCancel(context.WithoutCancel(ctx))
 	watchers, journal := cassiafollow.NewWatchers(p.self, p.event), &cassiafollow.Journal{}
 	follower := cassiafollow.NewFollower(p.store, p.gate, watchers, journal, p.event)
-	follower.FirstStart = p.settings.FirstStart
 	p.gate.Refresh = follower.Refresh
 	var group errgroup.Group
 	group.Go(func() error { return follower.Run(until) })
@@ -121,7 +120,6 @@
 				p.event("reloadRefused", "error", err)
 				continue
 			}
-			settings.FirstStart = p.settings.FirstStart
 			p.event("reload", "restartNeeded", settings != p.settings)
 		case <-ctx.Done():
 			return nil
--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -20,10 +20,6 @@
 	// WatchWait is how long the store holds a watch without news. A watch that is cut off silently, or hears of changes only at
 	// its end, delays them by no more than that.
 	WatchWait = 1200 * time.Millisecond
-	// learnTimeout bounds the time in which a VM that has just started learns from others; a list takes a fraction of it.
-	learnTimeout = 1500 * time.Millisecond
-	// firstStartPause is how long the VMs of a system that starts for the first time take to be listed.
-	firstStartPause = 500 * time.Millisecond
 	// catchUpWait is how long the first watch after a list that may be old waits for news.
 	catchUpWait = time.Millisecond
 	// gatherPause lets further changes gather after some have come, since each watch that returns costs a call. It is short
@@ -87,8 +83,6 @@
 	List(ctx context.Context, fresh bool) ([]Event, Revision, error)
 	// Watch waits for changes after a revision and returns them with the revision to go on from.
 	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Event, Revision, error)
-	// VMs reads the VMs that live.
-	VMs(ctx context.Context) ([]VM, error)
 	// Decode tells what an event means.
 	Decode(e Event) Change
 }
@@ -105,9 +99,6 @@
 
 // Follower passes on what a source holds.
 type Follower struct {
-	// FirstStart is true when the whole system starts for the first time.
-	FirstStart bool
-
 	source   Source
 	sink     Sink
 	log      Log
@@ -138,9 +129,6 @@
 // Run follows the source until ctx is done.
 func (f *Follower) Run(ctx context.Context) error {
 	fresh := false
-	if revision, ok := f.learnFromWatcher(ctx); ok {
-		fresh = f.watch(ctx, revision)
-	}
 	for ctx.Err() == nil {
 		events, revision, err := f.list(ctx, fresh)
 		if errors.Is(err, ErrCompacted) {
@@ -158,35 +146,6 @@
 	return nil
 }
 
-// learnFromWatcher has a watcher of the zone tell a VM that has just started all keys, which spares the store a list; false means
-// that there is none or that it does not answer.
-func (f *Follower) learnFromWatcher(ctx context.Context) (Revision, bool) {
-	if f.FirstStart {
-		sleep(ctx, firstStartPause)
-	}
-	limited, cancel := context.WithTimeout(ctx, learnTimeout)
-	defer cancel()
-	vms, err := f.source.VMs(limited)
-	if err != nil {
-		f.log("vmsNotRead", "error", err)
-		return 0, false
-	}
-	for _, vm := range vms {
-		f.vms[vm.Name] = vm
-	}
-	f.tellFleet()
-	if !f.watchers.asks() || !f.watchers.awaitExchanger(limited) {
-		return 0, false
-	}
-	for range watchersPerZone {
-		if news, ok := f.watchers.Watch(limited, 0, false); ok && news.Whole {
-			f.install(news.Events, news.Revision, false)
-			return news.Revision, true
-		}
-	}
-	return 0, false
-}
-
 // list reads everything. An old list is cheap, and what has changed since is read before any of it is used.
 func (f *Follower) list(ctx context.Context, fresh bool) ([]Event, Revision, error) {
 	events, revision, err := f.source.List(ctx, fresh)
--- a/io/cassiafollow/journal.go
+++ b/io/cassiafollow/journal.go
@@ -101,14 +101,11 @@
 	}
 }
 
-// Await waits until there are events after a revision or ctx is done, and returns them or all keys. Who knows nothing yet, and asks
-// for what came after no revision, waits for a journal that is still empty, too.
+// Await waits until there are events after a revision or ctx is done, and returns them or all keys.
 func (j *Journal) Await(ctx context.Context, after Revision) (events []Event, to Revision, verdict Verdict) {
 	for {
 		j.mutex.Lock()
-		verdict := j.verdict(after)
-		waits := verdict == JournalKnows && j.to == after || after == 0 && j.to == 0 && !j.lost
-		if !waits || ctx.Err() != nil {
+		if verdict := j.verdict(after); verdict != JournalKnows || j.to > after || ctx.Err() != nil {
 			defer j.mutex.Unlock()
 			return j.since(after, verdict), max(after, j.to), verdict
 		}
--- a/io/cassiafollow/watchers.go
+++ b/io/cassiafollow/watchers.go
@@ -42,9 +42,6 @@
 	self VM
 	log  Log
 
-	// used is closed once there is an exchanger.
-	used chan struct{}
-
 	mutex     sync.Mutex
 	exchanger Exchanger
 	watchers  []cassiaid.VMName
@@ -55,46 +52,32 @@
 
 // NewWatchers returns the watchers of a VM's zone; there is none before Use and Fleet.
 func NewWatchers(self VM, log Log) *Watchers {
-	return &Watchers{self: self, log: log, used: make(chan struct{}), avoided: make(map[cassiaid.VMName]time.Time)}
+	return &Watchers{self: self, log: log, avoided: make(map[cassiaid.VMName]time.Time)}
 }
 
-// Use asks watchers by an exchanger; it is called once.
+// Use asks watchers by an exchanger.
 func (w *Watchers) Use(exchanger Exchanger) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.exchanger = exchanger
-	close(w.used)
-}
-
-// awaitExchanger waits until watchers can be asked; false means that ctx ended before.
-func (w *Watchers) awaitExchanger(ctx context.Context) bool {
-	select {
-	case <-w.used:
-		return true
-	case <-ctx.Done():
-		return false
-	}
 }
 
 // Fleet tells which VMs live.
 func (w *Watchers) Fleet(vms []VM) {
-	var zone []VM
+	var zone []cassiaid.VMName
 	for _, vm := range vms {
 		if vm.Zone == w.self.Zone {
-			zone = append(zone, vm)
+			zone = append(zone, vm.Name)
 		}
 	}
-	rank := func(vm VM) uint64 { return xxhash.Sum64String("watch " + string(vm.Name)) }
-	// The VMs with most processor time have the links to pass on all keys at once.
-	slices.SortFunc(zone, func(a, b VM) int { return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rank(a), rank(b))) })
+	rank := func(name cassiaid.VMName) uint64 { return xxhash.Sum64String("watch " + string(name)) }
+	slices.SortFunc(zone, func(a, b cassiaid.VMName) int { return cmp.Compare(rank(a), rank(b)) })
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.shared = len(zone) > smallZone; w.shared {
-		zone = zone[:watchersPerZone]
-	}
-	w.watchers = nil
-	for _, vm := range zone {
-		w.watchers = append(w.watchers, vm.Name)
+	w.shared = len(zone) > smallZone
+	w.watchers = zone
+	if w.shared {
+		w.watchers = zone[:watchersPerZone]
 	}
 }
 
@@ -103,22 +86,12 @@
 func (w *Watchers) maxPause() time.Duration {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.isAsker() {
+	if w.shared && !slices.Contains(w.watchers, w.self.Name) {
 		return askerPause
 	}
 	return maxPause
 }
 
-// asks is true when this VM asks others instead of the store.
-func (w *Watchers) asks() bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.isAsker()
-}
-
-// isAsker is asks for a caller that holds the mutex.
-func (w *Watchers) isAsker() bool { return w.shared && !slices.Contains(w.watchers, w.self.Name) }
-
 // Wait returns how long this VM's watches of the store should wait for news.
 func (w *Watchers) Wait() time.Duration {
 	w.mutex.Lock()
@@ -133,7 +106,7 @@
 // to watch the store itself.
 func (w *Watchers) Watch(ctx context.Context, after Revision, cantWatch bool) (news News, ok bool) {
 	watcher, exchanger := w.pick(cantWatch)
-	if watcher == "" || ctx.Err() != nil {
+	if watcher == "" {
 		return News{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, sharedWait+watcherSlack)
