Learn from late requests how much to distrust the waits that are estimated

Change: each route has a caution, the factor by which waits are taken longer at admission; it grows with late requests, shrinks with others and with time.

--- a/core/cassiagateway/admit.go
+++ b/core/cassiagateway/admit.go
@@ -10,6 +10,7 @@
 // fullest shards, and all would be late.
 func (g *Gateway) admit(now time.Time, q *query) (RefusalReason, bool) {
 	var late []*shard
+	caution := g.route(q.route.Name, now).caution.factor(now)
 	for _, s := range q.shards {
 		w := g.wish(now, s)
 		w.ahead = s.service.waiting.ahead(q.route.Priority)
@@ -17,7 +18,7 @@
 		switch {
 		case best == nil:
 			g.kill(s)
-		case w.ahead > 0 && now.Add(wait).After(q.closeAt):
+		case w.ahead > 0 && now.Add(time.Duration(caution*float64(wait))).After(q.closeAt):
 			late = append(late, s)
 		}
 	}
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -80,6 +80,8 @@
 	route  *cassiacatalog.Route
 	recent float64
 	used   time.Time
+	// caution is what late requests have taught.
+	caution caution
 }
 
 // arrived counts a request.
--- a/core/cassiagateway/refuse.go
+++ b/core/cassiagateway/refuse.go
@@ -21,6 +21,9 @@
 		}
 	}
 	g.release(now, q)
+	if q.trace.Attempts > 0 {
+		g.learnLateness(now, q)
+	}
 	q.trace.Answered = q.answered
 	answer := Answer{Trace: q.trace}
 	if !q.route.FansOut() && q.shards[0].failure != nil {
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -396,6 +396,7 @@
 
 func (g *Gateway) finish(now time.Time, q *query) {
 	g.release(now, q)
+	g.learnLateness(now, q)
 	q.trace.Answered = q.answered
 	answer := Answer{Trace: q.trace}
 	if q.route.FansOut() {
