Save up retries where a VM sees few requests

Change: cassiabudget.Split names both: Steady for who sends for all, Saving for the others. TestSavedBudgetsStayInsideTheSlack: all VMs spend all they can and are replaced in one window.

--- a/core/cassiabudget/allowance.go
+++ b/core/cassiabudget/allowance.go
@@ -2,14 +2,22 @@
 
 import "time"
 
-const (
-	// The slack of an allowance is divided into what a budget holds at first, what it saves up and what it regains in a window.
-	// Together they leave a part of the slack to those who start anew in the same window.
-	startShare  = 0.1
-	burstShare  = 0.15
-	refillShare = 0.75
-	// defaultWindow is the window of an allowance that names none.
-	defaultWindow = 10 * time.Second
+// defaultWindow is the window of an allowance that names none.
+const defaultWindow = 10 * time.Second
+
+// Split divides the slack of an allowance into what a budget holds at first, what it saves up and what it regains in a window. What a
+// budget saves up and regains, and what it held at first, are what it can spend in the window of a restart.
+type Split struct {
+	Start  float64
+	Burst  float64
+	Regain float64
+}
+
+var (
+	// Steady suits who sees the requests of all VMs, which come evenly.
+	Steady = Split{Start: 0.1, Burst: 0.15, Regain: 0.75}
+	// Saving suits who sees few requests, several of which may need more at once.
+	Saving = Split{Start: 0.3, Burst: 0.45, Regain: 0.25}
 )
 
 // Allowance is how many requests beyond the first of each a service may get.
@@ -27,25 +35,27 @@
 	return Allowance{Ratio: ratio * a.Ratio, Slack: slack * a.Slack, Window: a.Window}
 }
 
-// Metered spends an allowance, which may change at any time; the zero value is ready.
+// Metered spends an allowance, which may change at any time; Split is all that it needs.
 type Metered struct {
+	Split Split
+
 	budget  Budget
 	started bool
 }
 
 // Earn credits ordinary requests and the time since the last call.
 func (m *Metered) Earn(now time.Time, a Allowance, requests float64) {
-	burst := max(1, burstShare*a.Slack)
+	burst := max(1, m.Split.Burst*a.Slack)
 	if !m.started {
 		m.started = true
-		m.budget = NewBudget(burst, startShare*a.Slack)
+		m.budget = NewBudget(burst, m.Split.Start*a.Slack)
 	}
 	m.budget.Burst = burst
 	window := a.Window
 	if window <= 0 {
 		window = defaultWindow
 	}
-	m.budget.EarnTime(now, refillShare*a.Slack/window.Seconds())
+	m.budget.EarnTime(now, m.Split.Regain*a.Slack/window.Seconds())
 	m.budget.Earn(requests, a.Ratio)
 }
 
--- a/core/cassiabudget/shared.go
+++ b/core/cassiabudget/shared.go
@@ -24,7 +24,7 @@
 		if s.budgets == nil {
 			s.budgets = make(map[K]*Metered)
 		}
-		b = &Metered{}
+		b = &Metered{Split: Steady}
 		s.budgets[service] = b
 	}
 	part := s.Allowance.Part(sharedRatio, sharedSlack/float64(max(1, s.Zones)))
--- a/core/cassiabudget/shared_test.go
+++ b/core/cassiabudget/shared_test.go
@@ -74,3 +74,39 @@
 	_, extras := play(allowance, zones, perSecond, 0, seconds*time.Second)
 	c.Check(extras >= 2*perSecond*seconds/5, qt.IsTrue, qt.Commentf("%d extra attempts", extras))
 }
+
+// TestSavedBudgetsStayInsideTheSlack: VMs that each plan with their part, spend all they can at once, and are all replaced in one
+// window, get no more than the slack beside the ratio.
+func TestSavedBudgetsStayInsideTheSlack(t *testing.T) {
+	c := qt.New(t)
+	const vms = 7
+	allowance := Allowance{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+	part := allowance.Part(1, 1.0/vms)
+	spent := 0
+	now := time.Unix(0, 0)
+	spend := func(m *Metered) {
+		for m.Take(now, part) {
+			spent++
+		}
+	}
+	var budgets [vms]Metered
+	for i := range budgets {
+		budgets[i].Split = Saving
+		budgets[i].Earn(now, part, 0)
+	}
+	now = now.Add(time.Minute)
+	for i := range budgets {
+		spend(&budgets[i])
+	}
+	now = now.Add(allowance.Window / 2)
+	for i := range budgets {
+		spend(&budgets[i])
+		budgets[i] = Metered{Split: Saving}
+		spend(&budgets[i])
+	}
+	now = now.Add(allowance.Window/2 - time.Millisecond)
+	for i := range budgets {
+		spend(&budgets[i])
+	}
+	c.Check(float64(spent) <= allowance.Slack, qt.IsTrue, qt.Commentf("%d beyond the first", spent))
+}
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -173,7 +173,7 @@
 func (g *Gateway) service(name cassiacatalog.ServiceName) *service {
 	s, ok := g.services[name]
 	if !ok {
-		s = &service{name: name}
+		s = &service{name: name, extra: cassiabudget.Metered{Split: cassiabudget.Saving}}
 		g.services[name] = s
 	}
 	return s
