Give up the connection to a VM that returns nothing

Nothing that it sends there is answered, and the connection ends by itself after 30 s. With four shards and one attempt a target, searches of that VM ended with 504 for more than 12 s, since a path is doubted only when three targets are silent. Traced by printing what the waiting shards wait for: attempts by way of the killed VMs, none ended before its deadline. Ruled out: attempts that never end (all were known and ended Silent), the relay (its other connections worked). Change: a VM that has returned nothing at all since a batch was sent, when an attempt of it ends unanswered after half a second or more, loses its connection; the next batch dials anew. So does a watcher that does not reply in time. A connection is lost for nothing only where all targets of all batches were silent.

--- a/io/cassiaaggregate/paths.go
+++ b/io/cassiaaggregate/paths.go
@@ -15,6 +15,9 @@
 // resultMargin is how long after its deadline the result of an attempt is waited for.
 const resultMargin = 150 * time.Millisecond
 
+// dropAfter is how long a VM may return nothing at all before its connection is given up; it is longer than the pauses of targets.
+const dropAfter = 500 * time.Millisecond
+
 // Node sends frames to other VMs; *cassiapeer.Node is one.
 type Node interface {
 	Send(ctx context.Context, vm cassiaid.VMName, lane uint64, frame *cassiaschema.PeerFrame) error
@@ -32,12 +35,15 @@
 
 	mutex   sync.Mutex
 	pending map[cassiaid.AttemptID]*pendingBatch
+	// heard is when a VM last returned something.
+	heard map[cassiaid.VMName]time.Time
 }
 
 // pendingBatch is a batch whose results are not all in.
 type pendingBatch struct {
 	vm     cassiaid.VMName
 	query  cassiagateway.QueryID
+	sent   time.Time
 	sieved map[cassiaid.AttemptID]bool
 	// severed is true once the result of a sieved attempt is not waited for any more. Parts that come after it may lack
 	// records that were less than its own, so none of them is used.
@@ -46,12 +52,13 @@
 
 // NewPaths returns paths over a node; done must not call the paths back while it runs.
 func NewPaths(node Node, done Done) *Paths {
-	return &Paths{node: node, done: done, pending: make(map[cassiaid.AttemptID]*pendingBatch)}
+	return &Paths{node: node, done: done, pending: make(map[cassiaid.AttemptID]*pendingBatch), heard: make(map[cassiaid.VMName]time.Time)}
 }
 
 // Send has a VM send a batch; each attempt ends in a call of Done.
 func (p *Paths) Send(vm cassiaid.VMName, b Batch) {
-	batch := &pendingBatch{vm: vm, query: b.Query, sieved: make(map[cassiaid.AttemptID]bool)}
+	now := time.Now()
+	batch := &pendingBatch{vm: vm, query: b.Query, sent: now, sieved: make(map[cassiaid.AttemptID]bool)}
 	ids := make([]cassiaid.AttemptID, 0, len(b.Attempts))
 	p.mutex.Lock()
 	for _, a := range b.Attempts {
@@ -61,14 +68,17 @@
 	}
 	p.mutex.Unlock()
 	p.group.Go(func() error {
-		now := time.Now()
 		ctx, cancel := context.WithDeadline(context.Background(), b.Call.Deadline)
 		defer cancel()
 		if err := p.node.Send(ctx, vm, uint64(b.Query), b.encode(now)); err != nil {
 			p.endAll(ids, cassiagateway.OutcomePathLost)
 			return nil
 		}
-		time.AfterFunc(time.Until(b.Call.Deadline)+resultMargin, func() { p.endAll(ids, cassiagateway.OutcomeSilent) })
+		time.AfterFunc(time.Until(b.Call.Deadline)+resultMargin, func() {
+			if p.endAll(ids, cassiagateway.OutcomeSilent) > 0 {
+				p.dropIfSilent(batch)
+			}
+		})
 		return nil
 	})
 }
@@ -82,7 +92,9 @@
 		return false
 	}
 	p.group.Go(func() error {
-		p.endAll([]cassiaid.AttemptID{id}, cassiagateway.OutcomeSilent)
+		if p.endAll([]cassiaid.AttemptID{id}, cassiagateway.OutcomeSilent) > 0 {
+			p.dropIfSilent(batch)
+		}
 		cancel := &cassiaschema.AggregateCancel{QueryId: uint64(batch.query), AttemptIds: []uint64{uint64(id)}}
 		ctx, stop := context.WithTimeout(context.Background(), resultMargin)
 		defer stop()
@@ -117,6 +129,7 @@
 // Lost ends all attempts by way of a VM.
 func (p *Paths) Lost(vm cassiaid.VMName) {
 	p.mutex.Lock()
+	delete(p.heard, vm)
 	var ids []cassiaid.AttemptID
 	for id, batch := range p.pending {
 		if batch.vm == vm {
@@ -127,8 +140,22 @@
 	p.endAll(ids, cassiagateway.OutcomePathLost)
 }
 
+// dropIfSilent gives up the connection to a VM that has returned nothing for long since a batch was sent: its process may have
+// started anew, and a connection to the earlier one does not end by itself for long.
+func (p *Paths) dropIfSilent(batch *pendingBatch) {
+	p.mutex.Lock()
+	silent := p.heard[batch.vm].Before(batch.sent)
+	p.mutex.Unlock()
+	if silent && time.Since(batch.sent) >= dropAfter {
+		p.node.Drop(batch.vm)
+	}
+}
+
 // Results passes on what a VM returned.
 func (p *Paths) Results(vm cassiaid.VMName, m *cassiaschema.AggregateResults) {
+	p.mutex.Lock()
+	p.heard[vm] = time.Now()
+	p.mutex.Unlock()
 	var all cassiagateway.AttemptsEnded
 	for _, r := range m.GetResults() {
 		id := cassiaid.AttemptID(m.GetFirstAttemptId() + r.GetNumber())
@@ -172,8 +199,8 @@
 	return b.severed
 }
 
-// endAll ends those of some attempts that are still pending.
-func (p *Paths) endAll(ids []cassiaid.AttemptID, outcome cassiagateway.Outcome) {
+// endAll ends those of some attempts that are still pending and returns how many these were.
+func (p *Paths) endAll(ids []cassiaid.AttemptID, outcome cassiagateway.Outcome) int {
 	var all cassiagateway.AttemptsEnded
 	for _, id := range ids {
 		p.mutex.Lock()
@@ -190,4 +217,5 @@
 	if len(all.Ended) > 0 {
 		p.done(all)
 	}
+	return len(all.Ended)
 }
--- a/io/cassiafollow/watchers.go
+++ b/io/cassiafollow/watchers.go
@@ -35,6 +35,8 @@
 // Exchanger asks another VM; *cassiapeer.Node is one.
 type Exchanger interface {
 	Exchange(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error)
+	// Drop gives up the connection to a VM.
+	Drop(vm cassiaid.VMName)
 }
 
 // Watchers are the VMs of the own zone that watch the store.
@@ -114,6 +116,10 @@
 	ask := &cassiaschema.StoreWatch{After: uint64(after), Wait: durationpb.New(sharedWait)}
 	frame, err := exchanger.Exchange(ctx, watcher, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_StoreWatch{StoreWatch: ask}})
 	reply := frame.GetStoreWatchReply()
+	if err != nil {
+		// A connection to an earlier process of the VM would stay silent for long.
+		exchanger.Drop(watcher)
+	}
 	if err != nil || reply.GetLost() {
 		w.avoid(watcher, err)
 		return News{}, false
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -25,6 +25,9 @@
 	err      error
 }
 
+// soakRetryPause is how long a caller waits after a request that was not answered.
+const soakRetryPause = 20 * time.Millisecond
+
 // soakTop is how many records an answer of all shards holds.
 const soakTop = 5
 
@@ -62,6 +65,9 @@
 		s.mutex.Lock()
 		s.requests = append(s.requests, r)
 		s.mutex.Unlock()
+		if r.err != nil || r.answer.status != http.StatusOK {
+			pause(soakRetryPause)
+		}
 	}
 }
 
