--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -44,6 +44,20 @@
 	announced string
 }
 
+// program is what one process runs.
+type program struct {
+	settings cassiaplatform.Settings
+	options  options
+	// self is this VM as others see it.
+	self    cassiafollow.VM
+	config  cassiagate.ServerConfig
+	gate    *cassiagate.Gate
+	pool    *cassiapool.Pool
+	store   *cassiaplatform.Store
+	logger  log.Logger
+	metrics *cassialog.Metrics
+}
+
 // newProgram returns what a VM runs.
 func newProgram(settings cassiaplatform.Settings, o options, logger log.Logger) *program {
 	metrics := cassialog.NewMetrics()
@@ -70,20 +84,6 @@
 		metrics: metrics}
 }
 
-// program is what one process runs.
-type program struct {
-	settings cassiaplatform.Settings
-	options  options
-	// self is this VM as others see it.
-	self    cassiafollow.VM
-	config  cassiagate.ServerConfig
-	gate    *cassiagate.Gate
-	pool    *cassiapool.Pool
-	store   *cassiaplatform.Store
-	logger  log.Logger
-	metrics *cassialog.Metrics
-}
-
 // run runs the server, and what it needs until the server has stopped.
 func (p *program) run(ctx context.Context) error {
 	until, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -91,8 +91,10 @@
 	return outcome, answer
 }
 
-// admit begins an attempt, or tells why it is not sent: its target is unfit, or the retry budget of the service does not allow it.
-func (a *Aggregator) admit(target cassiadirectory.Target, route string, attempt *cassiaschema.AggregateAttempt) (*cassiafitness.Attempt, cassiagateway.Outcome) {
+// admit begins an attempt, or tells why it is not sent: its target is unfit, or the retry budget of the service does not allow
+// it.
+func (a *Aggregator) admit(target cassiadirectory.Target, route string,
+	attempt *cassiaschema.AggregateAttempt) (*cassiafitness.Attempt, cassiagateway.Outcome) {
 	zones := a.targets.Zones()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
