--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -123,9 +123,10 @@
 	accepted time.Time
 }
 
-// host returns an address of loopback that no other seed uses.
+// host returns an address of loopback that no other seed uses, nor most likely another soak of this machine.
 func (s *soak) host(kind, number int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 10+s.seed%200, kind, number)
+	const kinds = 32
+	return fmt.Sprintf("127.%d.%d.%d", 10+s.seed%200, kind*kinds+os.Getpid()%kinds, number)
 }
 
 // Kinds of addresses.
