Listen in tests where no program's connections start from

The front's tests pick ports the same way. Change: both listen on loopback addresses of their own, where connections that leave from 127.0.0.1 take no port. The checks are the same.

--- a/standin/cassiashard/target_test.go
+++ b/standin/cassiashard/target_test.go
@@ -30,7 +30,8 @@
 
 func newRig(t *testing.T, change func(*Behaviour)) rig {
 	c := qt.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// Connections of other programs start from 127.0.0.1, so that none takes the port while the target is down.
+	listener, err := net.Listen("tcp", "127.77.0.1:0")
 	c.Assert(err, qt.IsNil)
 	address := listener.Addr().String()
 	c.Assert(listener.Close(), qt.IsNil)
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -120,9 +120,12 @@
 	settings string
 }
 
-// freePort returns a port of loopback that nobody uses now.
+// stageIP is an address of loopback that no program's connections start from, so that none takes a port that is free.
+const stageIP = "127.78.0.1"
+
+// freePort returns a port of stageIP that nobody uses now.
 func freePort(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", stageIP+":0")
 	qt.Assert(t, err, qt.IsNil)
 	defer listener.Close() //nolint:errcheck // nothing was sent
 	return strconv.Itoa(listener.Addr().(*net.TCPAddr).Port)
@@ -130,8 +133,8 @@
 
 // launch starts a VM with some flags without waiting until it is ready.
 func (s *stage) launch(t *testing.T, name, zone string, flags ...string) *stageVM {
-	vm := &stageVM{callers: "127.0.0.1:" + freePort(t), ready: "127.0.0.1:" + freePort(t)}
-	lines := []string{"node_name=" + name, "zone=" + zone, "ip=127.0.0.1", "listen.front=" + vm.callers,
+	vm := &stageVM{callers: stageIP + ":" + freePort(t), ready: stageIP + ":" + freePort(t)}
+	lines := []string{"node_name=" + name, "zone=" + zone, "ip=" + stageIP, "listen.front=" + vm.callers,
 		"listen.ready_addr=" + vm.ready, "internal_ports=" + freePort(t) + ",65535", "limits.memory_mb=284", "limits.cpu_share=0.4",
 		"platform.address=" + s.server.Listener.Addr().String(), "platform.min_ttl_ms=1000", "bounds.drain_ms=3000", "bounds.grace_s=6",
 		"bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=54", "bounds.budget_window_s=10", "something.new=1"}
@@ -439,7 +442,7 @@
 	s.eventually(vm.isReady, "the VM is not ready")
 	s.mustAsk(vm, http.MethodGet, "/search/x", "")
 	s.eventually(func() bool {
-		reply, err := http.Get("http://127.0.0.1:" + port + "/metrics")
+		reply, err := http.Get("http://" + stageIP + ":" + port + "/metrics")
 		if err != nil {
 			return false
 		}
