--- /dev/null
+++ b/test/budgetjudge_test.go
@@ -0,0 +1,68 @@
+package test
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cassiasaddle/platform/cassiastage"
+)
+
+// retryBudget is how many requests beyond the first arrival of each a service may get.
+type retryBudget struct {
+	// ratio is how many for each request that callers sent for the service.
+	ratio float64
+	// slack is how many more in any window.
+	slack  float64
+	window time.Duration
+}
+
+// stageBudget is what the settings of the VMs under test allow.
+var stageBudget = retryBudget{ratio: 0.2, slack: 54, window: 10 * time.Second}
+
+// excess returns by how many requests a service got more than its budget allows in the worst window, and when that window began;
+// it is negative when all windows hold. The requests of a window are those sent in it, in the one before it or in the one that
+// began half a window before it, whichever are most.
+func (b retryBudget) excess(sent []time.Time, arrivals []cassiastage.Arrival) (float64, time.Time) {
+	sent = slices.SortedFunc(slices.Values(sent), time.Time.Compare)
+	repeats := repeatsOf(arrivals)
+	worst, worstAt := -b.slack, time.Time{}
+	for i, first := range repeats {
+		// The repeats of a window change where one enters it at its end or leaves it at its start.
+		for _, from := range []time.Time{first, repeats[i].Add(time.Nanosecond - b.window)} {
+			got := float64(countBetween(repeats, from, from.Add(b.window)))
+			requests := 0
+			for _, earlier := range []time.Duration{0, b.window / 2, b.window} {
+				start := from.Add(-earlier)
+				requests = max(requests, countBetween(sent, start, start.Add(b.window)))
+			}
+			if over := got - b.ratio*float64(requests) - b.slack; over > worst {
+				worst, worstAt = over, from
+			}
+		}
+	}
+	return worst, worstAt
+}
+
+// repeatsOf returns when requests arrived that had arrived before, in order of time.
+func repeatsOf(arrivals []cassiastage.Arrival) []time.Time {
+	arrivals = slices.SortedFunc(slices.Values(arrivals), func(a, b cassiastage.Arrival) int { return a.At.Compare(b.At) })
+	var repeats []time.Time
+	seen := make(map[string]bool)
+	for _, a := range arrivals {
+		if seen[a.Request] {
+			repeats = append(repeats, a.At)
+		}
+		seen[a.Request] = true
+	}
+	return repeats
+}
+
+// countBetween counts the times of an ordered list in [from, to).
+func countBetween(times []time.Time, from, to time.Time) int {
+	index := func(at time.Time) int {
+		i, _ := slices.BinarySearchFunc(times, at, func(a, b time.Time) int { return cmp.Or(a.Compare(b), 1) })
+		return i
+	}
+	return index(to) - index(from)
+}
