Log and count what the retry budget plans with, allows and denies

Added: the line retriesPlanned, the counters repeats{kind} and repeats_for_others{allowed}, unpaid and denied on the line of a request.

--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -142,8 +143,11 @@
 	if err != nil {
 		return err
 	}
-	handler := &cassiaaggregate.Handler{Aggregator: cassiaaggregate.NewAggregator(p.pool, p.gate, p.settings.Retries),
-		Watches: &cassiafollow.WatchServer{Journal: journal}}
+	aggregator := cassiaaggregate.NewAggregator(p.pool, p.gate, p.settings.Retries)
+	aggregator.Repeated = func(allowed bool) {
+		p.metrics.Scope.Tagged(map[string]string{"allowed": strconv.FormatBool(allowed)}).Counter("repeats_for_others").Inc(1)
+	}
+	handler := &cassiaaggregate.Handler{Aggregator: aggregator, Watches: &cassiafollow.WatchServer{Journal: journal}}
 	node, err := cassiapeer.Listen(cassiapeer.Config{Self: p.settings.VM, Address: p.settings.PeerAddress, Identity: credentials,
 		Resolver: p.gate, Handler: handler, Logger: p.logger, Scope: p.metrics.Scope})
 	if err != nil {
--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -72,6 +72,32 @@
 	EventZoneSilent Event = "zoneSilent"
 )
 
+// RetriesPlanned tells which part of the slack of each service's retry budget this VM plans with from now on.
+type RetriesPlanned struct {
+	// Listed is how many VMs the list holds.
+	Listed int
+	// Slack is the part, in requests a window.
+	Slack float64
+}
+
+// Repeated tells that a request beyond the first of a shard was sent, or was not since its budget is spent.
+type Repeated struct{ Kind RepeatKind }
+
+// RepeatKind tells why a request was to be sent beyond the first, and what came of it.
+type RepeatKind string
+
+// Kinds of repeats.
+const (
+	// RepeatHedge is sent beside an attempt that is late.
+	RepeatHedge RepeatKind = "hedge"
+	// RepeatRetry is sent after an attempt that a target got.
+	RepeatRetry RepeatKind = "retry"
+	// RepeatUnpaid is sent after an attempt that reached no target, which costs no budget.
+	RepeatUnpaid RepeatKind = "unpaid"
+	// RepeatDenied is a hedge or a retry that the budget did not allow.
+	RepeatDenied RepeatKind = "denied"
+)
+
 // Finish ends a request; it comes exactly once for each Arrived unless the caller has gone.
 type Finish struct {
 	Query  QueryID
@@ -81,14 +107,16 @@
 // WakeAt asks for a Tick at a time; it replaces the time asked for before.
 type WakeAt struct{ Time time.Time }
 
-func (Send) isEffect()    {}
-func (Cancel) isEffect()  {}
-func (Probe) isEffect()   {}
-func (Warm) isEffect()    {}
-func (Refresh) isEffect() {}
-func (Noted) isEffect()   {}
-func (Finish) isEffect()  {}
-func (WakeAt) isEffect()  {}
+func (Send) isEffect()           {}
+func (Cancel) isEffect()         {}
+func (Probe) isEffect()          {}
+func (Warm) isEffect()           {}
+func (Refresh) isEffect()        {}
+func (Noted) isEffect()          {}
+func (Repeated) isEffect()       {}
+func (RetriesPlanned) isEffect() {}
+func (Finish) isEffect()         {}
+func (WakeAt) isEffect()         {}
 
 // Answer is how a request ends: with a target's reply, with merged parts, or with a refusal.
 type Answer struct {
@@ -140,6 +168,10 @@
 	Attempts int
 	Hedges   int
 	Retries  int
+	// Unpaid counts the retries among them that cost no budget, since the attempt before them reached no target.
+	Unpaid int
+	// Denied counts hedges and retries that the retry budget did not allow.
+	Denied int
 	// Skipped counts shards that were given up at the arrival and Dropped those that waited for too long.
 	Skipped int
 	Dropped int
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -136,6 +136,7 @@
 		g.vms = max(1, len(m.VMs))
 		g.paths.set(m.VMs)
 		g.fleetKnown = len(m.VMs) > 0
+		g.emit(RetriesPlanned{Listed: len(m.VMs), Slack: g.settings.Retries.Slack / float64(g.vms)})
 		g.warm(now)
 	case Tick:
 		g.wakeAt = time.Time{}
--- a/core/cassiagateway/hedge.go
+++ b/core/cassiagateway/hedge.go
@@ -41,10 +41,14 @@
 		s.hedgeAt = time.Time{}
 		w := g.wish(now, s)
 		t, found := s.service.place(w)
-		if found != placed || slices.Contains(s.tried, t) || !g.pay(now, s, t) {
+		if found != placed || slices.Contains(s.tried, t) {
 			continue
 		}
-		q.trace.Hedges++
+		if !g.pay(now, s, t) {
+			g.repeated(q, RepeatDenied)
+			continue
+		}
+		g.repeated(q, RepeatHedge)
 		g.sendTo(now, s, t, w.usual)
 	}
 }
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -327,16 +327,39 @@
 	// What reached no target costs none.
 	free := !outcome.reachedTarget()
 	switch {
-	case found == unreachable, outcome == OutcomeOverBudget && slices.Contains(s.tried, t), !free && !g.pay(now, s, t):
+	case found == unreachable, outcome == OutcomeOverBudget && slices.Contains(s.tried, t):
+		g.kill(s)
+	case !free && !g.pay(now, s, t):
+		g.repeated(s.query, RepeatDenied)
 		g.kill(s)
 	case found == busy:
 		g.enqueue(now, s)
 	default:
-		s.query.trace.Retries++
+		if free {
+			g.repeated(s.query, RepeatUnpaid)
+		} else {
+			g.repeated(s.query, RepeatRetry)
+		}
 		g.sendTo(now, s, t, w.usual)
 	}
 }
 
+// repeated counts a repeat of a query.
+func (g *Gateway) repeated(q *query, kind RepeatKind) {
+	switch kind {
+	case RepeatHedge:
+		q.trace.Hedges++
+	case RepeatRetry:
+		q.trace.Retries++
+	case RepeatUnpaid:
+		q.trace.Retries++
+		q.trace.Unpaid++
+	case RepeatDenied:
+		q.trace.Denied++
+	}
+	g.emit(Repeated{Kind: kind})
+}
+
 // pay takes an attempt beyond the first out of the retry budget. The VM that sends for all to a target whose connections are
 // scarce has a budget for all; it pays itself.
 func (g *Gateway) pay(now time.Time, s *shard, t *target) bool {
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -36,6 +36,9 @@
 
 // Aggregator serves batches of other VMs.
 type Aggregator struct {
+	// Repeated is called for each attempt beyond the first that another VM asks for, if it is set.
+	Repeated func(allowed bool)
+
 	exchanger Exchanger
 	targets   Targets
 	group     errgroup.Group
@@ -104,7 +107,11 @@
 		return nil, cassiagateway.OutcomeUnfit
 	}
 	a.budgets.Zones = zones
-	if !a.budgets.Admit(now, target.Service, attempt.GetExtra()) {
+	allowed := a.budgets.Admit(now, target.Service, attempt.GetExtra())
+	if attempt.GetExtra() && a.Repeated != nil {
+		a.Repeated(allowed)
+	}
+	if !allowed {
 		a.fitness.End(now, running, cassiafitness.Unknown)
 		return nil, cassiagateway.OutcomeOverBudget
 	}
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -248,6 +248,10 @@
 			if e.Event == cassiagateway.EventPathDoubted && g.paths != nil {
 				g.paths.Drop(e.VM)
 			}
+		case cassiagateway.Repeated:
+			g.report.repeated(e.Kind)
+		case cassiagateway.RetriesPlanned:
+			g.report.retriesPlanned(e)
 		case cassiagateway.Probe:
 			g.probe(e)
 		case cassiagateway.Finish:
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -44,6 +44,13 @@
 	level.Info(r.logger).Log("event", n.Event, "target", n.Target, "targetZone", n.Zone, "path", n.VM, "cause", n.Cause, "unreached", n.Unreached)
 }
 
+func (r *Report) retriesPlanned(p cassiagateway.RetriesPlanned) {
+	r.scope.Gauge("retry_slack").Update(p.Slack)
+	level.Info(r.logger).Log("event", "retriesPlanned", "listed", p.Listed, "slack", p.Slack)
+}
+
+func (r *Report) repeated(kind cassiagateway.RepeatKind) { r.count("repeats", "kind", string(kind)) }
+
 func (r *Report) readiness(ready bool) {
 	level.Info(r.logger).Log("event", "readinessChanged", "ready", ready)
 }
@@ -66,6 +73,9 @@
 	if t.Skipped+t.Dropped > 0 {
 		line = append(line, "skipped", t.Skipped, "dropped", t.Dropped)
 	}
+	if t.Unpaid+t.Denied > 0 {
+		line = append(line, "unpaid", t.Unpaid, "denied", t.Denied)
+	}
 	if t.LastFailure != "" {
 		line = append(line, "lastFailure", t.LastFailure)
 	}
