End a VM that can't listen for callers, and take it off the list

Cause: the entry was kept until SIGTERM, not until the server had ended, and the program waits for everything it runs. The entry now ends with the server, too, and the server ends when one of its listeners fails.

--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -88,18 +88,21 @@
 // run runs the server, and what it needs until the server has stopped.
 func (p *program) run(ctx context.Context) error {
 	until, stop := context.WithCancel(context.WithoutCancel(ctx))
+	// A VM leaves the list when it is told to stop, and when it can't serve.
+	listed, leave := context.WithCancel(ctx)
 	watchers, journal := cassiafollow.NewWatchers(p.self, p.event), &cassiafollow.Journal{}
 	follower := cassiafollow.NewFollower(p.store, p.gate, watchers, journal, p.event)
 	p.gate.Refresh = follower.Refresh
 	var group errgroup.Group
 	group.Go(func() error { return follower.Run(until) })
 	group.Go(func() error {
-		return cassiafollow.Attend(ctx, p.store, p.self, max(cassiafollow.PresenceLifetime, p.settings.MinLease), p.event)
+		return cassiafollow.Attend(listed, p.store, p.self, max(cassiafollow.PresenceLifetime, p.settings.MinLease), p.event)
 	})
 	group.Go(func() error { return p.serveReloads(until) })
 	group.Go(func() error { return p.servePeers(until, watchers, journal) })
 	group.Go(func() error {
 		defer stop()
+		defer leave()
 		return cassiagate.NewServer(p.config, p.gate).Run(ctx)
 	})
 	return group.Wait()
--- a/io/cassiagate/server.go
+++ b/io/cassiagate/server.go
@@ -58,7 +58,7 @@
 
 // Run serves until ctx is done, then finishes what runs.
 func (s *Server) Run(ctx context.Context) error {
-	var group errgroup.Group
+	group, ctx := errgroup.WithContext(ctx)
 	callers, err := net.Listen("tcp", s.config.Address)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers; check that the address is this VM's and free")
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -472,3 +472,22 @@
 	}
 	s.c.Check(vm.isReady(), qt.IsTrue)
 }
+
+// TestFrontEndsWhenItCannotListen: a VM that can't serve callers ends with an error and leaves the list.
+func TestFrontEndsWhenItCannotListen(t *testing.T) {
+	s := newStage(t)
+	s.configure()
+	port := freePort(t)
+	taken, err := net.Listen("tcp", stageIP+":"+port)
+	s.c.Assert(err, qt.IsNil)
+	defer taken.Close() //nolint:errcheck // nothing was sent
+	vm := s.launch(t, "vm-1", stageZone)
+	lines, err := os.ReadFile(vm.settings)
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(os.WriteFile(vm.settings, []byte(strings.ReplaceAll(string(lines), vm.callers, stageIP+":"+port)), 0o600), qt.IsNil)
+	vm.process.signal(syscall.SIGKILL)
+	<-vm.process.ended
+	again := start(t, "cassiafront", "--settings", vm.settings)
+	s.c.Assert(again.wait(t, 3*time.Second), qt.Equals, 1)
+	s.c.Check(strings.Contains(again.output.String(), "address already in use"), qt.IsTrue)
+}
