Divide the shared slack among zones that may serve; earn none while idle

Change: zones are counted like VMs (Census), and time without a request earns for a tenth of a second at most.

Left: two VMs of one zone that send for the same service at the same time, because VMs disagree about the list, have the zone's part twice.

--- a/core/cassiabudget/allowance.go
+++ b/core/cassiabudget/allowance.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// defaultWindow is the window of an allowance that names none.
+const defaultWindow = 10 * time.Second
+
 // Allowance is how many requests beyond the first of each a service may get.
 type Allowance struct {
 	// Ratio is how many for each ordinary request.
@@ -16,3 +19,12 @@
 func (a Allowance) Part(ratio, slack float64) Allowance {
 	return Allowance{Ratio: ratio * a.Ratio, Slack: slack * a.Slack, Window: a.Window}
 }
+
+// windows returns the time that a number of windows lasts.
+func (a Allowance) windows(n float64) time.Duration {
+	window := a.Window
+	if window <= 0 {
+		window = defaultWindow
+	}
+	return time.Duration(n * float64(window))
+}
--- a/core/cassiabudget/budget.go
+++ b/core/cassiabudget/budget.go
@@ -33,6 +33,13 @@
 	b.at = now
 }
 
+// skipTo has the time before a moment not earn anything.
+func (b *Budget) skipTo(at time.Time) {
+	if !b.at.IsZero() && b.at.Before(at) {
+		b.at = at
+	}
+}
+
 // Take takes one extra request, or returns false.
 func (b *Budget) Take() bool {
 	b.start()
--- a/core/cassiabudget/metered.go
+++ b/core/cassiabudget/metered.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// defaultWindow is the window of an allowance that names none.
-const defaultWindow = 10 * time.Second
-
 // Split divides the slack of an allowance into what a budget saves up and what it regains in a window; a budget can spend both in
 // one window, so together they are the whole slack at most. A new budget holds nothing, since an earlier one may have spent its
 // own in the same window.
@@ -24,6 +21,8 @@
 // Metered spends an allowance, which may change at any time; Split is all that it needs.
 type Metered struct {
 	Split Split
+	// MaxIdle is the longest time between two requests that earns repeats; there is no bound when it is zero.
+	MaxIdle time.Duration
 
 	budget Budget
 }
@@ -31,11 +30,10 @@
 // Earn credits ordinary requests and the time since the last call.
 func (m *Metered) Earn(now time.Time, a Allowance, requests float64) {
 	m.budget.bound(max(1, m.Split.Burst*a.Slack))
-	window := a.Window
-	if window <= 0 {
-		window = defaultWindow
+	if m.MaxIdle > 0 {
+		m.budget.skipTo(now.Add(-m.MaxIdle))
 	}
-	m.budget.EarnTime(now, m.Split.Regain*a.Slack/window.Seconds())
+	m.budget.EarnTime(now, m.Split.Regain*a.Slack/a.windows(1).Seconds())
 	m.budget.Earn(requests, a.Ratio)
 }
 
--- a/core/cassiabudget/share.go
+++ b/core/cassiabudget/share.go
@@ -59,9 +59,5 @@
 }
 
 func (s *Share[K]) span(windows float64) time.Duration {
-	window := s.Window
-	if window <= 0 {
-		window = defaultWindow
-	}
-	return time.Duration(windows * float64(window))
+	return Allowance{Window: s.Window}.windows(windows)
 }
--- a/core/cassiabudget/shared.go
+++ b/core/cassiabudget/shared.go
@@ -1,20 +1,31 @@
 package cassiabudget
 
-import "time"
+import (
+	"time"
+
+	"cassiasaddle/core/cassiaid"
+)
 
 const (
 	// sharedRatio and sharedSlack are the parts of the allowed ratio and slack that VMs plan with that send for all; the rest is
 	// for those who send past them.
 	sharedRatio = 0.8
 	sharedSlack = 0.8
+	// idleWindows is for how many windows a VM that sends nothing for a service earns; while it does not, another one may.
+	idleWindows = 0.01
 )
 
-// Shared holds a budget a service for attempts that one VM of a zone sends for all; Allowance and Zones are all it needs.
+// Shared holds a budget a service for attempts that one VM of a zone sends for all; Allowance is all that it needs.
 type Shared[K comparable] struct {
 	Allowance Allowance
-	// Zones is how many zones have such VMs.
-	Zones   int
-	budgets map[K]*Metered
+	zones     Census[cassiaid.Zone]
+	budgets   map[K]*Metered
+}
+
+// SetZones replaces the zones that are known to have such VMs.
+func (s *Shared[K]) SetZones(now time.Time, zones []cassiaid.Zone) {
+	s.zones.Hold = s.Allowance.windows(holdWindows)
+	s.zones.List(now, zones)
 }
 
 // Admit tells whether an attempt at a service may be sent; extra is true for one beyond the first of a request.
@@ -24,10 +35,10 @@
 		if s.budgets == nil {
 			s.budgets = make(map[K]*Metered)
 		}
-		b = &Metered{Split: Steady}
+		b = &Metered{Split: Steady, MaxIdle: s.Allowance.windows(idleWindows)}
 		s.budgets[service] = b
 	}
-	part := s.Allowance.Part(sharedRatio, sharedSlack/float64(max(1, s.Zones)))
+	part := s.Allowance.Part(sharedRatio, sharedSlack/float64(max(1, s.zones.Count(now))))
 	if extra {
 		return b.Take(now, part)
 	}
--- a/core/cassiabudget/shared_test.go
+++ b/core/cassiabudget/shared_test.go
@@ -6,8 +6,25 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"cassiasaddle/core/cassiaid"
 )
 
+// newShared returns the budgets of a VM that knows some zones.
+func newShared(allowance Allowance, zones int) Shared[string] {
+	s := Shared[string]{Allowance: allowance}
+	s.SetZones(time.Unix(0, 0), zoneNames(zones))
+	return s
+}
+
+func zoneNames(n int) []cassiaid.Zone {
+	names := make([]cassiaid.Zone, n)
+	for i := range names {
+		names[i] = cassiaid.Zone(rune('a' + i))
+	}
+	return names
+}
+
 // play sends first attempts at a rate to the VMs of some zones and has each of them spend all it can, for a time. Each zone's VM
 // is replaced by a new one now and then. It returns the most extra attempts, less the allowed part of the requests, in a window.
 func play(allowance Allowance, zones int, perSecond float64, replaceEvery, length time.Duration) (worst float64, extras int) {
@@ -16,14 +33,14 @@
 	now := time.Unix(0, 0)
 	vms := make([]Shared[string], zones)
 	for i := range vms {
-		vms[i] = Shared[string]{Allowance: allowance, Zones: zones}
+		vms[i] = newShared(allowance, zones)
 	}
 	var firsts, seconds []float64
 	for at := time.Duration(0); at < length; at += step {
 		first, second := 0.0, 0.0
 		for i := range vms {
 			if replaceEvery > 0 && at > 0 && (at+time.Duration(i)*time.Second)%replaceEvery == 0 {
-				vms[i] = Shared[string]{Allowance: allowance, Zones: zones}
+				vms[i] = newShared(allowance, zones)
 			}
 			if random.Float64() < perSecond*step.Seconds()/float64(zones) {
 				first++
@@ -75,6 +92,63 @@
 	c.Check(extras >= 2*perSecond*seconds/5, qt.IsTrue, qt.Commentf("%d extra attempts", extras))
 }
 
+// TestSendersTakeTurns: VMs of a zone that send for all in turn have together little more than one that does all the time.
+func TestSendersTakeTurns(t *testing.T) {
+	allowance := Allowance{Ratio: 0.2, Slack: 180, Window: 10 * time.Second}
+	const step, length = 10 * time.Millisecond, 40 * time.Second
+	for _, turn := range []time.Duration{time.Second, 3 * time.Second, 7 * time.Second} {
+		c := qt.New(t)
+		senders := []Shared[string]{newShared(allowance, 1), newShared(allowance, 1)}
+		now := time.Unix(0, 0)
+		var spent []int
+		for at := time.Duration(0); at < length; at += step {
+			n := 0
+			sender := &senders[int(at/turn)%len(senders)]
+			for sender.Admit(now, "s", true) {
+				n++
+			}
+			spent = append(spent, n)
+			now = now.Add(step)
+		}
+		worst, sum, window := 0, 0, int(allowance.Window/step)
+		for i, n := range spent {
+			sum += n
+			if i >= window {
+				sum -= spent[i-window]
+			}
+			worst = max(worst, sum)
+		}
+		c.Check(float64(worst) <= allowance.Slack, qt.IsTrue, qt.Commentf("turns of %v: %d repeats", turn, worst))
+	}
+}
+
+// TestZonesOffTheListAreCounted: zones whose targets are not listed any more may still serve their own callers.
+func TestZonesOffTheListAreCounted(t *testing.T) {
+	c := qt.New(t)
+	allowance := Allowance{Ratio: 0.2, Slack: 180, Window: 10 * time.Second}
+	const zones, step = 3, 10 * time.Millisecond
+	senders := make([]Shared[string], zones)
+	now := time.Unix(0, 0)
+	for i := range senders {
+		senders[i] = newShared(allowance, zones)
+		senders[i].Admit(now, "s", false)
+	}
+	now = now.Add(time.Minute)
+	for i := range senders {
+		senders[i].SetZones(now, zoneNames(zones)[i:i+1])
+	}
+	spent := 0
+	for range int(allowance.Window / step) {
+		for i := range senders {
+			for senders[i].Admit(now, "s", true) {
+				spent++
+			}
+		}
+		now = now.Add(step)
+	}
+	c.Check(float64(spent) <= allowance.Slack, qt.IsTrue, qt.Commentf("%d repeats", spent))
+}
+
 // TestRestartsGrantNothing: VMs that each plan with their part, spend all they can at once, and start any number of times in a
 // window, get no more than the slack beside the ratio.
 func TestRestartsGrantNothing(t *testing.T) {
--- a/io/cassiaaggregate/aggregate_test.go
+++ b/io/cassiaaggregate/aggregate_test.go
@@ -72,7 +72,7 @@
 	return cassiadirectory.Target{Name: name}, true
 }
 
-func (f fakeTargets) Zones() int { return 1 }
+func (f fakeTargets) Zones() []cassiaid.Zone { return []cassiaid.Zone{"zone-a"} }
 
 // connect returns paths to an aggregator over some targets, and the ends of attempts.
 func connect(targets fakeTargets) (*fakeNode, chan cassiagateway.AttemptEnded) {
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,8 +31,8 @@
 // Targets knows the targets that may be used.
 type Targets interface {
 	Target(name cassiaid.TargetName) (cassiadirectory.Target, bool)
-	// Zones returns how many zones have targets.
-	Zones() int
+	// Zones returns the zones that have targets; the list is not changed.
+	Zones() []cassiaid.Zone
 }
 
 // Aggregator serves batches of other VMs.
@@ -44,6 +45,7 @@
 	group     errgroup.Group
 
 	mutex   sync.Mutex
+	zones   []cassiaid.Zone
 	budgets cassiabudget.Shared[cassiacatalog.ServiceName]
 	fitness cassiafitness.Monitor
 	running map[cassiaid.VMName]map[uint64]context.CancelFunc
@@ -106,7 +108,10 @@
 	if running == nil {
 		return nil, cassiagateway.OutcomeUnfit
 	}
-	a.budgets.Zones = zones
+	if !slices.Equal(a.zones, zones) {
+		a.zones = zones
+		a.budgets.SetZones(now, zones)
+	}
 	allowed := a.budgets.Admit(now, target.Service, attempt.GetExtra())
 	if attempt.GetExtra() && a.Repeated != nil {
 		a.Repeated(allowed)
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,7 +48,7 @@
 	timer     *time.Timer
 	dirTimer  *time.Timer
 	targets   map[cassiaid.TargetName]cassiadirectory.Target
-	zones     int
+	zones     []cassiaid.Zone
 	synced    bool
 	vms       []cassiafollow.VM
 	paths     *cassiaaggregate.Paths
@@ -106,7 +108,7 @@
 		g.targets[t.Name] = t
 		zones[t.Zone] = true
 	}
-	g.zones = len(zones)
+	g.zones = slices.Sorted(maps.Keys(zones))
 	g.report.targetsChanged(targets)
 	g.perform(g.core.Update(cassiagateway.TargetsChanged{Targets: targets}))
 }
@@ -163,8 +165,8 @@
 	return target, ok
 }
 
-// Zones returns how many zones have targets.
-func (g *Gate) Zones() int {
+// Zones returns the zones that have targets.
+func (g *Gate) Zones() []cassiaid.Zone {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.zones
