Earn slack by the part that was in force, from when a service is known

And time began to count only at the first request, which left a VM without any repeat for its first requests.

Change: the budgets are settled whenever the part changes, and start with the configuration that names their service.

Test that failed before: TestTimeOffTheListEarnsNoSlack (repeats after 60 s off the list).

--- a/core/cassiabudget/census.go
+++ b/core/cassiabudget/census.go
@@ -32,6 +32,17 @@
 // Listed tells whether a member is on the list.
 func (c *Census[K]) Listed(member K) bool { return slices.Contains(c.listed, member) }
 
+// due returns when the count falls next, or the zero time.
+func (c *Census[K]) due() time.Time {
+	var first time.Time
+	for _, until := range c.gone {
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first
+}
+
 // Count returns how many members there may be.
 func (c *Census[K]) Count(now time.Time) int {
 	n := len(c.listed)
--- a/core/cassiabudget/share.go
+++ b/core/cassiabudget/share.go
@@ -58,6 +58,17 @@
 	return 1 / members
 }
 
+// Due returns when Part changes next unless a list or its confirmation comes, or the zero time.
+func (s *Share[K]) Due(now time.Time) time.Time {
+	due := s.members.due()
+	for _, at := range []time.Time{s.since.Add(s.span(settleWindows)), s.confirmed.Add(s.span(fenceWindows) + 1)} {
+		if at.After(now) && (due.IsZero() || at.Before(due)) {
+			due = at
+		}
+	}
+	return due
+}
+
 func (s *Share[K]) span(windows float64) time.Duration {
 	return Allowance{Window: s.Window}.windows(windows)
 }
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -46,8 +46,8 @@
 	settings Settings
 	// share is this VM's part of what all VMs share.
 	share cassiabudget.Share[cassiaid.VMName]
-	// planned is the slack that was last told of.
-	planned  float64
+	// part is the part of the slack that this VM plans with since the last message.
+	part     float64
 	services map[cassiacatalog.ServiceName]*service
 	targets  map[cassiaid.TargetName]*target
 	queries  map[QueryID]*query
@@ -117,6 +117,7 @@
 func (g *Gateway) Update(m Message) []Effect {
 	now := g.clock.Now()
 	g.effects = make([]Effect, 0, maxEffects)
+	g.planRetries(now)
 	switch m := m.(type) {
 	case Arrived:
 		g.arrive(now, m)
@@ -134,7 +135,7 @@
 		g.setTargets(now, m.Targets)
 		g.warm(now)
 	case ServicesChanged:
-		g.setServices(m.Services)
+		g.setServices(now, m.Services)
 		g.fanOutServices = m.FanOut
 		g.warm(now)
 	case FleetChanged:
@@ -161,14 +162,17 @@
 	g.fleetKnown = len(vms) > 0
 }
 
-// planRetries tells of the part of the slack that this VM plans with, when that has changed.
+// planRetries follows the part of the slack that this VM plans with. The time until now earned by the part in force before.
 func (g *Gateway) planRetries(now time.Time) {
-	slack := g.share.Part(now) * g.settings.Retries.Slack
-	if slack == g.planned {
+	part := g.share.Part(now)
+	if part == g.part {
 		return
 	}
-	g.planned = slack
-	g.emit(RetriesPlanned{VMs: g.vms(now), Slack: slack})
+	for _, s := range g.services {
+		s.extra.Earn(now, g.allowance(now, s), 0)
+	}
+	g.part = part
+	g.emit(RetriesPlanned{VMs: g.vms(now), Slack: part * g.settings.Retries.Slack})
 }
 
 // vms returns among how many VMs what they share is divided, those included that fell off the list of late.
@@ -215,7 +219,7 @@
 	if s.scarce(g.vms(now)) {
 		ratio, slack = scarceBudgetShare, scarceBudgetShare
 	}
-	return g.settings.Retries.Part(ratio, slack*g.share.Part(now))
+	return g.settings.Retries.Part(ratio, slack*g.part)
 }
 
 func (g *Gateway) route(name cassiacatalog.RouteName, now time.Time) *routeState {
@@ -227,9 +231,11 @@
 	return r
 }
 
-func (g *Gateway) setServices(services map[cassiacatalog.ServiceName]cassiacatalog.Service) {
-	for name, s := range services {
-		g.service(name).maxConnections = s.MaxConnections
+func (g *Gateway) setServices(now time.Time, services map[cassiacatalog.ServiceName]cassiacatalog.Service) {
+	for name, configured := range services {
+		s := g.service(name)
+		s.maxConnections = configured.MaxConnections
+		s.extra.Earn(now, g.allowance(now, s), 0)
 	}
 }
 
@@ -276,6 +282,7 @@
 		sooner(w.due())
 	}
 	sooner(g.nextProbe())
+	sooner(g.share.Due(now))
 	if at.IsZero() || at.Equal(g.wakeAt) {
 		return
 	}
