Judge the retry budget in the soak, and press VMs to repeat

It now sums repeats over every window from what the targets got. With odd seeds whole services fail, all VMs are killed and entries fall off the list beside the usual faults, and most callers pause, since the ratio hides the slack where requests are many. Even seeds play as before.

--- a/test/front_test.go
+++ b/test/front_test.go
@@ -55,7 +55,7 @@
 	for shard := range stageShards {
 		for replica := range 2 {
 			part := bytes.Repeat([]byte{byte('a' + shard)}, 2*cassiarecord.Bytes)
-			s.addTarget(t, fmt.Sprintf("t-%d-%d", shard, replica), fmt.Sprintf("shard-%d", shard), part)
+			s.addTarget(t, fmt.Sprintf("t-%d-%d", shard, replica), shardName(shard), part)
 		}
 	}
 	s.addTarget(t, "t-single", "single", []byte("the whole answer"))
@@ -101,7 +101,7 @@
 	var shards []string
 	services := []map[string]any{{"name": "single", "health_path": "/health", "max_conns": 50}}
 	for shard := range stageShards {
-		name := fmt.Sprintf("shard-%d", shard)
+		name := shardName(shard)
 		shards = append(shards, name)
 		services = append(services, map[string]any{"name": name, "health_path": "/health", "max_conns": cmp.Or(s.connections, 26)})
 	}
@@ -491,3 +491,5 @@
 	s.c.Assert(again.wait(t, 3*time.Second), qt.Equals, 1)
 	s.c.Check(strings.Contains(again.output.String(), "address already in use"), qt.IsTrue)
 }
+
+func shardName(shard int) string { return fmt.Sprintf("shard-%d", shard) }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -31,6 +31,8 @@
 var soakFailed = []uint64{
 	// A VM kept its connection to an earlier process of another one for 30 s.
 	1010,
+	// VMs that had started anew or fallen off the list sent more repeats than their part of the retry budget.
+	3013,
 }
 
 const (
@@ -70,6 +72,10 @@
 	maxConnections int
 	// planned is true when neither VMs nor the store fail, so that the bounds of planned work hold for all VMs.
 	planned bool
+	// pressed is true when VMs are made to want more repeats than they may send.
+	pressed bool
+	// pace is how long each caller waits between its requests.
+	pace    time.Duration
 	vms     []*soakVM
 	callers errgroup.Group
 	faults  errgroup.Group
@@ -139,6 +145,12 @@
 
 const soakPort = ":7400"
 
+// soakPaces are the pauses of callers; where requests are few, the slack of the retry budget counts most.
+var soakPaces = []time.Duration{0, 400 * time.Millisecond, 100 * time.Millisecond}
+
+// soakPressure tells the draws of pressures from the others of a seed.
+const soakPressure = 1 << 32
+
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{stage: &stage{c: qt.New(t), store: cassiastage.NewStore()}, t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), start: time.Now()}
 	s.serveStore(t)
@@ -158,6 +170,9 @@
 	s.addReplicas(relay)
 	s.maxConnections = []int{26, 3}[s.random.IntN(2)]
 	s.planned = seed%3 == 0
+	if s.pressed = seed%2 == 1; s.pressed {
+		s.pace = soakPaces[seed/2%uint64(len(soakPaces))]
+	}
 	s.nextVersion()
 	perZone := []int{2, 4}[s.random.IntN(2)]
 	for i := range 2 * perZone {
@@ -187,7 +202,7 @@
 	for i := range 2 * (stageShards + 1) {
 		service, part := "single", []byte("the whole answer")
 		if shard := i / 2; shard < stageShards {
-			service, part = fmt.Sprintf("shard-%d", shard), partOf(shard)
+			service, part = shardName(shard), partOf(shard)
 		}
 		r := &soakReplica{Target: cassiastage.NewTarget(fmt.Sprintf("t-%s-%d", service, i%2), service, part),
 			zone: []string{"zone-a", "zone-b"}[i%2], address: s.host(hostOfTarget, i+1) + soakPort}
@@ -260,7 +275,13 @@
 		random := rand.New(rand.NewPCG(s.seed, uint64(i)+1))
 		s.callers.Go(func() error { s.call(random, stop); return nil })
 	}
-	s.disturb()
+	var disturbers errgroup.Group
+	disturbers.Go(func() error { s.disturb(s.random, soakFaults, soakMostPause); return nil })
+	if s.pressed {
+		random := rand.New(rand.NewPCG(s.seed, soakPressure))
+		disturbers.Go(func() error { s.disturb(random, soakPressures, soakPressurePause); return nil })
+	}
+	s.c.Assert(disturbers.Wait(), qt.IsNil)
 	s.heal()
 	s.checkRecovered()
 	close(stop)
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cassiasaddle/core/cassiarecord"
+	"cassiasaddle/platform/cassiastage"
 )
 
 // soakRequest is one request as its caller saw it.
@@ -68,6 +69,7 @@
 		if r.err != nil || r.answer.status != http.StatusOK {
 			pause(soakRetryPause)
 		}
+		pause(s.pace)
 	}
 }
 
@@ -105,6 +107,7 @@
 	}
 	s.checkRegress()
 	s.checkDrains()
+	s.checkBudget()
 	s.t.Logf("seed %d: %d of %d requests answered, %d disturbances, %s", s.seed, answered, len(s.requests), len(s.disturbances), s.statuses())
 	if answered == 0 {
 		s.t.Errorf("no request was answered")
@@ -261,3 +264,29 @@
 		}
 	}
 }
+
+// checkBudget: no service gets more repeats than its budget allows in any window.
+func (s *soak) checkBudget() {
+	sent := make(map[string][]time.Time)
+	for _, r := range s.requests {
+		at := s.start.Add(r.from)
+		switch {
+		case strings.HasPrefix(r.path, "/search/"):
+			for shard := range stageShards {
+				sent[shardName(shard)] = append(sent[shardName(shard)], at)
+			}
+		case r.err != nil || r.answer.status != http.StatusNotFound:
+			sent["single"] = append(sent["single"], at)
+		}
+	}
+	arrivals := make(map[string][]cassiastage.Arrival)
+	for _, r := range s.replicas {
+		arrivals[r.Service] = append(arrivals[r.Service], r.Arrivals()...)
+	}
+	for service, each := range arrivals {
+		over, at := stageBudget.excess(sent[service], each)
+		if over > 0 {
+			s.t.Errorf("%s got %.1f repeats more than its budget allows from %v on", service, over, at.Sub(s.start))
+		}
+	}
+}
--- a/test/soakfault_test.go
+++ b/test/soakfault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -30,21 +31,21 @@
 type soakFault struct {
 	kind string
 	// begin returns the VM or the service that is touched, if it is one alone, and what ends the fault.
-	begin func(s *soak) (touched string, end func())
+	begin func(s *soak, random *rand.Rand) (touched string, end func())
 }
 
 // soakFaults are drawn from with equal chances.
 var soakFaults = []soakFault{
-	{"kill", func(s *soak) (string, func()) {
-		vm := s.anyVM()
+	{"kill", func(s *soak, random *rand.Rand) (string, func()) {
+		vm := s.anyVM(random)
 		if !vm.begin() {
 			return vm.name, vm.finish
 		}
 		vm.end(syscall.SIGKILL)
 		return vm.name, func() { s.startVM(vm); vm.finish() }
 	}},
-	{"pause", func(s *soak) (string, func()) {
-		vm := s.anyVM()
+	{"pause", func(s *soak, random *rand.Rand) (string, func()) {
+		vm := s.anyVM(random)
 		if !vm.begin() {
 			return vm.name, vm.finish
 		}
@@ -52,50 +53,50 @@
 		process.signal(syscall.SIGSTOP)
 		return vm.name, func() { process.signal(syscall.SIGCONT); vm.finish() }
 	}},
-	{"stop", func(s *soak) (string, func()) {
-		vm := s.anyVM()
+	{"stop", func(s *soak, random *rand.Rand) (string, func()) {
+		vm := s.anyVM(random)
 		if !vm.begin() {
 			return vm.name, vm.finish
 		}
 		return vm.name, func() { vm.end(syscall.SIGTERM); s.startVM(vm); vm.finish() }
 	}},
-	{"storeDown", func(s *soak) (string, func()) {
+	{"storeDown", func(s *soak, random *rand.Rand) (string, func()) {
 		s.store.SetFaults(cassiastage.Faults{Busy: true})
 		return "", func() { s.store.SetFaults(cassiastage.Faults{}) }
 	}},
-	{"storeLosesReplies", func(s *soak) (string, func()) {
+	{"storeLosesReplies", func(s *soak, random *rand.Rand) (string, func()) {
 		s.store.SetFaults(cassiastage.Faults{LoseReplies: true})
 		return "", func() { s.store.SetFaults(cassiastage.Faults{}) }
 	}},
-	{"storeForgets", func(s *soak) (string, func()) { s.store.Compact(); return "", func() {} }},
-	{"storeLink", func(s *soak) (string, func()) {
-		vm := s.anyVM()
-		vm.store.SetFaults(s.linkFaults(200))
+	{"storeForgets", func(s *soak, random *rand.Rand) (string, func()) { s.store.Compact(); return "", func() {} }},
+	{"storeLink", func(s *soak, random *rand.Rand) (string, func()) {
+		vm := s.anyVM(random)
+		vm.store.SetFaults(linkFaults(random, 200))
 		return vm.name, func() { vm.store.SetFaults(cassiarelay.Faults{}) }
 	}},
-	{"peerLink", func(s *soak) (string, func()) {
-		vm := s.anyVM()
-		vm.peers.SetFaults(s.linkFaults(20))
+	{"peerLink", func(s *soak, random *rand.Rand) (string, func()) {
+		vm := s.anyVM(random)
+		vm.peers.SetFaults(linkFaults(random, 20))
 		return vm.name, func() { vm.peers.SetFaults(cassiarelay.Faults{}) }
 	}},
-	{"targetLink", func(s *soak) (string, func()) {
-		r := s.anyReplica()
-		r.relay.SetFaults(s.linkFaults(50))
+	{"targetLink", func(s *soak, random *rand.Rand) (string, func()) {
+		r := s.anyReplica(random)
+		r.relay.SetFaults(linkFaults(random, 50))
 		return r.Service, func() { r.relay.SetFaults(cassiarelay.Faults{}) }
 	}},
 	{"targetFails", failTarget},
 	{"targetFails", failTarget},
 	{"targetFails", failTarget},
-	{"targetLapses", func(s *soak) (string, func()) {
-		r := s.anyReplica()
+	{"targetLapses", func(s *soak, random *rand.Rand) (string, func()) {
+		r := s.anyReplica(random)
 		if !r.begin() {
 			return r.Service, r.finish
 		}
 		s.store.Delete("servers/" + r.Name)
 		return r.Service, func() { s.register(r, "ready"); r.finish() }
 	}},
-	{"targetDrains", func(s *soak) (string, func()) {
-		r := s.anyReplica()
+	{"targetDrains", func(s *soak, random *rand.Rand) (string, func()) {
+		r := s.anyReplica(random)
 		if !r.begin() {
 			return r.Service, r.finish
 		}
@@ -103,16 +104,63 @@
 		said := time.Since(s.start)
 		return r.Service, func() { s.endDrain(r, said); r.finish() }
 	}},
-	{"configuration", func(s *soak) (string, func()) { s.nextVersion(); return "", func() {} }},
-	{"configuration", func(s *soak) (string, func()) { s.nextVersion(); return "", func() {} }},
+	{"configuration", func(s *soak, random *rand.Rand) (string, func()) { s.nextVersion(); return "", func() {} }},
+	{"configuration", func(s *soak, random *rand.Rand) (string, func()) { s.nextVersion(); return "", func() {} }},
+}
+
+// soakPressures make VMs want to repeat more than they may, and have them start anew and fall off the list meanwhile.
+var soakPressures = []soakFault{
+	{"targetFails", failService},
+	{"targetFails", failService},
+	{"kill", func(s *soak, random *rand.Rand) (string, func()) {
+		var ended []*soakVM
+		for _, vm := range s.vms {
+			if vm.begin() {
+				vm.end(syscall.SIGKILL)
+				ended = append(ended, vm)
+			}
+		}
+		return "", func() {
+			for _, vm := range ended {
+				s.startVM(vm)
+			}
+			for _, vm := range s.vms {
+				vm.finish()
+			}
+		}
+	}},
+	{"unlist", func(s *soak, random *rand.Rand) (string, func()) {
+		for _, vm := range s.vms {
+			s.store.Delete("vms/" + vm.name)
+		}
+		return "", func() {}
+	}},
+}
+
+// failService has all targets of a service fail in the same way.
+func failService(s *soak, random *rand.Rand) (string, func()) {
+	service := s.anyReplica(random).Service
+	failure := []cassiastage.Behaviour{{Drop: true}, {Shed: true}, {Status: 500}}[random.IntN(3)]
+	for _, r := range s.replicas {
+		if r.Service == service {
+			r.Behave(failure)
+		}
+	}
+	return service, func() {
+		for _, r := range s.replicas {
+			if r.Service == service {
+				r.Behave(r.usual())
+			}
+		}
+	}
 }
 
 // failTarget has a target answer wrongly, late or not at all.
-func failTarget(s *soak) (string, func()) {
-	r := s.anyReplica()
+func failTarget(s *soak, random *rand.Rand) (string, func()) {
+	r := s.anyReplica(random)
 	failures := []cassiastage.Behaviour{{Drop: true}, {Silent: true}, {Truncate: true}, {Extra: true}, {Shed: true}, {Status: 500},
 		{Status: 503}, {Work: 150 * time.Millisecond}}
-	r.Behave(failures[s.random.IntN(len(failures))])
+	r.Behave(failures[random.IntN(len(failures))])
 	return r.Service, func() { r.Behave(r.usual()) }
 }
 
@@ -137,40 +185,41 @@
 func (c *claim) finish() { c.count.Add(-1) }
 
 // linkFaults draws what a link does wrong, with a delay of up to so many milliseconds.
-func (s *soak) linkFaults(delay float64) cassiarelay.Faults {
+func linkFaults(random *rand.Rand, delay float64) cassiarelay.Faults {
 	return []cassiarelay.Faults{{Cut: true}, {HalfOpen: true}, {SwallowReplies: true}, {Loss: 0.2},
-		{DelayMs: delay * s.random.Float64(), JitterMs: delay}}[s.random.IntN(5)]
+		{DelayMs: delay * random.Float64(), JitterMs: delay}}[random.IntN(5)]
 }
 
-func (s *soak) anyVM() *soakVM { return s.vms[s.random.IntN(len(s.vms))] }
+func (s *soak) anyVM(random *rand.Rand) *soakVM { return s.vms[random.IntN(len(s.vms))] }
 
 // anyReplica draws the single service, where requests that must not be repeated go, as often as all shards together.
-func (s *soak) anyReplica() *soakReplica {
+func (s *soak) anyReplica(random *rand.Rand) *soakReplica {
 	singles := 2
-	if shards := len(s.replicas) - singles; s.random.Float64() < 0.5 {
-		return s.replicas[s.random.IntN(shards)]
+	if shards := len(s.replicas) - singles; random.Float64() < 0.5 {
+		return s.replicas[random.IntN(shards)]
 	}
-	return s.replicas[len(s.replicas)-1-s.random.IntN(singles)]
+	return s.replicas[len(s.replicas)-1-random.IntN(singles)]
 }
 
 // Bounds of the pauses between faults and of how long they last.
 const (
-	soakMostPause = 400 * time.Millisecond
-	soakMostFault = 2500 * time.Millisecond
+	soakMostPause     = 400 * time.Millisecond
+	soakPressurePause = 1500 * time.Millisecond
+	soakMostFault     = 2500 * time.Millisecond
 )
 
 // disturb begins faults in series that overlap.
-func (s *soak) disturb() {
+func (s *soak) disturb(random *rand.Rand, faults []soakFault, mostPause time.Duration) {
 	end := time.Now().Add(*soakFor)
 	for time.Now().Before(end) {
-		pause(time.Duration(s.random.Float64() * float64(soakMostPause)))
-		fault := soakFaults[s.random.IntN(len(soakFaults))]
+		pause(time.Duration(random.Float64() * float64(mostPause)))
+		fault := faults[random.IntN(len(faults))]
 		if s.planned && strings.Contains(ownTrouble+storeTrouble, fault.kind) && fault.kind != "stop" {
 			continue
 		}
-		lasts := time.Duration((0.1 + 0.9*s.random.Float64()) * float64(soakMostFault))
+		lasts := time.Duration((0.1 + 0.9*random.Float64()) * float64(soakMostFault))
 		from := time.Since(s.start)
-		touched, finish := fault.begin(s)
+		touched, finish := fault.begin(s, random)
 		// Until it has ended, it touches everything that comes.
 		number := s.note(disturbance{kind: fault.kind, touched: touched, from: from, to: time.Hour})
 		s.faults.Go(func() error {
