Ask for no time that has passed when a VM is off the list

Found while reading the change: a VM that is off the list does not count its members, so those that had stopped counting stayed the next thing due, and the gateway would wake at once, again and again, until a request came.

Test that failed before: TestShareIsDueInTheFuture (due 0 s before now).

--- a/core/cassiabudget/census.go
+++ b/core/cassiabudget/census.go
@@ -33,10 +33,10 @@
 func (c *Census[K]) Listed(member K) bool { return slices.Contains(c.listed, member) }
 
 // due returns when the count falls next, or the zero time.
-func (c *Census[K]) due() time.Time {
+func (c *Census[K]) due(now time.Time) time.Time {
 	var first time.Time
 	for _, until := range c.gone {
-		if first.IsZero() || until.Before(first) {
+		if until.After(now) && (first.IsZero() || until.Before(first)) {
 			first = until
 		}
 	}
--- a/core/cassiabudget/share.go
+++ b/core/cassiabudget/share.go
@@ -60,7 +60,7 @@
 
 // Due returns when Part changes next unless a list or its confirmation comes, or the zero time.
 func (s *Share[K]) Due(now time.Time) time.Time {
-	due := s.members.due()
+	due := s.members.due(now)
 	for _, at := range []time.Time{s.since.Add(s.span(settleWindows)), s.confirmed.Add(s.span(fenceWindows) + 1)} {
 		if at.After(now) && (due.IsZero() || at.Before(due)) {
 			due = at
--- a/core/cassiabudget/share_test.go
+++ b/core/cassiabudget/share_test.go
@@ -256,6 +256,20 @@
 	}
 }
 
+// TestShareIsDueInTheFuture: a member off the list does not ask for a time that has passed.
+func TestShareIsDueInTheFuture(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := Share[string]{Self: "a"}
+	s.List(now, []string{"a", "b"})
+	s.List(now, nil)
+	for range 40 {
+		now = now.Add(time.Second)
+		if due := s.Due(now); !due.IsZero() && !due.After(now) {
+			t.Fatalf("due %v before now", now.Sub(due))
+		}
+	}
+}
+
 // TestSharesAreSpent: members on a list that does not change use most of the slack.
 func TestSharesAreSpent(t *testing.T) {
 	var w *shareWorld
