--- a/test/budget_test.go
+++ b/test/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -18,8 +19,6 @@
 	fleetSize = 7
 	// fleetTime is how long callers send: a window of the budget and some more.
 	fleetTime = 14 * time.Second
-	// fleetKnown is how long VMs may take to hear of each other.
-	fleetKnown = 2 * time.Second
 )
 
 // fleet is some VMs as processes whose targets all fail, so that every request wants to be sent again.
@@ -31,6 +30,9 @@
 	callers errgroup.Group
 	changes errgroup.Group
 
+	// restarting guards each VM's process from being ended while it starts.
+	restarting [fleetSize]sync.Mutex
+
 	mutex sync.Mutex
 	vms   []*stageVM
 	// sent is when each request was sent.
@@ -51,7 +53,11 @@
 	for i := range f.vms {
 		f.eventually(f.vm(i).isReady, "a VM is not ready")
 	}
-	pause(fleetKnown)
+	for i := range f.vms {
+		f.eventually(func() bool {
+			return strings.Contains(f.vm(i).process.output.String(), fmt.Sprintf("event=fleetChanged vms=%d", fleetSize))
+		}, "a VM does not know all others")
+	}
 	return f
 }
 
@@ -76,6 +82,8 @@
 // restart ends the processes of some VMs by a signal and starts them again.
 func (f *fleet) restart(signal syscall.Signal, vms ...int) {
 	for _, i := range vms {
+		f.restarting[i].Lock()
+		defer f.restarting[i].Unlock()
 		f.vm(i).process.signal(signal)
 	}
 	for _, i := range vms {
