--- a/test/budget_test.go
+++ b/test/budget_test.go
@@ -139,8 +139,8 @@
 			arrivals = append(arrivals, f.target(fmt.Sprintf("t-%d-%d", shard, replica)).Arrivals()...)
 		}
 		over, at := stageBudget.excess(f.sent, arrivals)
-		seen := fmt.Sprintf("shard %d got %d requests for %d, %d of them repeats; the worst window, from %.3f s on, is %.1f over the budget",
-			shard, len(arrivals), len(f.sent), len(repeatsOf(arrivals)), at.Sub(f.sent[0]).Seconds(), over)
+		seen := fmt.Sprintf("shard %d got %d requests for %d, %d of them repeats; the worst window, from %v on, is %.1f over the budget",
+			shard, len(arrivals), len(f.sent), len(repeatsOf(arrivals)), at.Format(time.StampMilli), over)
 		f.t.Log(seen)
 		f.c.Check(over <= 0, qt.IsTrue, qt.Commentf("%s", seen))
 		f.c.Check(2*len(arrivals) > len(f.sent), qt.IsTrue, qt.Commentf("shard %d got %d requests for %d", shard, len(arrivals), len(f.sent)))
--- a/test/budgetjudge_test.go
+++ b/test/budgetjudge_test.go
@@ -25,7 +25,7 @@
 var stageBudget = retryBudget{ratio: 0.2, slack: 54, window: 10 * time.Second}
 
 // excess returns by how many requests a service got more than its budget allows in the worst window, and when that window began;
-// it is negative when all windows hold. The requests of a window are those sent in it, in the one before it or in the one that
+// it is negative when all windows hold, and no less than a window without requests and repeats has. The requests of a window are those sent in it, in the one before it or in the one that
 // began half a window before it, whichever are most.
 func (b retryBudget) excess(sent []time.Time, arrivals []cassiastage.Arrival) (float64, time.Time) {
 	sent = slices.SortedFunc(slices.Values(sent), time.Time.Compare)
