--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -145,7 +145,7 @@
 	a := &attempt{id: g.nextID, shard: s, target: t, sent: now, usual: usual, via: g.pathFor(now, q.route, t)}
 	a.sieved, a.begun = a.via != "" && len(s.tried) == s.declined, a.via != ""
 	repeat := s.reached > 0
-	a.extra = repeat && g.paidBy(s, a.via, now)
+	a.extra = repeat && g.paidBy(now, s, a.via)
 	a.paid = repeat && !a.extra && s.paid
 	s.paid = s.paid && !a.paid
 	force := slices.Contains(s.tried, t) || s.declined >= maxDeclined
@@ -366,15 +366,15 @@
 // pay has the next attempt of a shard paid for: the first one costs none, nor does one whose payment by this VM bought nothing
 // yet. The VM that sends for all to a target whose connections are scarce pays itself.
 func (g *Gateway) pay(now time.Time, s *shard, t *target) bool {
-	if s.reached == 0 || s.paid || t != nil && g.paidBy(s, g.pathFor(now, s.query.route, t), now) {
+	if s.reached == 0 || s.paid || t != nil && g.paidBy(now, s, g.pathFor(now, s.query.route, t)) {
 		return true
 	}
 	s.paid = s.service.extra.Take(now, g.allowance(now, s.service))
 	return s.paid
 }
 
-// paidBy tells whether a repeat that goes by another VM is paid for by that VM.
-func (g *Gateway) paidBy(s *shard, via cassiaid.VMName, now time.Time) bool {
+// paidBy tells whether a repeat of a shard that goes by a VM, if that is another one, is paid for there.
+func (g *Gateway) paidBy(now time.Time, s *shard, via cassiaid.VMName) bool {
 	return via != "" && s.service.scarce(g.vms(now))
 }
 
