--- a/test/soakfault_test.go
+++ b/test/soakfault_test.go
@@ -60,15 +60,15 @@
 		}
 		return vm.name, func() { vm.end(syscall.SIGTERM); s.startVM(vm); vm.finish() }
 	}},
-	{"storeDown", func(s *soak, random *rand.Rand) (string, func()) {
+	{"storeDown", func(s *soak, _ *rand.Rand) (string, func()) {
 		s.store.SetFaults(cassiastage.Faults{Busy: true})
 		return "", func() { s.store.SetFaults(cassiastage.Faults{}) }
 	}},
-	{"storeLosesReplies", func(s *soak, random *rand.Rand) (string, func()) {
+	{"storeLosesReplies", func(s *soak, _ *rand.Rand) (string, func()) {
 		s.store.SetFaults(cassiastage.Faults{LoseReplies: true})
 		return "", func() { s.store.SetFaults(cassiastage.Faults{}) }
 	}},
-	{"storeForgets", func(s *soak, random *rand.Rand) (string, func()) { s.store.Compact(); return "", func() {} }},
+	{"storeForgets", func(s *soak, _ *rand.Rand) (string, func()) { s.store.Compact(); return "", func() {} }},
 	{"storeLink", func(s *soak, random *rand.Rand) (string, func()) {
 		vm := s.anyVM(random)
 		vm.store.SetFaults(linkFaults(random, 200))
@@ -104,15 +104,15 @@
 		said := time.Since(s.start)
 		return r.Service, func() { s.endDrain(r, said); r.finish() }
 	}},
-	{"configuration", func(s *soak, random *rand.Rand) (string, func()) { s.nextVersion(); return "", func() {} }},
-	{"configuration", func(s *soak, random *rand.Rand) (string, func()) { s.nextVersion(); return "", func() {} }},
+	{"configuration", func(s *soak, _ *rand.Rand) (string, func()) { s.nextVersion(); return "", func() {} }},
+	{"configuration", func(s *soak, _ *rand.Rand) (string, func()) { s.nextVersion(); return "", func() {} }},
 }
 
 // soakPressures make VMs want to repeat more than they may, and have them start anew and fall off the list meanwhile.
 var soakPressures = []soakFault{
 	{"targetFails", failService},
 	{"targetFails", failService},
-	{"kill", func(s *soak, random *rand.Rand) (string, func()) {
+	{"kill", func(s *soak, _ *rand.Rand) (string, func()) {
 		var ended []*soakVM
 		for _, vm := range s.vms {
 			if vm.begin() {
@@ -129,7 +129,7 @@
 			}
 		}
 	}},
-	{"unlist", func(s *soak, random *rand.Rand) (string, func()) {
+	{"unlist", func(s *soak, _ *rand.Rand) (string, func()) {
 		for _, vm := range s.vms {
 			s.store.Delete("vms/" + vm.name)
 		}
