Tell targets that end under a request from lost answers, and name what repeats share

Callers and targets see the same as before.

A crashed target, a lost answer and a reset connection were all 'broken', and no line named what the repeats of one request have in common.

Change: the pool looks whether the target's process has ended when a connection ends without a whole reply (outcome 'lost'); the check of the owner in cassiasaddle serve did the same and is now the same code (io/cassialiveness). A process that is slow to accept is no longer taken for one that has ended. Lines of requests with a failed attempt carry a fingerprint.

--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -117,6 +117,8 @@
 	OutcomeOverBudget Outcome = "overBudget"
 	// OutcomeUnfit means that the aggregator considers the target stalled or failing; nothing was sent.
 	OutcomeUnfit Outcome = "unfit"
+	// OutcomeLost means that the target's process ended before it answered; the request may have run.
+	OutcomeLost Outcome = "lost"
 	// OutcomeBroken means that the connection broke or the answer is unusable; the request may have run.
 	OutcomeBroken Outcome = "broken"
 	// OutcomeSilent means that the attempt was given up after waiting too long for an answer; the request may have run.
@@ -156,7 +158,7 @@
 func ParseOutcome(name string) Outcome {
 	switch o := Outcome(name); o {
 	case OutcomeAnswered, OutcomeFailed, OutcomeRejected, OutcomeWrongTarget, OutcomeUnsent, OutcomeAbandoned, OutcomeAggregatorLost,
-		OutcomeTargetUnknown, OutcomeOverBudget, OutcomeUnfit, OutcomeSilent:
+		OutcomeTargetUnknown, OutcomeOverBudget, OutcomeUnfit, OutcomeLost, OutcomeSilent:
 		return o
 	default:
 		return OutcomeBroken
--- a/core/cassiaid/id.go
+++ b/core/cassiaid/id.go
@@ -29,7 +29,7 @@
 // AttemptID identifies one attempt of one shard at one target; it is random and never reused.
 type AttemptID uint64
 
-// Fingerprint identifies the content of a request, regardless of its sender.
+// Fingerprint identifies what the repeats of a request have in common.
 type Fingerprint uint64
 
 // Generation counts the accepted edits of the whole settings tree.
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -132,7 +132,8 @@
 	switch o {
 	case cassiagateway.OutcomeAnswered:
 		return cassiafitness.Answered
-	case cassiagateway.OutcomeFailed, cassiagateway.OutcomeRejected, cassiagateway.OutcomeBroken, cassiagateway.OutcomeUnsent:
+	case cassiagateway.OutcomeFailed, cassiagateway.OutcomeRejected, cassiagateway.OutcomeBroken, cassiagateway.OutcomeLost,
+		cassiagateway.OutcomeUnsent:
 		return cassiafitness.Failed
 	default:
 		return cassiafitness.Unknown
--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -58,6 +58,7 @@
 		h.refuseBody(w, id, route, err)
 		return
 	}
+	fingerprint := fingerprintOf(r, body)
 	call := cassiapool.Call{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h.forwardedHeader(r.Header),
 		RequestID: id, Body: body, Deadline: arrived.Add(h.timeout(r, route))}
 	answer, ok := h.gate.submit(r.Context(), route, call)
@@ -66,7 +67,7 @@
 		return
 	}
 	status := h.writeAnswer(w, answer)
-	h.gate.report.answered(id, route, answer, status)
+	h.gate.report.answered(id, fingerprint, route, answer, status)
 }
 
 // forwardedHeader returns the headers that are passed on to targets, without hop-by-hop headers and those that this VM sets
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -68,7 +68,7 @@
 	level.Info(r.logger).Log("event", "callerGone", "request", id, "route", route.Name, "elapsed", elapsed)
 }
 
-func (r *Report) answered(id string, route *cassiacatalog.Route, a cassiagateway.Answer, status int) {
+func (r *Report) answered(id string, fingerprint cassiaid.Fingerprint, route *cassiacatalog.Route, a cassiagateway.Answer, status int) {
 	t := a.Trace
 	r.scope.Histogram("request_latency", latencyBuckets).RecordDuration(t.Elapsed)
 	line := []any{"event", "answered", "request", id, "route", route.Name, "status", status, "elapsed", t.Elapsed,
@@ -80,7 +80,7 @@
 		line = append(line, "unpaid", t.Unpaid, "denied", t.Denied)
 	}
 	if t.LastFailure != "" {
-		line = append(line, "lastFailure", t.LastFailure)
+		line = append(line, "lastFailure", t.LastFailure, "fingerprint", fingerprint)
 	}
 	if a.Refusal != nil {
 		r.count("refusals", "reason", string(a.Refusal.Reason))
--- a/io/cassiapool/connection.go
+++ b/io/cassiapool/connection.go
@@ -6,8 +6,9 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
+
+	"cassiasaddle/io/cassialiveness"
 )
 
 const (
@@ -35,25 +36,7 @@
 
 // stillIdle reports whether nothing has arrived on an idle connection: neither a close nor unsolicited bytes.
 func (c *connection) stillIdle() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	source, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		empty = peekErr == syscall.EAGAIN || peekErr == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && empty
+	return c.reader.Buffered() == 0 && cassialiveness.IsQuiet(c.Conn)
 }
 
 // updateExpiry sets the time until which the connection may be reused after a reply; false means that it must be closed.
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"cassiasaddle/core/cassiaclock"
 	"cassiasaddle/core/cassiagateway"
+	"cassiasaddle/io/cassialiveness"
 )
 
 const (
@@ -70,10 +73,13 @@
 		c.Close() //nolint:errcheck // the exchange was cancelled
 	})
 	outcome, reply, reusable := p.exchange(call, c)
+	if outcome == cassiagateway.OutcomeLost && !p.hasEnded(call) {
+		outcome = cassiagateway.OutcomeBroken
+	}
 	// ctx was cancelled and its function closed the connection, so an incomplete reply is not the target's fault.
 	if !stopAfterFunc() {
 		reusable = false
-		if outcome == cassiagateway.OutcomeBroken {
+		if outcome == cassiagateway.OutcomeBroken || outcome == cassiagateway.OutcomeLost {
 			outcome = cassiagateway.OutcomeSilent
 		}
 	}
@@ -102,6 +108,17 @@
 	return true
 }
 
+// hasEnded reports whether the target of a call has ended. The connection that shows the opposite is kept for the next
+// request.
+func (p *Pool) hasEnded(call Call) bool {
+	ended, raw := cassialiveness.HasEnded(call.Address)
+	if raw != nil {
+		p.reportOpened()
+		p.putIdle(call.Address, newConnection(raw, call.Instance, p.now().Add(maxIdleTime)))
+	}
+	return ended
+}
+
 func (p *Pool) reportOpened() {
 	if p.OnConnectionOpened != nil {
 		p.OnConnectionOpened()
@@ -248,11 +265,15 @@
 	}
 }
 
-// classifyReadError distinguishes a timeout (OutcomeSilent) from an ended connection or a malformed reply (OutcomeBroken).
+// classifyReadError distinguishes a timeout (OutcomeSilent), a connection that ended (OutcomeLost, unless the target turns
+// out to be alive) and a malformed reply (OutcomeBroken).
 func classifyReadError(err error) cassiagateway.Outcome {
 	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
 		return cassiagateway.OutcomeSilent
 	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
+		return cassiagateway.OutcomeLost
+	}
 	return cassiagateway.OutcomeBroken
 }
 
--- a/io/cassiapool/pool_test.go
+++ b/io/cassiapool/pool_test.go
@@ -194,3 +194,30 @@
 	}
 	c.Check(pool.idle[address], qt.HasLen, 0)
 }
+
+// TestTargetThatEndsIsTold: a process that ends under a request must be told from one that lives and only lost the answer.
+func TestTargetThatEndsIsTold(t *testing.T) {
+	c := qt.New(t)
+	dropped := func(connection net.Conn, reader *bufio.Reader) {
+		http.ReadRequest(reader) //nolint:errcheck // the connection is closed in either case
+	}
+	pool := &Pool{Headers: testHeaders}
+	outcome, _ := pool.Exchange(context.Background(), call(listen(t, dropped, answerEach(completeReply)), "1"))
+	c.Check(outcome, qt.Equals, cassiagateway.OutcomeBroken)
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var group errgroup.Group
+	group.Go(func() error {
+		connection, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		dropped(connection, bufio.NewReader(connection))
+		listener.Close() //nolint:errcheck // simulates the end of the process
+		return connection.Close()
+	})
+	outcome, _ = pool.Exchange(context.Background(), call(listener.Addr().String(), "2"))
+	c.Check(outcome, qt.Equals, cassiagateway.OutcomeLost)
+	c.Check(group.Wait(), qt.IsNil)
+}
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -18,6 +18,7 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassialiveness"
 )
 
 const (
@@ -27,11 +28,7 @@
 	// cancelGrace is the time that a cancelled or late attempt has to end before its connection is closed.
 	cancelGrace   = 250 * time.Millisecond
 	cancelTimeout = 500 * time.Millisecond
-	// listenCheckTimeout limits the connect that distinguishes a lost target from a lost connection.
-	listenCheckTimeout = 100 * time.Millisecond
-	// listenRecheckDelay gives a process that is ending the time to close its listener as well.
-	listenRecheckDelay = 10 * time.Millisecond
-	healthTimeout      = time.Second
+	healthTimeout = time.Second
 	// maxRowsBytes limits the rows of one shard.
 	maxRowsBytes = 8 << 20
 	// maxHealthBytes limits a health reply, and the rest of a body that is read before a connection is reused.
@@ -184,28 +181,18 @@
 		result.Outcome = cassiaschema.ShardOutcome_unreachable
 	default:
 		result.Outcome = cassiaschema.ShardOutcome_failed
-		result.TargetLost = !c.isListening()
+		result.TargetLost = c.hasEnded()
 	}
 }
 
-// isListening reports whether the target still accepts connections. If it does, a connection that ended without a reply
-// had been idle for too long or exceeded the target's connection limit, so the request did not cause it. The check is done
-// twice, since a process that is ending may close its connections before its listener.
-func (c *Client) isListening() bool {
-	if !c.acceptsConnection() {
-		return false
+// hasEnded reports whether the target's process has ended. If it has not, a connection that ended without a reply had been
+// idle for too long or exceeded the target's connection limit, so the request did not cause it.
+func (c *Client) hasEnded() bool {
+	ended, open := cassialiveness.HasEnded(c.address)
+	if open != nil {
+		open.Close() //nolint:errcheck // only the connect matters
 	}
-	time.Sleep(listenRecheckDelay)
-	return c.acceptsConnection()
-}
-
-func (c *Client) acceptsConnection() bool {
-	connection, err := net.DialTimeout("tcp", c.address, listenCheckTimeout)
-	if err != nil {
-		return false
-	}
-	connection.Close() //nolint:errcheck // only the connect matters
-	return true
+	return ended
 }
 
 // classifyReply sets the outcome of an attempt from the target's reply.
