--- a/io/cassiapool/pool_test.go
+++ b/io/cassiapool/pool_test.go
@@ -198,7 +198,7 @@
 // TestTargetThatEndsIsTold: a process that ends under a request must be told from one that lives and only lost the answer.
 func TestTargetThatEndsIsTold(t *testing.T) {
 	c := qt.New(t)
-	dropped := func(connection net.Conn, reader *bufio.Reader) {
+	dropped := func(_ net.Conn, reader *bufio.Reader) {
 		http.ReadRequest(reader) //nolint:errcheck // the connection is closed in either case
 	}
 	pool := &Pool{Headers: testHeaders}
