Move the quarantine of cassiasaddle serve to a package that cassiafront can use

No behaviour changes: io/cassiaguard holds what was io/cassiaowner's Quarantine (Guard) and the frames that io/cassiaserver exchanged about losses (Notifier).

--- /dev/null
+++ b/io/cassiaguard/guard.go
@@ -0,0 +1,249 @@
+package cassiaguard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cassiasaddle/core/cassiaclock"
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaquarantine"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// Peers exchanges information about requests that crash targets with other VMs.
+type Peers interface {
+	// ShareLoss reports the loss of a target to the owners of the front's targets. It returns once each has
+	// acknowledged it or could not be reached in time.
+	ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss)
+	// ShareAnswer reports to the owners of the front's targets that a suspect was answered.
+	ShareAnswer(front cassiaid.FrontKey, answer cassiaquarantine.ShareAnswer)
+	// RunsElsewhere asks the other owners of the front's targets and reports whether one of them runs the request for a
+	// shard.
+	RunsElsewhere(front cassiaid.FrontKey, run cassiaquarantine.Run) bool
+	// ShareQuarantine asks all VMs to refuse a request for the remaining time.
+	ShareQuarantine(fingerprint cassiaid.Fingerprint, remaining time.Duration)
+}
+
+// Guard records on this VM which requests crash targets, and shares this with the other VMs. A suspect is a request that
+// may have caused the loss of a target; an unproven request is one that is not known to have been answered. Guard is safe
+// for concurrent use.
+type Guard struct {
+	mutex sync.Mutex
+	core  *cassiaquarantine.Quarantine
+	peers Peers
+	// changed is closed at the next message that may let a waiting attempt start; nil while no attempt waits.
+	changed chan struct{}
+}
+
+// NewGuard returns a Guard without suspects. Until SetPeers, nothing is shared.
+func NewGuard(clock cassiaclock.Clock) *Guard {
+	return &Guard{core: cassiaquarantine.NewQuarantine(clock)}
+}
+
+// SetPeers sets the connection to the other VMs.
+func (g *Guard) SetPeers(peers Peers) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.peers = peers
+}
+
+func (g *Guard) currentPeers() Peers {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.peers
+}
+
+// Admit decides on an attempt when it arrives; Begin decides again before its start.
+func (g *Guard) Admit(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) cassiaquarantine.Verdict {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.core.Admit(fingerprint, shard)
+}
+
+// StartDecision is the verdict on an attempt that is about to start, and whether it had to wait.
+type StartDecision struct {
+	Verdict cassiaquarantine.Verdict
+	// Waited is true when the attempt waited for another attempt of its request; Late when the wait reached its limit
+	// before that one ended.
+	Waited, Late bool
+}
+
+// Begin decides on an attempt that is about to start and records the start. Attempts of an unproven request wait for
+// each other, up to limit. A suspect starts only if no other owner runs it. Each owner records its start before it asks
+// the others, so two owners that ask at the same time both refuse their attempts. A VerdictWait means that ctx was
+// cancelled.
+func (g *Guard) Begin(ctx context.Context, front cassiaid.FrontKey, run cassiaquarantine.Run, target cassiaid.TargetName, limit time.Duration) StartDecision {
+	decision := g.awaitStart(ctx, run, target, limit)
+	peers := g.currentPeers()
+	if decision.Verdict != cassiaquarantine.VerdictAlone || peers == nil {
+		return decision
+	}
+	switch {
+	case peers.RunsElsewhere(front, run):
+		decision.Verdict = cassiaquarantine.VerdictRefuseNow
+	case g.Remaining(run.Fingerprint) > 0:
+		decision.Verdict = cassiaquarantine.VerdictQuarantined
+	default:
+		return decision
+	}
+	g.performEffects(front, g.update(cassiaquarantine.Ended{Attempt: run.Attempt}))
+	return decision
+}
+
+// awaitStart records the start of an attempt once no other attempt of its unproven request runs here, or after limit.
+func (g *Guard) awaitStart(ctx context.Context, run cassiaquarantine.Run, target cassiaid.TargetName, limit time.Duration) StartDecision {
+	var decision StartDecision
+	var timeout <-chan time.Time
+	for {
+		verdict, changed := g.tryStart(run, target, decision.Late)
+		decision.Verdict = verdict
+		if verdict != cassiaquarantine.VerdictWait {
+			return decision
+		}
+		if !decision.Waited {
+			decision.Waited = true
+			timer := time.NewTimer(limit)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			decision.Late = true
+		case <-ctx.Done():
+			return decision
+		}
+	}
+}
+
+// tryStart decides on an attempt and records its start if it may run. For VerdictWait it returns a channel that is
+// closed when the caller should try again; with limitReached, the attempt does not wait any more.
+func (g *Guard) tryStart(run cassiaquarantine.Run, target cassiaid.TargetName, limitReached bool) (cassiaquarantine.Verdict, <-chan struct{}) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	admit := g.core.Admit
+	if limitReached {
+		admit = g.core.AdmitAfterWait
+	}
+	verdict := admit(run.Fingerprint, run.Shard)
+	if verdict == cassiaquarantine.VerdictWait {
+		if g.changed == nil {
+			g.changed = make(chan struct{})
+		}
+		return verdict, g.changed
+	}
+	if verdict == cassiaquarantine.VerdictAlone && !run.Alone {
+		// The attempt arrived before its request became a suspect and would now start beside other attempts; a later
+		// attempt runs alone.
+		verdict = cassiaquarantine.VerdictRefuseNow
+	}
+	if !Refuses(verdict) {
+		g.core.Update(cassiaquarantine.Started{Run: run, Target: target})
+	}
+	return verdict, nil
+}
+
+// End records the outcome of a started attempt and shares the consequences with the other VMs before it returns.
+func (g *Guard) End(front cassiaid.FrontKey, attempt cassiaid.AttemptID, ending cassiaquarantine.Ending) {
+	g.performEffects(front, g.update(cassiaquarantine.Ended{Attempt: attempt, Ending: ending}))
+}
+
+// ApplyNotice applies a message of another VM. It returns the answers that this VM can confirm and shares the other
+// effects.
+func (g *Guard) ApplyNotice(m cassiaquarantine.Message) []cassiaquarantine.ShareAnswer {
+	var answers []cassiaquarantine.ShareAnswer
+	var others []cassiaquarantine.Effect
+	for _, e := range g.update(m) {
+		if a, ok := e.(cassiaquarantine.ShareAnswer); ok {
+			answers = append(answers, a)
+			continue
+		}
+		others = append(others, e)
+	}
+	g.performEffects(cassiaid.FrontKey{}, others)
+	return answers
+}
+
+// Undecided reports whether a request is a suspect that is neither quarantined nor cleared for a shard.
+func (g *Guard) Undecided(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.core.Undecided(fingerprint, shard)
+}
+
+// BlocksOtherVMs reports whether other VMs must not run a suspect for a shard, because this VM runs it, has
+// quarantined it, or has not yet shared a loss that it caused.
+func (g *Guard) BlocksOtherVMs(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.core.BlocksOtherVMs(fingerprint, shard)
+}
+
+// Running reports whether this VM runs a request for a shard.
+func (g *Guard) Running(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.core.Running(fingerprint, shard)
+}
+
+// Remaining returns how long a request is still refused, or 0 when it is not.
+func (g *Guard) Remaining(fingerprint cassiaid.Fingerprint) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.core.Remaining(fingerprint)
+}
+
+// NeedsCanary reports whether a front's policy requires a canary for a request: no target is known to have answered it
+// recently, and the policy is always, or a target was lost recently, or the request was quarantined recently.
+func (g *Guard) NeedsCanary(fingerprint cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.core.NeedsCanary(fingerprint, policy)
+}
+
+// Answered records that a shard answered a request.
+func (g *Guard) Answered(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) {
+	g.ApplyNotice(cassiaquarantine.AnswerLearned{Fingerprint: fingerprint, Shard: shard})
+}
+
+func (g *Guard) update(m cassiaquarantine.Message) []cassiaquarantine.Effect {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	effects := g.core.Update(m)
+	if g.changed != nil {
+		close(g.changed)
+		g.changed = nil
+	}
+	return effects
+}
+
+// performEffects sends the notices to the other VMs. A loss is recorded as shared once its notice was delivered or
+// could not be in time.
+func (g *Guard) performEffects(front cassiaid.FrontKey, effects []cassiaquarantine.Effect) {
+	peers := g.currentPeers()
+	for _, e := range effects {
+		if peers != nil {
+			notify(peers, front, e)
+		}
+		if loss, ok := e.(cassiaquarantine.ShareLoss); ok {
+			g.update(cassiaquarantine.LossShared(loss))
+		}
+	}
+}
+
+func notify(peers Peers, front cassiaid.FrontKey, e cassiaquarantine.Effect) {
+	switch e := e.(type) {
+	case cassiaquarantine.ShareLoss:
+		peers.ShareLoss(front, e.Loss)
+	case cassiaquarantine.ShareAnswer:
+		peers.ShareAnswer(front, e)
+	case cassiaquarantine.ShareQuarantine:
+		peers.ShareQuarantine(e.Fingerprint, e.Remaining)
+	}
+}
+
+// Refuses reports whether a verdict refuses the attempt.
+func Refuses(verdict cassiaquarantine.Verdict) bool {
+	return verdict == cassiaquarantine.VerdictQuarantined || verdict == cassiaquarantine.VerdictRefuseNow
+}
--- a/io/cassiaowner/quarantine_test.go
+++ b/io/cassiaguard/guard_test.go
@@ -1,4 +1,4 @@
-package cassiaowner
+package cassiaguard
 
 import (
 	"context"
@@ -11,7 +11,6 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaquarantine"
-	"cassiasaddle/core/cassiaschema"
 )
 
 // TestTurn checks that a second attempt of an unproven request waits for the end of the first one, the limit of its
@@ -23,36 +22,34 @@
 	}
 	cancelled, cancel := context.WithCancel(t.Context())
 	cancel()
-	answered := &cassiaschema.ShardResult{Outcome: cassiaschema.ShardOutcome_answered}
-	lost := &cassiaschema.ShardResult{Outcome: cassiaschema.ShardOutcome_failed, TargetLost: true}
 	for name, test := range map[string]struct {
 		ctx         context.Context
 		limit       time.Duration
-		firstResult *cassiaschema.ShardResult
+		firstEnding cassiaquarantine.Ending
 		want        StartDecision
 	}{
-		"answered":  {ctx: t.Context(), limit: forever, firstResult: answered, want: StartDecision{Verdict: cassiaquarantine.VerdictRun, Waited: true}},
-		"lost":      {ctx: t.Context(), limit: forever, firstResult: lost, want: StartDecision{Verdict: cassiaquarantine.VerdictRefuseNow, Waited: true}},
+		"answered":  {ctx: t.Context(), limit: forever, firstEnding: cassiaquarantine.EndingAnswered, want: StartDecision{Verdict: cassiaquarantine.VerdictRun, Waited: true}},
+		"lost":      {ctx: t.Context(), limit: forever, firstEnding: cassiaquarantine.EndingLost, want: StartDecision{Verdict: cassiaquarantine.VerdictRefuseNow, Waited: true}},
 		"late":      {ctx: t.Context(), limit: time.Millisecond, want: StartDecision{Verdict: cassiaquarantine.VerdictRun, Waited: true, Late: true}},
 		"cancelled": {ctx: cancelled, limit: forever, want: StartDecision{Verdict: cassiaquarantine.VerdictWait, Waited: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			q := NewQuarantine(clockwork.NewRealClock(), nil)
-			c.Assert(q.Begin(t.Context(), cassiaid.FrontKey{}, run(1), "t1", forever), qt.Equals, StartDecision{})
+			g := NewGuard(clockwork.NewRealClock())
+			c.Assert(g.Begin(t.Context(), cassiaid.FrontKey{}, run(1), "t1", forever), qt.Equals, StartDecision{})
 			var second StartDecision
 			var group errgroup.Group
 			group.Go(func() error {
-				second = q.Begin(test.ctx, cassiaid.FrontKey{}, run(2), "t1", test.limit)
+				second = g.Begin(test.ctx, cassiaid.FrontKey{}, run(2), "t1", test.limit)
 				return nil
 			})
-			if test.firstResult != nil {
+			if test.firstEnding != cassiaquarantine.EndingOther {
 				for waits := false; !waits; {
-					q.mutex.Lock()
-					waits = q.changed != nil
-					q.mutex.Unlock()
+					g.mutex.Lock()
+					waits = g.changed != nil
+					g.mutex.Unlock()
 				}
-				q.End(cassiaid.FrontKey{}, 1, test.firstResult)
+				g.End(cassiaid.FrontKey{}, 1, test.firstEnding)
 			}
 			c.Assert(group.Wait(), qt.IsNil)
 			c.Assert(second, qt.Equals, test.want)
--- /dev/null
+++ b/io/cassiaguard/notifier.go
@@ -0,0 +1,212 @@
+package cassiaguard
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaquarantine"
+	"cassiasaddle/core/cassiaschema"
+)
+
+// lossShareTimeout bounds how long the result of an attempt that lost its target waits for the other owners to
+// acknowledge the loss. It also bounds the other messages to owners in this file.
+const lossShareTimeout = 100 * time.Millisecond
+
+const (
+	// otherRunsTimeout bounds how long the result of an attempt that lost its target waits for the outcome of other
+	// runs of the same request.
+	otherRunsTimeout = 200 * time.Millisecond
+	// otherRunsInterval is how often the server checks whether those runs have ended.
+	otherRunsInterval = 2 * time.Millisecond
+)
+
+// Exchanger sends frames to other VMs; *cassiapeer.Node implements it.
+type Exchanger interface {
+	Exchange(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error)
+	Send(ctx context.Context, vm cassiaid.VMName, orderingKey uint64, frame *cassiaschema.PeerFrame) error
+}
+
+// Notifier exchanges what Guards have observed with other VMs by frames; it implements Peers. All fields are required.
+type Notifier struct {
+	Guard *Guard
+	Node  Exchanger
+	// Others returns the other VMs that send requests to the targets of a front.
+	Others func(front cassiaid.FrontKey) []cassiaid.VMName
+	// Quarantined receives the quarantines that this VM has decided.
+	Quarantined func(fingerprint cassiaid.Fingerprint, remaining time.Duration)
+	Scope       tally.Scope
+}
+
+// ShareLoss sends the loss of a target to the other owners of the front's targets. It returns after they acknowledged
+// it or timed out and after the other runs of the lost requests have ended or timed out, so that no retry starts while
+// those runs may still crash a target, too.
+func (n *Notifier) ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss) {
+	n.Scope.Counter("targetLosses").Inc(1)
+	notice := &cassiaschema.LossNotice{Target: string(loss.Target)}
+	for _, r := range loss.Runs {
+		notice.Runs = append(notice.Runs, &cassiaschema.LostRun{
+			AttemptId: uint64(r.Attempt), Fingerprint: uint64(r.Fingerprint), Shard: uint32(r.Shard), Alone: r.Alone,
+		})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
+	defer cancel()
+	var remote remoteRuns
+	n.forEachOther(front, func(owner cassiaid.VMName) {
+		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNotice{LossNotice: notice}}
+		reply, err := n.Node.Exchange(ctx, owner, frame)
+		if err != nil {
+			n.Scope.Counter("lossNotShared").Inc(1)
+			return
+		}
+		for _, a := range reply.GetLossNoticeReply().GetAnswered() {
+			n.handleAnswerNotice(a)
+		}
+		remote.add(reply.GetLossNoticeReply().GetRunning())
+	})
+	n.awaitOtherRuns(loss, &remote)
+}
+
+// remoteRuns collects the fingerprints of the requests that other owners are running.
+type remoteRuns struct {
+	mutex        sync.Mutex
+	fingerprints map[cassiaid.Fingerprint]bool
+}
+
+func (r *remoteRuns) add(running []uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.fingerprints == nil {
+		r.fingerprints = make(map[cassiaid.Fingerprint]bool)
+	}
+	for _, f := range running {
+		r.fingerprints[cassiaid.Fingerprint(f)] = true
+	}
+}
+
+// awaitOtherRuns waits until every request of a loss is quarantined, is cleared or has no other run, but no longer than
+// otherRunsTimeout.
+func (n *Notifier) awaitOtherRuns(loss cassiaquarantine.Loss, remote *remoteRuns) {
+	timeout := time.After(otherRunsTimeout)
+	ticker := time.NewTicker(otherRunsInterval)
+	defer ticker.Stop()
+	for n.hasUndecidedRun(loss, remote) {
+		select {
+		case <-timeout:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// hasUndecidedRun reports whether a request of a loss still runs here or at another owner while it is neither
+// quarantined nor cleared.
+func (n *Notifier) hasUndecidedRun(loss cassiaquarantine.Loss, remote *remoteRuns) bool {
+	for _, r := range loss.Runs {
+		running := remote.fingerprints[r.Fingerprint] || n.Guard.Running(r.Fingerprint, r.Shard)
+		if running && n.Guard.Undecided(r.Fingerprint, r.Shard) {
+			return true
+		}
+	}
+	return false
+}
+
+// RunsElsewhere reports whether another owner of the front's targets is running a request for a shard. An owner that
+// does not reply in time counts as not running it.
+func (n *Notifier) RunsElsewhere(front cassiaid.FrontKey, run cassiaquarantine.Run) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
+	defer cancel()
+	inquiry := &cassiaschema.RunInquiry{Fingerprint: uint64(run.Fingerprint), Shard: uint32(run.Shard)}
+	var running atomic.Bool
+	n.forEachOther(front, func(owner cassiaid.VMName) {
+		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiry{RunInquiry: inquiry}}
+		reply, err := n.Node.Exchange(ctx, owner, frame)
+		if err == nil && reply.GetRunInquiryReply().GetRunning() {
+			running.Store(true)
+		}
+	})
+	return running.Load()
+}
+
+// ShareAnswer notifies the other owners of the front's targets that a suspect request was answered.
+func (n *Notifier) ShareAnswer(front cassiaid.FrontKey, answer cassiaquarantine.ShareAnswer) {
+	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
+	defer cancel()
+	n.forEachOther(front, func(owner cassiaid.VMName) {
+		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_AnswerNotice{AnswerNotice: answerNotice(answer)}}
+		if err := n.Node.Send(ctx, owner, uint64(answer.Fingerprint), frame); err != nil {
+			n.Scope.Counter("answerNotShared").Inc(1)
+		}
+	})
+}
+
+func answerNotice(a cassiaquarantine.ShareAnswer) *cassiaschema.AnswerNotice {
+	return &cassiaschema.AnswerNotice{Fingerprint: uint64(a.Fingerprint), Shard: uint32(a.Shard), Earlier: a.BeforeLoss}
+}
+
+// ShareQuarantine passes a quarantine to Quarantined.
+func (n *Notifier) ShareQuarantine(fingerprint cassiaid.Fingerprint, remaining time.Duration) {
+	n.Scope.Counter("quarantines").Inc(1)
+	n.Quarantined(fingerprint, remaining)
+}
+
+// forEachOther calls f concurrently for every other VM that sends to a front's targets and waits for all calls.
+func (n *Notifier) forEachOther(front cassiaid.FrontKey, f func(vm cassiaid.VMName)) {
+	var group errgroup.Group
+	for _, vm := range n.Others(front) {
+		group.Go(func() error { f(vm); return nil })
+	}
+	group.Wait() //nolint:errcheck // the calls return no error
+}
+
+// HandleFrame handles a frame of another VM's Notifier and returns the reply, or nil if there is none. It returns false for
+// other frames.
+func (n *Notifier) HandleFrame(frame *cassiaschema.PeerFrame) (reply *cassiaschema.PeerFrame, handled bool) {
+	switch body := frame.GetBody().(type) {
+	case *cassiaschema.PeerFrame_LossNotice:
+		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: n.handleLossNotice(body.LossNotice)}}, true
+	case *cassiaschema.PeerFrame_RunInquiry:
+		blocked := n.Guard.BlocksOtherVMs(cassiaid.Fingerprint(body.RunInquiry.Fingerprint), cassiaid.ShardIndex(body.RunInquiry.Shard))
+		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiryReply{
+			RunInquiryReply: &cassiaschema.RunInquiryReply{Running: blocked},
+		}}, true
+	case *cassiaschema.PeerFrame_AnswerNotice:
+		n.handleAnswerNotice(body.AnswerNotice)
+		return nil, true
+	}
+	return nil, false
+}
+
+// handleLossNotice records a loss that another owner has seen. The reply lists the lost requests that this VM's targets
+// have answered, as evidence that they did not cause the loss, and those that this VM is running.
+func (n *Notifier) handleLossNotice(notice *cassiaschema.LossNotice) *cassiaschema.LossNoticeReply {
+	loss := cassiaquarantine.Loss{Target: cassiaid.TargetName(notice.Target)}
+	for _, r := range notice.Runs {
+		loss.Runs = append(loss.Runs, cassiaquarantine.Run{
+			Attempt: cassiaid.AttemptID(r.AttemptId), Fingerprint: cassiaid.Fingerprint(r.Fingerprint),
+			Shard: cassiaid.ShardIndex(r.Shard), Alone: r.Alone,
+		})
+	}
+	reply := &cassiaschema.LossNoticeReply{}
+	for _, a := range n.Guard.ApplyNotice(cassiaquarantine.LossLearned{Loss: loss}) {
+		reply.Answered = append(reply.Answered, answerNotice(a))
+	}
+	for _, r := range loss.Runs {
+		if n.Guard.Running(r.Fingerprint, r.Shard) {
+			reply.Running = append(reply.Running, uint64(r.Fingerprint))
+		}
+	}
+	return reply
+}
+
+// handleAnswerNotice records that another VM's target has answered a suspect request.
+func (n *Notifier) handleAnswerNotice(a *cassiaschema.AnswerNotice) {
+	n.Guard.ApplyNotice(cassiaquarantine.AnswerLearned{
+		Fingerprint: cassiaid.Fingerprint(a.Fingerprint), Shard: cassiaid.ShardIndex(a.Shard), BeforeLoss: a.Earlier,
+	})
+}
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -15,6 +15,7 @@
 	"cassiasaddle/core/cassiaquarantine"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiadrain"
+	"cassiasaddle/io/cassiaguard"
 )
 
 const (
@@ -57,13 +58,13 @@
 
 // Config holds the dependencies of an Owner.
 type Config struct {
-	Self       cassiaid.VMName
-	Ownership  Ownership
-	Observer   Observer
-	Quarantine *Quarantine
-	Clock      cassiaplan.Clock
-	Logger     log.Logger
-	Scope      tally.Scope
+	Self      cassiaid.VMName
+	Ownership Ownership
+	Observer  Observer
+	Guard     *cassiaguard.Guard
+	Clock     cassiaplan.Clock
+	Logger    log.Logger
+	Scope     tally.Scope
 }
 
 // Owner runs the attempts of shard batches on this VM's targets. It is safe for concurrent use.
@@ -128,8 +129,8 @@
 			o.refuse(a, refusal)
 			continue
 		}
-		verdict := o.config.Quarantine.Admit(a.fingerprint(), a.shard())
-		if refuses(verdict) {
+		verdict := o.config.Guard.Admit(a.fingerprint(), a.shard())
+		if cassiaguard.Refuses(verdict) {
 			o.refuse(a, refusalOf(verdict))
 			continue
 		}
@@ -189,7 +190,7 @@
 }
 
 // countWaits counts an attempt that waited for another attempt of its request, and one whose wait reached the limit.
-func (o *Owner) countWaits(decision StartDecision) {
+func (o *Owner) countWaits(decision cassiaguard.StartDecision) {
 	if decision.Waited {
 		o.config.Scope.Counter("turnWaited").Inc(1)
 	}
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -9,6 +9,7 @@
 	"cassiasaddle/core/cassialimit"
 	"cassiasaddle/core/cassiaquarantine"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassiatarget"
 )
 
@@ -186,19 +187,19 @@
 // execute sends the attempt to the target, unless the quarantine refuses it by now or it is cancelled while it waits
 // for another attempt of its request.
 func (t *target) execute(ctx context.Context, a *attempt) *cassiaschema.ShardResult {
-	quarantine := t.owner.config.Quarantine
+	guard := t.owner.config.Guard
 	run := cassiaquarantine.Run{Attempt: a.id(), Fingerprint: a.fingerprint(), Shard: a.shard(), Alone: a.alone}
-	decision := quarantine.Begin(ctx, t.key.front, run, t.key.name, a.startWaitLimit())
+	decision := guard.Begin(ctx, t.key.front, run, t.key.name, a.startWaitLimit())
 	t.owner.countWaits(decision)
 	if decision.Verdict == cassiaquarantine.VerdictWait {
 		return a.notStarted(cassiaschema.ShardOutcome_cancelled)
 	}
-	if refuses(decision.Verdict) {
+	if cassiaguard.Refuses(decision.Verdict) {
 		t.owner.countRefusal(refusalOf(decision.Verdict))
 		return a.notStarted(refusalOf(decision.Verdict))
 	}
 	result := t.currentClient().Run(ctx, a.call())
-	quarantine.End(t.key.front, a.id(), result)
+	guard.End(t.key.front, a.id(), endingOf(result))
 	return result
 }
 
--- a/io/cassiaowner/target_test.go
+++ b/io/cassiaowner/target_test.go
@@ -16,6 +16,7 @@
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassialimit"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiaguard"
 )
 
 // fakeOwnership owns one target.
@@ -38,7 +39,7 @@
 func newTestOwner(t *testing.T, ownership Ownership) *Owner {
 	clock := clockwork.NewRealClock()
 	o := New(Config{
-		Self: "vm-1", Ownership: ownership, Observer: fakeObserver{}, Quarantine: NewQuarantine(clock, nil), Clock: clock,
+		Self: "vm-1", Ownership: ownership, Observer: fakeObserver{}, Guard: cassiaguard.NewGuard(clock), Clock: clock,
 		Logger: log.NewNopLogger(), Scope: tally.NoopScope,
 	})
 	t.Cleanup(func() { qt.Assert(t, o.Close(), qt.IsNil) })
--- a/io/cassiaserver/frames.go
+++ b/io/cassiaserver/frames.go
@@ -29,19 +29,15 @@
 		s.owner.Cancel(body.CancelAttempts)
 	case *cassiaschema.PeerFrame_KnowledgeRequest:
 		s.frameHandlers.Go(func() error { s.replyToKnowledgeRequest(from, body.KnowledgeRequest, reply); return nil })
-	case *cassiaschema.PeerFrame_LossNotice:
-		lossReply := s.handleLossNotice(body.LossNotice)
-		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: lossReply}})
-	case *cassiaschema.PeerFrame_RunInquiry:
-		blocked := s.quarantine.BlocksOtherVMs(cassiaid.Fingerprint(body.RunInquiry.Fingerprint), cassiaid.ShardIndex(body.RunInquiry.Shard))
-		s.reply(from, reply, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiryReply{
-			RunInquiryReply: &cassiaschema.RunInquiryReply{Running: blocked},
-		}})
-	case *cassiaschema.PeerFrame_AnswerNotice:
-		s.handleAnswerNotice(body.AnswerNotice)
 	case *cassiaschema.PeerFrame_ClaimCall:
 		s.frameHandlers.Go(func() error { s.replyToClaimCall(from, body.ClaimCall, reply); return nil })
 	default:
+		if replyFrame, handled := s.notifier.HandleFrame(frame); handled {
+			if replyFrame != nil {
+				s.reply(from, reply, replyFrame)
+			}
+			return
+		}
 		if replyFrame := s.settings.HandleFrame(from, frame); replyFrame != nil {
 			s.reply(from, reply, replyFrame)
 		}
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -23,6 +23,7 @@
 	"cassiasaddle/io/cassiaclaimer"
 	"cassiasaddle/io/cassiaentry"
 	"cassiasaddle/io/cassiagossip"
+	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassiahttp"
 	"cassiasaddle/io/cassialog"
 	"cassiasaddle/io/cassiaowner"
@@ -64,7 +65,8 @@
 	settings       *cassiatree.Service
 	node           *cassiapeer.Node
 	routes         *cassiaentry.Routes
-	quarantine     *cassiaowner.Quarantine
+	guard          *cassiaguard.Guard
+	notifier       *cassiaguard.Notifier
 	owner          *cassiaowner.Owner
 	claimer        *cassiaclaimer.Claimer
 	entry          *cassiaentry.Entry
@@ -110,9 +112,9 @@
 	}
 	s.members = newMembers(s.gossip)
 	s.routes = cassiaentry.NewRoutes(cassiaroute.NewTable(s.self, s.zone, clock), s, s.logger, scope)
-	s.quarantine = cassiaowner.NewQuarantine(clock, s)
+	s.guard = cassiaguard.NewGuard(clock)
 	s.owner = cassiaowner.New(cassiaowner.Config{
-		Self: s.self, Ownership: ownership{s.routes}, Observer: observer{s.routes}, Quarantine: s.quarantine,
+		Self: s.self, Ownership: ownership{s.routes}, Observer: observer{s.routes}, Guard: s.guard,
 		Clock: clock, Logger: s.logger, Scope: scope,
 	})
 	s.claimer = cassiaclaimer.NewClaimer(cassiaclaimer.Options{
@@ -126,13 +128,15 @@
 	if err != nil {
 		return err
 	}
+	s.notifier = &cassiaguard.Notifier{Guard: s.guard, Node: s.node, Others: s.frontOwners, Quarantined: s.shareQuarantine, Scope: scope}
+	s.guard.SetPeers(s.notifier)
 	s.settings = cassiatree.New(cassiatree.Config{
 		Self: s.self, Zone: s.zone, AdminTokenSHA256: s.config.AdminTokenSha256,
 		Store: s.store, Peers: settingsPeers{s.node}, Members: s.members, Clock: clock, Seed: rand.Uint64(),
 		Logger: s.logger, Scope: scope,
 	})
 	s.entry = cassiaentry.New(cassiaentry.Config{
-		Self: s.self, Routes: s.routes, Peers: s.node, Owner: s.owner, Fronts: fronts{s.settings}, Quarantine: s.quarantine,
+		Self: s.self, Routes: s.routes, Peers: s.node, Owner: s.owner, Fronts: fronts{s.settings}, Quarantine: s.guard,
 		Claims: s.claimer, Inquirer: s, Clock: clock, Logger: s.logger, Scope: scope,
 	})
 	return s.buildHTTP()
