Blame requests correctly where several VMs send to one target

The quarantine was made for targets that one VM owns. Where all VMs send to all targets, three of its rules are wrong: - two VMs that report one crash count as two; - a VM does not count the requests of others as companions, so an innocent request looks alone on a target; - a popular request that runs on all targets hides the request that crashes them, although it is answered elsewhere.

Change: losses name their reporter, reports of one crash by several VMs are put together, and an answered request is no companion any more. The memory of ended quarantines and of losses is bounded; running attempts are found by request.

--- a/core/cassiaquarantine/admit.go
+++ b/core/cassiaquarantine/admit.go
@@ -58,6 +58,11 @@
 	return VerdictRun
 }
 
+// Proven reports whether a target is known to have answered the request within Window.
+func (q *Quarantine) Proven(f cassiaid.Fingerprint) bool {
+	return q.answered.Has(q.clock.Now(), Window, f)
+}
+
 // BlocksOtherVMs reports whether other VMs must not start request f for a shard: it is quarantined, it has lost a target of which
 // the other owners may not know yet, or an attempt of it runs here. An attempt that does not run alone and is for another shard
 // counts only while no target is known to have answered the request.
@@ -66,8 +71,8 @@
 		return true
 	}
 	unanswered := !q.answered.Has(q.clock.Now(), Window, f)
-	for _, a := range q.attempts {
-		if a.run.Fingerprint == f && !a.lossRecorded && (unanswered || a.run.Alone || a.run.Shard == shard) {
+	for _, a := range q.running[f] {
+		if !a.lossRecorded && (unanswered || a.run.Alone || a.run.Shard == shard) {
 			return true
 		}
 	}
@@ -83,8 +88,8 @@
 
 // Running reports whether an attempt of a request runs for a shard on a target that is not known to be lost.
 func (q *Quarantine) Running(f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
-	for _, a := range q.attempts {
-		if a.run.Fingerprint == f && a.run.Shard == shard && !a.lossRecorded {
+	for _, a := range q.running[f] {
+		if a.run.Shard == shard && !a.lossRecorded {
 			return true
 		}
 	}
--- a/core/cassiaquarantine/message.go
+++ b/core/cassiaquarantine/message.go
@@ -78,6 +78,8 @@
 type Loss struct {
 	Target cassiaid.TargetName
 	Runs   []Run
+	// Reporter is the VM that observed the loss; empty for this VM.
+	Reporter cassiaid.VMName
 }
 
 // Effect is an action that the caller of Update has to perform.
--- a/core/cassiaquarantine/overlap_test.go
+++ b/core/cassiaquarantine/overlap_test.go
@@ -105,7 +105,9 @@
 
 // deliver delivers a notice; the call continues once all owners have been notified of its loss.
 func (n notice) deliver(k *cluster) {
-	k.owners[n.to].Update(LossLearned{Loss: n.loss.loss})
+	learned := n.loss.loss
+	learned.Reporter = ownerName(n.loss.owner)
+	k.owners[n.to].Update(LossLearned{Loss: learned})
 	if n.loss.pendingNotices--; n.loss.pendingNotices == 0 {
 		k.owners[n.loss.owner].Update(LossShared{Loss: n.loss.loss})
 		n.loss.call.waitsForNotices = false
--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -24,8 +24,14 @@
 	// more loss is needed.
 	outageWindow = 10 * time.Second
 	outageLosses = 2
-	// maxSuspects is the maximum number of requests that are suspects at the same time.
+	// sameCrashWindow is the time within which all VMs notice that a target has ended. Losses of one target that are reported
+	// within it are one crash.
+	sameCrashWindow = 250 * time.Millisecond
+	// maxSuspects is the maximum number of requests that are suspects at the same time, maxPeriods that of requests whose
+	// latest quarantine is remembered, and maxLosses that of losses within Window.
 	maxSuspects = 4096
+	maxPeriods  = 4096
+	maxLosses   = 1024
 )
 
 // requestPart identifies one shard's part of a request.
@@ -58,6 +64,8 @@
 type Quarantine struct {
 	clock    cassiaplan.Clock
 	attempts map[cassiaid.AttemptID]*runningAttempt
+	// running holds the attempts by request.
+	running  map[cassiaid.Fingerprint][]*runningAttempt
 	suspects map[cassiaid.Fingerprint]*suspect
 	periods  map[cassiaid.Fingerprint]quarantinePeriod
 	losses   []recordedLoss
@@ -74,6 +82,7 @@
 	return &Quarantine{
 		clock:        clock,
 		attempts:     make(map[cassiaid.AttemptID]*runningAttempt),
+		running:      make(map[cassiaid.Fingerprint][]*runningAttempt),
 		suspects:     make(map[cassiaid.Fingerprint]*suspect),
 		periods:      make(map[cassiaid.Fingerprint]quarantinePeriod),
 		unsharedRuns: make(map[cassiaid.Fingerprint]int),
@@ -85,13 +94,13 @@
 	now := q.clock.Now()
 	switch m := m.(type) {
 	case Started:
-		q.attempts[m.Run.Attempt] = &runningAttempt{run: m.Run, target: m.Target}
+		q.start(m)
 	case Ended:
 		return q.ended(now, m)
 	case IdleLost:
 		q.addLoss(now, Loss{Target: m.Target})
 	case AnswerLearned:
-		q.learnAnswer(now, m)
+		return q.learnAnswer(now, m)
 	case LossLearned:
 		return q.learnLoss(now, m.Loss)
 	case LossShared:
@@ -107,27 +116,76 @@
 	return max(0, q.periods[f].until.Sub(q.clock.Now()))
 }
 
+// Active returns the requests that are quarantined now, with the time for which they still are.
+func (q *Quarantine) Active() map[cassiaid.Fingerprint]time.Duration {
+	now := q.clock.Now()
+	active := make(map[cassiaid.Fingerprint]time.Duration)
+	for f, p := range q.periods {
+		if remaining := p.until.Sub(now); remaining > 0 {
+			active[f] = remaining
+		}
+	}
+	return active
+}
+
+// setPeriod records the latest quarantine of a request. At maxPeriods it forgets those that ended longest ago.
+func (q *Quarantine) setPeriod(now time.Time, f cassiaid.Fingerprint, period quarantinePeriod) {
+	if _, known := q.periods[f]; !known && len(q.periods) >= maxPeriods {
+		var oldest cassiaid.Fingerprint
+		var end time.Time
+		for other, p := range q.periods {
+			if now.Sub(p.until) > repeatWindow {
+				delete(q.periods, other)
+			} else if end.IsZero() || p.until.Before(end) {
+				oldest, end = other, p.until
+			}
+		}
+		if len(q.periods) >= maxPeriods {
+			delete(q.periods, oldest)
+		}
+	}
+	q.periods[f] = period
+}
+
 // learnQuarantine applies a quarantine that another VM has started, unless a known one of the request lasts longer.
 func (q *Quarantine) learnQuarantine(now time.Time, m QuarantineLearned) {
 	until := now.Add(min(m.Remaining, maxQuarantine))
 	if p := q.periods[m.Fingerprint]; until.After(p.until) {
-		q.periods[m.Fingerprint] = quarantinePeriod{until: until, duration: max(p.duration, baseQuarantine)}
+		q.setPeriod(now, m.Fingerprint, quarantinePeriod{until: until, duration: max(p.duration, baseQuarantine)})
 		q.dropExplainedLosses(now, m.Fingerprint)
 	}
 }
 
+// start records a started attempt.
+func (q *Quarantine) start(m Started) {
+	a := &runningAttempt{run: m.Run, target: m.Target}
+	q.attempts[m.Run.Attempt] = a
+	q.running[m.Run.Fingerprint] = append(q.running[m.Run.Fingerprint], a)
+}
+
+// remove drops an attempt that has ended.
+func (q *Quarantine) remove(a *runningAttempt) {
+	f := a.run.Fingerprint
+	delete(q.attempts, a.run.Attempt)
+	q.running[f] = slices.DeleteFunc(q.running[f], func(other *runningAttempt) bool { return other == a })
+	if len(q.running[f]) == 0 {
+		delete(q.running, f)
+	}
+}
+
 func (q *Quarantine) ended(now time.Time, m Ended) []Effect {
 	a := q.attempts[m.Attempt]
 	if a == nil {
 		return nil
 	}
-	defer delete(q.attempts, m.Attempt)
+	defer q.remove(a)
 	switch m.Ending {
 	case EndingAnswered:
-		if q.clearByAnswer(now, a.run.Fingerprint, a.run.Shard) {
-			return []Effect{ShareAnswer{Fingerprint: a.run.Fingerprint, Shard: a.run.Shard}}
+		suspected, effects := q.clearByAnswer(now, a.run.Fingerprint, a.run.Shard)
+		if suspected {
+			effects = append(effects, ShareAnswer{Fingerprint: a.run.Fingerprint, Shard: a.run.Shard})
 		}
-		return nil
+		return effects
 	case EndingLost:
 		return q.targetLost(now, a)
 	}
@@ -136,17 +194,19 @@
 
 // learnAnswer records an answer on another VM. An answer from before the loss is only remembered; a later one also removes the
 // suspicion.
-func (q *Quarantine) learnAnswer(now time.Time, m AnswerLearned) {
+func (q *Quarantine) learnAnswer(now time.Time, m AnswerLearned) []Effect {
 	if !m.BeforeLoss {
-		q.clearByAnswer(now, m.Fingerprint, m.Shard)
-		return
+		_, effects := q.clearByAnswer(now, m.Fingerprint, m.Shard)
+		return effects
 	}
 	q.answered.Add(now, Window, m.Fingerprint)
 	q.answeredParts.Add(now, Window, requestPart{m.Fingerprint, m.Shard})
+	return nil
 }
 
-// clearByAnswer records an answer and drops the losses of the answered request part. It reports whether the request was a suspect.
-func (q *Quarantine) clearByAnswer(now time.Time, f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
+// clearByAnswer records an answer and drops the losses of the answered request part. It reports whether the request was a
+// suspect; if so, the answer also shows that other requests caused its losses, which may complete the blame of one of them.
+func (q *Quarantine) clearByAnswer(now time.Time, f cassiaid.Fingerprint, shard cassiaid.ShardIndex) (suspected bool, effects []Effect) {
 	q.answered.Add(now, Window, f)
 	q.answeredParts.Add(now, Window, requestPart{f, shard})
 	if p, ok := q.periods[f]; ok && !now.Before(p.until) {
@@ -154,11 +214,17 @@
 	}
 	s := q.suspects[f]
 	if s == nil {
-		return false
+		return false, nil
 	}
 	s.clearShard(shard)
 	q.expireLosses(now, f, s)
-	return true
+	var blamable []Run
+	for other, companion := range q.suspects {
+		if other != f && companion.exonerate(f) {
+			blamable = append(blamable, Run{Fingerprint: other})
+		}
+	}
+	return true, q.quarantineBlamed(now, blamable, 0)
 }
 
 // expireLosses drops the losses that are older than Window, and the suspect when none is left.
@@ -186,7 +252,7 @@
 		q.unsharedRuns[r.Fingerprint]++
 	}
 	effects := []Effect{ShareLoss{Loss: loss}}
-	q.addToSuspects(now, loss, true)
+	q.addToSuspects(now, loss)
 	return append(effects, q.quarantineBlamed(now, loss.Runs, a.run.Attempt)...)
 }
 
@@ -213,7 +279,7 @@
 	if len(loss.Runs) == 0 || q.hasRecorded(loss) {
 		return nil
 	}
-	q.addToSuspects(now, loss, false)
+	q.addToSuspects(now, loss)
 	return append(q.shareEarlierAnswers(now, loss), q.quarantineBlamed(now, loss.Runs, 0)...)
 }
 
@@ -242,32 +308,46 @@
 // addLoss records a loss and drops those older than Window.
 func (q *Quarantine) addLoss(now time.Time, loss Loss) {
 	q.losses = slices.DeleteFunc(q.losses, func(s recordedLoss) bool { return now.Sub(s.at) > Window })
+	if len(q.losses) >= maxLosses {
+		q.losses = q.losses[1:]
+	}
 	q.losses = append(q.losses, recordedLoss{at: now, loss: loss})
 }
 
-// addToSuspects records a loss and adds it to each request that ran on the target.
-func (q *Quarantine) addToSuspects(now time.Time, loss Loss, local bool) {
+// addToSuspects records a loss and adds it to each request that ran on the target. Other VMs may have reported the same crash
+// for their own runs; those and the runs of this loss are companions of each other.
+func (q *Quarantine) addToSuspects(now time.Time, loss Loss) {
+	var companions []cassiaid.Fingerprint
+	for _, earlier := range q.losses {
+		if earlier.loss.Target != loss.Target || earlier.loss.Reporter == loss.Reporter || now.Sub(earlier.at) > sameCrashWindow {
+			continue
+		}
+		for _, r := range earlier.loss.Runs {
+			companions = append(companions, r.Fingerprint)
+			q.suspects[r.Fingerprint].addCompanions(now, loss)
+		}
+	}
+	for _, r := range loss.Runs {
+		companions = append(companions, r.Fingerprint)
+	}
 	q.addLoss(now, loss)
 	for _, r := range loss.Runs {
 		s := q.suspects[r.Fingerprint]
 		if s == nil {
 			q.evict(now)
-			s = &suspect{}
+			s = &suspect{fingerprint: r.Fingerprint}
 			q.suspects[r.Fingerprint] = s
 		}
 		s.dropBefore(now.Add(-Window))
-		l := suspectLoss{at: now, target: loss.Target, shard: r.Shard, alone: r.Alone, local: local}
-		for _, other := range loss.Runs {
-			if other.Fingerprint != r.Fingerprint {
-				l.others = append(l.others, other.Fingerprint)
-			}
+		l := suspectLoss{at: now, target: loss.Target, shard: r.Shard, alone: r.Alone, reporter: loss.Reporter}
+		for _, other := range companions {
+			l.addCompanion(r.Fingerprint, other)
 		}
 		s.losses = append(s.losses, l)
 	}
 }
 
-// evict makes room for a new suspect when there are maxSuspects: it drops expired losses and quarantine periods, then arbitrary
-// suspects.
+// evict makes room for a new suspect when there are maxSuspects: it drops expired losses, then arbitrary suspects.
 func (q *Quarantine) evict(now time.Time) {
 	if len(q.suspects) < maxSuspects {
 		return
@@ -275,11 +355,6 @@
 	for f, s := range q.suspects {
 		q.expireLosses(now, f, s)
 	}
-	for f, s := range q.periods {
-		if now.Sub(s.until) > repeatWindow {
-			delete(q.periods, f)
-		}
-	}
 	for f := range q.suspects {
 		if len(q.suspects) < maxSuspects {
 			return
@@ -298,7 +373,7 @@
 			continue
 		}
 		duration := q.nextDuration(now, f)
-		q.periods[f] = quarantinePeriod{until: now.Add(duration), duration: duration}
+		q.setPeriod(now, f, quarantinePeriod{until: now.Add(duration), duration: duration})
 		q.dropExplainedLosses(now, f)
 		effects = append(effects, ShareQuarantine{Fingerprint: f, Remaining: duration})
 	}
@@ -336,10 +411,10 @@
 	needed := q.lossesNeeded(now, f)
 	for _, l := range s.losses {
 		partLosses := s.ofShard(l.shard)
-		if len(partLosses) < needed || !noOtherCommonRequest(partLosses) {
+		if countCrashes(partLosses) < needed || !noOtherCommonRequest(partLosses) {
 			continue
 		}
-		if lostWhileAlone(partLosses) || !q.answeredParts.Has(now, Window, requestPart{f, l.shard}) {
+		if provenByRunsAlone(partLosses) || !q.answeredParts.Has(now, Window, requestPart{f, l.shard}) {
 			return true
 		}
 	}
@@ -377,23 +452,22 @@
 }
 
 // isBlamedAcrossShards reports whether the losses of all shards together suffice to quarantine the request: no target has answered
-// it, it has lost enough targets, and no other request ran on every one of them. In addition, either it ran alone on one of the
-// lost targets, or this VM has observed enough of the losses itself and runs no other attempt of it.
+// it, it has lost enough targets, and no other request ran on every one of them. In addition, either its runs alone prove it, or this VM has observed enough of the losses itself and runs no other attempt of it.
 func (q *Quarantine) isBlamedAcrossShards(now time.Time, f cassiaid.Fingerprint, s *suspect, needed int, ended cassiaid.AttemptID) bool {
 	if q.answered.Has(now, Window, f) {
 		return false
 	}
-	if lostWhileAlone(s.losses) && countTargets(s.losses) >= needed && noOtherCommonRequest(s.losses) {
+	if provenByRunsAlone(s.losses) && countCrashes(s.losses) >= needed && noOtherCommonRequest(s.losses) {
 		return true
 	}
 	local := s.localLosses()
-	return countTargets(local) >= needed && noOtherCommonRequest(local) && !q.runsOnAnyShard(f, ended)
+	return countCrashes(local) >= needed && noOtherCommonRequest(local) && !q.runsOnAnyShard(f, ended)
 }
 
 // runsOnAnyShard reports whether an attempt of the request other than except runs on a target that is not known to be lost.
 func (q *Quarantine) runsOnAnyShard(f cassiaid.Fingerprint, except cassiaid.AttemptID) bool {
-	for id, a := range q.attempts {
-		if id != except && a.run.Fingerprint == f && !a.lossRecorded {
+	for _, a := range q.running[f] {
+		if a.run.Attempt != except && !a.lossRecorded {
 			return true
 		}
 	}
--- a/core/cassiaquarantine/quarantine_test.go
+++ b/core/cassiaquarantine/quarantine_test.go
@@ -54,7 +54,9 @@
 				k.update(owner, LossShared(e))
 				continue
 			}
-			shared = LossLearned(e)
+			loss := e.Loss
+			loss.Reporter = ownerName(owner)
+			shared = LossLearned{Loss: loss}
 		case ShareAnswer:
 			shared = AnswerLearned(e)
 		case ShareQuarantine:
@@ -85,6 +87,8 @@
 	return k.next
 }
 
+func ownerName(owner int) cassiaid.VMName { return cassiaid.VMName(fmt.Sprintf("vm-%d", owner)) }
+
 func targetOf(owner int, shard cassiaid.ShardIndex) cassiaid.TargetName {
 	return cassiaid.TargetName(fmt.Sprintf("t%d-%d", owner, shard))
 }
--- a/core/cassiaquarantine/suspect.go
+++ b/core/cassiaquarantine/suspect.go
@@ -12,22 +12,67 @@
 	at     time.Time
 	target cassiaid.TargetName
 	shard  cassiaid.ShardIndex
-	// alone is true when the request was already a suspect and ran on the target with no other request.
+	// alone is true when the request was already a suspect, so that no VM ran it elsewhere at that time.
 	alone bool
-	// local is true when this VM observed the loss itself.
-	local bool
-	// others are the other requests that ran on the target.
+	// reporter is the VM that observed the loss; empty for this VM.
+	reporter cassiaid.VMName
+	// others are the other requests that ran on the target and have not been answered since.
 	others []cassiaid.Fingerprint
 }
 
+// sameCrash reports whether another VM's report of a loss is about the same crash. A VM reports each crash once.
+func (l suspectLoss) sameCrash(target cassiaid.TargetName, reporter cassiaid.VMName, at time.Time) bool {
+	return l.target == target && l.reporter != reporter && at.Sub(l.at).Abs() <= sameCrashWindow
+}
+
+// addCompanion records that a request other than f, whose loss this is, ran on the target.
+func (l *suspectLoss) addCompanion(f, other cassiaid.Fingerprint) {
+	if other != f && !slices.Contains(l.others, other) {
+		l.others = append(l.others, other)
+	}
+}
+
 // suspect is a request that ran on a lost target and that no answer has cleared since.
-type suspect struct{ losses []suspectLoss }
+type suspect struct {
+	fingerprint cassiaid.Fingerprint
+	losses      []suspectLoss
+}
 
 // involves reports whether a target was lost while it ran the request. It is false for a nil suspect.
 func (s *suspect) involves(target cassiaid.TargetName) bool {
 	return s != nil && slices.ContainsFunc(s.losses, func(l suspectLoss) bool { return l.target == target })
 }
 
+// addCompanions records the runs of a loss for which the suspect has an earlier report by another VM. It does nothing for a nil
+// suspect.
+func (s *suspect) addCompanions(now time.Time, loss Loss) {
+	if s == nil {
+		return
+	}
+	for i := range s.losses {
+		l := &s.losses[i]
+		if !l.sameCrash(loss.Target, loss.Reporter, now) {
+			continue
+		}
+		for _, r := range loss.Runs {
+			l.addCompanion(s.fingerprint, r.Fingerprint)
+		}
+	}
+}
+
+// exonerate removes an answered request from the companions of the losses and reports whether it was one.
+func (s *suspect) exonerate(f cassiaid.Fingerprint) bool {
+	found := false
+	for i := range s.losses {
+		l := &s.losses[i]
+		if at := slices.Index(l.others, f); at >= 0 {
+			l.others = slices.Delete(l.others, at, at+1)
+			found = true
+		}
+	}
+	return found
+}
+
 // dropBefore drops the losses from before a time.
 func (s *suspect) dropBefore(before time.Time) {
 	s.losses = slices.DeleteFunc(s.losses, func(l suspectLoss) bool { return l.at.Before(before) })
@@ -51,7 +96,7 @@
 
 // localLosses returns the losses that this VM observed itself.
 func (s *suspect) localLosses() []suspectLoss {
-	return slices.DeleteFunc(slices.Clone(s.losses), func(l suspectLoss) bool { return !l.local })
+	return slices.DeleteFunc(slices.Clone(s.losses), func(l suspectLoss) bool { return l.reporter != "" })
 }
 
 // noOtherCommonRequest reports whether no other request ran on every one of the lost targets. It is false without losses.
@@ -71,16 +116,32 @@
 	return true
 }
 
-// lostWhileAlone reports whether one of the targets was lost while the request, already a suspect, ran on it alone.
-func lostWhileAlone(losses []suspectLoss) bool {
-	return slices.ContainsFunc(losses, func(l suspectLoss) bool { return l.alone })
+// provenByRunsAlone reports whether the request's runs as a suspect show that it causes the losses, even if it was answered
+// before: on one of the targets nothing else ran, or it lost at least two targets that way.
+func provenByRunsAlone(losses []suspectLoss) bool {
+	var alone []suspectLoss
+	for _, l := range losses {
+		if l.alone && len(l.others) == 0 {
+			return true
+		}
+		if l.alone {
+			alone = append(alone, l)
+		}
+	}
+	return countCrashes(alone) > 1
 }
 
-// countTargets returns the number of different targets among the losses.
-func countTargets(losses []suspectLoss) int {
-	targets := make(map[cassiaid.TargetName]struct{}, len(losses))
-	for _, l := range losses {
-		targets[l.target] = struct{}{}
+// countCrashes returns the number of crashes among the losses, which are in order of time. Several VMs may have reported one
+// crash.
+func countCrashes(losses []suspectLoss) int {
+	crashes := 0
+	for i, l := range losses {
+		reported := slices.ContainsFunc(losses[:i], func(earlier suspectLoss) bool {
+			return earlier.sameCrash(l.target, l.reporter, l.at)
+		})
+		if !reported {
+			crashes++
+		}
 	}
-	return len(targets)
+	return crashes
 }
--- a/io/cassiaguard/notifier.go
+++ b/io/cassiaguard/notifier.go
@@ -166,10 +166,10 @@
 
 // HandleFrame handles a frame of another VM's Notifier and returns the reply, or nil if there is none. It returns false for
 // other frames.
-func (n *Notifier) HandleFrame(frame *cassiaschema.PeerFrame) (reply *cassiaschema.PeerFrame, handled bool) {
+func (n *Notifier) HandleFrame(from cassiaid.VMName, frame *cassiaschema.PeerFrame) (reply *cassiaschema.PeerFrame, handled bool) {
 	switch body := frame.GetBody().(type) {
 	case *cassiaschema.PeerFrame_LossNotice:
-		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: n.handleLossNotice(body.LossNotice)}}, true
+		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: n.handleLossNotice(from, body.LossNotice)}}, true
 	case *cassiaschema.PeerFrame_RunInquiry:
 		blocked := n.Guard.BlocksOtherVMs(cassiaid.Fingerprint(body.RunInquiry.Fingerprint), cassiaid.ShardIndex(body.RunInquiry.Shard))
 		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiryReply{
@@ -184,8 +184,8 @@
 
 // handleLossNotice records a loss that another owner has seen. The reply lists the lost requests that this VM's targets
 // have answered, as evidence that they did not cause the loss, and those that this VM is running.
-func (n *Notifier) handleLossNotice(notice *cassiaschema.LossNotice) *cassiaschema.LossNoticeReply {
-	loss := cassiaquarantine.Loss{Target: cassiaid.TargetName(notice.Target)}
+func (n *Notifier) handleLossNotice(from cassiaid.VMName, notice *cassiaschema.LossNotice) *cassiaschema.LossNoticeReply {
+	loss := cassiaquarantine.Loss{Target: cassiaid.TargetName(notice.Target), Reporter: from}
 	for _, r := range notice.Runs {
 		loss.Runs = append(loss.Runs, cassiaquarantine.Run{
 			Attempt: cassiaid.AttemptID(r.AttemptId), Fingerprint: cassiaid.Fingerprint(r.Fingerprint),
--- a/io/cassiaserver/frames.go
+++ b/io/cassiaserver/frames.go
@@ -32,7 +32,7 @@
 	case *cassiaschema.PeerFrame_ClaimCall:
 		s.frameHandlers.Go(func() error { s.replyToClaimCall(from, body.ClaimCall, reply); return nil })
 	default:
-		if replyFrame, handled := s.notifier.HandleFrame(frame); handled {
+		if replyFrame, handled := s.notifier.HandleFrame(from, frame); handled {
 			if replyFrame != nil {
 				s.reply(from, reply, replyFrame)
 			}
