--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -14,10 +14,14 @@
 	"github.com/go-kit/log/level"
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiaclock"
 	"cassiasaddle/core/cassiagateway"
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiaaggregate"
 	"cassiasaddle/io/cassiafollow"
 	"cassiasaddle/io/cassiagate"
+	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassialog"
 	"cassiasaddle/io/cassiapeer"
 	"cassiasaddle/io/cassiapool"
@@ -34,6 +38,9 @@
 	stopMargin = 300 * time.Millisecond
 	// storeTimeout bounds a call to the store. A call that waits for a change may take this longer than its wait.
 	storeTimeout = 900 * time.Millisecond
+	// crashNoticeTimeout bounds how long the result of an attempt that lost its target waits for the other VMs to know of
+	// it. It allows for the dial of a connection between availability zones.
+	crashNoticeTimeout = 40 * time.Millisecond
 )
 
 // options are the command-line flags of a VM.
@@ -50,13 +57,17 @@
 	settings cassiaplatform.Settings
 	options  options
 	// self is the entry of this VM in the list of VMs.
-	self    cassiafollow.VM
-	config  cassiagate.ServerConfig
-	gate    *cassiagate.Gate
-	pool    *cassiapool.Pool
-	store   *cassiaplatform.Store
-	logger  log.Logger
-	metrics *cassialog.Metrics
+	self   cassiafollow.VM
+	config cassiagate.ServerConfig
+	gate   *cassiagate.Gate
+	guard  *cassiaguard.Guard
+	// notifier gets its Node when the VMs can reach each other.
+	notifier  *cassiaguard.Notifier
+	announcer *cassiaguard.Announcer
+	pool      *cassiapool.Pool
+	store     *cassiaplatform.Store
+	logger    log.Logger
+	metrics   *cassialog.Metrics
 }
 
 // newProgram creates the components of a VM; run starts them.
@@ -66,11 +77,12 @@
 	headers := cassiaplatform.Headers()
 	opened := metrics.Scope.Counter("connections_opened")
 	pool := &cassiapool.Pool{Headers: headers.Headers, OnConnectionOpened: func() { opened.Inc(1) }}
-	gate := cassiagate.NewGate(pool, cassiagateway.Settings{ExtraRequests: settings.ExtraRequests,
+	guard := cassiaguard.NewGuard(cassiaclock.System{})
+	gate := cassiagate.NewGate(pool, guard, cassiagateway.Settings{ExtraRequests: settings.ExtraRequests,
 		Name: settings.VM, Zone: settings.Zone}, cassiagate.NewReport(logger, metrics.Scope))
 	client := cassiastore.NewClient(settings.StoreAddress, "", metrics.Scope)
 	client.CallTimeout = storeTimeout
-	store := &cassiaplatform.Store{Client: client, OnInvalidConfig: func(key string, err error) {
+	store := &cassiaplatform.Store{Client: client, MinLease: settings.MinLease, OnInvalidConfig: func(key string, err error) {
 		level.Warn(logger).Log("event", "entryIgnored", "key", key, "error", err)
 	}}
 	config := cassiagate.ServerConfig{Address: settings.CallerAddress, ReadyAddress: settings.ReadyAddress,
@@ -81,8 +93,22 @@
 	}
 	self := cassiafollow.VM{Name: settings.VM, Zone: settings.Zone, PeerAddress: cmp.Or(o.advertisedAddress, settings.PeerAddress),
 		Cores: settings.Cores}
-	return &program{settings: settings, options: o, self: self, config: config, gate: gate, pool: pool, store: store, logger: logger,
-		metrics: metrics}
+	p := &program{settings: settings, options: o, self: self, config: config, gate: gate, guard: guard, pool: pool, store: store,
+		logger: logger, metrics: metrics}
+	p.guardTargets()
+	return p
+}
+
+// guardTargets connects the guard with the other VMs and the store.
+func (p *program) guardTargets() {
+	p.notifier = &cassiaguard.Notifier{Guard: p.guard, Others: p.gate.InformedVMs, Timeout: crashNoticeTimeout, Scope: p.metrics.Scope}
+	p.announcer = cassiaguard.NewAnnouncer(cassiaguard.AnnouncerConfig{Guard: p.guard, Store: p.store, VMs: p.gate.OtherVMs, Log: p.logEvent,
+		Send: func(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) error {
+			return p.notifier.Node.Send(ctx, vm, 0, frame)
+		}})
+	p.notifier.Quarantined = p.announcer.Announce
+	p.gate.Announcer = p.announcer
+	p.guard.SetPeers(p.notifier)
 }
 
 // run serves callers until ctx is done. Everything else that the server needs runs until the server has stopped.
@@ -100,6 +126,7 @@
 			follower.Unlisted, p.logEvent)
 	})
 	group.Go(func() error { return p.checkSettingsOnHangup(servicesCtx) })
+	group.Go(func() error { return p.announcer.Run(servicesCtx) })
 	group.Go(func() error { return p.servePeers(servicesCtx, watchers, journal) })
 	group.Go(func() error {
 		defer stopServices()
@@ -155,13 +182,15 @@
 	aggregator.OnExtraRequest = func(allowed bool) {
 		p.metrics.Scope.Tagged(map[string]string{"allowed": strconv.FormatBool(allowed)}).Counter("repeats_for_others").Inc(1)
 	}
-	handler := &cassiaaggregate.Handler{Aggregator: aggregator, Watches: &cassiafollow.WatchServer{Journal: journal}}
+	handler := &cassiaaggregate.Handler{Aggregator: aggregator, Watches: &cassiafollow.WatchServer{Journal: journal},
+		Notifier: p.notifier}
 	node, err := cassiapeer.Listen(cassiapeer.Config{Self: p.settings.VM, Address: p.settings.PeerAddress, Identity: credentials,
 		Resolver: p.gate, Handler: handler, Logger: p.logger, Scope: p.metrics.Scope})
 	if err != nil {
 		return err
 	}
 	handler.Client = cassiaaggregate.NewClient(node, p.gate.AttemptsEnded)
+	p.notifier.Node = node
 	node.Serve()
 	p.gate.SetAggregatorClient(handler.Client)
 	watchers.SetExchanger(node)
--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -13,6 +13,8 @@
 type Send struct {
 	Query   QueryID
 	Attempt cassiaid.AttemptID
+	// Shard is the position of the attempt's shard in its route.
+	Shard   cassiaid.ShardIndex
 	Target  cassiaid.TargetName
 	Address string
 	// Deadline is when the target may stop working on the attempt.
@@ -169,6 +171,8 @@
 	RefusalOverloaded RefusalReason = "overloaded"
 	// RefusalFailed means that too many shards failed on the targets that were tried.
 	RefusalFailed RefusalReason = "failed"
+	// RefusalQuarantined means that the request crashes the targets that run it.
+	RefusalQuarantined RefusalReason = "quarantined"
 	// RefusalTimedOut means that the time of the query ran out.
 	RefusalTimedOut RefusalReason = "timedOut"
 )
--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -117,6 +117,10 @@
 	OutcomeOverBudget Outcome = "overBudget"
 	// OutcomeUnfit means that the aggregator considers the target stalled or failing; nothing was sent.
 	OutcomeUnfit Outcome = "unfit"
+	// OutcomeWithheld means that nothing was sent because the request may crash targets and runs elsewhere.
+	OutcomeWithheld Outcome = "withheld"
+	// OutcomeQuarantined means that nothing was sent because the request crashes targets.
+	OutcomeQuarantined Outcome = "quarantined"
 	// OutcomeLost means that the target's process ended before it answered; the request may have run.
 	OutcomeLost Outcome = "lost"
 	// OutcomeBroken means that the connection broke or the answer is unusable; the request may have run.
@@ -128,17 +132,17 @@
 // mayHaveRun returns false if the target certainly did not run the request.
 func (o Outcome) mayHaveRun() bool {
 	switch o {
-	case OutcomeRejected, OutcomeWrongTarget, OutcomeUnsent, OutcomeAbandoned, OutcomeTargetUnknown, OutcomeOverBudget, OutcomeUnfit:
+	case OutcomeRejected, OutcomeWrongTarget:
 		return false
 	default:
-		return true
+		return o.reachedTarget()
 	}
 }
 
 // reachedTarget returns false if certainly no target received the request.
 func (o Outcome) reachedTarget() bool {
 	switch o {
-	case OutcomeUnsent, OutcomeAbandoned, OutcomeTargetUnknown, OutcomeOverBudget, OutcomeUnfit:
+	case OutcomeUnsent, OutcomeAbandoned, OutcomeTargetUnknown, OutcomeOverBudget, OutcomeUnfit, OutcomeWithheld, OutcomeQuarantined:
 		return false
 	default:
 		return true
--- a/core/cassiagateway/query.go
+++ b/core/cassiagateway/query.go
@@ -28,13 +28,16 @@
 	// mayHaveRun is true once a target may have run the request.
 	mayHaveRun bool
 	overloaded bool
-	finished   bool
-	trace      Trace
+	// quarantined is true once an attempt was not sent because the request crashes targets.
+	quarantined bool
+	finished    bool
+	trace       Trace
 }
 
 // shard is one service that a query asks.
 type shard struct {
 	query   *query
+	index   cassiaid.ShardIndex
 	service *service
 	state   shardState
 	tried   []*target
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -69,8 +69,8 @@
 	if !r.FansOut() {
 		names = []cassiacatalog.ServiceName{g.pickService(now, r)}
 	}
-	for _, name := range names {
-		q.shards = append(q.shards, &shard{query: q, service: g.service(name)})
+	for i, name := range names {
+		q.shards = append(q.shards, &shard{query: q, index: cassiaid.ShardIndex(i), service: g.service(name)})
 	}
 	q.trace.Shards = len(q.shards)
 	q.zone = g.preferredZone(r)
@@ -167,7 +167,7 @@
 	s.state = shardOpen
 	s.hedgeAt = g.hedgeTime(now, s)
 	q.trace.Attempts++
-	g.emit(Send{Query: q.id, Attempt: a.id, Target: t.Name, Address: t.Address,
+	g.emit(Send{Query: q.id, Attempt: a.id, Shard: s.index, Target: t.Name, Address: t.Address,
 		Deadline: minTime(q.deadline, q.giveUpAt.Add(giveUpMargin)), NewConnection: !q.route.Idempotent,
 		Aggregator: a.aggregator, Unpruned: !a.pruned, AggregatorPays: a.aggregatorPays, Force: force})
 }
@@ -257,7 +257,7 @@
 	elapsed := now.Sub(a.sentAt)
 	a.link.attemptEnded(now, a, outcome)
 	switch outcome {
-	case OutcomeAbandoned:
+	case OutcomeAbandoned, OutcomeWithheld, OutcomeQuarantined:
 		return
 	case OutcomeOverBudget:
 		g.aggregators.resetFailures(a.aggregator)
@@ -319,6 +319,9 @@
 	if m.Outcome == OutcomeUnfit {
 		s.declined++
 	}
+	if m.Outcome == OutcomeQuarantined {
+		q.quarantined = true
+	}
 	if m.Outcome == OutcomeFailed {
 		s.failure = m.Reply
 	}
@@ -395,6 +398,9 @@
 
 // mayRetry reports whether a shard whose attempt ended with the given outcome may be sent to another target.
 func (s *shard) mayRetry(outcome Outcome) bool {
+	if outcome == OutcomeWithheld || outcome == OutcomeQuarantined {
+		return false
+	}
 	r := s.query.route
 	return s.spentAttempts < max(1, r.MaxAttempts) && len(s.tried) < maxPlacements &&
 		(r.Idempotent || !outcome.mayHaveRun())
@@ -435,6 +441,8 @@
 	case q.finished:
 	case q.complete(now):
 		g.finish(now, q)
+	case q.quarantined && q.answered < q.required():
+		g.refuse(now, q, RefusalQuarantined)
 	case q.coverageImpossible():
 		g.refuse(now, q, RefusalFailed)
 	case !now.Before(q.giveUpAt):
--- a/core/cassiaquarantine/admit.go
+++ b/core/cassiaquarantine/admit.go
@@ -26,6 +26,23 @@
 	VerdictQuarantined
 )
 
+// String returns the name of the verdict as it appears in logs.
+func (v Verdict) String() string {
+	switch v {
+	case VerdictRun:
+		return "run"
+	case VerdictAlone:
+		return "alone"
+	case VerdictRefuseNow:
+		return "refuseNow"
+	case VerdictWait:
+		return "wait"
+	case VerdictQuarantined:
+		return "quarantined"
+	}
+	return "unknown"
+}
+
 // Admit decides whether an attempt of request f for a shard may run. The caller asks when the attempt arrives and again before it
 // starts.
 func (q *Quarantine) Admit(f cassiaid.Fingerprint, shard cassiaid.ShardIndex) Verdict {
@@ -63,6 +80,17 @@
 	return q.answered.Has(q.clock.Now(), Window, f)
 }
 
+// SuspectRunsOn reports whether a suspect runs on a target. Suspects that run there together would be lost together, and
+// neither could be blamed.
+func (q *Quarantine) SuspectRunsOn(target cassiaid.TargetName) bool {
+	for _, a := range q.attempts {
+		if a.target == target && a.run.Alone && !a.lossRecorded {
+			return true
+		}
+	}
+	return false
+}
+
 // BlocksOtherVMs reports whether other VMs must not start request f for a shard: it is quarantined, it has lost a target of which
 // the other owners may not know yet, or an attempt of it runs here. An attempt that does not run alone and is for another shard
 // counts only while no target is known to have answered the request.
--- a/core/cassiaquarantine/message.go
+++ b/core/cassiaquarantine/message.go
@@ -101,6 +101,9 @@
 type ShareQuarantine struct {
 	Fingerprint cassiaid.Fingerprint
 	Remaining   time.Duration
+	// Learned is true when another VM's message completed the blame, so that this VM is most likely not the only one to
+	// decide on the quarantine.
+	Learned bool
 }
 
 func (ShareLoss) isEffect()       {}
--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -100,9 +100,9 @@
 	case IdleLost:
 		q.addLoss(now, Loss{Target: m.Target})
 	case AnswerLearned:
-		return q.learnAnswer(now, m)
+		return markLearned(q.learnAnswer(now, m))
 	case LossLearned:
-		return q.learnLoss(now, m.Loss)
+		return markLearned(q.learnLoss(now, m.Loss))
 	case LossShared:
 		q.markShared(m.Loss)
 	case QuarantineLearned:
@@ -116,6 +116,17 @@
 	return max(0, q.periods[f].until.Sub(q.clock.Now()))
 }
 
+// markLearned marks the quarantines among effects as learned.
+func markLearned(effects []Effect) []Effect {
+	for i, e := range effects {
+		if quarantine, ok := e.(ShareQuarantine); ok {
+			quarantine.Learned = true
+			effects[i] = quarantine
+		}
+	}
+	return effects
+}
+
 // Active returns the requests that are quarantined now, with the time for which they still are.
 func (q *Quarantine) Active() map[cassiaid.Fingerprint]time.Duration {
 	now := q.clock.Now()
--- a/core/cassiaquarantine/quarantine_test.go
+++ b/core/cassiaquarantine/quarantine_test.go
@@ -61,7 +61,7 @@
 			shared = AnswerLearned(e)
 		case ShareQuarantine:
 			k.quarantined[e.Fingerprint] = true
-			shared = QuarantineLearned(e)
+			shared = QuarantineLearned{Fingerprint: e.Fingerprint, Remaining: e.Remaining}
 		}
 		for i := range k.owners {
 			if i != owner {
--- a/io/cassiaaggregate/handler.go
+++ b/io/cassiaaggregate/handler.go
@@ -4,6 +4,7 @@
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiafollow"
+	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassiapeer"
 )
 
@@ -14,6 +15,8 @@
 	Client *Client
 	// Watches serves store watches to VMs that do not watch the store themselves; if nil, such requests are ignored.
 	Watches *cassiafollow.WatchServer
+	// Notifier handles the frames about requests that crash targets; if nil, they are ignored.
+	Notifier *cassiaguard.Notifier
 }
 
 // HandleFrame dispatches one frame by its type; reply sends frames back to the sender.
@@ -29,6 +32,14 @@
 		}
 	case *cassiaschema.PeerFrame_AggregateCancel:
 		h.Aggregator.Cancel(from, body.AggregateCancel)
+	default:
+		if h.Notifier == nil {
+			return
+		}
+		if replyFrame, _ := h.Notifier.HandleFrame(from, frame); replyFrame != nil {
+			// Without the reply the other VM goes on after its timeout.
+			_ = reply(replyFrame)
+		}
 	}
 }
 
--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -15,6 +15,7 @@
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiadirectory"
 	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/io/cassiaguard"
 )
 
 const (
@@ -79,6 +80,15 @@
 	// Joined is a VM that was added to the list, Left the name of one that was removed from it.
 	Joined *VM
 	Left   cassiaid.VMName
+	// Quarantine is a request that all VMs refuse; its time is zero when the entry was removed.
+	Quarantine *cassiaguard.StoredQuarantine
+}
+
+// QuarantinesChanged is a change of the quarantines in the store.
+type QuarantinesChanged struct {
+	// All is true when Quarantines holds all that are in the store instead of those that changed.
+	All         bool
+	Quarantines []cassiaguard.StoredQuarantine
 }
 
 // Source is a store that holds the configuration and the registrations of targets and VMs.
@@ -100,6 +110,7 @@
 	UpdateFleet(vms []VM)
 	// ConfirmFleet reports that a watch succeeded and the list last passed to UpdateFleet is still current.
 	ConfirmFleet()
+	UpdateQuarantines(m QuarantinesChanged)
 }
 
 // Log writes a log line for an event; fields are alternating keys and values.
@@ -178,6 +189,7 @@
 	f.vms = make(map[cassiaid.VMName]VM)
 	var catalog *cassiacatalog.Catalog
 	var listed cassiadirectory.Listed
+	quarantines := QuarantinesChanged{All: true}
 	for _, c := range f.decode(keys) {
 		if c.Catalog != nil {
 			catalog = c.Catalog
@@ -185,10 +197,14 @@
 		if m, ok := c.Directory.(cassiadirectory.Registered); ok {
 			listed.Registrations = append(listed.Registrations, m.Registration)
 		}
+		if c.Quarantine != nil {
+			quarantines.Quarantines = append(quarantines.Quarantines, *c.Quarantine)
+		}
 		f.applyVM(c)
 	}
 	f.log("storeListed", "revision", revision, "registrations", len(listed.Registrations), "vms", len(f.vms))
 	f.publishFleet()
+	f.sink.UpdateQuarantines(quarantines)
 	if catalog != nil {
 		f.sink.UpdateCatalog(catalog)
 	}
@@ -289,6 +305,7 @@
 // apply passes changes of the configuration, the targets and the VMs to the sink.
 func (f *Follower) apply(changes []Change) {
 	var directory []cassiadirectory.Message
+	var quarantines QuarantinesChanged
 	fleetChanged := false
 	for _, c := range changes {
 		if c.Catalog != nil {
@@ -297,8 +314,14 @@
 		if c.Directory != nil {
 			directory = append(directory, c.Directory)
 		}
+		if c.Quarantine != nil {
+			quarantines.Quarantines = append(quarantines.Quarantines, *c.Quarantine)
+		}
 		fleetChanged = f.applyVM(c) || fleetChanged
 	}
+	if len(quarantines.Quarantines) > 0 {
+		f.sink.UpdateQuarantines(quarantines)
+	}
 	if len(directory) > 0 {
 		f.sink.UpdateDirectory(directory...)
 	}
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -16,17 +16,20 @@
 	"cassiasaddle/core/cassiadirectory"
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaquarantine"
 	"cassiasaddle/io/cassiaaggregate"
 	"cassiasaddle/io/cassiafollow"
+	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassiapool"
 )
 
 // pendingQuery is a caller's request that has no answer yet.
 type pendingQuery struct {
-	call   cassiapool.Call
-	route  cassiacatalog.RouteName
-	topK   int
-	answer chan cassiagateway.Answer
+	call        cassiapool.Call
+	fingerprint cassiaid.Fingerprint
+	route       cassiacatalog.RouteName
+	topK        int
+	answer      chan cassiagateway.Answer
 }
 
 // Gate connects a cassiagateway.Gateway to the network: it passes requests and events to the gateway and performs the
@@ -34,9 +37,13 @@
 type Gate struct {
 	// Refresh, if set, requests that the list of targets is read again; it must not block.
 	Refresh func()
+	// Announcer, if set, receives the quarantines that are in the store.
+	Announcer *cassiaguard.Announcer
 
 	pool    *cassiapool.Pool
+	guard   *cassiaguard.Guard
 	report  *Report
+	self    cassiaid.VMName
 	catalog atomic.Pointer[cassiacatalog.Catalog]
 	group   errgroup.Group
 
@@ -55,12 +62,12 @@
 	aggregatorClient *cassiaaggregate.Client
 }
 
-// NewGate returns a gate that has no routes and no targets yet.
-func NewGate(pool *cassiapool.Pool, settings cassiagateway.Settings, report *Report) *Gate {
+// NewGate returns a gate that has no routes and no targets yet. Its attempts start as guard allows.
+func NewGate(pool *cassiapool.Pool, guard *cassiaguard.Guard, settings cassiagateway.Settings, report *Report) *Gate {
 	clock := cassiaclock.System{}
 	// The seed differs between VMs, so that their weighted round-robin over services does not run in step.
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	g := &Gate{pool: pool, report: report,
+	g := &Gate{pool: pool, guard: guard, report: report, self: settings.Name,
 		gateway: cassiagateway.NewGateway(clock, random, settings), directory: cassiadirectory.NewDirectory(clock),
 		// Ids start at a random number, since other VMs may still hold ids of this VM's previous process.
 		nextQuery: cassiagateway.QueryID(rand.Uint32()),
@@ -114,6 +121,13 @@
 	g.perform(g.gateway.Update(cassiagateway.TargetsChanged{Targets: targets}))
 }
 
+// UpdateQuarantines applies a change of the quarantines in the store.
+func (g *Gate) UpdateQuarantines(m cassiafollow.QuarantinesChanged) {
+	if g.Announcer != nil {
+		g.Announcer.Stored(m.All, m.Quarantines)
+	}
+}
+
 // UpdateFleet replaces the list of VMs that share the targets.
 func (g *Gate) UpdateFleet(vms []cassiafollow.VM) {
 	g.mutex.Lock()
@@ -159,6 +173,30 @@
 	return "", false
 }
 
+// maxInformedVMs is the number of other VMs that are informed of a crash, chosen at random, so that a crash in a large
+// fleet causes few messages. All VMs learn of a quarantine.
+const maxInformedVMs = 16
+
+// InformedVMs returns the other VMs that are informed of a crash; there are none until VMs can be reached.
+func (g *Gate) InformedVMs(cassiaid.FrontKey) []cassiaid.VMName {
+	others := g.OtherVMs()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(len(others), maxInformedVMs)]
+}
+
+// OtherVMs returns the other VMs on the list; there are none until VMs can be reached.
+func (g *Gate) OtherVMs() []cassiaid.VMName {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	var others []cassiaid.VMName
+	for _, vm := range g.vms {
+		if vm.Name != g.self && g.aggregatorClient != nil {
+			others = append(others, vm.Name)
+		}
+	}
+	return others
+}
+
 // Target returns a target that may be used, and false if there is none of that name.
 func (g *Gate) Target(name cassiaid.TargetName) (cassiadirectory.Target, bool) {
 	g.mutex.Lock()
@@ -174,12 +212,29 @@
 	return g.zones
 }
 
-// AttemptsEnded passes the outcomes of attempts that another VM sent on behalf of this VM to the gateway.
+// AttemptsEnded passes the outcomes of attempts that another VM sent on behalf of this VM to the gateway. It does not block.
 func (g *Gate) AttemptsEnded(m cassiagateway.AttemptsEnded) {
-	for _, ended := range m.Ended {
-		g.report.attemptEnded(ended.Outcome)
+	var ended cassiagateway.AttemptsEnded
+	for _, e := range m.Ended {
+		g.report.attemptEnded(e.Outcome)
+		share := g.guard.Record(cassiaid.FrontKey{}, e.Attempt, endingOf(e.Outcome))
+		switch {
+		case share == nil:
+			ended.Ended = append(ended.Ended, e)
+		case e.Outcome == cassiagateway.OutcomeLost:
+			g.group.Go(func() error {
+				share()
+				g.update(e)
+				return nil
+			})
+		default:
+			ended.Ended = append(ended.Ended, e)
+			g.group.Go(func() error { share(); return nil })
+		}
+	}
+	if len(ended.Ended) > 0 {
+		g.update(ended)
 	}
-	g.update(m)
 }
 
 // Ready reports whether this VM has a configuration and a list of targets, and reaches enough targets for most of its recent
@@ -195,8 +250,8 @@
 
 // submit passes a request to the gateway and waits for its answer; it returns false if ctx ends first because the caller has
 // gone.
-func (g *Gate) submit(ctx context.Context, route *cassiacatalog.Route, call cassiapool.Call) (cassiagateway.Answer, bool) {
-	q := &pendingQuery{call: call, route: route.Name, topK: route.TopK, answer: make(chan cassiagateway.Answer, 1)}
+func (g *Gate) submit(ctx context.Context, route *cassiacatalog.Route, call cassiapool.Call, fingerprint cassiaid.Fingerprint) (cassiagateway.Answer, bool) {
+	q := &pendingQuery{call: call, fingerprint: fingerprint, route: route.Name, topK: route.TopK, answer: make(chan cassiagateway.Answer, 1)}
 	g.mutex.Lock()
 	g.nextQuery++
 	id := g.nextQuery
@@ -222,6 +277,9 @@
 	g.perform(g.gateway.Update(m))
 }
 
+// suspectWaitLimit bounds how long an attempt of a request that may crash targets waits for another one of it.
+const suspectWaitLimit = 200 * time.Millisecond
+
 // batchKey identifies the attempts of one query that are sent through the same VM.
 type batchKey struct {
 	vm    cassiaid.VMName
@@ -234,14 +292,10 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case cassiagateway.Send:
-			if e.Aggregator == "" || g.aggregatorClient == nil {
-				g.send(e)
-				continue
-			}
 			if batches == nil {
 				batches = make(map[batchKey]*cassiaaggregate.Batch)
 			}
-			g.addToBatch(batches, e)
+			g.send(batches, e)
 		case cassiagateway.Cancel:
 			g.cancel(e.Attempt)
 		case cassiagateway.Warm:
@@ -273,18 +327,17 @@
 			g.gatewayTimer.Reset(time.Until(e.Time))
 		}
 	}
+	g.sendBatches(batches)
+}
+
+func (g *Gate) sendBatches(batches map[batchKey]*cassiaaggregate.Batch) {
 	for key, batch := range batches {
 		g.aggregatorClient.Send(key.vm, *batch)
 	}
 }
 
 // addToBatch adds an attempt to the batch for the VM that is to send it.
-func (g *Gate) addToBatch(batches map[batchKey]*cassiaaggregate.Batch, e cassiagateway.Send) {
-	q := g.pending[e.Query]
-	if q == nil {
-		g.abandon(e.Attempt)
-		return
-	}
+func addToBatch(batches map[batchKey]*cassiaaggregate.Batch, q *pendingQuery, e cassiagateway.Send) {
 	key := batchKey{vm: e.Aggregator, query: e.Query}
 	batch := batches[key]
 	if batch == nil {
@@ -324,13 +377,63 @@
 	})
 }
 
-// send starts an attempt from this VM and reports how it ended.
-func (g *Gate) send(e cassiagateway.Send) {
+// send starts an attempt if the guard allows it at once; otherwise the attempt of a suspect waits for its turn.
+func (g *Gate) send(batches map[batchKey]*cassiaaggregate.Batch, e cassiagateway.Send) {
 	q := g.pending[e.Query]
 	if q == nil {
 		g.abandon(e.Attempt)
 		return
 	}
+	run := cassiaquarantine.Run{Attempt: e.Attempt, Fingerprint: q.fingerprint, Shard: e.Shard}
+	if g.guard.TryStart(run, e.Target) {
+		g.transmit(batches, q, e)
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancels[e.Attempt] = cancel
+	g.group.Go(func() error {
+		defer cancel()
+		g.sendSuspect(ctx, q, run, e)
+		return nil
+	})
+}
+
+// sendSuspect starts an attempt of a suspect when no other one runs, or reports why it does not.
+func (g *Gate) sendSuspect(ctx context.Context, q *pendingQuery, run cassiaquarantine.Run, e cassiagateway.Send) {
+	verdict := g.guard.StartSuspect(ctx, cassiaid.FrontKey{}, run, e.Target, suspectWaitLimit)
+	g.report.suspectStart(run.Fingerprint, e.Target, verdict)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	delete(g.cancels, e.Attempt)
+	ended := cassiagateway.AttemptEnded{Attempt: e.Attempt}
+	switch {
+	case verdict == cassiaquarantine.VerdictQuarantined:
+		ended.Outcome = cassiagateway.OutcomeQuarantined
+	case verdict == cassiaquarantine.VerdictWait:
+		ended.Outcome = cassiagateway.OutcomeAbandoned
+	case cassiaguard.Refuses(verdict):
+		ended.Outcome = cassiagateway.OutcomeWithheld
+	case ctx.Err() != nil || g.pending[e.Query] == nil:
+		if share := g.guard.Record(cassiaid.FrontKey{}, e.Attempt, cassiaquarantine.EndingOther); share != nil {
+			g.group.Go(func() error { share(); return nil })
+		}
+		ended.Outcome = cassiagateway.OutcomeAbandoned
+	default:
+		batches := make(map[batchKey]*cassiaaggregate.Batch)
+		g.transmit(batches, q, e)
+		g.sendBatches(batches)
+		return
+	}
+	g.report.attemptEnded(ended.Outcome)
+	g.perform(g.gateway.Update(ended))
+}
+
+// transmit sends an attempt that the guard has started, or adds it to the batch for the VM that is to send it.
+func (g *Gate) transmit(batches map[batchKey]*cassiaaggregate.Batch, q *pendingQuery, e cassiagateway.Send) {
+	if e.Aggregator != "" && g.aggregatorClient != nil {
+		addToBatch(batches, q, e)
+		return
+	}
 	call := q.call
 	call.Address, call.Instance, call.Deadline, call.NewConnection = e.Address, string(e.Target), e.Deadline, e.NewConnection
 	ctx, cancel := context.WithCancel(context.Background())
@@ -341,12 +444,38 @@
 	}
 	g.group.Go(func() error {
 		defer cancel()
-		outcome, reply := g.pool.Exchange(ctx, call)
-		g.report.attemptEnded(outcome)
-		g.mutex.Lock()
-		defer g.mutex.Unlock()
-		delete(g.cancels, e.Attempt)
-		g.perform(g.gateway.Update(cassiagateway.AttemptEnded{Attempt: e.Attempt, Outcome: outcome, Reply: reply}))
+		g.exchange(ctx, call, e.Attempt)
 		return nil
 	})
 }
+
+// exchange performs an attempt and reports how it ended. The gateway learns of the loss of a target after the other VMs, so
+// that whoever repeats the request finds them informed.
+func (g *Gate) exchange(ctx context.Context, call cassiapool.Call, id cassiaid.AttemptID) {
+	outcome, reply := g.pool.Exchange(ctx, call)
+	g.report.attemptEnded(outcome)
+	share := g.guard.Record(cassiaid.FrontKey{}, id, endingOf(outcome))
+	if share != nil && outcome == cassiagateway.OutcomeLost {
+		share()
+		share = nil
+	}
+	g.mutex.Lock()
+	delete(g.cancels, id)
+	g.perform(g.gateway.Update(cassiagateway.AttemptEnded{Attempt: id, Outcome: outcome, Reply: reply}))
+	g.mutex.Unlock()
+	if share != nil {
+		share()
+	}
+}
+
+// endingOf returns what the outcome of an attempt tells about its request.
+func endingOf(o cassiagateway.Outcome) cassiaquarantine.Ending {
+	switch o {
+	case cassiagateway.OutcomeAnswered, cassiagateway.OutcomeFailed:
+		return cassiaquarantine.EndingAnswered
+	case cassiagateway.OutcomeLost:
+		return cassiaquarantine.EndingLost
+	default:
+		return cassiaquarantine.EndingOther
+	}
+}
--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -10,6 +10,7 @@
 
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiagateway"
+	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/io/cassiapool"
 )
 
@@ -20,6 +21,9 @@
 	defaultDeadline = 10 * time.Second
 )
 
+// quarantinedText tells a caller why its request is refused.
+const quarantinedText = "not run: this request crashed targets before; change it, or send it again after the time in Retry-After\n"
+
 // Headers holds the names of the HTTP headers between callers and this VM. The embedded ones are also used between this
 // VM and targets.
 type Headers struct {
@@ -59,14 +63,19 @@
 		return
 	}
 	fingerprint := fingerprintOf(r, body)
+	if remaining := h.gate.guard.Remaining(fingerprint); remaining > 0 {
+		h.refuseQuarantined(w, remaining)
+		h.gate.report.quarantined(id, route.Name, fingerprint, remaining)
+		return
+	}
 	call := cassiapool.Call{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h.forwardedHeader(r.Header),
 		RequestID: id, Body: body, Deadline: arrived.Add(h.timeout(r, route))}
-	answer, ok := h.gate.submit(r.Context(), route, call)
+	answer, ok := h.gate.submit(r.Context(), route, call, fingerprint)
 	if !ok {
 		h.gate.report.callerGone(id, route, time.Since(arrived))
 		return
 	}
-	status := h.writeAnswer(w, answer)
+	status := h.writeAnswer(w, answer, fingerprint)
 	h.gate.report.answered(id, fingerprint, route, answer, status)
 }
 
@@ -115,6 +124,13 @@
 	h.gate.report.refused(id, route.Name, reason, status)
 }
 
+// refuseQuarantined refuses a request that crashes targets; it has not run.
+func (h *handler) refuseQuarantined(w http.ResponseWriter, remaining time.Duration) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	h.unavailable(w, remaining)
+	io.WriteString(w, quarantinedText) //nolint:errcheck // the caller may have disconnected
+}
+
 // unavailable answers with status 503 and a Retry-After header in fractional seconds.
 func (h *handler) unavailable(w http.ResponseWriter, retryAfter time.Duration) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
@@ -122,7 +138,7 @@
 }
 
 // writeAnswer sends the answer to the caller and returns its HTTP status.
-func (h *handler) writeAnswer(w http.ResponseWriter, answer cassiagateway.Answer) int {
+func (h *handler) writeAnswer(w http.ResponseWriter, answer cassiagateway.Answer, fingerprint cassiaid.Fingerprint) int {
 	switch {
 	case answer.Reply != nil:
 		return h.writeReply(w, answer.Reply)
@@ -133,6 +149,9 @@
 		header.Set("Content-Type", "application/octet-stream")
 		h.writeBody(w, http.StatusOK, answer.Merged.Body)
 		return http.StatusOK
+	case answer.Refusal.NotRun && answer.Refusal.Reason == cassiagateway.RefusalQuarantined:
+		h.refuseQuarantined(w, h.gate.guard.Remaining(fingerprint))
+		return http.StatusServiceUnavailable
 	case answer.Refusal.NotRun:
 		h.unavailable(w, answer.Refusal.RetryAfter)
 		return http.StatusServiceUnavailable
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -1,6 +1,7 @@
 package cassiagate
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
@@ -12,6 +13,7 @@
 	"cassiasaddle/core/cassiadirectory"
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaquarantine"
 )
 
 // latencyBuckets are the bounds of the request latency histogram: from 1 ms up, each 1.5 times the one before.
@@ -63,6 +65,18 @@
 	level.Info(r.logger).Log("event", "refused", "request", id, "route", route, "reason", reason, "status", status)
 }
 
+func (r *Report) quarantined(id string, route cassiacatalog.RouteName, fingerprint cassiaid.Fingerprint, remaining time.Duration) {
+	r.count("refusals", "reason", string(cassiagateway.RefusalQuarantined))
+	level.Info(r.logger).Log("event", "refused", "request", id, "route", route, "reason", cassiagateway.RefusalQuarantined,
+		"status", http.StatusServiceUnavailable, "notRun", true, "retryAfter", remaining, "fingerprint", fingerprint)
+}
+
+// suspectStart reports whether an attempt of a request that may crash targets was started.
+func (r *Report) suspectStart(fingerprint cassiaid.Fingerprint, target cassiaid.TargetName, verdict cassiaquarantine.Verdict) {
+	r.count("suspects", "verdict", verdict.String())
+	level.Info(r.logger).Log("event", "suspect", "fingerprint", fingerprint, "target", target, "verdict", verdict)
+}
+
 func (r *Report) callerGone(id string, route *cassiacatalog.Route, elapsed time.Duration) {
 	r.count("refusals", "reason", "callerGone")
 	level.Info(r.logger).Log("event", "callerGone", "request", id, "route", route.Name, "elapsed", elapsed)
--- /dev/null
+++ b/io/cassiaguard/announcer.go
@@ -0,0 +1,224 @@
+package cassiaguard
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaquarantine"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const (
+	// announceInterval is how often a VM that knows of quarantines repeats them to one other VM, and looks for those that the
+	// store lacks.
+	announceInterval = time.Second
+	// saveDelay is how long a VM leaves it to the one that decided on a quarantine to save it. A random time of up to the
+	// same length comes on top, so that not all VMs save it.
+	saveDelay = 2 * time.Second
+	// minSavedTime is the shortest remaining time of a quarantine that is worth saving.
+	minSavedTime = 3 * time.Second
+	// saveTimeout bounds the calls to save quarantines; maxSaveBackoff is the longest pause after failed calls.
+	saveTimeout    = 2 * time.Second
+	maxSaveBackoff = 5 * time.Second
+	// maxAnnounced is the maximum number of quarantines in one message.
+	maxAnnounced = 256
+)
+
+// StoredQuarantine is the entry of a quarantined request in the store. Until is zero if the entry was removed.
+type StoredQuarantine struct {
+	Fingerprint cassiaid.Fingerprint
+	Until       time.Time
+}
+
+// QuarantineStore keeps quarantines for VMs that start later or were cut off.
+type QuarantineStore interface {
+	// SaveQuarantines writes the entries of quarantined requests, or the first of them if there are too many for one call.
+	SaveQuarantines(ctx context.Context, quarantines []StoredQuarantine) error
+}
+
+// AnnouncerConfig holds the dependencies of an Announcer.
+type AnnouncerConfig struct {
+	Guard *Guard
+	Store QuarantineStore
+	// VMs returns the other VMs; there are none until they can be reached.
+	VMs func() []cassiaid.VMName
+	// Send sends a frame to another VM. It is called only after VMs has returned one.
+	Send func(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) error
+	// Log writes a log line for an event; fields are alternating keys and values.
+	Log func(event string, fields ...any)
+}
+
+// Announcer spreads the quarantines that a Guard knows: at once to all other VMs when this VM decides on one, from then on to
+// one random VM in each announceInterval, which reaches VMs that were cut off, and to the store. It is safe for concurrent
+// use.
+type Announcer struct {
+	config AnnouncerConfig
+	group  errgroup.Group
+
+	mutex sync.Mutex
+	// stored holds the end of each quarantine that is in the store.
+	stored map[cassiaid.Fingerprint]time.Time
+	// saveAt is when this VM saves a quarantine that the store lacks.
+	saveAt map[cassiaid.Fingerprint]time.Time
+	// wake asks Run to look for quarantines to save; it has room for one request.
+	wake chan struct{}
+}
+
+// NewAnnouncer returns an Announcer; Run must be called to repeat and save quarantines.
+func NewAnnouncer(config AnnouncerConfig) *Announcer {
+	return &Announcer{config: config, stored: make(map[cassiaid.Fingerprint]time.Time), saveAt: make(map[cassiaid.Fingerprint]time.Time),
+		wake: make(chan struct{}, 1)}
+}
+
+// Announce tells all other VMs and the store of a quarantine that this VM has decided on. If other VMs have most likely
+// decided the same, it is left to Run. It does not block.
+func (a *Announcer) Announce(quarantine cassiaquarantine.ShareQuarantine) {
+	a.config.Log("quarantined", "fingerprint", quarantine.Fingerprint, "remaining", quarantine.Remaining, "learned", quarantine.Learned)
+	if quarantine.Learned {
+		return
+	}
+	a.mutex.Lock()
+	a.saveAt[quarantine.Fingerprint] = time.Now()
+	a.mutex.Unlock()
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+	frame := quarantineNotice(map[cassiaid.Fingerprint]time.Duration{quarantine.Fingerprint: quarantine.Remaining})
+	for _, vm := range a.config.VMs() {
+		a.group.Go(func() error { a.send(vm, frame); return nil })
+	}
+}
+
+// Stored records which quarantines are in the store, and passes them to the Guard. With all, the store holds no others.
+func (a *Announcer) Stored(all bool, quarantines []StoredQuarantine) {
+	a.mutex.Lock()
+	if all {
+		clear(a.stored)
+	}
+	for _, q := range quarantines {
+		if q.Until.IsZero() {
+			delete(a.stored, q.Fingerprint)
+		} else {
+			a.stored[q.Fingerprint] = q.Until
+		}
+	}
+	a.mutex.Unlock()
+	for _, q := range quarantines {
+		if remaining := time.Until(q.Until); !q.Until.IsZero() && remaining > 0 {
+			a.config.Guard.Quarantined(q.Fingerprint, remaining)
+		}
+	}
+}
+
+// Run repeats and saves quarantines until ctx is done and returns nil.
+func (a *Announcer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	failures := 0
+	var pauseUntil time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return a.group.Wait()
+		case <-ticker.C:
+			a.repeat()
+		case <-a.wake:
+		}
+		missing := a.missing()
+		if len(missing) == 0 || time.Now().Before(pauseUntil) {
+			continue
+		}
+		if err := a.save(ctx, missing); err != nil && ctx.Err() == nil {
+			a.config.Log("quarantinesNotSaved", "quarantines", len(missing), "error", err)
+			failures++
+			pauseUntil = time.Now().Add(min(time.Duration(failures)*announceInterval, maxSaveBackoff))
+			continue
+		}
+		failures, pauseUntil = 0, time.Time{}
+	}
+}
+
+// repeat tells one random VM of all quarantines.
+func (a *Announcer) repeat() {
+	active := a.config.Guard.Active()
+	vms := a.config.VMs()
+	if len(active) == 0 || len(vms) == 0 {
+		return
+	}
+	vm, frame := vms[rand.IntN(len(vms))], quarantineNotice(active)
+	a.group.Go(func() error { a.send(vm, frame); return nil })
+}
+
+func quarantineNotice(quarantines map[cassiaid.Fingerprint]time.Duration) *cassiaschema.PeerFrame {
+	notice := &cassiaschema.QuarantineNotice{}
+	for fingerprint, remaining := range quarantines {
+		if len(notice.Requests) == maxAnnounced {
+			break
+		}
+		notice.Requests = append(notice.Requests, &cassiaschema.QuarantinedRequest{Fingerprint: uint64(fingerprint), Remaining: durationpb.New(remaining)})
+	}
+	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_QuarantineNotice{QuarantineNotice: notice}}
+}
+
+func (a *Announcer) send(vm cassiaid.VMName, frame *cassiaschema.PeerFrame) {
+	ctx, cancel := context.WithTimeout(context.Background(), announceInterval)
+	defer cancel()
+	if err := a.config.Send(ctx, vm, frame); err != nil {
+		a.config.Log("quarantineNotSent", "to", vm, "error", err)
+	}
+}
+
+// missing returns the quarantines that this VM should save now, because the store lacks them and no other VM has saved them
+// in time.
+func (a *Announcer) missing() []StoredQuarantine {
+	active := a.config.Guard.Active()
+	now := time.Now()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	maps.DeleteFunc(a.saveAt, func(f cassiaid.Fingerprint, _ time.Time) bool { return active[f] == 0 })
+	maps.DeleteFunc(a.stored, func(_ cassiaid.Fingerprint, until time.Time) bool { return now.After(until) })
+	var missing []StoredQuarantine
+	for fingerprint, remaining := range active {
+		until := now.Add(remaining)
+		if remaining < minSavedTime || !a.stored[fingerprint].Before(until.Add(-minSavedTime)) {
+			delete(a.saveAt, fingerprint)
+			continue
+		}
+		at, planned := a.saveAt[fingerprint]
+		if !planned {
+			a.saveAt[fingerprint] = now.Add(saveDelay + time.Duration(rand.Int64N(int64(saveDelay))))
+			continue
+		}
+		if !now.Before(at) {
+			missing = append(missing, StoredQuarantine{Fingerprint: fingerprint, Until: until})
+		}
+	}
+	slices.SortFunc(missing, func(x, y StoredQuarantine) int { return y.Until.Compare(x.Until) })
+	return missing
+}
+
+// save writes quarantines to the store. They count as stored from the change that the store reports.
+func (a *Announcer) save(ctx context.Context, quarantines []StoredQuarantine) error {
+	ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+	defer cancel()
+	if err := a.config.Store.SaveQuarantines(ctx, quarantines); err != nil {
+		return err
+	}
+	a.config.Log("quarantinesSaved", "quarantines", len(quarantines))
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, q := range quarantines {
+		// The change usually arrives before then, which keeps this VM from saving the quarantine again.
+		a.saveAt[q.Fingerprint] = time.Now().Add(saveDelay)
+	}
+	return nil
+}
--- a/io/cassiaguard/guard.go
+++ b/io/cassiaguard/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -22,7 +23,7 @@
 	// shard.
 	RunsElsewhere(front cassiaid.FrontKey, run cassiaquarantine.Run) bool
 	// ShareQuarantine asks all VMs to refuse a request for the remaining time.
-	ShareQuarantine(fingerprint cassiaid.Fingerprint, remaining time.Duration)
+	ShareQuarantine(quarantine cassiaquarantine.ShareQuarantine)
 }
 
 // Guard records on this VM which requests crash targets, and shares this with the other VMs. A suspect is a request that
@@ -128,10 +129,7 @@
 	}
 	verdict := admit(run.Fingerprint, run.Shard)
 	if verdict == cassiaquarantine.VerdictWait {
-		if g.changed == nil {
-			g.changed = make(chan struct{})
-		}
-		return verdict, g.changed
+		return verdict, g.changedChannel()
 	}
 	if verdict == cassiaquarantine.VerdictAlone && !run.Alone {
 		// The attempt arrived before its request became a suspect and would now start beside other attempts; a later
@@ -144,9 +142,124 @@
 	return verdict, nil
 }
 
+// TryStart records the start of an attempt and returns true, unless its request is a suspect or quarantined; StartSuspect
+// decides about those. Unlike Begin, it lets attempts of an unproven request run at the same time.
+func (g *Guard) TryStart(run cassiaquarantine.Run, target cassiaid.TargetName) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.core.AdmitAfterWait(run.Fingerprint, run.Shard) != cassiaquarantine.VerdictRun {
+		return false
+	}
+	g.core.Update(cassiaquarantine.Started{Run: run, Target: target})
+	return true
+}
+
+// inquiryPause is the longest pause before a VM asks again whether others run a suspect. VMs that ask at the same time pause
+// for different times.
+const inquiryPause = 10 * time.Millisecond
+
+// StartSuspect waits, up to limit, until no other attempt of the run's request runs on any VM and no other suspect on the
+// target, and records the start. It returns VerdictRun or VerdictAlone for an attempt that was started. At the limit an
+// attempt starts if only another suspect on the target stands in its way, or if a target has answered the request lately,
+// which most likely did not cause the loss then; otherwise it gets VerdictRefuseNow. A VerdictWait means that ctx was
+// cancelled.
+func (g *Guard) StartSuspect(ctx context.Context, front cassiaid.FrontKey, run cassiaquarantine.Run, target cassiaid.TargetName,
+	limit time.Duration) cassiaquarantine.Verdict {
+	limitContext, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	peers := g.currentPeers()
+	for {
+		verdict, changed := g.tryStartSuspect(run, target, limitContext.Err() != nil)
+		if verdict == cassiaquarantine.VerdictAlone && peers != nil {
+			runsElsewhere := peers.RunsElsewhere(front, run)
+			if !runsElsewhere && g.Remaining(run.Fingerprint) == 0 {
+				return verdict
+			}
+			g.performEffects(front, g.update(cassiaquarantine.Ended{Attempt: run.Attempt}))
+			if limitContext.Err() != nil {
+				return g.verdictAtLimit(run, target)
+			}
+			sleep(limitContext, time.Duration(rand.Int64N(int64(inquiryPause))))
+			continue
+		}
+		if verdict != cassiaquarantine.VerdictWait {
+			return verdict
+		}
+		select {
+		case <-changed:
+		case <-limitContext.Done():
+		}
+		if ctx.Err() != nil {
+			return verdict
+		}
+	}
+}
+
+// verdictAtLimit decides on an attempt whose request still runs on another VM at the limit, and records its start if it may
+// run.
+func (g *Guard) verdictAtLimit(run cassiaquarantine.Run, target cassiaid.TargetName) cassiaquarantine.Verdict {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	switch {
+	case g.core.Remaining(run.Fingerprint) > 0:
+		return cassiaquarantine.VerdictQuarantined
+	case g.core.Proven(run.Fingerprint):
+		g.core.Update(cassiaquarantine.Started{Run: run, Target: target})
+		return cassiaquarantine.VerdictRun
+	}
+	return cassiaquarantine.VerdictRefuseNow
+}
+
+// tryStartSuspect decides on an attempt of a suspect and records its start if it may run. For VerdictWait it returns a channel
+// that is closed when the caller should try again; with limitReached, the attempt does not wait any more.
+func (g *Guard) tryStartSuspect(run cassiaquarantine.Run, target cassiaid.TargetName, limitReached bool) (cassiaquarantine.Verdict, <-chan struct{}) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	verdict := g.core.AdmitAfterWait(run.Fingerprint, run.Shard)
+	switch {
+	case limitReached && verdict == cassiaquarantine.VerdictRefuseNow && g.core.Proven(run.Fingerprint):
+		verdict = cassiaquarantine.VerdictRun
+	case limitReached:
+	case verdict == cassiaquarantine.VerdictRefuseNow, verdict == cassiaquarantine.VerdictAlone && g.core.SuspectRunsOn(target):
+		return cassiaquarantine.VerdictWait, g.changedChannel()
+	}
+	if !Refuses(verdict) {
+		run.Alone = verdict == cassiaquarantine.VerdictAlone
+		g.core.Update(cassiaquarantine.Started{Run: run, Target: target})
+	}
+	return verdict, nil
+}
+
+// changedChannel returns the channel that is closed at the next message; the caller holds the mutex.
+func (g *Guard) changedChannel() <-chan struct{} {
+	if g.changed == nil {
+		g.changed = make(chan struct{})
+	}
+	return g.changed
+}
+
 // End records the outcome of a started attempt and shares the consequences with the other VMs before it returns.
 func (g *Guard) End(front cassiaid.FrontKey, attempt cassiaid.AttemptID, ending cassiaquarantine.Ending) {
-	g.performEffects(front, g.update(cassiaquarantine.Ended{Attempt: attempt, Ending: ending}))
+	if share := g.Record(front, attempt, ending); share != nil {
+		share()
+	}
+}
+
+// Record records the outcome of a started attempt. It returns a function that shares the consequences with the other VMs, or
+// nil if there are none.
+func (g *Guard) Record(front cassiaid.FrontKey, attempt cassiaid.AttemptID, ending cassiaquarantine.Ending) (share func()) {
+	effects := g.update(cassiaquarantine.Ended{Attempt: attempt, Ending: ending})
+	if len(effects) == 0 {
+		return nil
+	}
+	return func() { g.performEffects(front, effects) }
+}
+
+// Active returns the requests that are quarantined now, with the time for which they still are.
+func (g *Guard) Active() map[cassiaid.Fingerprint]time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.core.Active()
 }
 
 // ApplyNotice applies a message of another VM. It returns the answers that this VM can confirm and shares the other
@@ -207,6 +320,11 @@
 	g.ApplyNotice(cassiaquarantine.AnswerLearned{Fingerprint: fingerprint, Shard: shard})
 }
 
+// Quarantined records a quarantine that another VM has decided.
+func (g *Guard) Quarantined(fingerprint cassiaid.Fingerprint, remaining time.Duration) {
+	g.ApplyNotice(cassiaquarantine.QuarantineLearned{Fingerprint: fingerprint, Remaining: remaining})
+}
+
 func (g *Guard) update(m cassiaquarantine.Message) []cassiaquarantine.Effect {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -239,7 +357,7 @@
 	case cassiaquarantine.ShareAnswer:
 		peers.ShareAnswer(front, e)
 	case cassiaquarantine.ShareQuarantine:
-		peers.ShareQuarantine(e.Fingerprint, e.Remaining)
+		peers.ShareQuarantine(e)
 	}
 }
 
@@ -247,3 +365,13 @@
 func Refuses(verdict cassiaquarantine.Verdict) bool {
 	return verdict == cassiaquarantine.VerdictQuarantined || verdict == cassiaquarantine.VerdictRefuseNow
 }
+
+// sleep waits for d or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/io/cassiaguard/notifier.go
+++ b/io/cassiaguard/notifier.go
@@ -1,6 +1,7 @@
 package cassiaguard
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -14,9 +15,7 @@
 	"cassiasaddle/core/cassiaschema"
 )
 
-// lossShareTimeout bounds how long the result of an attempt that lost its target waits for the other owners to
-// acknowledge the loss. It also bounds the other messages to owners in this file.
-const lossShareTimeout = 100 * time.Millisecond
+const defaultTimeout = 100 * time.Millisecond
 
 const (
 	// otherRunsTimeout bounds how long the result of an attempt that lost its target waits for the outcome of other
@@ -32,15 +31,22 @@
 	Send(ctx context.Context, vm cassiaid.VMName, orderingKey uint64, frame *cassiaschema.PeerFrame) error
 }
 
-// Notifier exchanges what Guards have observed with other VMs by frames; it implements Peers. All fields are required.
+// Notifier exchanges what Guards have observed with other VMs by frames; it implements Peers. All fields but Timeout are required.
 type Notifier struct {
 	Guard *Guard
 	Node  Exchanger
 	// Others returns the other VMs that send requests to the targets of a front.
 	Others func(front cassiaid.FrontKey) []cassiaid.VMName
 	// Quarantined receives the quarantines that this VM has decided.
-	Quarantined func(fingerprint cassiaid.Fingerprint, remaining time.Duration)
+	Quarantined func(quarantine cassiaquarantine.ShareQuarantine)
 	Scope       tally.Scope
+	// Timeout bounds how long the result of an attempt that lost its target waits for the other VMs, and each message to
+	// them; defaultTimeout if zero.
+	Timeout time.Duration
+}
+
+func (n *Notifier) timeout() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), cmp.Or(n.Timeout, defaultTimeout))
 }
 
 // ShareLoss sends the loss of a target to the other owners of the front's targets. It returns after they acknowledged
@@ -54,7 +60,7 @@
 			AttemptId: uint64(r.Attempt), Fingerprint: uint64(r.Fingerprint), Shard: uint32(r.Shard), Alone: r.Alone,
 		})
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
+	ctx, cancel := n.timeout()
 	defer cancel()
 	var remote remoteRuns
 	n.forEachOther(front, func(owner cassiaid.VMName) {
@@ -119,7 +125,7 @@
 // RunsElsewhere reports whether another owner of the front's targets is running a request for a shard. An owner that
 // does not reply in time counts as not running it.
 func (n *Notifier) RunsElsewhere(front cassiaid.FrontKey, run cassiaquarantine.Run) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
+	ctx, cancel := n.timeout()
 	defer cancel()
 	inquiry := &cassiaschema.RunInquiry{Fingerprint: uint64(run.Fingerprint), Shard: uint32(run.Shard)}
 	var running atomic.Bool
@@ -135,7 +141,7 @@
 
 // ShareAnswer notifies the other owners of the front's targets that a suspect request was answered.
 func (n *Notifier) ShareAnswer(front cassiaid.FrontKey, answer cassiaquarantine.ShareAnswer) {
-	ctx, cancel := context.WithTimeout(context.Background(), lossShareTimeout)
+	ctx, cancel := n.timeout()
 	defer cancel()
 	n.forEachOther(front, func(owner cassiaid.VMName) {
 		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_AnswerNotice{AnswerNotice: answerNotice(answer)}}
@@ -150,9 +156,9 @@
 }
 
 // ShareQuarantine passes a quarantine to Quarantined.
-func (n *Notifier) ShareQuarantine(fingerprint cassiaid.Fingerprint, remaining time.Duration) {
+func (n *Notifier) ShareQuarantine(quarantine cassiaquarantine.ShareQuarantine) {
 	n.Scope.Counter("quarantines").Inc(1)
-	n.Quarantined(fingerprint, remaining)
+	n.Quarantined(quarantine)
 }
 
 // forEachOther calls f concurrently for every other VM that sends to a front's targets and waits for all calls.
@@ -178,6 +184,11 @@
 	case *cassiaschema.PeerFrame_AnswerNotice:
 		n.handleAnswerNotice(body.AnswerNotice)
 		return nil, true
+	case *cassiaschema.PeerFrame_QuarantineNotice:
+		for _, r := range body.QuarantineNotice.GetRequests() {
+			n.Guard.Quarantined(cassiaid.Fingerprint(r.GetFingerprint()), r.GetRemaining().AsDuration())
+		}
+		return nil, true
 	}
 	return nil, false
 }
--- a/io/cassiaserver/quarantine.go
+++ b/io/cassiaserver/quarantine.go
@@ -17,9 +17,9 @@
 }
 
 // shareQuarantine stops this VM's runs of a quarantined request and sends the quarantine to all other VMs by gossip.
-func (s *server) shareQuarantine(fingerprint cassiaid.Fingerprint, remaining time.Duration) {
-	s.entry.Quarantined(fingerprint, remaining)
-	s.gossip.AddQuarantine(fingerprint, remaining)
+func (s *server) shareQuarantine(quarantine cassiaquarantine.ShareQuarantine) {
+	s.entry.Quarantined(quarantine.Fingerprint, quarantine.Remaining)
+	s.gossip.AddQuarantine(quarantine.Fingerprint, quarantine.Remaining)
 }
 
 // ShareLeaving sends a notice to the other VMs that a target is leaving or accepts work again.
@@ -29,7 +29,7 @@
 
 // handleQuarantineNotice applies a quarantine that another VM has decided, for the remaining time.
 func (s *server) handleQuarantineNotice(fingerprint cassiaid.Fingerprint, remaining time.Duration) {
-	s.guard.ApplyNotice(cassiaquarantine.QuarantineLearned{Fingerprint: fingerprint, Remaining: remaining})
+	s.guard.Quarantined(fingerprint, remaining)
 	s.entry.Quarantined(fingerprint, remaining)
 }
 
--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -21,11 +21,14 @@
 	// crashesBeforeContact is the number of crashes after which crashContact begins, and crashRepeats the number of repeats
 	// of the request that may still reach targets after it.
 	crashesBeforeContact, crashRepeats = 3, 3
-	// crashDuration is how long callers send requests.
-	crashDuration = 14 * time.Second
+	// crashDuration is how long callers send requests. The deadly one begins after crashHeadStart, when the VMs have earned
+	// some of their retry budget.
+	crashDuration  = 16 * time.Second
+	crashHeadStart = 3 * time.Second
 	// crashMinServed is the share of the harmless requests that has to be answered.
-	crashMinServed = 0.99
-	deadlyBody     = "crash"
+	crashMinServed            = 0.99
+	crashMinServedBesideKills = 0.9
+	deadlyBody                = "crash"
 )
 
 // crashEnv is a platform environment with VMs as processes and a service whose targets crash when they run a request with
@@ -99,10 +102,12 @@
 	*calls = append(*calls, c)
 }
 
-// sendDeadly sends the deadly request to the VMs in turn for crashDuration, each time an interval after the last.
+// sendDeadly sends the deadly request to the VMs in turn from crashHeadStart until crashDuration, each time an interval after
+// the last.
 func (e *crashEnv) sendDeadly(path string, interval time.Duration) {
 	until := time.Now().Add(crashDuration)
 	e.callers.Go(func() error {
+		sleep(crashHeadStart)
 		for i := 0; time.Now().Before(until); i++ {
 			e.call(&e.deadly, e.vm(i), path, deadlyBody)
 			sleep(interval)
@@ -225,7 +230,7 @@
 			if test.replaced {
 				e.replaceVMs(2 * time.Second)
 				// A killed VM breaks the requests that it serves, and callers find it gone until it has started again.
-				minServed = 0
+				minServed = crashMinServedBesideKills
 			}
 			e.checkDeadly()
 			e.checkHarmless(minServed)
