Disturb VMs and the store while a deadly request is repeated

Scenes of TestFrontStopsRepeatsOfADeadlyRequest in which what the VMs know has to outlive the kill of all of them, an outage of the store, VMs cut off from each other and both at once; each also bounds the crashes by what the design states (2, for a fan-out one a shard and one more).

A relay that could not listen made the test hang; ports are fixed on loopback addresses of their own now, and a relay that does not start fails the test.

--- a/test/front_test.go
+++ b/test/front_test.go
@@ -134,9 +134,17 @@
 // launch starts a VM with additional flags. It doesn't wait until the VM is ready. The settings include something.new, an unknown
 // name that the VM must ignore.
 func (s *platformEnv) launch(t *testing.T, name, zone string, flags ...string) *frontVM {
-	vm := &frontVM{callerAddress: envIP + ":" + freePort(t), readinessAddress: envIP + ":" + freePort(t)}
-	lines := []string{"node_name=" + name, "zone=" + zone, "ip=" + envIP, "listen.front=" + vm.callerAddress,
-		"listen.ready_addr=" + vm.readinessAddress, "internal_ports=" + freePort(t) + ",65535", "limits.memory_mb=284", "limits.cpu_share=0.4",
+	return s.launchAt(t, name, zone, frontPorts{ip: envIP, callers: freePort(t), readiness: freePort(t), peers: freePort(t)}, flags...)
+}
+
+// frontPorts holds where a VM listens.
+type frontPorts struct{ ip, callers, readiness, peers string }
+
+// launchAt is like launch, with the given ports.
+func (s *platformEnv) launchAt(t *testing.T, name, zone string, ports frontPorts, flags ...string) *frontVM {
+	vm := &frontVM{callerAddress: ports.ip + ":" + ports.callers, readinessAddress: ports.ip + ":" + ports.readiness}
+	lines := []string{"node_name=" + name, "zone=" + zone, "ip=" + ports.ip, "listen.front=" + vm.callerAddress,
+		"listen.ready_addr=" + vm.readinessAddress, "internal_ports=" + ports.peers + ",65535", "limits.memory_mb=284", "limits.cpu_share=0.4",
 		"platform.address=" + s.server.Listener.Addr().String(), "platform.min_ttl_ms=1000", "bounds.drain_ms=3000", "bounds.grace_s=6",
 		"bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=54", "bounds.budget_window_s=10", "something.new=1"}
 	vm.settingsFile = filepath.Join(t.TempDir(), "boot.conf")
--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -1,10 +1,15 @@
 package test
 
 import (
+	"cmp"
+	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cassiasaddle/platform/cassiastage"
+	"cassiasaddle/standin/cassiarelay"
 )
 
 const (
@@ -21,6 +27,8 @@
 	// crashesBeforeContact is the number of crashes after which crashContact begins, and crashRepeats the number of repeats
 	// of the request that may still reach targets after it.
 	crashesBeforeContact, crashRepeats = 3, 3
+	// crashLimit is the number of targets that a request may crash whose repeats do not overlap.
+	crashLimit = 2
 	// crashDuration is how long callers send requests. The deadly one begins after crashHeadStart, when the VMs have earned
 	// some of their retry budget.
 	crashDuration  = 16 * time.Second
@@ -28,17 +36,20 @@
 	// crashMinServed is the share of the harmless requests that has to be answered.
 	crashMinServed            = 0.99
 	crashMinServedBesideKills = 0.9
+	crashInterval             = 250 * time.Millisecond
 	deadlyBody                = "crash"
 )
 
-// crashEnv is a platform environment with VMs as processes and a service whose targets crash when they run a request with
-// deadlyBody.
+// crashEnv is a platform environment with VMs as processes, a relay in front of each VM's peer address, and services whose
+// targets crash when they run a request with deadlyBody.
 type crashEnv struct {
 	*platformEnv
-	t       *testing.T
-	targets *cassiastage.Supervisor
-	start   time.Time
-	callers errgroup.Group
+	t        *testing.T
+	services []*cassiastage.Supervisor
+	start    time.Time
+	callers  errgroup.Group
+	number   int32
+	relays   []*cassiarelay.Relay
 
 	mutex    sync.Mutex
 	vms      []*frontVM
@@ -58,26 +69,80 @@
 
 func (c crashCall) served() bool { return c.err == nil && c.status == http.StatusOK }
 
-// newCrashEnv starts VMs and a service of 12 targets behind the routes /one/, whose requests are idempotent, and /book/.
+// newCrashEnv starts VMs, a service of 12 targets behind the routes /one/, whose requests are idempotent, and /book/, and three
+// targets for each shard of /search/.
 func newCrashEnv(t *testing.T, vms int) *crashEnv {
-	e := &crashEnv{platformEnv: newPlatformEnv(t), t: t, start: time.Now(), vms: make([]*frontVM, vms)}
-	behaviour := cassiastage.Behaviour{Work: 20 * time.Millisecond,
-		Deadly: func(_ *http.Request, body []byte) bool { return string(body) == deadlyBody }}
-	zones := slices.Repeat([]string{"zone-a", "zone-b"}, 6)
-	e.targets = cassiastage.NewSupervisor(e.store, "fragile", []byte("the whole answer"), behaviour, zones...)
-	t.Cleanup(e.targets.Close)
+	e := &crashEnv{platformEnv: &platformEnv{c: qt.New(t), store: cassiastage.NewStore()}, t: t, start: time.Now(),
+		number: crashEnvs.Add(1), vms: make([]*frontVM, vms)}
+	e.serveStore(t)
+	e.addService("fragile", []byte("the whole answer"), slices.Repeat([]string{"zone-a", "zone-b"}, 6))
+	for shard := range envShards {
+		e.addService(shardName(shard), partOf(shard), []string{"zone-a", "zone-b", "zone-a"})
+	}
 	e.configure(routeConfig("/one/", "idempotent", "fragile"), routeConfig("/book/", "non_idempotent", "fragile"))
 	for i := range e.vms {
+		e.addRelay(i)
 		e.startVM(i)
 	}
 	for i := range e.vms {
 		e.eventually(e.vm(i).isReady, "a VM is not ready")
+		e.eventually(func() bool {
+			return strings.Contains(e.vm(i).process.output.String(), fmt.Sprintf("event=fleetChanged vms=%d", vms))
+		}, "a VM does not list all others")
 	}
 	return e
 }
 
+func (e *crashEnv) addService(name string, body []byte, zones []string) {
+	behaviour := cassiastage.Behaviour{Work: 20 * time.Millisecond,
+		Deadly: func(_ *http.Request, body []byte) bool { return string(body) == deadlyBody }}
+	service := cassiastage.NewSupervisor(e.store, name, body, behaviour, zones...)
+	e.t.Cleanup(service.Close)
+	e.services = append(e.services, service)
+}
+
+// crashEnvs counts the environments of this process, each of which has loopback addresses of its own: ports chosen by the system
+// could be taken by a relay's sockets before a VM that starts again listens at them.
+var crashEnvs atomic.Int32
+
+// host returns the loopback address of a VM or of the relay in front of it.
+func (e *crashEnv) host(kind, vm int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 220+kind, (os.Getpid()+int(e.number)*37)%250, 1+vm)
+}
+
+// Kinds of loopback addresses, for crashEnv.host.
+const (
+	crashHostOfVM = iota
+	crashHostOfRelay
+)
+
+// addRelay starts the relay in front of the peer address of a VM.
+func (e *crashEnv) addRelay(vm int) {
+	relay := cassiarelay.New(cassiarelay.Options{Network: "udp", Listen: e.host(crashHostOfRelay, vm) + soakPort,
+		Upstream: e.host(crashHostOfVM, vm) + ":7402", Seed: 1})
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	ready, failed := make(chan struct{}), make(chan error, 1)
+	group.Go(func() error {
+		err := relay.Run(ctx, func() { close(ready) })
+		failed <- err
+		return err
+	})
+	e.t.Cleanup(func() {
+		stop()
+		group.Wait() //nolint:errcheck // it returns when the context is cancelled
+	})
+	select {
+	case <-ready:
+	case err := <-failed:
+		e.t.Fatalf("the relay does not start: %v", err)
+	}
+	e.relays = append(e.relays, relay)
+}
+
 func (e *crashEnv) startVM(i int) {
-	vm := e.launch(e.t, fleetName(i), fleetZone(i))
+	ports := frontPorts{ip: e.host(crashHostOfVM, i), callers: "7400", readiness: "7401", peers: "7402"}
+	vm := e.launchAt(e.t, fleetName(i), fleetZone(i), ports, "--announce", e.host(crashHostOfRelay, i)+soakPort)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.vms[i] = vm
@@ -102,13 +167,17 @@
 	*calls = append(*calls, c)
 }
 
-// sendDeadly sends the deadly request to the VMs in turn from crashHeadStart until crashDuration, each time an interval after
-// the last.
-func (e *crashEnv) sendDeadly(path string, interval time.Duration) {
+// sendDeadly sends the deadly request from crashHeadStart until crashDuration, each time an interval after the last: to the
+// first VM only for a time, then to all in turn.
+func (e *crashEnv) sendDeadly(path string, interval, firstOnly time.Duration) {
 	until := time.Now().Add(crashDuration)
 	e.callers.Go(func() error {
 		sleep(crashHeadStart)
+		begun := time.Now()
 		for i := 0; time.Now().Before(until); i++ {
+			if time.Since(begun) < firstOnly {
+				i = 0
+			}
 			e.call(&e.deadly, e.vm(i), path, deadlyBody)
 			sleep(interval)
 		}
@@ -136,18 +205,44 @@
 	e.callers.Go(func() error {
 		for i := 0; time.Now().Before(until); i++ {
 			sleep(interval)
-			n := i % len(e.vms)
-			e.vm(n).process.signal(syscall.SIGKILL)
-			<-e.vm(n).process.exited
-			e.startVM(n)
+			e.killVMs(i % len(e.vms))
 		}
 		return nil
 	})
 }
 
-// checkDeadly requires that the deadly request reaches targets in at most crashRepeats requests later than crashContact after
-// it has crashed crashesBeforeContact of them.
-func (e *crashEnv) checkDeadly() {
+// killVMs kills some VMs at the same time and starts them again.
+func (e *crashEnv) killVMs(vms ...int) {
+	for _, i := range vms {
+		e.vm(i).process.signal(syscall.SIGKILL)
+	}
+	for _, i := range vms {
+		<-e.vm(i).process.exited
+		e.startVM(i)
+	}
+}
+
+// cutVMs separates all VMs from each other for a time.
+func (e *crashEnv) cutVMs(d time.Duration) {
+	for _, r := range e.relays {
+		r.SetFaults(cassiarelay.Faults{Cut: true})
+	}
+	sleep(d)
+	for _, r := range e.relays {
+		r.SetFaults(cassiarelay.Faults{})
+	}
+}
+
+// storeAway lets the store refuse all calls for a time.
+func (e *crashEnv) storeAway(d time.Duration) {
+	e.store.SetFaults(cassiastage.Faults{Busy: true})
+	sleep(d)
+	e.store.SetFaults(cassiastage.Faults{})
+}
+
+// checkDeadly requires that the deadly request crashes at most the given number of targets, and that it reaches targets in at
+// most crashRepeats requests later than crashContact after it has crashed crashesBeforeContact of them.
+func (e *crashEnv) checkDeadly(maxCrashes int) {
 	e.c.Helper()
 	e.c.Assert(e.callers.Wait(), qt.IsNil)
 	sent := make(map[string]bool)
@@ -156,13 +251,15 @@
 	}
 	var crashes []time.Time
 	var arrivals []cassiastage.Arrival
-	for _, target := range e.targets.All() {
-		if c := target.Crashes(); len(c) > 0 {
-			crashes = append(crashes, c[0].At)
-		}
-		for _, a := range target.Arrivals() {
-			if sent[a.Request] {
-				arrivals = append(arrivals, a)
+	for _, service := range e.services {
+		for _, target := range service.All() {
+			if c := target.Crashes(); len(c) > 0 {
+				crashes = append(crashes, c[0].At)
+			}
+			for _, a := range target.Arrivals() {
+				if sent[a.Request] {
+					arrivals = append(arrivals, a)
+				}
 			}
 		}
 	}
@@ -181,6 +278,7 @@
 		len(e.deadly), len(arrivals), len(crashes), after, len(late), crashContact, crashesBeforeContact)
 	e.t.Log(seen)
 	e.t.Logf("deadly requests: %s", countStatuses(e.deadly))
+	e.c.Check(len(crashes) <= maxCrashes, qt.IsTrue, qt.Commentf("%s; at most %d crashes are allowed", seen, maxCrashes))
 	e.c.Check(len(late) <= crashRepeats, qt.IsTrue, qt.Commentf("%s", seen))
 }
 
@@ -208,31 +306,66 @@
 }
 
 // TestFrontStopsRepeatsOfADeadlyRequest guards against a request that crashes targets being sent to more of them each time its
-// caller repeats it.
+// caller repeats it, whatever happens to the VMs and the store meanwhile.
 func TestFrontStopsRepeatsOfADeadlyRequest(t *testing.T) {
 	t.Parallel()
 	for _, test := range []struct {
 		name, path string
-		interval   time.Duration
-		replaced   bool
+		// interval is the time between two repeats; crashInterval if zero.
+		interval time.Duration
+		// firstOnly is how long only the first VM gets the deadly request.
+		firstOnly time.Duration
+		// maxCrashes is the number of targets that it may crash; crashLimit if zero.
+		maxCrashes int
+		// disturb runs beside the callers from the first deadly request on. If it kills VMs, it breaks the requests that
+		// they serve, and callers find them gone until they have started again.
+		disturb func(e *crashEnv)
+		kills   bool
 	}{
-		{name: "idempotent", path: "/one/x", interval: 250 * time.Millisecond},
-		{name: "not idempotent", path: "/book/x", interval: 250 * time.Millisecond},
+		{name: "idempotent", path: "/one/x"},
+		{name: "not idempotent", path: "/book/x"},
+		// One target of each shard is asked at once. If other requests ran on all of them, one more run tells them apart.
+		{name: "fan-out", path: "/search/x", maxCrashes: envShards + 1},
 		{name: "rare", path: "/one/x", interval: 1200 * time.Millisecond},
-		{name: "VMs are replaced", path: "/one/x", interval: 250 * time.Millisecond, replaced: true},
+		{name: "VMs are replaced", path: "/one/x", kills: true,
+			disturb: func(e *crashEnv) { e.replaceVMs(2 * time.Second) }},
+		{name: "all VMs are killed", path: "/book/x", kills: true, disturb: func(e *crashEnv) {
+			sleep(2 * time.Second)
+			e.killVMs(0, 1, 2)
+			sleep(3 * time.Second)
+			e.killVMs(0, 1, 2)
+		}},
+		{name: "store is away, then all VMs are killed", path: "/one/x", kills: true, disturb: func(e *crashEnv) {
+			e.storeAway(3 * time.Second)
+			sleep(4 * time.Second)
+			e.killVMs(0, 1, 2)
+		}},
+		{name: "VMs are cut off from each other", path: "/book/x", firstOnly: 2500 * time.Millisecond,
+			disturb: func(e *crashEnv) { e.cutVMs(8 * time.Second) }},
+		{name: "VMs are cut off while the store is away", path: "/one/x", firstOnly: 5 * time.Second, disturb: func(e *crashEnv) {
+			var store errgroup.Group
+			store.Go(func() error { e.storeAway(10 * time.Second); return nil })
+			e.cutVMs(2 * time.Second)
+			store.Wait() //nolint:errcheck // it returns no error
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			e := newCrashEnv(t, 3)
 			e.sendHarmless(test.path)
-			e.sendDeadly(test.path, test.interval)
+			e.sendDeadly(test.path, cmp.Or(test.interval, crashInterval), test.firstOnly)
 			minServed := crashMinServed
-			if test.replaced {
-				e.replaceVMs(2 * time.Second)
-				// A killed VM breaks the requests that it serves, and callers find it gone until it has started again.
+			if test.kills {
 				minServed = crashMinServedBesideKills
 			}
-			e.checkDeadly()
+			if test.disturb != nil {
+				e.callers.Go(func() error {
+					sleep(crashHeadStart)
+					test.disturb(e)
+					return nil
+				})
+			}
+			e.checkDeadly(cmp.Or(test.maxCrashes, crashLimit))
 			e.checkHarmless(minServed)
 		})
 	}
@@ -255,7 +388,7 @@
 	e.callers.Go(func() error {
 		for time.Now().Before(until) {
 			sleep(700 * time.Millisecond)
-			e.targets.Running()[0].Crash()
+			e.services[0].Running()[0].Crash()
 		}
 		return nil
 	})
