Repeat a deadly request in the soak and judge it from what targets saw

Each seed has a service whose targets crash under one caller's request and are replaced; the request is repeated at random VMs through all faults and 7 s beyond. A request of an undisturbed VM that reaches a target later than 4 s after the third crash counts; three are allowed.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -81,6 +81,7 @@
 	// requestInterval is how long each caller waits between requests.
 	requestInterval time.Duration
 	vms             []*soakVM
+	fragile         *cassiastage.Supervisor
 	callers         errgroup.Group
 	faults          errgroup.Group
 
@@ -173,6 +174,7 @@
 		return r
 	}
 	s.addReplicas(relay)
+	s.addFragileService()
 	s.maxConnections = []int{26, 3}[s.random.IntN(2)]
 	s.plannedOnly = seed%3 == 0
 	if s.retryPressure = seed%2 == 1; s.retryPressure {
@@ -265,7 +267,7 @@
 	s.mutex.Unlock()
 	s.shardConnections = s.maxConnections
 	s.configure(routeConfig("/one/", "idempotent", "single"), routeConfig("/book/", "non_idempotent", "single"),
-		routeConfig(versionPath(number), "idempotent", "single"))
+		routeConfig(versionPath(number), "idempotent", "single"), s.fragileRoute())
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.versions = append(s.versions, soakVersion{number: number, accepted: time.Now()})
@@ -280,6 +282,7 @@
 		random := rand.New(rand.NewPCG(s.seed, uint64(i)+1))
 		s.callers.Go(func() error { s.call(random, stop); return nil })
 	}
+	s.startFragileCallers(stop)
 	var injectors errgroup.Group
 	injectors.Go(func() error { s.injectFaults(s.random, soakFaults, soakMaxPause); return nil })
 	if s.retryPressure {
@@ -289,6 +292,7 @@
 	s.c.Assert(injectors.Wait(), qt.IsNil)
 	s.heal()
 	s.checkRecovered()
+	sleep(soakDeadlyTail)
 	close(stop)
 	s.c.Assert(s.callers.Wait(), qt.IsNil)
 	s.check()
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -17,6 +17,7 @@
 type soakRequest struct {
 	id       string
 	path     string
+	body     string
 	vm       *soakVM
 	lifetime int
 	// stopping is true if SIGTERM had been sent to the VM's process before the request ended.
@@ -61,14 +62,7 @@
 		case draw < 0.45:
 			path = s.recentVersionPath(random)
 		}
-		r := soakRequest{path: path, vm: vm, lifetime: lifetime, from: time.Since(s.start)}
-		r.answer, r.id, r.err = s.do(vm.frontVM, method, path, "x")
-		r.to = time.Since(s.start)
-		_, _, stopping := vm.state()
-		r.stopping = !stopping.IsZero()
-		s.mutex.Lock()
-		s.requests = append(s.requests, r)
-		s.mutex.Unlock()
+		r := s.callOnce(vm, lifetime, method, path, "x")
 		if r.err != nil || r.answer.status != http.StatusOK {
 			sleep(soakFailurePause)
 		}
@@ -76,6 +70,19 @@
 	}
 }
 
+// callOnce sends one request to a VM, records it and returns the record.
+func (s *soak) callOnce(vm *soakVM, lifetime int, method, path, body string) soakRequest {
+	r := soakRequest{path: path, body: body, vm: vm, lifetime: lifetime, from: time.Since(s.start)}
+	r.answer, r.id, r.err = s.do(vm.frontVM, method, path, body)
+	r.to = time.Since(s.start)
+	_, _, stopping := vm.state()
+	r.stopping = !stopping.IsZero()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.requests = append(s.requests, r)
+	return r
+}
+
 // recentVersionPath returns the path of the newest version's route or of the one before it, at random.
 func (s *soak) recentVersionPath(random *rand.Rand) string {
 	s.mutex.Lock()
@@ -112,6 +119,7 @@
 	s.checkNoRollback()
 	s.checkDrains()
 	s.checkBudget()
+	s.checkDeadly()
 	s.t.Logf("seed %d: %d of %d requests answered, %d disturbances, %s", s.seed, answered, len(s.requests), len(s.disturbances), s.statusCounts())
 	if answered == 0 {
 		s.t.Errorf("no request was answered")
@@ -283,6 +291,8 @@
 			for shard := range envShards {
 				sent[shardName(shard)] = append(sent[shardName(shard)], at)
 			}
+		case strings.HasPrefix(r.path, soakFragileRoute):
+			sent[soakFragileService] = append(sent[soakFragileService], at)
 		case r.err != nil || r.answer.status != http.StatusNotFound:
 			sent["single"] = append(sent["single"], at)
 		}
@@ -291,6 +301,9 @@
 	for _, r := range s.replicas {
 		arrivals[r.Service] = append(arrivals[r.Service], r.Arrivals()...)
 	}
+	for _, target := range s.fragile.All() {
+		arrivals[soakFragileService] = append(arrivals[soakFragileService], target.Arrivals()...)
+	}
 	for service, each := range arrivals {
 		over, at := envBudget.worstExcess(sent[service], each)
 		if at.IsZero() {
