Bound replies without end in memory and time

Callers saw: a VM near its memory limit while a target sends bytes that do not end.

Cause: the pool bounded the body of a reply, not its head, informational replies, chunk headers or trailers, read on to the end of a body that was too long, and had no bound for many bodies at once. Class: a limit on each part that somebody thought of in place of one on what is received.

Change: each reply of a target has a bound on the bytes of its head and on those of its body, whatever they hold, and long bodies share 32 MiB. The connection is closed at the first byte beyond. Time was bounded by the deadline of the call already. Clients of net/http (targets of cassiasaddle serve, the store) get a bound of 64 KiB for heads in place of 10 MB.

The soak plays both kinds.

--- a/io/cassiapool/connection.go
+++ b/io/cassiapool/connection.go
@@ -23,15 +23,17 @@
 // connection is one connection to a target; it carries one request at a time.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
+	// bounded limits what reader may read for the current reply.
+	bounded *boundedReader
+	reader  *bufio.Reader
 	// instance identifies the target's process for which the connection was opened.
 	instance string
 	expires  time.Time
 }
 
 func newConnection(c net.Conn, instance string, expires time.Time) *connection {
-	return &connection{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), instance: instance,
-		expires: expires}
+	bounded := &boundedReader{source: c}
+	return &connection{Conn: c, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), instance: instance, expires: expires}
 }
 
 // stillIdle reports whether nothing has arrived on an idle connection: neither a close nor unsolicited bytes.
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -22,8 +23,6 @@
 	connectTimeout = 300 * time.Millisecond
 	// replyGrace is how long after the deadline a reply is still awaited.
 	replyGrace = 100 * time.Millisecond
-	// maxReplyBytes limits the body of a reply.
-	maxReplyBytes = 8 << 20
 	// maxMismatchedReplies is the number of replies to other requests that are skipped before the connection counts as
 	// broken.
 	maxMismatchedReplies = 2
@@ -40,6 +39,9 @@
 	// OnConnectionOpened, if not nil, is called for each connection that was opened.
 	OnConnectionOpened func()
 
+	// buffered is the memory reserved for long bodies that are being received, in bytes.
+	buffered atomic.Int64
+
 	mutex sync.Mutex
 	idle  map[string][]*connection
 }
@@ -237,14 +239,14 @@
 		if err != nil {
 			return classifyReadError(err), nil, false
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
-		response.Body.Close() //nolint:errcheck // all of it was read
+		if response.ContentLength > maxReplyBytes {
+			return cassiagateway.OutcomeBroken, nil, false
+		}
+		c.bounded.left = maxBodyWireBytes
+		body, err := p.readBody(response.Body)
 		if err != nil {
 			return classifyReadError(err), nil, false
 		}
-		if len(body) > maxReplyBytes {
-			return cassiagateway.OutcomeBroken, nil, false
-		}
 		echoed := response.Header.Get(p.Headers.RequestID)
 		if echoed != "" && echoed != call.RequestID {
 			continue
@@ -257,6 +259,7 @@
 
 // readHead reads the status line and headers of the next reply that is not informational (1xx).
 func (p *Pool) readHead(call Call, c *connection) (*http.Response, error) {
+	c.bounded.left = maxHeadBytes
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: call.Method})
 		if err != nil || response.StatusCode >= http.StatusOK {
--- a/io/cassiapool/pool_test.go
+++ b/io/cassiapool/pool_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,3 +222,82 @@
 	c.Check(outcome, qt.Equals, cassiagateway.OutcomeLost)
 	c.Check(group.Wait(), qt.IsNil)
 }
+
+// sendForever sends the head once and then the rest again and again, until the pool closes the connection or the test ends. It
+// reports how many bytes were taken.
+func sendForever(head, rest string, pause time.Duration, taken *atomic.Int64) script {
+	return func(connection net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		for part := head; ; part = rest {
+			n, err := connection.Write([]byte(part))
+			taken.Add(int64(n))
+			if err != nil {
+				return
+			}
+			time.Sleep(pause)
+		}
+	}
+}
+
+// TestRepliesWithoutEndAreBounded guards against a target that sends without end, fast or slowly, in a head or a body: neither
+// the memory nor the time of this VM may go to it.
+func TestRepliesWithoutEndAreBounded(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Stamp: s\r\n"
+	// socketBuffers is what the operating system takes on both sides without the pool reading it.
+	const socketBuffers = 16 << 20
+	junk := strings.Repeat("x", 4<<10)
+	for _, test := range []struct {
+		name, head, rest string
+		pause            time.Duration
+		maxTaken         int64
+	}{
+		{name: "status line", rest: junk, maxTaken: maxHeadBytes + socketBuffers},
+		{name: "header", head: head + "X-Long: ", rest: junk, maxTaken: maxHeadBytes + socketBuffers},
+		{name: "headers", head: head, rest: "X-More: " + junk + "\r\n", maxTaken: maxHeadBytes + socketBuffers},
+		{name: "informational replies", rest: "HTTP/1.1 100 Continue\r\n\r\n", maxTaken: maxHeadBytes + socketBuffers},
+		{name: "body without a length", head: head + "\r\n", rest: junk, maxTaken: maxReplyBytes + socketBuffers},
+		{name: "chunks", head: head + "Transfer-Encoding: chunked\r\n\r\n", rest: "1000\r\n" + junk + "\r\n", maxTaken: maxReplyBytes + socketBuffers},
+		{name: "trailers", head: head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", rest: "X-More: " + junk + "\r\n", maxTaken: maxBodyWireBytes + socketBuffers},
+		{name: "announced length", head: head + "Content-Length: 1000000000000\r\n\r\n", rest: junk, maxTaken: socketBuffers},
+		{name: "trickling status line", rest: "x", pause: 10 * time.Millisecond, maxTaken: socketBuffers},
+		{name: "trickling body", head: head + "\r\n", rest: "x", pause: 10 * time.Millisecond, maxTaken: socketBuffers},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			var taken atomic.Int64
+			pool := &Pool{Headers: testHeaders}
+			endless := call(listen(t, sendForever(test.head, test.rest, test.pause, &taken)), "1")
+			outcome, reply := pool.Exchange(context.Background(), endless)
+			c.Check(outcome == cassiagateway.OutcomeBroken || outcome == cassiagateway.OutcomeSilent, qt.IsTrue, qt.Commentf("%s", outcome))
+			c.Check(reply, qt.IsNil)
+			const tolerance = 300 * time.Millisecond
+			c.Check(time.Since(endless.Deadline) < replyGrace+tolerance, qt.IsTrue)
+			c.Check(taken.Load() <= test.maxTaken, qt.IsTrue, qt.Commentf("%d bytes", taken.Load()))
+			c.Check(pool.buffered.Load(), qt.Equals, int64(0))
+		})
+	}
+}
+
+// TestLongRepliesShareABound: many targets that send long bodies at once must not use up this VM's memory together.
+func TestLongRepliesShareABound(t *testing.T) {
+	c := qt.New(t)
+	var taken atomic.Int64
+	pool := &Pool{Headers: testHeaders}
+	address := listen(t, sendForever("HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Stamp: s\r\n\r\n", strings.Repeat("x", 1<<20), 20*time.Millisecond, &taken))
+	var group errgroup.Group
+	for range 40 {
+		group.Go(func() error { pool.Exchange(context.Background(), call(address, "1")); return nil })
+	}
+	most := int64(0)
+	for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		most = max(most, pool.buffered.Load())
+	}
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Check(most > 0, qt.IsTrue)
+	c.Check(most <= maxBufferedBytes, qt.IsTrue)
+	c.Check(pool.buffered.Load(), qt.Equals, int64(0))
+}
--- a/io/cassiastore/client.go
+++ b/io/cassiastore/client.go
@@ -23,6 +23,8 @@
 	// defaultCallTimeout bounds a call, in addition to the time for which a watch waits.
 	defaultCallTimeout = 2 * time.Second
 	maxReplyBytes      = 4 << 20
+	// maxHeadBytes limits the status line and headers of a reply.
+	maxHeadBytes       = 64 << 10
 	maxIdleConnections = 8
 )
 
@@ -67,7 +69,7 @@
 func NewClient(address, token string, scope tally.Scope) *Client {
 	dialer := &net.Dialer{Timeout: defaultCallTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout: time.Minute}
+		IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{Address: address, Token: token, Scope: scope, HTTP: &http.Client{Transport: transport}}
 }
 
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -29,6 +29,8 @@
 	cancelGrace   = 250 * time.Millisecond
 	cancelTimeout = 500 * time.Millisecond
 	healthTimeout = time.Second
+	// maxHeadBytes limits the status line and headers of a reply.
+	maxHeadBytes = 64 << 10
 	// maxRowsBytes limits the rows of one shard.
 	maxRowsBytes = 8 << 20
 	// maxHealthBytes limits a health reply, and the rest of a body that is read before a connection is reused.
@@ -63,7 +65,9 @@
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleConnectionTimeout,
 		DisableCompression:  true,
-		TLSNextProto:        map[string]func(string, *tls.Conn) http.RoundTripper{},
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
 	}}
 }
 
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -32,6 +32,8 @@
 	envShards  = 4
 	// envMaxCallers is the maximum number of concurrent callers of a VM.
 	envMaxCallers = 16
+	// envMemory is the memory in bytes that a VM may use, as its settings say.
+	envMemory = 284 << 20
 )
 
 // platformEnv is a test environment that stands in for the users' platform: a store, targets, and VMs as processes.
@@ -490,6 +492,38 @@
 	s.c.Check(vm.isReady(), qt.IsTrue)
 }
 
+// TestFrontBoundsRepliesWithoutEnd requires that a VM serves callers within its memory while one target of each shard sends heads
+// or bodies without end.
+func TestFrontBoundsRepliesWithoutEnd(t *testing.T) {
+	s := newPlatformEnv(t)
+	s.configure()
+	vm := s.launchReady(t, "vm-1", envZone)
+	for shard := range envShards {
+		part := []cassiastage.Part{cassiastage.Head, cassiastage.Body}[shard%2]
+		s.target(fmt.Sprintf("t-%d-0", shard)).SetBehaviour(cassiastage.Behaviour{Endless: part})
+	}
+	var group errgroup.Group
+	var served, failed atomic.Int64
+	until := time.Now().Add(5 * time.Second)
+	for range envMaxCallers {
+		group.Go(func() error {
+			for time.Now().Before(until) {
+				if answer, _, err := s.do(vm, http.MethodGet, "/search/x", ""); err == nil && answer.status == http.StatusOK {
+					served.Add(1)
+				} else {
+					failed.Add(1)
+				}
+			}
+			return nil
+		})
+	}
+	s.c.Assert(group.Wait(), qt.IsNil)
+	peak := vm.process.peakMemory(t)
+	t.Logf("%d requests served, %d not, peak memory %d MB", served.Load(), failed.Load(), peak>>20)
+	s.c.Check(peak < envMemory, qt.IsTrue, qt.Commentf("%d MB", peak>>20))
+	s.c.Check(served.Load() > 9*failed.Load(), qt.IsTrue, qt.Commentf("%d served, %d not", served.Load(), failed.Load()))
+}
+
 // TestFrontEndsWhenItCannotListen requires that a VM that can't listen on its callers' address exits with an error.
 func TestFrontEndsWhenItCannotListen(t *testing.T) {
 	s := newPlatformEnv(t)
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -123,6 +123,21 @@
 	}
 }
 
+// peakMemory returns the most memory in bytes that a running process has held.
+func (p *process) peakMemory(t testing.TB) int64 {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	qt.Assert(t, err, qt.IsNil)
+	for line := range strings.Lines(string(status)) {
+		var kilobytes int64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 {
+			return kilobytes << 10
+		}
+	}
+	t.Fatal("the process reports no peak memory")
+	return 0
+}
+
 // runCommand runs a program until it exits and returns its exit status and output.
 func runCommand(t testing.TB, program string, arguments ...string) (int, string) {
 	t.Helper()
--- a/test/soakfault_test.go
+++ b/test/soakfault_test.go
@@ -160,7 +160,8 @@
 func failTarget(s *soak, random *rand.Rand) (string, func()) {
 	r := s.anyReplica(random)
 	failures := []cassiastage.Behaviour{{Drop: true}, {Silent: true}, {Truncate: true}, {Extra: true}, {Shed: true}, {Status: 500},
-		{Status: 503}, {Work: 150 * time.Millisecond}}
+		{Status: 503}, {Work: 150 * time.Millisecond},
+		{Endless: cassiastage.Head}, {Endless: cassiastage.Body}}
 	r.SetBehaviour(failures[random.IntN(len(failures))])
 	return r.Service, func() { r.SetBehaviour(r.defaultBehaviour()) }
 }
