--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -35,6 +35,8 @@
 	3013,
 	// A VM sent a retry that the aggregator in another zone had denied, without charging it to the retry budget.
 	5023,
+	// VMs took targets whose relays reset connections for crashed ones, and refused harmless requests as deadly.
+	20029,
 }
 
 const (
