Follow a store that comes back from an older copy

Callers saw: a VM that never learns of a configuration which the store accepted after its return.

Cause: VMs compared revisions across the store's return from an older copy, where revisions are given out again: a watch from a revision of the lost history skips the changes that got lower ones.

Change: a position in the store's history is its era and a revision. An answer of another era is handled like a dropped history: all keys are read again, targets that the copy lacks get the time to register that they have after an outage, leases of an earlier era are neither renewed nor ended, and the shared authority is written again. Quarantines that the copy lacks are, too, by the code that is there. The stage can go back to a copy, and the soak does.

--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"net"
@@ -127,7 +128,7 @@
 	})
 	group.Go(func() error { return p.checkSettingsOnHangup(servicesCtx) })
 	group.Go(func() error { return p.announcer.Run(servicesCtx) })
-	group.Go(func() error { return p.servePeers(servicesCtx, watchers, journal) })
+	group.Go(func() error { return p.servePeers(servicesCtx, watchers, journal, follower.Restored()) })
 	group.Go(func() error {
 		defer stopServices()
 		defer withdraw()
@@ -164,7 +165,7 @@
 // servePeers sends batches of attempts to other VMs and serves theirs, and likewise asks watchers for changes of the
 // store and answers such calls, until ctx is done. It first waits for the certificate authority that all VMs share,
 // since the connections between VMs need certificates.
-func (p *program) servePeers(ctx context.Context, watchers *cassiafollow.Watchers, journal *cassiafollow.Journal) error {
+func (p *program) servePeers(ctx context.Context, watchers *cassiafollow.Watchers, journal *cassiafollow.Journal, restored <-chan struct{}) error {
 	value, err := cassiafollow.EnsureShared(ctx, p.store, authorityStoreKey, newEncodedAuthority, p.logEvent)
 	if err != nil {
 		return nil //nolint:nilerr // ctx is done, or the authority could not be created
@@ -195,6 +196,22 @@
 	p.gate.SetAggregatorClient(handler.Client)
 	watchers.SetExchanger(node)
 	p.logEvent("peersServed", "address", p.settings.PeerAddress)
-	<-ctx.Done()
+	p.keepAuthority(ctx, value, restored)
 	return node.Close()
 }
+
+// keepAuthority writes the encoded certificate authority again each time the store has come back from an older copy that may
+// lack it, until ctx is done. Otherwise VMs that start later would create one that the others do not accept.
+func (p *program) keepAuthority(ctx context.Context, value []byte, restored <-chan struct{}) {
+	for {
+		select {
+		case <-restored:
+		case <-ctx.Done():
+			return
+		}
+		stored, err := cassiafollow.EnsureShared(ctx, p.store, authorityStoreKey, func() ([]byte, error) { return value, nil }, p.logEvent)
+		if err == nil && !bytes.Equal(stored, value) {
+			p.logEvent("authorityReplaced", "action", "restart this VM to reach those that use the new one")
+		}
+	}
+}
--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -43,6 +43,17 @@
 // Revision counts the changes of the store: each change of a key gets the next one.
 type Revision uint64
 
+// Era counts how often the store has come back from an older copy of itself, which loses its latest changes; 0 if the store
+// does not tell.
+type Era uint64
+
+// Position is a point in the history of the store. Revisions of different eras can't be compared, since the store gives them
+// out again.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
 // VM is a running VM as it is listed in the store.
 type VM struct {
 	Name cassiaid.VMName
@@ -66,8 +77,8 @@
 	Events []Event
 	// AllKeys is true when Events holds the current value of every key instead of the changes.
 	AllKeys bool
-	// Revision is the revision from which to watch next.
-	Revision Revision
+	// Next is the position from which to watch next.
+	Next Position
 	// fromStore is true when the result came from the store itself and not from another VM.
 	fromStore bool
 }
@@ -93,12 +104,12 @@
 
 // Source is a store that holds the configuration and the registrations of targets and VMs.
 type Source interface {
-	// List returns all keys that matter, each as the event that wrote it, and the revision at which they were read. Unless
+	// List returns all keys that matter, each as the event that wrote it, and the position at which they were read. Unless
 	// fresh is set, the result may be some seconds old.
-	List(ctx context.Context, fresh bool) ([]Event, Revision, error)
-	// Watch waits up to a timeout for changes after a revision. It returns them and the revision from which to watch next,
-	// or ErrCompacted.
-	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Event, Revision, error)
+	List(ctx context.Context, fresh bool) ([]Event, Position, error)
+	// Watch waits up to a timeout for changes after a position. It returns them and the position from which to watch next,
+	// or ErrCompacted, also if the store is in another era by now.
+	Watch(ctx context.Context, after Position, wait time.Duration) ([]Event, Position, error)
 	// Decode decodes an event; the zero Change stands for a key or value that is not used.
 	Decode(e Event) Change
 }
@@ -129,16 +140,22 @@
 	unlisted atomic.Bool
 	// lastWatchFailure is the time of the last failed watch of the store; zero if none failed.
 	lastWatchFailure time.Time
-	refresh          chan struct{}
+	// era is the store's era as of the last list.
+	era      Era
+	refresh  chan struct{}
+	restored chan struct{}
 }
 
 // NewFollower returns a follower of a source. It asks other VMs for changes where watchers names one, and adds all changes
 // to the journal, from which other VMs are answered.
 func NewFollower(source Source, sink Sink, watchers *Watchers, journal *Journal, log Log) *Follower {
 	return &Follower{source: source, sink: sink, log: log, journal: journal, watchers: watchers,
-		vms: make(map[cassiaid.VMName]VM), refresh: make(chan struct{}, 1)}
+		vms: make(map[cassiaid.VMName]VM), refresh: make(chan struct{}, 1), restored: make(chan struct{}, 1)}
 }
 
+// Restored returns a channel that receives after the store has come back from an older copy of itself.
+func (f *Follower) Restored() <-chan struct{} { return f.restored }
+
 // Unlisted reports whether the last list of VMs did not contain this VM.
 func (f *Follower) Unlisted() bool { return f.unlisted.Load() }
 
@@ -155,7 +172,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	fresh := false
 	for ctx.Err() == nil {
-		events, revision, err := f.list(ctx, fresh)
+		events, position, err := f.list(ctx, fresh)
 		if errors.Is(err, ErrCompacted) {
 			fresh = true
 			continue
@@ -165,27 +182,33 @@
 			continue
 		}
 		f.callSucceeded()
-		f.install(events, revision, true)
-		fresh = f.watch(ctx, revision)
+		f.install(events, position, true)
+		fresh = f.watch(ctx, position)
 	}
 	return nil
 }
 
 // list reads all keys. A list that may be stale is cheaper than a fresh one, so unless fresh is set it reads a stale list
 // and then the changes since, before any of it is used.
-func (f *Follower) list(ctx context.Context, fresh bool) ([]Event, Revision, error) {
-	events, revision, err := f.source.List(ctx, fresh)
+func (f *Follower) list(ctx context.Context, fresh bool) ([]Event, Position, error) {
+	events, position, err := f.source.List(ctx, fresh)
 	if err != nil || fresh {
-		return events, revision, err
+		return events, position, err
 	}
-	since, next, err := f.source.Watch(ctx, revision, catchUpTimeout)
-	return append(events, since...), max(revision, next), err
+	since, next, err := f.source.Watch(ctx, position, catchUpTimeout)
+	return append(events, since...), position.advance(next), err
+}
+
+// advance returns the later of two positions of the same era.
+func (p Position) advance(next Position) Position {
+	return Position{Era: p.Era, Revision: max(p.Revision, next.Revision)}
 }
 
 // install replaces everything known with a list of events; a later event of a key overrides an earlier one.
-func (f *Follower) install(events []Event, revision Revision, fromStore bool) {
+func (f *Follower) install(events []Event, position Position, fromStore bool) {
 	keys := latestByKey(events)
-	f.journal.Reset(keys, revision, fromStore)
+	f.noteEra(position.Era)
+	f.journal.Reset(keys, position, fromStore)
 	f.vms = make(map[cassiaid.VMName]VM)
 	var catalog *cassiacatalog.Catalog
 	var listed cassiadirectory.Listed
@@ -202,7 +225,7 @@
 		}
 		f.applyVM(c)
 	}
-	f.log("storeListed", "revision", revision, "registrations", len(listed.Registrations), "vms", len(f.vms))
+	f.log("storeListed", "revision", position.Revision, "registrations", len(listed.Registrations), "vms", len(f.vms))
 	f.publishFleet()
 	f.sink.UpdateQuarantines(quarantines)
 	if catalog != nil {
@@ -211,6 +234,22 @@
 	f.sink.UpdateDirectory(listed)
 }
 
+// noteEra handles a store that has come back from an older copy. Targets that the copy lacks register again, as after an
+// outage.
+func (f *Follower) noteEra(era Era) {
+	previous := f.era
+	f.era = era
+	if previous == 0 || era == previous {
+		return
+	}
+	f.log("storeRestored", "era", era, "previousEra", previous)
+	f.sink.UpdateDirectory(cassiadirectory.StoreLost{}, cassiadirectory.StoreRegained{})
+	select {
+	case f.restored <- struct{}{}:
+	default:
+	}
+}
+
 // latestByKey returns the last event of each key, without removed keys, ordered by key.
 func latestByKey(events []Event) []Event {
 	last := make(map[string]Event, len(events))
@@ -237,14 +276,14 @@
 
 // watch applies changes until all keys have to be listed again. It reports whether that list must be fresh; it is false only
 // when ctx is done.
-func (f *Follower) watch(ctx context.Context, revision Revision) (fresh bool) {
+func (f *Follower) watch(ctx context.Context, position Position) (fresh bool) {
 	for ctx.Err() == nil {
-		result, refreshed, err := f.watchOnce(ctx, revision)
+		result, refreshed, err := f.watchOnce(ctx, position)
 		if refreshed {
 			return true
 		}
 		if errors.Is(err, ErrCompacted) {
-			f.log("historyDropped", "revision", revision)
+			f.log("historyDropped", "revision", position.Revision)
 			return true
 		}
 		if err != nil {
@@ -253,12 +292,12 @@
 		}
 		f.callSucceeded()
 		if result.AllKeys {
-			revision = result.Revision
-			f.install(result.Events, revision, result.fromStore)
+			position = result.Next
+			f.install(result.Events, position, result.fromStore)
 			continue
 		}
-		revision = max(revision, result.Revision)
-		f.journal.Append(result.Events, revision, result.fromStore)
+		position = position.advance(result.Next)
+		f.journal.Append(result.Events, position.Revision, result.fromStore)
 		f.apply(f.decode(result.Events))
 		f.sink.ConfirmFleet()
 		if result.fromStore && len(result.Events) > 0 {
@@ -269,13 +308,13 @@
 }
 
 // watchOnce runs one watch and cancels it when a refresh is requested.
-func (f *Follower) watchOnce(ctx context.Context, revision Revision) (result WatchResult, refreshed bool, err error) {
+func (f *Follower) watchOnce(ctx context.Context, after Position) (result WatchResult, refreshed bool, err error) {
 	watchContext, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group errgroup.Group
 	group.Go(func() error {
 		defer cancel()
-		result, err = f.waitForChanges(watchContext, revision)
+		result, err = f.waitForChanges(watchContext, after)
 		return nil
 	})
 	select {
@@ -290,16 +329,16 @@
 
 // waitForChanges asks a watcher of this VM's zone for changes if there is one to ask, else the store. For storeAvoidPeriod
 // after a failed watch of the store, this VM asks another watcher first even if it is a watcher itself.
-func (f *Follower) waitForChanges(ctx context.Context, revision Revision) (WatchResult, error) {
+func (f *Follower) waitForChanges(ctx context.Context, after Position) (WatchResult, error) {
 	avoidStore := !f.lastWatchFailure.IsZero() && time.Since(f.lastWatchFailure) < storeAvoidPeriod
-	if result, ok := f.watchers.Watch(ctx, revision, avoidStore); ok {
+	if result, ok := f.watchers.Watch(ctx, after, avoidStore); ok {
 		return result, nil
 	}
-	events, next, err := f.source.Watch(ctx, revision, f.watchers.WatchTimeout())
+	events, next, err := f.source.Watch(ctx, after, f.watchers.WatchTimeout())
 	if err != nil && !errors.Is(err, ErrCompacted) {
 		f.lastWatchFailure = time.Now()
 	}
-	return WatchResult{Events: events, Revision: next, fromStore: true}, err
+	return WatchResult{Events: events, Next: next, fromStore: true}, err
 }
 
 // apply passes changes of the configuration, the targets and the VMs to the sink.
--- a/io/cassiafollow/journal.go
+++ b/io/cassiafollow/journal.go
@@ -34,6 +34,7 @@
 // The zero value is empty and reports JournalStale. It is safe for concurrent use.
 type Journal struct {
 	mutex sync.Mutex
+	era   Era
 	// events holds all changes whose revision r satisfies from < r <= to.
 	from, to Revision
 	events   []Event
@@ -47,11 +48,11 @@
 	changed chan struct{}
 }
 
-// Reset replaces the contents with all keys at a revision; fromStore tells whether they came from the store itself.
-func (j *Journal) Reset(keys []Event, at Revision, fromStore bool) {
+// Reset replaces the contents with all keys at a position; fromStore tells whether they came from the store itself.
+func (j *Journal) Reset(keys []Event, at Position, fromStore bool) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	j.from, j.to, j.events, j.bytes = at, at, nil, 0
+	j.era, j.from, j.to, j.events, j.bytes = at.Era, at.Revision, at.Revision, nil, 0
 	j.latest = make(map[string]Event, len(keys))
 	for _, e := range keys {
 		j.latest[e.Key] = e
@@ -71,7 +72,7 @@
 	}
 }
 
-// Append adds the events up to a revision. Only a result of the store itself, for which fromStore is true, counts as contact
+// Append adds the events up to a revision of the same era. Only a result of the store itself, for which fromStore is true, counts as contact
 // with the store: otherwise two VMs that ask each other would confirm each other's journal forever.
 func (j *Journal) Append(events []Event, to Revision, fromStore bool) {
 	j.mutex.Lock()
@@ -105,14 +106,18 @@
 	}
 }
 
-// Await waits until there are changes after a revision, the journal is stale or ctx is done. It returns the changes or all
-// keys, and the revision from which to wait next.
-func (j *Journal) Await(ctx context.Context, after Revision) (events []Event, to Revision, status JournalStatus) {
+// Await waits until there are changes after a position, the journal is stale or ctx is done. It returns the changes or all
+// keys, and the position from which to wait next.
+func (j *Journal) Await(ctx context.Context, after Position) (events []Event, to Position, status JournalStatus) {
 	for {
 		j.mutex.Lock()
-		if status := j.status(after); status != JournalChanges || j.to > after || ctx.Err() != nil {
+		if status := j.status(after); status != JournalChanges || j.to > after.Revision || ctx.Err() != nil {
 			defer j.mutex.Unlock()
-			return j.since(after, status), max(after, j.to), status
+			to := Position{Era: j.era, Revision: j.to}
+			if status == JournalChanges {
+				to = after.advance(to)
+			}
+			return j.since(after.Revision, status), to, status
 		}
 		if j.changed == nil {
 			j.changed = make(chan struct{})
@@ -126,12 +131,12 @@
 	}
 }
 
-// status reports whether the journal is current and has all changes after a revision.
-func (j *Journal) status(after Revision) JournalStatus {
+// status reports whether the journal is current and has all changes after a position.
+func (j *Journal) status(after Position) JournalStatus {
 	switch {
-	case j.storeLost || j.to == 0 || time.Since(j.lastStoreContact) > maxStoreSilence:
+	case j.storeLost || j.to == 0 || after.Era > j.era || time.Since(j.lastStoreContact) > maxStoreSilence:
 		return JournalStale
-	case after < j.from:
+	case after.Era < j.era || after.Revision < j.from:
 		return JournalAllKeys
 	default:
 		return JournalChanges
--- a/io/cassiafollow/presence.go
+++ b/io/cassiafollow/presence.go
@@ -16,18 +16,25 @@
 	withdrawTimeout     = 500 * time.Millisecond
 )
 
-// LeaseID identifies a lease; 0 is no lease.
+// LeaseID identifies a lease.
 type LeaseID uint64
 
+// Lease is a lease with the era in which the store granted it; the zero value is no lease. A store that comes back from an
+// older copy may grant the same ID to another VM.
+type Lease struct {
+	ID  LeaseID
+	Era Era
+}
+
 // PresenceRegistry is a list of the running VMs, each with an entry under a lease.
 type PresenceRegistry interface {
 	// Announce adds a VM to the list and returns the lease that its entry depends on; the entry expires a lifetime after the
 	// last renewal.
-	Announce(ctx context.Context, vm VM, lifetime time.Duration) (LeaseID, error)
+	Announce(ctx context.Context, vm VM, lifetime time.Duration) (Lease, error)
 	// Renew extends a lease by its lifetime.
-	Renew(ctx context.Context, lease LeaseID) error
+	Renew(ctx context.Context, lease Lease) error
 	// Withdraw ends a lease and so removes the entry.
-	Withdraw(ctx context.Context, lease LeaseID) error
+	Withdraw(ctx context.Context, lease Lease) error
 }
 
 // MaintainPresence keeps a VM in the registry until ctx is done, then removes it. It renews the lease three times in
@@ -35,11 +42,11 @@
 // the lease still runs. It returns nil: only shares of connections and retry budgets depend on the list, so failures
 // are logged and retried.
 func MaintainPresence(ctx context.Context, registry PresenceRegistry, vm VM, lifetime time.Duration, unlisted func() bool, log Log) error {
-	var lease LeaseID
+	var lease Lease
 	failures := 0
 	for ctx.Err() == nil {
 		var err error
-		if lease == 0 || unlisted() {
+		if lease == (Lease{}) || unlisted() {
 			lease, err = registry.Announce(ctx, vm, lifetime)
 		} else {
 			err = registry.Renew(ctx, lease)
@@ -47,7 +54,7 @@
 		delay := lifetime / renewalsPerLifetime
 		if err != nil && ctx.Err() == nil {
 			log("presenceFailed", "error", err)
-			lease = 0
+			lease = Lease{}
 			delay = cassiabackoff.Delay(maxBackoff, delay, failures)
 			failures++
 		} else {
@@ -55,7 +62,7 @@
 		}
 		sleep(ctx, jitter(delay, 0.25))
 	}
-	if lease == 0 {
+	if lease == (Lease{}) {
 		return nil
 	}
 	withdrawCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), withdrawTimeout)
--- a/io/cassiafollow/presence_test.go
+++ b/io/cassiafollow/presence_test.go
@@ -13,13 +13,13 @@
 // fakeRegistry counts calls; its leases never expire.
 type fakeRegistry struct{ announced, renewed atomic.Int32 }
 
-func (r *fakeRegistry) Announce(context.Context, VM, time.Duration) (LeaseID, error) {
-	return LeaseID(r.announced.Add(1)), nil
+func (r *fakeRegistry) Announce(context.Context, VM, time.Duration) (Lease, error) {
+	return Lease{ID: LeaseID(r.announced.Add(1))}, nil
 }
 
-func (r *fakeRegistry) Renew(context.Context, LeaseID) error { r.renewed.Add(1); return nil }
+func (r *fakeRegistry) Renew(context.Context, Lease) error { r.renewed.Add(1); return nil }
 
-func (r *fakeRegistry) Withdraw(context.Context, LeaseID) error { return nil }
+func (r *fakeRegistry) Withdraw(context.Context, Lease) error { return nil }
 
 // TestRemovedEntryIsWrittenAgain guards against a VM that stays out of the list because its entry was removed while its
 // lease could still be renewed.
--- a/io/cassiafollow/watchers.go
+++ b/io/cassiafollow/watchers.go
@@ -108,14 +108,14 @@
 // Watch waits for changes at a watcher. ok is false when this VM has to watch the store itself: it is a watcher, there
 // is no watcher to ask, or the one that was asked failed or is behind the store. With avoidStore, a VM that is itself a
 // watcher asks another watcher instead of the store.
-func (w *Watchers) Watch(ctx context.Context, after Revision, avoidStore bool) (result WatchResult, ok bool) {
+func (w *Watchers) Watch(ctx context.Context, after Position, avoidStore bool) (result WatchResult, ok bool) {
 	watcher, exchanger := w.pick(avoidStore)
 	if watcher == "" {
 		return WatchResult{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, delegatedWatchTimeout+watcherReplyMargin)
 	defer cancel()
-	request := &cassiaschema.StoreWatch{After: uint64(after), Wait: durationpb.New(delegatedWatchTimeout)}
+	request := &cassiaschema.StoreWatch{After: uint64(after.Revision), Era: uint64(after.Era), Wait: durationpb.New(delegatedWatchTimeout)}
 	frame, err := exchanger.Exchange(ctx, watcher, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_StoreWatch{StoreWatch: request}})
 	reply := frame.GetStoreWatchReply()
 	if err != nil {
@@ -126,7 +126,7 @@
 		w.avoid(watcher, err)
 		return WatchResult{}, false
 	}
-	result = WatchResult{AllKeys: reply.GetWhole(), Revision: Revision(reply.GetRevision())}
+	result = WatchResult{AllKeys: reply.GetWhole(), Next: Position{Era: Era(reply.GetEra()), Revision: Revision(reply.GetRevision())}}
 	for _, e := range reply.GetEvents() {
 		result.Events = append(result.Events, Event{Key: e.GetKey(), Value: e.GetValue(), Revision: Revision(e.GetRevision()), Removed: e.GetRemoved()})
 	}
@@ -171,8 +171,8 @@
 	s.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), min(request.GetWait().AsDuration(), MaxWatchTimeout))
 		defer cancel()
-		events, to, status := s.Journal.Await(ctx, Revision(request.GetAfter()))
-		message := &cassiaschema.StoreWatchReply{Lost: status == JournalStale, Whole: status == JournalAllKeys, Revision: uint64(to)}
+		events, to, status := s.Journal.Await(ctx, Position{Era: Era(request.GetEra()), Revision: Revision(request.GetAfter())})
+		message := &cassiaschema.StoreWatchReply{Lost: status == JournalStale, Whole: status == JournalAllKeys, Revision: uint64(to.Revision), Era: uint64(to.Era)}
 		for _, e := range events {
 			message.Events = append(message.Events, &cassiaschema.StoreEvent{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Removed: e.Removed})
 		}
--- a/io/cassiastore/client.go
+++ b/io/cassiastore/client.go
@@ -196,6 +196,8 @@
 	Write bool
 	// Wait is how long the store may delay its reply, in addition to the call timeout; only a watch sets it.
 	Wait time.Duration
+	// OnHeader, if set, receives the headers of the reply, whatever its status.
+	OnHeader func(http.Header)
 }
 
 // Do performs one call and returns the status code and the body of the reply, whatever the status. If there is no reply,
@@ -258,6 +260,9 @@
 		return 0, nil, transportError(r, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if r.OnHeader != nil {
+		r.OnHeader(response.Header)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
 		return 0, nil, transportError(r, err)
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -341,6 +341,50 @@
 	s.c.Check(status("/new/x"), qt.Equals, http.StatusOK)
 }
 
+// TestFrontFollowsAStoreThatLostChanges requires that a VM follows a store that comes back from an older copy: it doesn't revert to
+// an older configuration, learns of the changes that got the revisions of lost ones, and is listed again.
+func TestFrontFollowsAStoreThatLostChanges(t *testing.T) {
+	s := newPlatformEnv(t)
+	s.configure(routeConfig("/first/", "idempotent", "single"))
+	s.store.Copy()
+	vm := s.launchReady(t, "vm-1", envZone)
+	other := s.launchReady(t, "vm-2", "zone-b")
+	served := func(vm *frontVM, path string) bool {
+		answer, _ := s.mustDo(vm, http.MethodGet, path, "")
+		return answer.status == http.StatusOK
+	}
+	s.configure(routeConfig("/second/", "idempotent", "single"))
+	for _, v := range []*frontVM{vm, other} {
+		s.eventually(func() bool { return served(v, "/second/x") }, "the second version is not served")
+	}
+	listed := func() bool {
+		return s.store.Has("vms/vm-1") && s.store.Has("vms/vm-2") && s.store.Has("shared/authority")
+	}
+	s.eventually(listed, "a VM or the shared authority is not in the store")
+	s.store.SetFaults(cassiastage.Faults{Busy: true})
+	before := s.store.Revision()
+	s.store.Restore()
+	// The revisions of the lost changes are given out again before the VMs reach the store, the first of them to the next version.
+	s.configure(routeConfig("/third/", "idempotent", "single"))
+	for s.store.Revision() < before+10 {
+		s.store.Put("servers/t-single", s.target("t-single").Entry(envZone, "ready", int(s.store.Revision())))
+	}
+	restored := time.Now()
+	s.store.SetFaults(cassiastage.Faults{})
+	for _, v := range []*frontVM{vm, other} {
+		s.eventually(func() bool {
+			s.c.Assert(served(v, "/first/x"), qt.IsFalse)
+			return served(v, "/third/x")
+		}, "the version that was written after the store had come back is not served")
+	}
+	const maxApplyDelay = 3 * time.Second
+	s.c.Check(time.Since(restored) < maxApplyDelay, qt.IsTrue)
+	s.eventually(listed, "a VM or the shared authority is not in the store after that has come back")
+	answer, _ := s.mustDo(vm, http.MethodGet, "/search/x", "")
+	s.c.Check(answer.header.Get("X-Cassiasaddle-Missing-Parts"), qt.Equals, "0")
+	s.c.Check(strings.Contains(vm.process.output.String(), "event=storeRestored"), qt.IsTrue)
+}
+
 // TestFrontGoesOnWithoutTheStore requires that requests are served while the store is down and the entries of the targets have
 // expired.
 func TestFrontGoesOnWithoutTheStore(t *testing.T) {
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -94,7 +94,7 @@
 // appended to other kinds.
 const (
 	vmFaults         = "kill pause stop"
-	storeFaults      = " storeDown storeLosesReplies storeForgets storeLink"
+	storeFaults      = " storeDown storeLosesReplies storeForgets storeRestored storeLink"
 	connectionFaults = "peerLink targetLink targetFails targetLapses targetDrains"
 )
 
--- a/test/soakfault_test.go
+++ b/test/soakfault_test.go
@@ -69,6 +69,10 @@
 		s.store.SetFaults(cassiastage.Faults{LoseReplies: true})
 		return "", func() { s.store.SetFaults(cassiastage.Faults{}) }
 	}},
+	{"storeRestored", func(s *soak, _ *rand.Rand) (string, func()) {
+		s.store.Copy()
+		return "", func() { s.store.Restore() }
+	}},
 	{"storeForgets", func(s *soak, _ *rand.Rand) (string, func()) { s.store.Compact(); return "", func() {} }},
 	{"storeLink", func(s *soak, random *rand.Rand) (string, func()) {
 		vm := s.anyVM(random)
