Announce quarantines that other VMs' notices completed, and deliver slow loss notices

Cause: the notice of the first loss reached a VM too late and was given up after 40 ms. That VM lost the second target and knew of no first one; the others completed the blame by its notice and left it to that VM to announce and save the quarantine, which none did before all were killed. Class: each of several parties takes another one to have acted.

Change: a VM that decides by another's notice announces and saves the quarantine 150 to 300 ms later unless the store has it by then. Loss notices go on for a second after the result of the attempt has stopped waiting. Failed saves are repeated after 200 ms, doubling, in place of 1 s.

--- a/io/cassiaguard/announcer.go
+++ b/io/cassiaguard/announcer.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"cassiasaddle/core/cassiabackoff"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaquarantine"
 	"cassiasaddle/core/cassiaschema"
@@ -25,8 +26,12 @@
 	saveDelay = 2 * time.Second
 	// minSavedTime is the shortest remaining time of a quarantine that is worth saving.
 	minSavedTime = 3 * time.Second
-	// saveTimeout bounds the calls to save quarantines; maxSaveBackoff is the longest pause after failed calls.
+	// learnedDelay is how long a VM that has decided on a quarantine by another VM's notice leaves it to that VM, which most
+	// likely has decided the same, to announce it. A random time of up to the same length comes on top.
+	learnedDelay = 150 * time.Millisecond
+	// saveTimeout bounds the calls to save quarantines. The pause after failed calls doubles up to maxSaveBackoff.
 	saveTimeout    = 2 * time.Second
+	minSaveBackoff = 200 * time.Millisecond
 	maxSaveBackoff = 5 * time.Second
 	// maxAnnounced is the maximum number of quarantines in one message.
 	maxAnnounced = 256
@@ -56,7 +61,7 @@
 	Log func(event string, fields ...any)
 }
 
-// Announcer spreads the quarantines that a Guard knows: at once to all other VMs when this VM decides on one, from then on to
+// Announcer spreads the quarantines that a Guard knows: to all other VMs when this VM decides on one, from then on to
 // one random VM in each announceInterval, which reaches VMs that were cut off, and to the store. It is safe for concurrent
 // use.
 type Announcer struct {
@@ -68,6 +73,8 @@
 	stored map[cassiaid.Fingerprint]time.Time
 	// saveAt is when this VM saves a quarantine that the store lacks.
 	saveAt map[cassiaid.Fingerprint]time.Time
+	// told holds the quarantines that this VM has told to all other VMs.
+	told map[cassiaid.Fingerprint]bool
 	// wake asks Run to look for quarantines to save; it has room for one request.
 	wake chan struct{}
 }
@@ -75,27 +82,29 @@
 // NewAnnouncer returns an Announcer; Run must be called to repeat and save quarantines.
 func NewAnnouncer(config AnnouncerConfig) *Announcer {
 	return &Announcer{config: config, stored: make(map[cassiaid.Fingerprint]time.Time), saveAt: make(map[cassiaid.Fingerprint]time.Time),
-		wake: make(chan struct{}, 1)}
+		told: make(map[cassiaid.Fingerprint]bool), wake: make(chan struct{}, 1)}
 }
 
-// Announce tells all other VMs and the store of a quarantine that this VM has decided on. If other VMs have most likely
-// decided the same, it is left to Run. It does not block.
+// Announce tells all other VMs and the store of a quarantine that this VM has decided on, a moment later if it has decided by
+// another VM's notice. It does not block.
 func (a *Announcer) Announce(quarantine cassiaquarantine.ShareQuarantine) {
 	a.config.Log("quarantined", "fingerprint", quarantine.Fingerprint, "remaining", quarantine.Remaining, "learned", quarantine.Learned)
+	delay := time.Duration(0)
 	if quarantine.Learned {
-		return
+		delay = learnedDelay + time.Duration(rand.Int64N(int64(learnedDelay)))
 	}
 	a.mutex.Lock()
-	a.saveAt[quarantine.Fingerprint] = time.Now()
+	a.saveAt[quarantine.Fingerprint] = time.Now().Add(delay)
 	a.mutex.Unlock()
+	time.AfterFunc(delay, a.wakeUp)
+}
+
+// wakeUp asks Run to look for quarantines to save.
+func (a *Announcer) wakeUp() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
 	}
-	frame := quarantineNotice(map[cassiaid.Fingerprint]time.Duration{quarantine.Fingerprint: quarantine.Remaining})
-	for _, vm := range a.config.VMs() {
-		a.group.Go(func() error { a.send(vm, frame); return nil })
-	}
 }
 
 // Stored records which quarantines are in the store, and passes them to the Guard. With all, the store holds no others.
@@ -134,19 +143,42 @@
 		case <-a.wake:
 		}
 		missing := a.missing()
+		a.tellAll(missing)
 		if len(missing) == 0 || time.Now().Before(pauseUntil) {
 			continue
 		}
 		if err := a.save(ctx, missing); err != nil && ctx.Err() == nil {
 			a.config.Log("quarantinesNotSaved", "quarantines", len(missing), "error", err)
+			pause := cassiabackoff.Delay(minSaveBackoff, maxSaveBackoff, failures)
 			failures++
-			pauseUntil = time.Now().Add(min(time.Duration(failures)*announceInterval, maxSaveBackoff))
+			pauseUntil = time.Now().Add(pause)
+			time.AfterFunc(pause, a.wakeUp)
 			continue
 		}
 		failures, pauseUntil = 0, time.Time{}
 	}
 }
 
+// tellAll tells all other VMs of quarantines, of each once.
+func (a *Announcer) tellAll(quarantines []StoredQuarantine) {
+	untold := make(map[cassiaid.Fingerprint]time.Duration)
+	a.mutex.Lock()
+	for _, q := range quarantines {
+		if !a.told[q.Fingerprint] {
+			a.told[q.Fingerprint] = true
+			untold[q.Fingerprint] = time.Until(q.Until)
+		}
+	}
+	a.mutex.Unlock()
+	if len(untold) == 0 {
+		return
+	}
+	frame := quarantineNotice(untold)
+	for _, vm := range a.config.VMs() {
+		a.group.Go(func() error { a.send(vm, frame); return nil })
+	}
+}
+
 // repeat tells one random VM of all quarantines.
 func (a *Announcer) repeat() {
 	active := a.config.Guard.Active()
@@ -185,6 +217,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	maps.DeleteFunc(a.saveAt, func(f cassiaid.Fingerprint, _ time.Time) bool { return active[f] == 0 })
+	maps.DeleteFunc(a.told, func(f cassiaid.Fingerprint, _ bool) bool { return active[f] == 0 })
 	maps.DeleteFunc(a.stored, func(_ cassiaid.Fingerprint, until time.Time) bool { return now.After(until) })
 	var missing []StoredQuarantine
 	for fingerprint, remaining := range active {
--- a/io/cassiaguard/announcer_test.go
+++ b/io/cassiaguard/announcer_test.go
@@ -101,6 +101,18 @@
 	qt.Check(t, store.saveCount(), qt.Equals, 1)
 }
 
+// TestLearnedQuarantineIsAnnouncedSoon: the VM whose notice completes a blame may not know of the earlier losses, so that no VM
+// but those that learn from it decides.
+func TestLearnedQuarantineIsAnnouncedSoon(t *testing.T) {
+	t.Parallel()
+	store := &fakeStore{}
+	other := NewGuard(clockwork.NewRealClock())
+	a, guard := startAnnouncer(t, store, func(frame *cassiaschema.PeerFrame) { (&Notifier{Guard: other}).HandleFrame("vm", frame) })
+	guard.Quarantined(1, time.Minute)
+	a.Announce(cassiaquarantine.ShareQuarantine{Fingerprint: 1, Remaining: time.Minute, Learned: true})
+	eventually(t, 3*learnedDelay, func() bool { return store.saveCount() == 1 && other.Remaining(1) > 0 })
+}
+
 // TestQuarantineIsSavedWhenTheStoreIsBack: an outage of the store must not lose a quarantine.
 func TestQuarantineIsSavedWhenTheStoreIsBack(t *testing.T) {
 	t.Parallel()
--- a/io/cassiaguard/guard.go
+++ b/io/cassiaguard/guard.go
@@ -14,13 +14,12 @@
 
 // Peers exchanges information about requests that crash targets with other VMs.
 type Peers interface {
-	// ShareLoss reports the loss of a target to the owners of the front's targets. It returns once each has
+	// ShareLoss reports the loss of a target to the other VMs that send to the front's targets. It returns once each has
 	// acknowledged it or could not be reached in time.
 	ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss)
-	// ShareAnswer reports to the owners of the front's targets that a suspect was answered.
+	// ShareAnswer reports to those VMs that a suspect was answered.
 	ShareAnswer(front cassiaid.FrontKey, answer cassiaquarantine.ShareAnswer)
-	// RunsElsewhere asks the other owners of the front's targets and reports whether one of them runs the request for a
-	// shard.
+	// RunsElsewhere asks those VMs and reports whether one of them runs the request for a shard.
 	RunsElsewhere(front cassiaid.FrontKey, run cassiaquarantine.Run) bool
 	// ShareQuarantine asks all VMs to refuse a request for the remaining time.
 	ShareQuarantine(quarantine cassiaquarantine.ShareQuarantine)
--- a/io/cassiaguard/notifier.go
+++ b/io/cassiaguard/notifier.go
@@ -23,6 +23,8 @@
 	otherRunsTimeout = 200 * time.Millisecond
 	// otherRunsInterval is how often the server checks whether those runs have ended.
 	otherRunsInterval = 2 * time.Millisecond
+	// noticeTimeout bounds the delivery of a loss notice, also after the result of the attempt has stopped waiting for it.
+	noticeTimeout = time.Second
 )
 
 // Exchanger sends frames to other VMs; *cassiapeer.Node implements it.
@@ -40,17 +42,18 @@
 	// Quarantined receives the quarantines that this VM has decided.
 	Quarantined func(quarantine cassiaquarantine.ShareQuarantine)
 	Scope       tally.Scope
-	// Timeout bounds how long the result of an attempt that lost its target waits for the other VMs, and each message to
-	// them; defaultTimeout if zero.
+	// Timeout bounds how long the result of an attempt that lost its target waits for the other VMs, and each inquiry and
+	// answer to them; defaultTimeout if zero.
 	Timeout time.Duration
+
+	group errgroup.Group
 }
 
 func (n *Notifier) timeout() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), cmp.Or(n.Timeout, defaultTimeout))
 }
 
-// ShareLoss sends the loss of a target to the other owners of the front's targets. It returns after they acknowledged
-// it or timed out and after the other runs of the lost requests have ended or timed out, so that no retry starts while
+// ShareLoss sends the loss of a target to the other VMs. It returns after they acknowledged it or timed out and after the other runs of the lost requests have ended or timed out, so that no retry starts while
 // those runs may still crash a target, too.
 func (n *Notifier) ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss) {
 	n.Scope.Counter("targetLosses").Inc(1)
@@ -60,12 +63,30 @@
 			AttemptId: uint64(r.Attempt), Fingerprint: uint64(r.Fingerprint), Shard: uint32(r.Shard), Alone: r.Alone,
 		})
 	}
-	ctx, cancel := n.timeout()
-	defer cancel()
 	var remote remoteRuns
-	n.forEachOther(front, func(owner cassiaid.VMName) {
+	told := make(chan struct{})
+	n.group.Go(func() error {
+		defer close(told)
+		n.sendLossNotices(front, notice, &remote)
+		return nil
+	})
+	timer := time.NewTimer(cmp.Or(n.Timeout, defaultTimeout))
+	defer timer.Stop()
+	select {
+	case <-told:
+	case <-timer.C:
+		// VMs that are slow to answer get the notice nevertheless.
+	}
+	n.awaitOtherRuns(loss, &remote)
+}
+
+// sendLossNotices sends a notice to the other VMs and applies their replies.
+func (n *Notifier) sendLossNotices(front cassiaid.FrontKey, notice *cassiaschema.LossNotice, remote *remoteRuns) {
+	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+	defer cancel()
+	n.forEachOther(front, func(vm cassiaid.VMName) {
 		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNotice{LossNotice: notice}}
-		reply, err := n.Node.Exchange(ctx, owner, frame)
+		reply, err := n.Node.Exchange(ctx, vm, frame)
 		if err != nil {
 			n.Scope.Counter("lossNotShared").Inc(1)
 			return
@@ -75,7 +96,6 @@
 		}
 		remote.add(reply.GetLossNoticeReply().GetRunning())
 	})
-	n.awaitOtherRuns(loss, &remote)
 }
 
 // remoteRuns collects the fingerprints of the requests that other owners are running.
@@ -95,6 +115,12 @@
 	}
 }
 
+func (r *remoteRuns) has(f cassiaid.Fingerprint) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.fingerprints[f]
+}
+
 // awaitOtherRuns waits until every request of a loss is quarantined, is cleared or has no other run, but no longer than
 // otherRunsTimeout.
 func (n *Notifier) awaitOtherRuns(loss cassiaquarantine.Loss, remote *remoteRuns) {
@@ -114,7 +140,7 @@
 // quarantined nor cleared.
 func (n *Notifier) hasUndecidedRun(loss cassiaquarantine.Loss, remote *remoteRuns) bool {
 	for _, r := range loss.Runs {
-		running := remote.fingerprints[r.Fingerprint] || n.Guard.Running(r.Fingerprint, r.Shard)
+		running := remote.has(r.Fingerprint) || n.Guard.Running(r.Fingerprint, r.Shard)
 		if running && n.Guard.Undecided(r.Fingerprint, r.Shard) {
 			return true
 		}
