Notice a store that comes back for the first time from era 0

Cause: the follower took era 0 for a store that tells none, so that after the first return of a store whose count begins at 0 targets that the copy lacks got no time to register and the shared authority was not written again. Class: a zero value stands for both 'unknown' and a value.

--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -463,7 +463,8 @@
 }
 
 // isBlamedAcrossShards reports whether the losses of all shards together suffice to quarantine the request: no target has answered
-// it, it has lost enough targets, and no other request ran on every one of them. In addition, either its runs alone prove it, or this VM has observed enough of the losses itself and runs no other attempt of it.
+// it, it has lost enough targets, and no other request ran on every one of them. In addition, either its runs alone prove it, or
+// this VM has observed enough of the losses itself and runs no other attempt of it.
 func (q *Quarantine) isBlamedAcrossShards(now time.Time, f cassiaid.Fingerprint, s *suspect, needed int, ended cassiaid.AttemptID) bool {
 	if q.answered.Has(now, Window, f) {
 		return false
--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -140,8 +140,9 @@
 	unlisted atomic.Bool
 	// lastWatchFailure is the time of the last failed watch of the store; zero if none failed.
 	lastWatchFailure time.Time
-	// era is the store's era as of the last list.
+	// era is the store's era as of the last list; listed is true after the first one.
 	era      Era
+	listed   bool
 	refresh  chan struct{}
 	restored chan struct{}
 }
@@ -237,9 +238,9 @@
 // noteEra handles a store that has come back from an older copy. Targets that the copy lacks register again, as after an
 // outage.
 func (f *Follower) noteEra(era Era) {
-	previous := f.era
-	f.era = era
-	if previous == 0 || era == previous {
+	previous, listed := f.era, f.listed
+	f.era, f.listed = era, true
+	if !listed || era == previous {
 		return
 	}
 	f.log("storeRestored", "era", era, "previousEra", previous)
