--- a/io/cassiaguard/notifier.go
+++ b/io/cassiaguard/notifier.go
@@ -53,8 +53,8 @@
 	return context.WithTimeout(context.Background(), cmp.Or(n.Timeout, defaultTimeout))
 }
 
-// ShareLoss sends the loss of a target to the other VMs. It returns after they acknowledged it or timed out and after the other runs of the lost requests have ended or timed out, so that no retry starts while
-// those runs may still crash a target, too.
+// ShareLoss sends the loss of a target to the other VMs. It returns after they acknowledged it or timed out and after the other
+// runs of the lost requests have ended or timed out, so that no retry starts while those runs may still crash a target, too.
 func (n *Notifier) ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss) {
 	n.Scope.Counter("targetLosses").Inc(1)
 	notice := &cassiaschema.LossNotice{Target: string(loss.Target)}
