Log the content of requests that fail, beside their fingerprint

The fingerprint holds the caller's address, so the lines of one request that is sent from many addresses had nothing in common. The content is the same hash without the address.

--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -24,11 +24,11 @@
 
 // pendingQuery is a caller's request that has no answer yet.
 type pendingQuery struct {
-	call        cassiapool.Call
-	fingerprint cassiaid.Fingerprint
-	route       cassiacatalog.RouteName
-	topK        int
-	answer      chan cassiagateway.Answer
+	call         cassiapool.Call
+	fingerprints fingerprints
+	route        cassiacatalog.RouteName
+	topK         int
+	answer       chan cassiagateway.Answer
 }
 
 // Gate connects a cassiagateway.Gateway to the network: it passes requests and events to the gateway and performs the
@@ -249,8 +249,8 @@
 
 // submit passes a request to the gateway and waits for its answer; it returns false if ctx ends first because the caller has
 // gone.
-func (g *Gate) submit(ctx context.Context, route *cassiacatalog.Route, call cassiapool.Call, fingerprint cassiaid.Fingerprint) (cassiagateway.Answer, bool) {
-	q := &pendingQuery{call: call, fingerprint: fingerprint, route: route.Name, topK: route.TopK, answer: make(chan cassiagateway.Answer, 1)}
+func (g *Gate) submit(ctx context.Context, route *cassiacatalog.Route, call cassiapool.Call, request fingerprints) (cassiagateway.Answer, bool) {
+	q := &pendingQuery{call: call, fingerprints: request, route: route.Name, topK: route.TopK, answer: make(chan cassiagateway.Answer, 1)}
 	g.mutex.Lock()
 	g.nextQuery++
 	id := g.nextQuery
@@ -269,6 +269,11 @@
 	return cassiagateway.Answer{}, false
 }
 
+// quarantineRemaining returns how long a request is still refused because it crashes targets, or 0 if it is not.
+func (g *Gate) quarantineRemaining(request fingerprints) time.Duration {
+	return g.guard.Remaining(request.caller)
+}
+
 // update passes a message to the gateway and performs the effects.
 func (g *Gate) update(m cassiagateway.Message) {
 	g.mutex.Lock()
--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -10,7 +10,6 @@
 
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiagateway"
-	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/io/cassiapool"
 )
 
@@ -62,21 +61,21 @@
 		h.refuseBody(w, id, route, err)
 		return
 	}
-	fingerprint := fingerprintOf(r, body)
-	if remaining := h.gate.guard.Remaining(fingerprint); remaining > 0 {
+	request := fingerprintsOf(r, body)
+	if remaining := h.gate.quarantineRemaining(request); remaining > 0 {
 		h.refuseQuarantined(w, remaining)
-		h.gate.report.quarantined(id, route.Name, fingerprint, remaining)
+		h.gate.report.quarantined(id, route.Name, request, remaining)
 		return
 	}
 	call := cassiapool.Call{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h.forwardedHeader(r.Header),
 		RequestID: id, Body: body, Deadline: arrived.Add(h.timeout(r, route))}
-	answer, ok := h.gate.submit(r.Context(), route, call, fingerprint)
+	answer, ok := h.gate.submit(r.Context(), route, call, request)
 	if !ok {
 		h.gate.report.callerGone(id, route, time.Since(arrived))
 		return
 	}
-	status := h.writeAnswer(w, answer, fingerprint)
-	h.gate.report.answered(id, fingerprint, route, answer, status)
+	status := h.writeAnswer(w, answer, request)
+	h.gate.report.answered(id, request, route, answer, status)
 }
 
 // forwardedHeader returns the headers that are passed on to targets, without hop-by-hop headers and those that this VM sets
@@ -138,7 +137,7 @@
 }
 
 // writeAnswer sends the answer to the caller and returns its HTTP status.
-func (h *handler) writeAnswer(w http.ResponseWriter, answer cassiagateway.Answer, fingerprint cassiaid.Fingerprint) int {
+func (h *handler) writeAnswer(w http.ResponseWriter, answer cassiagateway.Answer, request fingerprints) int {
 	switch {
 	case answer.Reply != nil:
 		return h.writeReply(w, answer.Reply)
@@ -150,7 +149,7 @@
 		h.writeBody(w, http.StatusOK, answer.Merged.Body)
 		return http.StatusOK
 	case answer.Refusal.NotRun && answer.Refusal.Reason == cassiagateway.RefusalQuarantined:
-		h.refuseQuarantined(w, h.gate.guard.Remaining(fingerprint))
+		h.refuseQuarantined(w, h.gate.quarantineRemaining(request))
 		return http.StatusServiceUnavailable
 	case answer.Refusal.NotRun:
 		h.unavailable(w, answer.Refusal.RetryAfter)
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -65,16 +65,16 @@
 	level.Info(r.logger).Log("event", "refused", "request", id, "route", route, "reason", reason, "status", status)
 }
 
-func (r *Report) quarantined(id string, route cassiacatalog.RouteName, fingerprint cassiaid.Fingerprint, remaining time.Duration) {
+func (r *Report) quarantined(id string, route cassiacatalog.RouteName, request fingerprints, remaining time.Duration) {
 	r.count("refusals", "reason", string(cassiagateway.RefusalQuarantined))
 	level.Info(r.logger).Log("event", "refused", "request", id, "route", route, "reason", cassiagateway.RefusalQuarantined,
-		"status", http.StatusServiceUnavailable, "notRun", true, "retryAfter", remaining, "fingerprint", fingerprint)
+		"status", http.StatusServiceUnavailable, "notRun", true, "retryAfter", remaining, "fingerprint", request.caller, "content", request.content)
 }
 
 // suspectStart reports whether an attempt of a request that may crash targets was started.
-func (r *Report) suspectStart(fingerprint cassiaid.Fingerprint, target cassiaid.TargetName, verdict cassiaquarantine.Verdict) {
+func (r *Report) suspectStart(request fingerprints, target cassiaid.TargetName, verdict cassiaquarantine.Verdict) {
 	r.count("suspects", "verdict", verdict.String())
-	level.Info(r.logger).Log("event", "suspect", "fingerprint", fingerprint, "target", target, "verdict", verdict)
+	level.Info(r.logger).Log("event", "suspect", "fingerprint", request.caller, "content", request.content, "target", target, "verdict", verdict)
 }
 
 func (r *Report) callerGone(id string, route *cassiacatalog.Route, elapsed time.Duration) {
@@ -82,7 +82,7 @@
 	level.Info(r.logger).Log("event", "callerGone", "request", id, "route", route.Name, "elapsed", elapsed)
 }
 
-func (r *Report) answered(id string, fingerprint cassiaid.Fingerprint, route *cassiacatalog.Route, a cassiagateway.Answer, status int) {
+func (r *Report) answered(id string, request fingerprints, route *cassiacatalog.Route, a cassiagateway.Answer, status int) {
 	t := a.Trace
 	r.scope.Histogram("request_latency", latencyBuckets).RecordDuration(t.Elapsed)
 	line := []any{"event", "answered", "request", id, "route", route.Name, "status", status, "elapsed", t.Elapsed,
@@ -94,7 +94,7 @@
 		line = append(line, "unpaid", t.Unpaid, "denied", t.Denied)
 	}
 	if t.LastFailure != "" {
-		line = append(line, "lastFailure", t.LastFailure, "fingerprint", fingerprint)
+		line = append(line, "lastFailure", t.LastFailure, "fingerprint", request.caller, "content", request.content)
 	}
 	if a.Refusal != nil {
 		r.count("refusals", "reason", string(a.Refusal.Reason))
