Refuse a deadly request whoever sends it

What callers saw: a request that crashes its targets, sent from 60 addresses in turn, crashed 49 to 72 targets of 12 in 13 s, and 17 to 33% of the idempotent requests of others beside it were answered (1,655 of 5,479, 1,035 of 6,309).

Cause: a request was identified by its caller's address among other things, so that each address was a new request with two targets to lose.

Change: attempts carry the fingerprint of their content, too, which the quarantine judges by rules of its own: three losses under several callers, no other content on all lost targets, and no caller answered within the last minute. A content that may be deadly runs alone over all VMs. Answers, losses, inquiries, notices and entries in the store work for both alike. Requests that ran on a lost target are told apart by content as well, so a companion of a deadly request is not blamed because its callers differed.

--- a/core/cassiaquarantine/admit.go
+++ b/core/cassiaquarantine/admit.go
@@ -75,6 +75,23 @@
 	return VerdictRun
 }
 
+// AdmitRun is like AdmitAfterWait, for both fingerprints of a run. It returns the stricter verdict.
+func (q *Quarantine) AdmitRun(r Run) Verdict {
+	verdict := VerdictRun
+	for _, f := range r.fingerprints() {
+		switch v := q.AdmitAfterWait(f, r.Shard); {
+		case v == VerdictQuarantined, v == VerdictRefuseNow && verdict != VerdictQuarantined, verdict == VerdictRun:
+			verdict = v
+		}
+	}
+	return verdict
+}
+
+// SuspectsContent reports whether a run has to run alone because of its content.
+func (q *Quarantine) SuspectsContent(r Run) bool {
+	return r.Content != 0 && q.suspected(q.clock.Now(), r.Content, r.Shard)
+}
+
 // Proven reports whether a target is known to have answered the request within Window.
 func (q *Quarantine) Proven(f cassiaid.Fingerprint) bool {
 	return q.answered.Has(q.clock.Now(), Window, f)
@@ -126,7 +143,7 @@
 
 // suspected reports whether the part of request f for a shard might crash a target: this part lost a target within Window, or the
 // request lost one on any shard and no target is known to have answered it within Window, or the request was quarantined recently
-// and this part has not been answered within Window.
+// and this part has not been answered within Window. Losses of a part of a content do not count while any caller's answer does.
 func (q *Quarantine) suspected(now time.Time, f cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
 	if q.quarantinedRecently(now, f) && !q.answeredParts.Has(now, Window, requestPart{f, shard}) {
 		return true
@@ -136,7 +153,7 @@
 		return false
 	}
 	q.expireLosses(now, f, s)
-	if len(s.ofShard(shard)) > 0 {
+	if len(s.ofShard(shard)) > 0 && !(s.isContent() && q.answeredParts.Has(now, Window, requestPart{f, shard})) {
 		return true
 	}
 	return len(s.losses) > 0 && !q.answered.Has(now, Window, f)
--- a/core/cassiaquarantine/message.go
+++ b/core/cassiaquarantine/message.go
@@ -11,13 +11,27 @@
 
 // Run is one attempt of a request on a target.
 type Run struct {
-	Attempt     cassiaid.AttemptID
+	Attempt cassiaid.AttemptID
+	// Fingerprint identifies the request among those of its caller.
 	Fingerprint cassiaid.Fingerprint
-	Shard       cassiaid.ShardIndex
+	// Content identifies the request among those of all callers; zero if Fingerprint does not depend on the caller.
+	Content cassiaid.Fingerprint
+	Shard   cassiaid.ShardIndex
 	// Alone is true when Admit returned VerdictAlone.
 	Alone bool
 }
 
+// fingerprints returns the fingerprints by which the run's request is judged.
+func (r Run) fingerprints() []cassiaid.Fingerprint {
+	if r.Content == 0 {
+		return []cassiaid.Fingerprint{r.Fingerprint}
+	}
+	return []cassiaid.Fingerprint{r.Fingerprint, r.Content}
+}
+
+// has reports whether f is one of the run's fingerprints.
+func (r Run) has(f cassiaid.Fingerprint) bool { return r.Fingerprint == f || r.Content == f && f != 0 }
+
 // Started reports that an attempt is being sent to its target.
 type Started struct {
 	Run    Run
--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -16,10 +16,13 @@
 	// with each quarantine that follows within repeatWindow.
 	baseQuarantine = time.Minute
 	maxQuarantine  = 16 * time.Minute
-	// repeatWindow is how long after the end of a quarantine the next one needs one loss less than lossesToQuarantine.
+	// repeatWindow is how long after the end of a quarantine the next one needs only repeatLosses.
 	repeatWindow = 15 * time.Minute
-	// lossesToQuarantine is the number of lost targets that quarantine a request.
-	lossesToQuarantine = 2
+	// lossesToQuarantine is the number of lost targets that quarantine a request, contentLossesToQuarantine the number that
+	// quarantine a content. A request that was quarantined recently needs repeatLosses.
+	lossesToQuarantine        = 2
+	contentLossesToQuarantine = 3
+	repeatLosses              = 1
 	// When outageLosses other targets were lost within outageWindow, there is probably another cause, such as an outage, and one
 	// more loss is needed.
 	outageWindow = 10 * time.Second
@@ -171,16 +174,19 @@
 func (q *Quarantine) start(m Started) {
 	a := &runningAttempt{run: m.Run, target: m.Target}
 	q.attempts[m.Run.Attempt] = a
-	q.running[m.Run.Fingerprint] = append(q.running[m.Run.Fingerprint], a)
+	for _, f := range m.Run.fingerprints() {
+		q.running[f] = append(q.running[f], a)
+	}
 }
 
 // remove drops an attempt that has ended.
 func (q *Quarantine) remove(a *runningAttempt) {
-	f := a.run.Fingerprint
 	delete(q.attempts, a.run.Attempt)
-	q.running[f] = slices.DeleteFunc(q.running[f], func(other *runningAttempt) bool { return other == a })
-	if len(q.running[f]) == 0 {
-		delete(q.running, f)
+	for _, f := range a.run.fingerprints() {
+		q.running[f] = slices.DeleteFunc(q.running[f], func(other *runningAttempt) bool { return other == a })
+		if len(q.running[f]) == 0 {
+			delete(q.running, f)
+		}
 	}
 }
 
@@ -192,9 +198,13 @@
 	defer q.remove(a)
 	switch m.Ending {
 	case EndingAnswered:
-		suspected, effects := q.clearByAnswer(now, a.run.Fingerprint, a.run.Shard)
-		if suspected {
-			effects = append(effects, ShareAnswer{Fingerprint: a.run.Fingerprint, Shard: a.run.Shard})
+		var effects []Effect
+		for _, f := range a.run.fingerprints() {
+			suspected, blamed := q.clearByAnswer(now, f, a.run.Shard)
+			effects = append(effects, blamed...)
+			if suspected {
+				effects = append(effects, ShareAnswer{Fingerprint: f, Shard: a.run.Shard})
+			}
 		}
 		return effects
 	case EndingLost:
@@ -260,7 +270,9 @@
 	}
 	slices.SortFunc(loss.Runs, func(x, y Run) int { return compare(x.Attempt, y.Attempt) })
 	for _, r := range loss.Runs {
-		q.unsharedRuns[r.Fingerprint]++
+		for _, f := range r.fingerprints() {
+			q.unsharedRuns[f]++
+		}
 	}
 	effects := []Effect{ShareLoss{Loss: loss}}
 	q.addToSuspects(now, loss)
@@ -270,8 +282,10 @@
 // markShared records that the other owners know of a loss.
 func (q *Quarantine) markShared(loss Loss) {
 	for _, r := range loss.Runs {
-		if q.unsharedRuns[r.Fingerprint]--; q.unsharedRuns[r.Fingerprint] <= 0 {
-			delete(q.unsharedRuns, r.Fingerprint)
+		for _, f := range r.fingerprints() {
+			if q.unsharedRuns[f]--; q.unsharedRuns[f] <= 0 {
+				delete(q.unsharedRuns, f)
+			}
 		}
 	}
 }
@@ -299,8 +313,10 @@
 func (q *Quarantine) shareEarlierAnswers(now time.Time, loss Loss) []Effect {
 	var effects []Effect
 	for _, r := range loss.Runs {
-		if q.answeredParts.Has(now, Window, requestPart{r.Fingerprint, r.Shard}) {
-			effects = append(effects, ShareAnswer{Fingerprint: r.Fingerprint, Shard: r.Shard, BeforeLoss: true})
+		for _, f := range r.fingerprints() {
+			if q.answeredParts.Has(now, Window, requestPart{f, r.Shard}) {
+				effects = append(effects, ShareAnswer{Fingerprint: f, Shard: r.Shard, BeforeLoss: true})
+			}
 		}
 	}
 	return effects
@@ -328,33 +344,33 @@
 // addToSuspects records a loss and adds it to each request that ran on the target. Other VMs may have reported the same crash
 // for their own runs; those and the runs of this loss are companions of each other.
 func (q *Quarantine) addToSuspects(now time.Time, loss Loss) {
-	var companions []cassiaid.Fingerprint
+	var companions []Run
 	for _, earlier := range q.losses {
 		if earlier.loss.Target != loss.Target || earlier.loss.Reporter == loss.Reporter || now.Sub(earlier.at) > sameCrashWindow {
 			continue
 		}
 		for _, r := range earlier.loss.Runs {
-			companions = append(companions, r.Fingerprint)
-			q.suspects[r.Fingerprint].addCompanions(now, loss)
+			for _, f := range r.fingerprints() {
+				q.suspects[f].addCompanions(now, loss)
+			}
 		}
+		companions = append(companions, earlier.loss.Runs...)
 	}
-	for _, r := range loss.Runs {
-		companions = append(companions, r.Fingerprint)
-	}
+	companions = append(companions, loss.Runs...)
 	q.addLoss(now, loss)
 	for _, r := range loss.Runs {
-		s := q.suspects[r.Fingerprint]
-		if s == nil {
-			q.evict(now)
-			s = &suspect{fingerprint: r.Fingerprint}
-			q.suspects[r.Fingerprint] = s
-		}
-		s.dropBefore(now.Add(-Window))
-		l := suspectLoss{at: now, target: loss.Target, shard: r.Shard, alone: r.Alone, reporter: loss.Reporter}
-		for _, other := range companions {
-			l.addCompanion(r.Fingerprint, other)
+		for _, f := range r.fingerprints() {
+			s := q.suspects[f]
+			if s == nil {
+				q.evict(now)
+				s = &suspect{fingerprint: f, content: r.Content}
+				q.suspects[f] = s
+			}
+			s.dropBefore(now.Add(-Window))
+			l := suspectLoss{at: now, target: loss.Target, shard: r.Shard, alone: r.Alone, reporter: loss.Reporter}
+			l.addCompanions(f, r.Content, companions)
+			s.addLoss(l, r.Fingerprint)
 		}
-		s.losses = append(s.losses, l)
 	}
 }
 
@@ -379,14 +395,15 @@
 func (q *Quarantine) quarantineBlamed(now time.Time, runs []Run, ended cassiaid.AttemptID) []Effect {
 	var effects []Effect
 	for _, r := range runs {
-		f := r.Fingerprint
-		if q.Remaining(f) > 0 || !q.isBlamed(now, f, ended) {
-			continue
+		for _, f := range r.fingerprints() {
+			if q.Remaining(f) > 0 || !q.isBlamed(now, f, ended) {
+				continue
+			}
+			duration := q.nextDuration(now, f)
+			q.setPeriod(now, f, quarantinePeriod{until: now.Add(duration), duration: duration})
+			q.dropExplainedLosses(now, f)
+			effects = append(effects, ShareQuarantine{Fingerprint: f, Remaining: duration})
 		}
-		duration := q.nextDuration(now, f)
-		q.setPeriod(now, f, quarantinePeriod{until: now.Add(duration), duration: duration})
-		q.dropExplainedLosses(now, f)
-		effects = append(effects, ShareQuarantine{Fingerprint: f, Remaining: duration})
 	}
 	return effects
 }
@@ -419,7 +436,10 @@
 	if s == nil {
 		return false
 	}
-	needed := q.lossesNeeded(now, f)
+	if s.isContent() {
+		return q.isBlamedAsContent(now, s, ended)
+	}
+	needed := q.lossesNeeded(now, f, lossesToQuarantine)
 	for _, l := range s.losses {
 		partLosses := s.ofShard(l.shard)
 		if countCrashes(partLosses) < needed || !noOtherCommonRequest(partLosses) {
@@ -432,11 +452,31 @@
 	return q.isBlamedAcrossShards(now, f, s, needed, ended)
 }
 
-// lossesNeeded returns the number of losses that quarantine the request.
-func (q *Quarantine) lossesNeeded(now time.Time, f cassiaid.Fingerprint) int {
-	needed := lossesToQuarantine
+// isBlamedAsContent reports whether a content has lost enough targets to be quarantined, under several callers unless it was
+// quarantined recently, and no other request ran on all of them. It is not while a target may still answer it, nor once one has,
+// so that a caller whose own header crashes targets does not have the requests of all others refused.
+func (q *Quarantine) isBlamedAsContent(now time.Time, s *suspect, ended cassiaid.AttemptID) bool {
+	if q.runsOnAnyShard(s.fingerprint, ended) {
+		return false
+	}
+	needed := q.lossesNeeded(now, s.fingerprint, contentLossesToQuarantine)
+	sufficient := func(losses []suspectLoss) bool {
+		return countCrashes(losses) >= needed && noOtherCommonRequest(losses) &&
+			(severalCallers(losses) || q.quarantinedRecently(now, s.fingerprint))
+	}
+	for _, l := range s.losses {
+		if !q.answeredParts.Has(now, Window, requestPart{s.fingerprint, l.shard}) && sufficient(s.ofShard(l.shard)) {
+			return true
+		}
+	}
+	return !q.answered.Has(now, Window, s.fingerprint) && sufficient(s.losses)
+}
+
+// lossesNeeded returns the number of losses that quarantine the request, which is first if it was not quarantined recently.
+func (q *Quarantine) lossesNeeded(now time.Time, f cassiaid.Fingerprint, first int) int {
+	needed := first
 	if q.quarantinedRecently(now, f) {
-		needed--
+		needed = repeatLosses
 	}
 	if q.unrelatedLosses(now, f) >= outageLosses {
 		needed++
@@ -453,7 +493,7 @@
 			continue
 		}
 		explained := slices.ContainsFunc(l.loss.Runs, func(r Run) bool {
-			return r.Fingerprint == f || q.Remaining(r.Fingerprint) > 0
+			return r.has(f) || q.Remaining(r.Fingerprint) > 0 || q.Remaining(r.Content) > 0
 		})
 		if !explained && !q.suspects[f].involves(l.loss.Target) {
 			targets[l.loss.Target] = struct{}{}
--- a/core/cassiaquarantine/suspect.go
+++ b/core/cassiaquarantine/suspect.go
@@ -16,6 +16,8 @@
 	alone bool
 	// reporter is the VM that observed the loss; empty for this VM.
 	reporter cassiaid.VMName
+	// callers are the fingerprints of the runs; there is one, or several if the suspect is a content.
+	callers []cassiaid.Fingerprint
 	// others are the other requests that ran on the target and have not been answered since.
 	others []cassiaid.Fingerprint
 }
@@ -32,10 +34,55 @@
 	}
 }
 
+// addCompanions records that runs of other requests ran on the target. f is the fingerprint of the suspect, content that of its
+// content; runs with the same content are companions of a caller's request but not of the content itself.
+func (l *suspectLoss) addCompanions(f, content cassiaid.Fingerprint, runs []Run) {
+	for _, r := range runs {
+		sameContent := r.Content != 0 && r.Content == content
+		if sameContent && f == content {
+			continue
+		}
+		l.addCompanion(f, r.Fingerprint)
+		if r.Content != 0 && !sameContent {
+			l.addCompanion(f, r.Content)
+		}
+	}
+}
+
 // suspect is a request that ran on a lost target and that no answer has cleared since.
 type suspect struct {
 	fingerprint cassiaid.Fingerprint
-	losses      []suspectLoss
+	// content is the fingerprint of the request's content, which may be fingerprint itself; zero if it has none of its own.
+	content cassiaid.Fingerprint
+	losses  []suspectLoss
+}
+
+// isContent reports whether the suspect is a content, whoever sends it.
+func (s *suspect) isContent() bool { return s.fingerprint == s.content }
+
+// addLoss records a loss of the suspect with all the runs of that loss that it has.
+func (s *suspect) addLoss(loss suspectLoss, caller cassiaid.Fingerprint) {
+	for i := range s.losses {
+		l := &s.losses[i]
+		if s.isContent() && l.target == loss.target && l.reporter == loss.reporter && l.at.Equal(loss.at) {
+			l.callers = append(l.callers, caller)
+			return
+		}
+	}
+	loss.callers = []cassiaid.Fingerprint{caller}
+	s.losses = append(s.losses, loss)
+}
+
+// severalCallers reports whether losses occurred under more than one caller's request.
+func severalCallers(losses []suspectLoss) bool {
+	for _, l := range losses {
+		for _, caller := range l.callers {
+			if caller != losses[0].callers[0] {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // involves reports whether a target was lost while it ran the request. It is false for a nil suspect.
@@ -54,9 +101,7 @@
 		if !l.sameCrash(loss.Target, loss.Reporter, now) {
 			continue
 		}
-		for _, r := range loss.Runs {
-			l.addCompanion(s.fingerprint, r.Fingerprint)
-		}
+		l.addCompanions(s.fingerprint, s.content, loss.Runs)
 	}
 }
 
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -271,7 +271,7 @@
 
 // quarantineRemaining returns how long a request is still refused because it crashes targets, or 0 if it is not.
 func (g *Gate) quarantineRemaining(request fingerprints) time.Duration {
-	return g.guard.Remaining(request.caller)
+	return max(g.guard.Remaining(request.caller), g.guard.Remaining(request.content))
 }
 
 // update passes a message to the gateway and performs the effects.
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -72,9 +72,9 @@
 }
 
 // suspectStart reports whether an attempt of a request that may crash targets was started.
-func (r *Report) suspectStart(request fingerprints, target cassiaid.TargetName, verdict cassiaquarantine.Verdict) {
+func (r *Report) suspectStart(run cassiaquarantine.Run, target cassiaid.TargetName, verdict cassiaquarantine.Verdict) {
 	r.count("suspects", "verdict", verdict.String())
-	level.Info(r.logger).Log("event", "suspect", "fingerprint", request.caller, "content", request.content, "target", target, "verdict", verdict)
+	level.Info(r.logger).Log("event", "suspect", "fingerprint", run.Fingerprint, "content", run.Content, "target", target, "verdict", verdict)
 }
 
 func (r *Report) callerGone(id string, route *cassiacatalog.Route, elapsed time.Duration) {
--- a/io/cassiagate/send.go
+++ b/io/cassiagate/send.go
@@ -28,7 +28,7 @@
 		g.abandon(e.Attempt)
 		return
 	}
-	run := cassiaquarantine.Run{Attempt: e.Attempt, Fingerprint: q.fingerprints.caller, Shard: e.Shard}
+	run := cassiaquarantine.Run{Attempt: e.Attempt, Fingerprint: q.fingerprints.caller, Content: q.fingerprints.content, Shard: e.Shard}
 	if g.guard.TryStart(run, e.Target) {
 		g.transmit(batches, q, e)
 		return
@@ -45,7 +45,7 @@
 // sendSuspect starts an attempt of a suspect when no other one runs, or reports why it does not.
 func (g *Gate) sendSuspect(ctx context.Context, q *pendingQuery, run cassiaquarantine.Run, e cassiagateway.Send) {
 	verdict := g.guard.StartSuspect(ctx, cassiaid.FrontKey{}, run, e.Target, suspectWaitLimit)
-	g.report.suspectStart(q.fingerprints, e.Target, verdict)
+	g.report.suspectStart(run, e.Target, verdict)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	delete(g.cancels, e.Attempt)
--- a/io/cassiaguard/guard.go
+++ b/io/cassiaguard/guard.go
@@ -146,7 +146,7 @@
 func (g *Guard) TryStart(run cassiaquarantine.Run, target cassiaid.TargetName) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.core.AdmitAfterWait(run.Fingerprint, run.Shard) != cassiaquarantine.VerdictRun {
+	if g.core.AdmitRun(run) != cassiaquarantine.VerdictRun {
 		return false
 	}
 	g.core.Update(cassiaquarantine.Started{Run: run, Target: target})
@@ -170,8 +170,8 @@
 	for {
 		verdict, changed := g.tryStartSuspect(run, target, limitContext.Err() != nil)
 		if verdict == cassiaquarantine.VerdictAlone && peers != nil {
-			runsElsewhere := peers.RunsElsewhere(front, run)
-			if !runsElsewhere && g.Remaining(run.Fingerprint) == 0 {
+			runsElsewhere := peers.RunsElsewhere(front, g.inquiryAbout(run))
+			if !runsElsewhere && g.Remaining(run.Fingerprint) == 0 && g.Remaining(run.Content) == 0 {
 				return verdict
 			}
 			g.performEffects(front, g.update(cassiaquarantine.Ended{Attempt: run.Attempt}))
@@ -194,13 +194,24 @@
 	}
 }
 
+// inquiryAbout returns a run as other VMs are asked about it: with its content only if that is why it has to run alone, since
+// other callers' requests with the same content may run at any time.
+func (g *Guard) inquiryAbout(run cassiaquarantine.Run) cassiaquarantine.Run {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.core.SuspectsContent(run) {
+		run.Content = 0
+	}
+	return run
+}
+
 // verdictAtLimit decides on an attempt whose request still runs on another VM at the limit, and records its start if it may
 // run.
 func (g *Guard) verdictAtLimit(run cassiaquarantine.Run, target cassiaid.TargetName) cassiaquarantine.Verdict {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	switch {
-	case g.core.Remaining(run.Fingerprint) > 0:
+	case g.core.Remaining(run.Fingerprint) > 0, g.core.Remaining(run.Content) > 0:
 		return cassiaquarantine.VerdictQuarantined
 	case g.core.Proven(run.Fingerprint):
 		g.core.Update(cassiaquarantine.Started{Run: run, Target: target})
@@ -214,7 +225,7 @@
 func (g *Guard) tryStartSuspect(run cassiaquarantine.Run, target cassiaid.TargetName, limitReached bool) (cassiaquarantine.Verdict, <-chan struct{}) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	verdict := g.core.AdmitAfterWait(run.Fingerprint, run.Shard)
+	verdict := g.core.AdmitRun(run)
 	switch {
 	case limitReached && verdict == cassiaquarantine.VerdictRefuseNow && g.core.Proven(run.Fingerprint):
 		verdict = cassiaquarantine.VerdictRun
--- a/io/cassiaguard/notifier.go
+++ b/io/cassiaguard/notifier.go
@@ -60,7 +60,7 @@
 	notice := &cassiaschema.LossNotice{Target: string(loss.Target)}
 	for _, r := range loss.Runs {
 		notice.Runs = append(notice.Runs, &cassiaschema.LostRun{
-			AttemptId: uint64(r.Attempt), Fingerprint: uint64(r.Fingerprint), Shard: uint32(r.Shard), Alone: r.Alone,
+			AttemptId: uint64(r.Attempt), Fingerprint: uint64(r.Fingerprint), Shard: uint32(r.Shard), Alone: r.Alone, Content: uint64(r.Content),
 		})
 	}
 	var remote remoteRuns
@@ -153,7 +153,7 @@
 func (n *Notifier) RunsElsewhere(front cassiaid.FrontKey, run cassiaquarantine.Run) bool {
 	ctx, cancel := n.timeout()
 	defer cancel()
-	inquiry := &cassiaschema.RunInquiry{Fingerprint: uint64(run.Fingerprint), Shard: uint32(run.Shard)}
+	inquiry := &cassiaschema.RunInquiry{Fingerprint: uint64(run.Fingerprint), Content: uint64(run.Content), Shard: uint32(run.Shard)}
 	var running atomic.Bool
 	n.forEachOther(front, func(owner cassiaid.VMName) {
 		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiry{RunInquiry: inquiry}}
@@ -203,7 +203,9 @@
 	case *cassiaschema.PeerFrame_LossNotice:
 		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: n.handleLossNotice(from, body.LossNotice)}}, true
 	case *cassiaschema.PeerFrame_RunInquiry:
-		blocked := n.Guard.BlocksOtherVMs(cassiaid.Fingerprint(body.RunInquiry.Fingerprint), cassiaid.ShardIndex(body.RunInquiry.Shard))
+		fingerprint, content := cassiaid.Fingerprint(body.RunInquiry.GetFingerprint()), cassiaid.Fingerprint(body.RunInquiry.GetContent())
+		shard := cassiaid.ShardIndex(body.RunInquiry.GetShard())
+		blocked := n.Guard.BlocksOtherVMs(fingerprint, shard) || content != 0 && n.Guard.BlocksOtherVMs(content, shard)
 		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiryReply{
 			RunInquiryReply: &cassiaschema.RunInquiryReply{Running: blocked},
 		}}, true
@@ -225,7 +227,7 @@
 	loss := cassiaquarantine.Loss{Target: cassiaid.TargetName(notice.Target), Reporter: from}
 	for _, r := range notice.Runs {
 		loss.Runs = append(loss.Runs, cassiaquarantine.Run{
-			Attempt: cassiaid.AttemptID(r.AttemptId), Fingerprint: cassiaid.Fingerprint(r.Fingerprint),
+			Attempt: cassiaid.AttemptID(r.AttemptId), Fingerprint: cassiaid.Fingerprint(r.Fingerprint), Content: cassiaid.Fingerprint(r.Content),
 			Shard: cassiaid.ShardIndex(r.Shard), Alone: r.Alone,
 		})
 	}
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -74,6 +74,20 @@
 	s.transport = transport
 }
 
+// transportsFrom returns a transport for each of a number of loopback addresses from which a caller connects, or the environment's
+// own transport if the number is 0. The transports don't keep connections.
+func (s *platformEnv) transportsFrom(addresses int, host func(i int) string) []http.RoundTripper {
+	if addresses == 0 {
+		return []http.RoundTripper{s.transport}
+	}
+	var transports []http.RoundTripper
+	for i := range addresses {
+		dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(host(i))}}
+		transports = append(transports, &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true})
+	}
+	return transports
+}
+
 func (s *platformEnv) addTarget(t *testing.T, name, service string, part []byte) *cassiastage.Target {
 	target := cassiastage.NewTarget(name, service, part)
 	t.Cleanup(target.Close)
@@ -193,6 +207,11 @@
 
 // do sends a request with a new request id and returns the answer and the id.
 func (s *platformEnv) do(vm *frontVM, method, path, body string) (httpAnswer, string, error) {
+	return s.doThrough(s.transport, vm, method, path, body)
+}
+
+// doThrough is like do, but sends the request through the given transport.
+func (s *platformEnv) doThrough(transport http.RoundTripper, vm *frontVM, method, path, body string) (httpAnswer, string, error) {
 	id := fmt.Sprintf("%016x", s.requestCount.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -206,7 +225,7 @@
 	request.Header.Set("X-Cassiasaddle-Request-Id", id)
 	request.Header.Set("X-Cassiasaddle-Deadline-Ms", "2000")
 	request.Header.Set("X-Own", "kept")
-	reply, err := s.transport.RoundTrip(request)
+	reply, err := transport.RoundTrip(request)
 	if err != nil {
 		return httpAnswer{}, id, err
 	}
--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -37,7 +37,9 @@
 	crashMinServed            = 0.99
 	crashMinServedBesideKills = 0.9
 	crashInterval             = 250 * time.Millisecond
-	deadlyBody                = "crash"
+	// crashAddresses is the number of addresses of a caller that changes its address with each request.
+	crashAddresses = 60
+	deadlyBody     = "crash"
 )
 
 // crashEnv is a platform environment with VMs as processes, a relay in front of each VM's peer address, and services whose
@@ -114,8 +116,11 @@
 const (
 	crashHostOfVM = iota
 	crashHostOfRelay
+	crashHostOfCaller
 )
 
+func (e *crashEnv) callerHost(i int) string { return e.host(crashHostOfCaller, i) }
+
 // addRelay starts the relay in front of the peer address of a VM.
 func (e *crashEnv) addRelay(vm int) {
 	relay := cassiarelay.New(cassiarelay.Options{Network: "udp", Listen: e.host(crashHostOfRelay, vm) + soakPort,
@@ -154,10 +159,10 @@
 	return e.vms[i%len(e.vms)]
 }
 
-// call sends one request to a VM and records the result in calls.
-func (e *crashEnv) call(calls *[]crashCall, vm *frontVM, path, body string) {
+// call sends one request to a VM through a transport and records the result in calls.
+func (e *crashEnv) call(calls *[]crashCall, transport http.RoundTripper, vm *frontVM, path, body string) {
 	from := time.Now()
-	answer, id, err := e.do(vm, http.MethodPost, path, body)
+	answer, id, err := e.doThrough(transport, vm, http.MethodPost, path, body)
 	c := crashCall{id: id, at: from, took: time.Since(from), status: answer.status, err: err}
 	if err == nil {
 		c.retry = answer.header.Get("Retry-After")
@@ -168,17 +173,19 @@
 }
 
 // sendDeadly sends the deadly request from crashHeadStart until crashDuration, each time an interval after the last: to the
-// first VM only for a time, then to all in turn.
-func (e *crashEnv) sendDeadly(path string, interval, firstOnly time.Duration) {
+// first VM only for a time, then to all in turn. The caller connects from the given number of addresses in turn, as transportsFrom
+// does.
+func (e *crashEnv) sendDeadly(path string, interval, firstOnly time.Duration, addresses int) {
+	transports := e.transportsFrom(addresses, e.callerHost)
 	until := time.Now().Add(crashDuration)
 	e.callers.Go(func() error {
 		sleep(crashHeadStart)
 		begun := time.Now()
-		for i := 0; time.Now().Before(until); i++ {
+		for i, sent := 0, 0; time.Now().Before(until); i, sent = i+1, sent+1 {
 			if time.Since(begun) < firstOnly {
 				i = 0
 			}
-			e.call(&e.deadly, e.vm(i), path, deadlyBody)
+			e.call(&e.deadly, transports[sent%len(transports)], e.vm(i), path, deadlyBody)
 			sleep(interval)
 		}
 		return nil
@@ -191,7 +198,7 @@
 	for caller := range 6 {
 		e.callers.Go(func() error {
 			for i := caller; time.Now().Before(until); i++ {
-				e.call(&e.harmless, e.vm(i), path, fmt.Sprintf("harmless %d %d", caller, i))
+				e.call(&e.harmless, e.transport, e.vm(i), path, fmt.Sprintf("harmless %d %d", caller, i))
 				sleep(10 * time.Millisecond)
 			}
 			return nil
@@ -317,6 +324,8 @@
 		firstOnly time.Duration
 		// maxCrashes is the number of targets that it may crash; crashLimit if zero.
 		maxCrashes int
+		// addresses is the number of addresses from which the caller sends in turn; one if zero.
+		addresses int
 		// disturb runs beside the callers from the first deadly request on. If it kills VMs, it breaks the requests that
 		// they serve, and callers find them gone until they have started again.
 		disturb func(e *crashEnv)
@@ -348,12 +357,26 @@
 			e.cutVMs(2 * time.Second)
 			store.Wait() //nolint:errcheck // it returns no error
 		}},
+		{name: "caller changes its address", path: "/one/x", addresses: crashAddresses, maxCrashes: crashesBeforeContact},
+		{name: "caller changes its address, not idempotent", path: "/book/x", addresses: crashAddresses, maxCrashes: crashesBeforeContact},
+		// The first two addresses may each crash one target of each shard.
+		{name: "caller changes its address, fan-out", path: "/search/x", addresses: crashAddresses, maxCrashes: 2 * envShards},
+		{name: "caller changes its address, all VMs are killed", path: "/one/x", addresses: crashAddresses, maxCrashes: crashesBeforeContact, kills: true,
+			disturb: func(e *crashEnv) {
+				sleep(3 * time.Second)
+				e.killVMs(0, 1, 2)
+				sleep(3 * time.Second)
+				e.killVMs(0, 1, 2)
+			}},
+		{name: "caller changes its address, VMs are cut off from each other", path: "/book/x", addresses: crashAddresses,
+			maxCrashes: crashesBeforeContact, firstOnly: 2500 * time.Millisecond,
+			disturb: func(e *crashEnv) { e.cutVMs(8 * time.Second) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			e := newCrashEnv(t, 3)
 			e.sendHarmless(test.path)
-			e.sendDeadly(test.path, cmp.Or(test.interval, crashInterval), test.firstOnly)
+			e.sendDeadly(test.path, cmp.Or(test.interval, crashInterval), test.firstOnly, test.addresses)
 			minServed := crashMinServed
 			if test.kills {
 				minServed = crashMinServedBesideKills
@@ -372,27 +395,37 @@
 }
 
 // TestFrontServesAPopularRequestWhoseTargetsEnd guards against a request being blamed for targets that end by themselves
-// while they run it.
+// while they run it, for one caller or for all that send it.
 func TestFrontServesAPopularRequestWhoseTargetsEnd(t *testing.T) {
 	t.Parallel()
-	e := newCrashEnv(t, 3)
-	until := time.Now().Add(crashDuration)
-	for caller := range 6 {
-		e.callers.Go(func() error {
-			for i := caller; time.Now().Before(until); i++ {
-				e.call(&e.harmless, e.vm(i), "/one/x", "popular")
+	for _, test := range []struct {
+		name string
+		// addresses is the number of addresses from which the callers send in turn; one if zero.
+		addresses int
+	}{{"one address", 0}, {"many addresses", crashAddresses}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			e := newCrashEnv(t, 3)
+			transports := e.transportsFrom(test.addresses, e.callerHost)
+			until := time.Now().Add(crashDuration)
+			for caller := range 6 {
+				e.callers.Go(func() error {
+					for i := caller; time.Now().Before(until); i++ {
+						e.call(&e.harmless, transports[i%len(transports)], e.vm(i), "/one/x", "popular")
+					}
+					return nil
+				})
 			}
-			return nil
+			e.callers.Go(func() error {
+				for time.Now().Before(until) {
+					sleep(700 * time.Millisecond)
+					e.services[0].Running()[0].Crash()
+				}
+				return nil
+			})
+			e.c.Assert(e.callers.Wait(), qt.IsNil)
+			const minServedOfPopular = 0.9
+			e.checkHarmless(minServedOfPopular)
 		})
 	}
-	e.callers.Go(func() error {
-		for time.Now().Before(until) {
-			sleep(700 * time.Millisecond)
-			e.services[0].Running()[0].Crash()
-		}
-		return nil
-	})
-	e.c.Assert(e.callers.Wait(), qt.IsNil)
-	const minServedOfPopular = 0.9
-	e.checkHarmless(minServedOfPopular)
 }
