--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -149,6 +149,7 @@
 	hostOfPeers
 	hostOfStore
 	hostOfTarget
+	hostOfCaller
 )
 
 const soakPort = ":7400"
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -72,8 +72,13 @@
 
 // callOnce sends one request to a VM, records it and returns the record.
 func (s *soak) callOnce(vm *soakVM, lifetime int, method, path, body string) soakRequest {
+	return s.callThrough(s.transport, vm, lifetime, method, path, body)
+}
+
+// callThrough is like callOnce, but sends the request through the given transport.
+func (s *soak) callThrough(transport http.RoundTripper, vm *soakVM, lifetime int, method, path, body string) soakRequest {
 	r := soakRequest{path: path, body: body, vm: vm, lifetime: lifetime, from: time.Since(s.start)}
-	r.answer, r.id, r.err = s.do(vm.frontVM, method, path, body)
+	r.answer, r.id, r.err = s.doThrough(transport, vm.frontVM, method, path, body)
 	r.to = time.Since(s.start)
 	_, _, stopping := vm.state()
 	r.stopping = !stopping.IsZero()
--- a/test/soakdeadly_test.go
+++ b/test/soakdeadly_test.go
@@ -21,6 +21,8 @@
 	soakDeadlyTail = 7 * time.Second
 	// soakMaxDeadlyPause is the longest pause between two repeats.
 	soakMaxDeadlyPause = 600 * time.Millisecond
+	// soakDeadlyAddresses is the number of addresses that the caller of the deadly request uses at random in half of the seeds.
+	soakDeadlyAddresses = 40
 	// soakDeadlyStream is the random stream of the callers of the fragile service.
 	soakDeadlyStream = 1 << 33
 )
@@ -47,6 +49,10 @@
 func (s *soak) startFragileCallers(stop <-chan struct{}) {
 	for i, body := range []string{deadlyBody, "harmless"} {
 		random := rand.New(rand.NewPCG(s.seed, soakDeadlyStream+uint64(i)))
+		transports := []http.RoundTripper{s.transport}
+		if body == deadlyBody && s.seed%8 < 4 {
+			transports = s.transportsFrom(soakDeadlyAddresses, func(i int) string { return s.host(hostOfCaller, i+1) })
+		}
 		s.callers.Go(func() error {
 			for {
 				select {
@@ -56,7 +62,8 @@
 				}
 				vm := s.anyVM(random)
 				if lifetime, up, _ := vm.state(); up {
-					s.callOnce(vm, lifetime, http.MethodPost, soakFragileRoute+"x", body)
+					transport := transports[random.IntN(len(transports))]
+					s.callThrough(transport, vm, lifetime, http.MethodPost, soakFragileRoute+"x", body)
 				}
 				sleep(time.Duration(random.Float64() * float64(soakMaxDeadlyPause)))
 			}
