Report the rate that a target names in its answers

Nothing read the header. It is decoded with each reply now, comes back from VMs that send for others, and each change of what a target states is logged and counted.

--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaid"
 )
 
@@ -59,6 +60,8 @@
 	VM cassiaid.VMName
 	// Cause is the outcome of the attempt that led to the change; it is empty for EventReached.
 	Cause Outcome
+	// Rate is, for an EventLimited, the rate of requests that the target accepts from all VMs together.
+	Rate cassiabudget.Rate
 	// Unreached is, for EventEjected, the number of the target's ejections since it was last reached, or 0 if another
 	// process was found at its address. It is 0 for other events.
 	Unreached int
@@ -76,6 +79,12 @@
 	// EventAggregatorBackedOff means that an aggregator is not used for a backoff period, since it did not answer or did
 	// not know the target.
 	EventAggregatorBackedOff Event = "pathDoubted"
+	// EventLimited means that the target names the rate of requests that it accepts, or another rate than before,
+	// EventUnlimited that it names none any more.
+	EventLimited   Event = "targetLimited"
+	EventUnlimited Event = "targetUnlimited"
+	// EventMalformedLimit means that what the target names is not a rate; the rate that it named before stays in force.
+	EventMalformedLimit Event = "targetLimitMalformed"
 	// EventZoneSilent means that all targets of a zone were ejected, since several left attempts unanswered and none
 	// answered.
 	EventZoneSilent Event = "zoneSilent"
--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiadirectory"
 	"cassiasaddle/core/cassiaid"
@@ -42,6 +43,8 @@
 	Outcome Outcome
 	// Reply is the target's answer; it is nil unless the target answered.
 	Reply *Reply
+	// Acceptance is what the answer states about the rate of requests that the target accepts.
+	Acceptance cassiabudget.Acceptance
 }
 
 // AttemptsEnded reports the outcomes of attempts that arrived in one frame of an aggregator. Their results were pruned
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -231,6 +231,7 @@
 	s.running = without(s.running, a)
 	g.unneeded = without(g.unneeded, a)
 	g.recordOutcome(now, a, m.Outcome)
+	g.reportAcceptance(a.target, m.Acceptance)
 	if !m.Outcome.reachedTarget() {
 		s.spentAttempts--
 		s.unusedPayment = s.unusedPayment || a.paid
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cassiasaddle/core/cassiabackoff"
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiadirectory"
 	"cassiasaddle/core/cassiafitness"
 )
@@ -58,6 +59,8 @@
 	// wantsProbe is true if a connection should be opened before a request needs it; warmed is true once that was
 	// requested.
 	wantsProbe, warmed bool
+	// reportedAcceptance is the statement of the target about the rate of requests that it accepts that was reported last.
+	reportedAcceptance cassiabudget.Acceptance
 	// replaced is true if a different process was found at the target's address.
 	replaced bool
 }
--- a/io/cassiaaggregate/aggregate_test.go
+++ b/io/cassiaaggregate/aggregate_test.go
@@ -58,16 +58,20 @@
 // answers.
 type fakeTargets map[string][]byte
 
-func (f fakeTargets) Exchange(ctx context.Context, call cassiapool.Call) (cassiagateway.Outcome, *cassiagateway.Reply) {
+// namedRate is the rate that a target of fakeTargets names in its answers.
+const namedRate = 7
+
+func (f fakeTargets) Exchange(ctx context.Context, call cassiapool.Call) cassiapool.Result {
 	part, ok := f[call.Instance]
 	if !ok {
 		<-ctx.Done()
-		return cassiagateway.OutcomeSilent, nil
+		return cassiapool.Result{Outcome: cassiagateway.OutcomeSilent}
 	}
 	if part == nil {
-		return cassiagateway.OutcomeBroken, nil
+		return cassiapool.Result{Outcome: cassiagateway.OutcomeBroken}
 	}
-	return cassiagateway.OutcomeAnswered, &cassiagateway.Reply{Status: 200, Stamp: "stamp-" + call.Instance, Body: part}
+	return cassiapool.Result{Outcome: cassiagateway.OutcomeAnswered, Acceptance: cassiabudget.AcceptanceOf([]float64{namedRate}),
+		Reply: &cassiagateway.Reply{Status: 200, Stamp: "stamp-" + call.Instance, Body: part}}
 }
 
 func (f fakeTargets) Target(name cassiaid.TargetName) (cassiadirectory.Target, bool) {
@@ -129,6 +133,7 @@
 	for range names {
 		m := next(c, ended)
 		c.Assert(m.Outcome, qt.Equals, cassiagateway.OutcomeAnswered)
+		c.Assert(m.Acceptance.Rate, qt.Equals, cassiabudget.Rate(namedRate))
 		got = append(got, m.Reply.Body)
 	}
 	c.Check(cassiarecord.Greatest(got, 20), qt.DeepEquals, cassiarecord.Greatest(parts, 20))
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -24,10 +24,9 @@
 // time that targets take to answer.
 const resultBatchDelay = 6 * time.Millisecond
 
-// Exchanger sends a request to a target and returns the outcome. The reply is nil unless the outcome is OutcomeAnswered
-// or OutcomeFailed. *cassiapool.Pool implements it.
+// Exchanger sends a request to a target and returns the result. *cassiapool.Pool implements it.
 type Exchanger interface {
-	Exchange(ctx context.Context, call cassiapool.Call) (cassiagateway.Outcome, *cassiagateway.Reply)
+	Exchange(ctx context.Context, call cassiapool.Call) cassiapool.Result
 }
 
 // Targets looks up the targets that may be used.
@@ -74,30 +73,30 @@
 		a.addRunning(from, id, cancel)
 		a.group.Go(func() error {
 			defer cancel()
-			outcome, answer := a.exchange(ctx, decodeCall(m, attempt, now), m.GetRoute(), attempt)
+			result := a.exchange(ctx, decodeCall(m, attempt, now), m.GetRoute(), attempt)
 			a.removeRunning(from, id)
-			b.add(servedResult{attempt: attempt, outcome: outcome, answer: answer})
+			b.add(servedResult{attempt: attempt, Result: result})
 			return nil
 		})
 	}
 }
 
 func (a *Aggregator) exchange(ctx context.Context, call cassiapool.Call, route string,
-	attempt *cassiaschema.AggregateAttempt) (cassiagateway.Outcome, *cassiagateway.Reply) {
+	attempt *cassiaschema.AggregateAttempt) cassiapool.Result {
 	target, ok := a.targets.Target(cassiaid.TargetName(call.Instance))
 	if !ok {
-		return cassiagateway.OutcomeTargetUnknown, nil
+		return cassiapool.Result{Outcome: cassiagateway.OutcomeTargetUnknown}
 	}
 	running, refusal := a.admit(target, route, attempt)
 	if running == nil {
-		return refusal, nil
+		return cassiapool.Result{Outcome: refusal}
 	}
 	call.Address = target.Address
-	outcome, answer := a.exchanger.Exchange(ctx, call)
+	result := a.exchanger.Exchange(ctx, call)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.fitness.End(time.Now(), running, fitnessResult(outcome))
-	return outcome, answer
+	a.fitness.End(time.Now(), running, fitnessResult(result.Outcome))
+	return result
 }
 
 // admit records the start of an attempt. If the target is unfit or the retry budget of the service is used up, it
@@ -191,8 +190,7 @@
 
 type servedResult struct {
 	attempt *cassiaschema.AggregateAttempt
-	outcome cassiagateway.Outcome
-	answer  *cassiagateway.Reply
+	cassiapool.Result
 }
 
 // add records a result. It sends the pending results when this is the last one of the batch, otherwise resultBatchDelay
@@ -227,19 +225,19 @@
 	var pruned []*cassiaschema.AggregateResult
 	var parts [][]byte
 	for _, r := range b.ready {
-		result := &cassiaschema.AggregateResult{Number: r.attempt.GetNumber()}
+		result := &cassiaschema.AggregateResult{Number: r.attempt.GetNumber(), Acceptance: encodeAcceptance(r.Acceptance)}
 		results.Results = append(results.Results, result)
-		if r.outcome != cassiagateway.OutcomeAnswered {
-			result.Failure = string(r.outcome)
+		if r.Outcome != cassiagateway.OutcomeAnswered {
+			result.Failure = string(r.Outcome)
 			continue
 		}
-		result.Stamp = r.answer.Stamp
+		result.Stamp = r.Reply.Stamp
 		if r.attempt.GetWhole() {
-			result.Records = cassiarecord.Greatest([][]byte{r.answer.Body}, b.pruner.Count)
+			result.Records = cassiarecord.Greatest([][]byte{r.Reply.Body}, b.pruner.Count)
 			continue
 		}
 		pruned = append(pruned, result)
-		parts = append(parts, r.answer.Body)
+		parts = append(parts, r.Reply.Body)
 	}
 	for i, records := range b.pruner.Prune(parts...) {
 		pruned[i].Records = records
--- a/io/cassiaaggregate/client.go
+++ b/io/cassiaaggregate/client.go
@@ -167,7 +167,7 @@
 		if batch == nil {
 			continue
 		}
-		ended := cassiagateway.AttemptEnded{Attempt: id, Outcome: cassiagateway.OutcomeAnswered}
+		ended := cassiagateway.AttemptEnded{Attempt: id, Outcome: cassiagateway.OutcomeAnswered, Acceptance: decodeAcceptance(r.GetAcceptance())}
 		if r.GetFailure() != "" {
 			ended.Outcome = cassiagateway.ParseOutcome(r.GetFailure())
 		}
--- a/io/cassiagate/send.go
+++ b/io/cassiagate/send.go
@@ -96,16 +96,17 @@
 // exchange performs an attempt and reports how it ended. The gateway learns of the loss of a target after the other VMs, so
 // that whoever repeats the request finds them informed.
 func (g *Gate) exchange(ctx context.Context, call cassiapool.Call, id cassiaid.AttemptID) {
-	outcome, reply := g.pool.Exchange(ctx, call)
-	g.report.attemptEnded(outcome)
-	share := g.guard.Record(cassiaid.FrontKey{}, id, endingOf(outcome))
-	if share != nil && outcome == cassiagateway.OutcomeLost {
+	result := g.pool.Exchange(ctx, call)
+	g.report.attemptEnded(result.Outcome)
+	share := g.guard.Record(cassiaid.FrontKey{}, id, endingOf(result.Outcome))
+	if share != nil && result.Outcome == cassiagateway.OutcomeLost {
 		share()
 		share = nil
 	}
 	g.mutex.Lock()
 	delete(g.cancels, id)
-	g.perform(g.gateway.Update(cassiagateway.AttemptEnded{Attempt: id, Outcome: outcome, Reply: reply}))
+	g.perform(g.gateway.Update(cassiagateway.AttemptEnded{Attempt: id, Outcome: result.Outcome, Reply: result.Reply,
+		Acceptance: result.Acceptance}))
 	g.mutex.Unlock()
 	if share != nil {
 		share()
--- a/io/cassiapool/call.go
+++ b/io/cassiapool/call.go
@@ -20,6 +20,9 @@
 	ExpectInstance string
 	// NotExecuted names the header that a target sets if it did not run the request.
 	NotExecuted string
+	// AcceptedRate names the header in which a target states how many requests a second it accepts from all VMs together, a
+	// decimal number, while it needs relief.
+	AcceptedRate string
 }
 
 // Call is one request to one target.
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -13,6 +16,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaclock"
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/io/cassialiveness"
@@ -46,56 +50,63 @@
 	idle  map[string][]*connection
 }
 
-// Exchange sends a request and returns its outcome, with a reply if it is OutcomeAnswered or OutcomeFailed. Cancelling ctx
-// closes the connection.
-func (p *Pool) Exchange(ctx context.Context, call Call) (cassiagateway.Outcome, *cassiagateway.Reply) {
-	outcome, reply, stale := p.exchangeOnce(ctx, call, !call.NewConnection)
+// Result is how an exchange with a target ended.
+type Result struct {
+	Outcome cassiagateway.Outcome
+	// Reply is set for OutcomeAnswered and OutcomeFailed.
+	Reply      *cassiagateway.Reply
+	Acceptance cassiabudget.Acceptance
+}
+
+// Exchange sends a request and returns its result. Cancelling ctx closes the connection.
+func (p *Pool) Exchange(ctx context.Context, call Call) Result {
+	result, stale := p.exchangeOnce(ctx, call, !call.NewConnection)
 	if stale {
 		// The target closed the idle connection before any byte was sent; a new one shows whether it is reachable.
-		outcome, reply, _ = p.exchangeOnce(ctx, call, false)
+		result, _ = p.exchangeOnce(ctx, call, false)
 	}
-	return outcome, reply
+	return result
 }
 
 // exchangeOnce sends a request on one connection, which may be an idle one if reuse is true; stale is true if it was an
 // idle one and no byte was sent.
-func (p *Pool) exchangeOnce(ctx context.Context, call Call, reuse bool) (outcome cassiagateway.Outcome, reply *cassiagateway.Reply, stale bool) {
+func (p *Pool) exchangeOnce(ctx context.Context, call Call, reuse bool) (result Result, stale bool) {
 	c, reused, err := p.connect(ctx, call, reuse)
 	if err != nil {
 		if ctx.Err() != nil {
-			return cassiagateway.OutcomeAbandoned, nil, false
+			return Result{Outcome: cassiagateway.OutcomeAbandoned}, false
 		}
-		return cassiagateway.OutcomeUnsent, nil, false
+		return Result{Outcome: cassiagateway.OutcomeUnsent}, false
 	}
 	if call.BeforeSend != nil && !call.BeforeSend() {
 		p.putIdle(call.Address, c)
-		return cassiagateway.OutcomeAbandoned, nil, false
+		return Result{Outcome: cassiagateway.OutcomeAbandoned}, false
 	}
 	stopAfterFunc := context.AfterFunc(ctx, func() {
 		c.Close() //nolint:errcheck // the exchange was cancelled
 	})
-	outcome, reply, reusable := p.exchange(call, c)
-	if outcome == cassiagateway.OutcomeLost && !p.hasEnded(call) {
-		outcome = cassiagateway.OutcomeBroken
+	result, reusable := p.exchange(call, c)
+	if result.Outcome == cassiagateway.OutcomeLost && !p.hasEnded(call) {
+		result.Outcome = cassiagateway.OutcomeBroken
 	}
 	// ctx was cancelled and its function closed the connection, so an incomplete reply is not the target's fault.
 	if !stopAfterFunc() {
 		reusable = false
-		if outcome == cassiagateway.OutcomeBroken || outcome == cassiagateway.OutcomeLost {
-			outcome = cassiagateway.OutcomeSilent
+		if result.Outcome == cassiagateway.OutcomeBroken || result.Outcome == cassiagateway.OutcomeLost {
+			result.Outcome = cassiagateway.OutcomeSilent
 		}
 	}
 	if reusable && !call.NewConnection {
 		p.putIdle(call.Address, c)
-		return outcome, reply, false
+		return result, false
 	}
 	c.Close() //nolint:errcheck // it is not used any more
-	if outcome == cassiagateway.OutcomeUnsent {
+	if result.Outcome == cassiagateway.OutcomeUnsent {
 		// No byte of the request was sent: the target closed the connection after accepting it, as it does over its
 		// connection limit, or ctx was cancelled, or the request could not be encoded.
-		return cassiagateway.OutcomeRejected, nil, reused
+		return Result{Outcome: cassiagateway.OutcomeRejected}, reused
 	}
-	return outcome, reply, false
+	return result, false
 }
 
 // Probe opens a connection to a target and reports whether that succeeded within connectTimeout. It keeps the
@@ -197,10 +208,10 @@
 }
 
 // exchange writes the request and reads its reply; the last result reports whether the connection can be reused.
-func (p *Pool) exchange(call Call, c *connection) (cassiagateway.Outcome, *cassiagateway.Reply, bool) {
+func (p *Pool) exchange(call Call, c *connection) (Result, bool) {
 	request, err := call.encode(p.Headers, p.now())
 	if err != nil {
-		return cassiagateway.OutcomeUnsent, nil, false
+		return Result{Outcome: cassiagateway.OutcomeUnsent}, false
 	}
 	c.SetDeadline(call.Deadline.Add(replyGrace)) //nolint:errcheck // a closed connection fails at the write
 	var writer errgroup.Group
@@ -208,7 +219,7 @@
 	if len(request) <= maxInlineRequestBytes {
 		n, err := c.Write(request)
 		if err != nil && n == 0 {
-			return cassiagateway.OutcomeUnsent, nil, false
+			return Result{Outcome: cassiagateway.OutcomeUnsent}, false
 		}
 		close(written)
 	} else {
@@ -219,7 +230,7 @@
 			return err
 		})
 	}
-	outcome, reply, reusable := p.read(call, c)
+	result, reusable := p.read(call, c)
 	select {
 	case <-written:
 	default:
@@ -229,32 +240,32 @@
 	if writer.Wait() != nil {
 		reusable = false
 	}
-	return outcome, reply, reusable
+	return result, reusable
 }
 
-// read returns the reply to the request. It skips late replies to earlier requests, which echo another request ID.
-func (p *Pool) read(call Call, c *connection) (cassiagateway.Outcome, *cassiagateway.Reply, bool) {
+// read reads the reply to the request. It skips late replies to earlier requests, which echo another request ID.
+func (p *Pool) read(call Call, c *connection) (Result, bool) {
 	for range maxMismatchedReplies + 1 {
 		response, err := p.readHead(call, c)
 		if err != nil {
-			return classifyReadError(err), nil, false
+			return Result{Outcome: classifyReadError(err)}, false
 		}
 		if response.ContentLength > maxReplyBytes {
-			return cassiagateway.OutcomeBroken, nil, false
+			return Result{Outcome: cassiagateway.OutcomeBroken}, false
 		}
 		c.bounded.left = maxBodyWireBytes
 		body, err := p.readBody(response.Body)
 		if err != nil {
-			return classifyReadError(err), nil, false
+			return Result{Outcome: classifyReadError(err)}, false
 		}
 		echoed := response.Header.Get(p.Headers.RequestID)
 		if echoed != "" && echoed != call.RequestID {
 			continue
 		}
 		outcome, reply := p.classifyReply(response, echoed != "", body)
-		return outcome, reply, c.updateExpiry(response, p.now())
+		return Result{Outcome: outcome, Reply: reply, Acceptance: p.acceptanceOf(outcome, response)}, c.updateExpiry(response, p.now())
 	}
-	return cassiagateway.OutcomeBroken, nil, false
+	return Result{Outcome: cassiagateway.OutcomeBroken}, false
 }
 
 // readHead reads the status line and headers of the next reply that is not informational (1xx).
@@ -298,3 +309,23 @@
 		return cassiagateway.OutcomeFailed, reply
 	}
 }
+
+// acceptanceOf returns what a reply states about the rate of requests that the target accepts. A reply to a request that was not
+// run need not name a rate while the target has one.
+func (p *Pool) acceptanceOf(outcome cassiagateway.Outcome, response *http.Response) cassiabudget.Acceptance {
+	var rates []float64
+	for _, value := range response.Header.Values(p.Headers.AcceptedRate) {
+		for part := range strings.SplitSeq(value, ",") {
+			rate, err := strconv.ParseFloat(strings.TrimSpace(part), 64)
+			if err != nil && !errors.Is(err, strconv.ErrRange) {
+				rate = math.NaN()
+			}
+			rates = append(rates, rate)
+		}
+	}
+	ran := outcome == cassiagateway.OutcomeAnswered || outcome == cassiagateway.OutcomeFailed
+	if outcome == cassiagateway.OutcomeWrongTarget || len(rates) == 0 && !ran {
+		return cassiabudget.Acceptance{}
+	}
+	return cassiabudget.AcceptanceOf(rates)
+}
--- a/io/cassiapool/pool_test.go
+++ b/io/cassiapool/pool_test.go
@@ -15,11 +15,12 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiagateway"
 )
 
 var testHeaders = Headers{RequestID: "X-Id", Deadline: "X-Deadline", Stamp: "X-Stamp", ExpectInstance: "X-Expect",
-	NotExecuted: "X-Not-Executed"}
+	NotExecuted: "X-Not-Executed", AcceptedRate: "X-Rate"}
 
 // script replies to the requests of one connection, in order; it may close the connection.
 type script func(connection net.Conn, reader *bufio.Reader)
@@ -105,7 +106,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			pool := &Pool{Headers: testHeaders}
-			outcome, reply := pool.Exchange(context.Background(), call(listen(t, answerEach(test.text)), "1"))
+			result := pool.Exchange(context.Background(), call(listen(t, answerEach(test.text)), "1"))
+			outcome, reply := result.Outcome, result.Reply
 			c.Assert(outcome, qt.Equals, test.want)
 			if outcome == cassiagateway.OutcomeAnswered {
 				c.Check(string(reply.Body), qt.Equals, "ok")
@@ -114,6 +116,41 @@
 	}
 }
 
+// TestRateThatATargetNamesIsRead guards against a limit that goes unnoticed, or that is taken for lifted without the target's word.
+func TestRateThatATargetNamesIsRead(t *testing.T) {
+	const (
+		answered = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: 2\r\n{}\r\nok"
+		failed   = "HTTP/1.1 500 Oops\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: 0\r\n{}\r\n"
+		rejected = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n{}\r\n"
+		wrong    = "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n{}\r\n"
+	)
+	limited := func(r cassiabudget.Rate) cassiabudget.Acceptance {
+		return cassiabudget.Acceptance{State: cassiabudget.AcceptanceLimited, Rate: r}
+	}
+	malformed := cassiabudget.Acceptance{State: cassiabudget.AcceptanceMalformed}
+	for _, test := range []struct {
+		name, text, header string
+		want               cassiabudget.Acceptance
+	}{
+		{"answer", answered, "X-Rate: 12.5\r\n", limited(12.5)},
+		{"answer without one", answered, "", cassiabudget.Acceptance{State: cassiabudget.AcceptanceUnlimited}},
+		{"failure", failed, "X-Rate: 1\r\n", limited(1)},
+		{"rejection", rejected, "X-Rate: 0\r\n", limited(0)},
+		{"rejection without one", rejected, "", cassiabudget.Acceptance{}},
+		{"another target's answer", wrong, "X-Rate: 1\r\n", cassiabudget.Acceptance{}},
+		{"several", answered, "X-Rate: 7, 3\r\nX-Rate: 5\r\n", limited(3)},
+		{"negative", answered, "X-Rate: -2\r\n", malformed},
+		{"no number", answered, "X-Rate: few\r\n", malformed},
+		{"empty", answered, "X-Rate:\r\n", malformed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pool := &Pool{Headers: testHeaders}
+			address := listen(t, answerEach(strings.ReplaceAll(test.text, "{}", test.header)))
+			qt.Check(t, pool.Exchange(context.Background(), call(address, "1")).Acceptance, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestBytesAfterAnAnswerEndTheConnection: a second reply that arrives late must not be taken for the reply to the next
 // request on the connection.
 func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
@@ -130,10 +167,11 @@
 		reader.ReadByte() //nolint:errcheck // it waits until the client closes
 	}, answerEach(completeReply))
 	pool := &Pool{Headers: testHeaders}
-	outcome, _ := pool.Exchange(context.Background(), call(address, "1"))
+	outcome := pool.Exchange(context.Background(), call(address, "1")).Outcome
 	c.Assert(outcome, qt.Equals, cassiagateway.OutcomeAnswered)
 	<-second
-	outcome, reply := pool.Exchange(context.Background(), call(address, "2"))
+	result := pool.Exchange(context.Background(), call(address, "2"))
+	outcome, reply := result.Outcome, result.Reply
 	c.Assert(outcome, qt.Equals, cassiagateway.OutcomeAnswered)
 	c.Check(reply.Stamp, qt.Equals, "s")
 }
@@ -152,10 +190,10 @@
 		close(closed)
 	}, answerEach(completeReply))
 	pool := &Pool{Headers: testHeaders}
-	outcome, _ := pool.Exchange(context.Background(), call(address, "1"))
+	outcome := pool.Exchange(context.Background(), call(address, "1")).Outcome
 	c.Assert(outcome, qt.Equals, cassiagateway.OutcomeAnswered)
 	<-closed
-	outcome, _ = pool.Exchange(context.Background(), call(address, "2"))
+	outcome = pool.Exchange(context.Background(), call(address, "2")).Outcome
 	c.Check(outcome, qt.Equals, cassiagateway.OutcomeAnswered)
 }
 
@@ -166,7 +204,7 @@
 	address := listener.Addr().String()
 	c.Assert(listener.Close(), qt.IsNil)
 	pool := &Pool{Headers: testHeaders}
-	outcome, _ := pool.Exchange(context.Background(), call(address, "1"))
+	outcome := pool.Exchange(context.Background(), call(address, "1")).Outcome
 	c.Check(outcome, qt.Equals, cassiagateway.OutcomeUnsent)
 	c.Check(pool.Probe(address, "i"), qt.IsFalse)
 }
@@ -177,7 +215,7 @@
 	pool := &Pool{Headers: testHeaders}
 	abandoned := call(listen(t, answerEach(completeReply)), "1")
 	abandoned.BeforeSend = func() bool { return false }
-	outcome, _ := pool.Exchange(context.Background(), abandoned)
+	outcome := pool.Exchange(context.Background(), abandoned).Outcome
 	c.Check(outcome, qt.Equals, cassiagateway.OutcomeAbandoned)
 }
 
@@ -190,7 +228,7 @@
 	for _, id := range []string{"1", "2", "3"} {
 		single := call(address, id)
 		single.NewConnection = true
-		outcome, _ := pool.Exchange(context.Background(), single)
+		outcome := pool.Exchange(context.Background(), single).Outcome
 		c.Assert(outcome, qt.Equals, cassiagateway.OutcomeAnswered)
 	}
 	c.Check(pool.idle[address], qt.HasLen, 0)
@@ -203,7 +241,7 @@
 		http.ReadRequest(reader) //nolint:errcheck // the connection is closed in either case
 	}
 	pool := &Pool{Headers: testHeaders}
-	outcome, _ := pool.Exchange(context.Background(), call(listen(t, dropped, answerEach(completeReply)), "1"))
+	outcome := pool.Exchange(context.Background(), call(listen(t, dropped, answerEach(completeReply)), "1")).Outcome
 	c.Check(outcome, qt.Equals, cassiagateway.OutcomeBroken)
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -218,7 +256,7 @@
 		listener.Close() //nolint:errcheck // simulates the end of the process
 		return connection.Close()
 	})
-	outcome, _ = pool.Exchange(context.Background(), call(listener.Addr().String(), "2"))
+	outcome = pool.Exchange(context.Background(), call(listener.Addr().String(), "2")).Outcome
 	c.Check(outcome, qt.Equals, cassiagateway.OutcomeLost)
 	c.Check(group.Wait(), qt.IsNil)
 }
@@ -271,7 +309,8 @@
 			var taken atomic.Int64
 			pool := &Pool{Headers: testHeaders}
 			endless := call(listen(t, sendForever(test.head, test.rest, test.pause, &taken)), "1")
-			outcome, reply := pool.Exchange(context.Background(), endless)
+			result := pool.Exchange(context.Background(), endless)
+			outcome, reply := result.Outcome, result.Reply
 			c.Check(outcome == cassiagateway.OutcomeBroken || outcome == cassiagateway.OutcomeSilent, qt.IsTrue, qt.Commentf("%s", outcome))
 			c.Check(reply, qt.IsNil)
 			const tolerance = 300 * time.Millisecond
