Divide the rate that a target names among the VMs

Cause: nothing acted on the header. Evidence: all VMs log the limit with their first answer after it was named, and what the target gets does not change.

Change: each VM uses the part of its place among the VMs that it counts, for every attempt that reaches the target; where the VMs are many for the rate, only some have a part, and the others a turn now and then, so that they hear of the end. Limits start without tokens, end gradually, and are not ended by answers that say nothing. Until a target has answered for the first time, a VM sends it one request at a time. A service without room is passed over, left out of a fan-out, or the query is refused on arrival with the time at which it can be sent. Why the sum holds while VMs do not talk: the parts of all that may be running add up to the rate, what they save up to a second of it or a request each, and those that the others may not count use less.

--- a/core/cassiabudget/membercounter.go
+++ b/core/cassiabudget/membercounter.go
@@ -45,13 +45,19 @@
 
 // Count returns the number of members that are listed or that disappeared from the list less than Hold ago.
 func (c *MemberCounter[K]) Count(now time.Time) int {
-	n := len(c.listed)
 	for member, until := range c.countedUntil {
-		if now.Before(until) {
-			n++
-		} else {
+		if !now.Before(until) {
 			delete(c.countedUntil, member)
 		}
 	}
-	return n
+	return len(c.listed) + len(c.countedUntil)
+}
+
+// Counted returns the members that Count counts.
+func (c *MemberCounter[K]) Counted(now time.Time) []K {
+	counted := slices.Grow(slices.Clone(c.listed), c.Count(now)-len(c.listed))
+	for member := range c.countedUntil {
+		counted = append(counted, member)
+	}
+	return counted
 }
--- a/core/cassiabudget/share.go
+++ b/core/cassiabudget/share.go
@@ -18,6 +18,8 @@
 	// unseenMemberFactor is the factor by which a new member multiplies the members that it counts, for those that it may not
 	// have seen.
 	unseenMemberFactor = 2
+	// unseenMembers is the number of members that may have joined since the last confirmation, if that is long ago.
+	unseenMembers = 2
 )
 
 // Share computes the fraction of an allowance that one of several members may use. The members do not coordinate: each knows the
@@ -55,6 +57,9 @@
 // Members returns the number of members that may be running, as counted by MemberCounter; 0 before the first call of List.
 func (s *Share[K]) Members(now time.Time) int { return s.members.Count(now) }
 
+// Counted returns the members that Members counts, in any order.
+func (s *Share[K]) Counted(now time.Time) []K { return s.members.Counted(now) }
+
 // Fraction returns the fraction of the allowance that Self may use, from 0 to 1. It is 0 when the last confirmation is older than
 // confirmationWindows, because the other members may no longer count Self.
 func (s *Share[K]) Fraction(now time.Time) float64 {
@@ -68,6 +73,19 @@
 	return 1 / members
 }
 
+// Place returns the place of Self, which has the given rank among the members that are counted. Self is uncounted while it is new,
+// and once it has not been known to be listed for as long as members count one that has left the list. It assumes more members
+// while its list may be out of date.
+func (s *Share[K]) Place(now time.Time, rank int) Place {
+	p := Place{Members: max(1, s.Members(now)), Rank: rank}
+	unconfirmed := now.Sub(s.confirmedAt)
+	if unconfirmed > s.windows(confirmationWindows) {
+		p.Members += unseenMembers
+	}
+	p.Uncounted = s.confirmedAt.IsZero() || unconfirmed > s.windows(holdWindows) || now.Sub(s.listedSince) < s.windows(settleWindows)
+	return p
+}
+
 // NextChange returns the next time at which Fraction may change without a call of List or Confirm, or the zero time if
 // there is none.
 func (s *Share[K]) NextChange(now time.Time) time.Time {
--- a/core/cassiagateway/admit.go
+++ b/core/cassiagateway/admit.go
@@ -5,7 +5,8 @@
 // admit decides on arrival whether a query can be served; if not, it returns the reason. Shards without a reachable
 // target are given up. So are shards whose targets are so busy that they would answer after the query's closeAt, as
 // long as the required coverage remains; if too many are that busy, the query is refused before it puts load on any
-// target. A query of a route without fan-out is refused only if no target is reachable.
+// target. A query of a route without fan-out is refused only if no target is reachable, or if it would wait too long for the rates
+// that its targets accept.
 //
 // This limits the load when requests exceed the capacity of some shards. Without it every request would wait for the
 // fullest shards, and all answers would be late.
@@ -15,11 +16,19 @@
 	for _, s := range q.shards {
 		in := g.placementInput(now, s)
 		in.ahead = s.service.waiting.ahead(q.route.Priority)
-		best, wait, _ := s.service.earliest(in)
+		best := s.service.earliest(in)
 		switch {
-		case best == nil:
+		case best.target == nil:
 			g.giveUp(s)
-		case in.ahead > 0 && now.Add(time.Duration(correction*float64(wait))).After(q.closeAt):
+		case !q.route.FansOut():
+			if best.sendIn > 0 && !g.mayWait(now, s, best) {
+				q.limited = true
+				return RefusalLimited, false
+			}
+		case best.sendIn > 0 && now.Add(best.wait).After(q.closeAt):
+			q.limited = true
+			late = append(late, s)
+		case in.ahead > 0 && now.Add(time.Duration(correction*float64(best.wait))).After(q.closeAt):
 			late = append(late, s)
 		}
 	}
@@ -32,6 +41,9 @@
 	spare := len(q.shards) - q.givenUp - q.required()
 	if len(late) > spare {
 		q.overloaded = true
+		if q.limited {
+			return RefusalLimited, false
+		}
 		return RefusalOverloaded, false
 	}
 	for _, s := range late {
--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -178,6 +178,8 @@
 	RefusalUnreachable RefusalReason = "unreachable"
 	// RefusalOverloaded means that the targets are busy for longer than the query can wait.
 	RefusalOverloaded RefusalReason = "overloaded"
+	// RefusalLimited means that the targets accept too few requests per second to answer the query in time.
+	RefusalLimited RefusalReason = "limited"
 	// RefusalFailed means that too many shards failed on the targets that were tried.
 	RefusalFailed RefusalReason = "failed"
 	// RefusalQuarantined means that the request crashes the targets that run it.
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -67,6 +67,8 @@
 	// fanOutServices holds the services that are shards of any route.
 	fanOutServices map[cassiacatalog.ServiceName]bool
 	fleetKnown     bool
+	// fleetNumber is the number of lists of VMs so far.
+	fleetNumber int
 	// lastArrival is when the last request arrived, arrivalInterval the moving average of the time between requests.
 	lastArrival     time.Time
 	arrivalInterval time.Duration
@@ -165,6 +167,7 @@
 	g.share.List(now, names)
 	g.aggregators.setVMs(vms)
 	g.fleetKnown = len(vms) > 0
+	g.fleetNumber++
 }
 
 // updateSlackShare follows changes of this VM's share of the retry budget's slack. The time before the change still
@@ -291,6 +294,7 @@
 		sooner(l.silentAt())
 	}
 	sooner(g.nextProbeAt())
+	sooner(g.nextLimitedAt(now))
 	sooner(g.share.NextChange(now))
 	if at.IsZero() || at.Equal(g.wakeAt) {
 		return
@@ -309,6 +313,7 @@
 		return true
 	})
 	g.failSilentLinks(now)
+	g.serveLimited(now)
 	for _, q := range slices.Clone(g.active) {
 		g.sendHedges(now, q)
 		g.dropLate(now, q)
--- a/core/cassiagateway/hedge.go
+++ b/core/cassiagateway/hedge.go
@@ -43,7 +43,8 @@
 		s.hedgeAt = time.Time{}
 		in := g.placementInput(now, s)
 		t, found := s.service.pickTarget(in)
-		if found != placed || slices.Contains(s.tried, t) {
+		if found != placed || slices.Contains(s.tried, t) || t.limit.Limited(now) {
+			// What a limited target accepts is left to first attempts.
 			continue
 		}
 		if !g.payForExtra(now, s, t) {
--- a/core/cassiagateway/query.go
+++ b/core/cassiagateway/query.go
@@ -28,6 +28,8 @@
 	// mayHaveRun is true once a target may have run the request.
 	mayHaveRun bool
 	overloaded bool
+	// limited is true once a shard was given up because of the rate that its targets accept.
+	limited bool
 	// quarantined is true once an attempt was not sent because the request crashes targets.
 	quarantined bool
 	finished    bool
@@ -91,6 +93,8 @@
 	aggregatorPays, paid bool
 	// begun is true once bytes of the request may have been sent.
 	begun bool
+	// limited is true if the attempt was charged to the rate that its target accepts.
+	limited bool
 }
 
 // required returns how many shards the answer needs.
--- a/core/cassiagateway/queue.go
+++ b/core/cassiagateway/queue.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// mayWait reports whether a new shard that has to wait for the rate that its targets accept may do so: it will be answered in time,
+// or nothing else waits and it can still be answered.
+func (g *Gateway) mayWait(now time.Time, s *shard, best candidate) bool {
+	answeredAt := now.Add(best.wait)
+	return !answeredAt.After(s.query.closeAt) || s.service.waiting.head() == nil && !answeredAt.After(s.query.giveUpAt)
+}
+
 // dropLate gives up waiting shards that would answer after closeAt, as long as the required coverage remains. A shard
 // that the coverage requires stays in the queue, behind all that can still answer in time.
 func (g *Gateway) dropLate(now time.Time, q *query) {
@@ -102,10 +109,13 @@
 			continue
 		}
 		q.overloaded = true
-		if len(q.shards)-q.givenUp > q.required() {
+		switch {
+		case len(q.shards)-q.givenUp > q.required():
 			q.trace.Dropped++
 			g.giveUp(s)
-		} else {
+		case s.service.hasLimitedTarget(now):
+			// It was let in because it can be sent, and keeps its place.
+		default:
 			s.service.waiting.postpone(s)
 		}
 	}
--- a/core/cassiagateway/refuse.go
+++ b/core/cassiagateway/refuse.go
@@ -35,7 +35,13 @@
 	if reason == RefusalFailed && q.overloaded {
 		reason = RefusalOverloaded
 	}
+	if q.limited && (reason == RefusalOverloaded || reason == RefusalFailed) {
+		reason = RefusalLimited
+	}
 	answer.Refusal = &Refusal{Reason: reason, NotRun: !q.mayHaveRun && !begun, RetryAfter: g.retryAfter(now, q)}
+	if reason == RefusalLimited {
+		answer.Refusal.RetryAfter = g.limitedRetryAfter(now, q)
+	}
 	g.emit(Finish{Query: q.id, Answer: answer})
 }
 
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -43,6 +43,8 @@
 	g.routeState(q.route.Name, now).countRequest(now, q.route)
 	for _, s := range q.shards {
 		s.service.retryBudget.Earn(now, g.allowance(now, s.service), 1)
+		// Shards that wait already come first.
+		g.serveWaiting(now, s.service)
 	}
 	if reason, ok := g.admit(now, q); !ok {
 		g.refuse(now, q, reason)
@@ -143,7 +145,8 @@
 
 // placementInput returns the input for choosing a target for a shard.
 func (g *Gateway) placementInput(now time.Time, s *shard) placementInput {
-	return placementInput{now: now, typical: g.typicalLatency(now, s.query.route), decayInterval: g.decayInterval(), vms: g.vmCount(now), zone: s.query.zone, tried: s.tried}
+	return placementInput{now: now, typical: g.typicalLatency(now, s.query.route), decayInterval: g.decayInterval(), vms: g.vmCount(now), zone: s.query.zone, tried: s.tried,
+		limitWait: func(t *target, ahead int) time.Duration { return g.limitWait(now, t, ahead) }}
 }
 
 // sendTo starts an attempt of a shard on a target.
@@ -151,6 +154,9 @@
 	q := s.query
 	g.nextID++
 	a := &attempt{id: g.nextID, shard: s, target: t, sentAt: now, typical: typical, aggregator: g.aggregatorFor(now, q.route, t)}
+	if a.limited = t.limit.Limited(now); a.limited {
+		t.limit.Take(now, g.place(now, t))
+	}
 	a.pruned, a.begun = a.aggregator != "" && len(s.tried) == s.declined, a.aggregator != ""
 	extra := s.spentAttempts > 0
 	a.aggregatorPays = extra && g.paidByAggregator(now, s, a.aggregator)
@@ -230,9 +236,12 @@
 	a.target.running = without(a.target.running, a)
 	s.running = without(s.running, a)
 	g.unneeded = without(g.unneeded, a)
+	g.observeAcceptance(now, a.target, m.Acceptance)
 	g.recordOutcome(now, a, m.Outcome)
-	g.reportAcceptance(a.target, m.Acceptance)
 	if !m.Outcome.reachedTarget() {
+		if a.limited {
+			a.target.limit.Return()
+		}
 		s.spentAttempts--
 		s.unusedPayment = s.unusedPayment || a.paid
 	}
@@ -277,6 +286,11 @@
 	if a.aggregator != "" {
 		g.aggregators.resetFailures(a.aggregator)
 	}
+	a.target.heard = a.target.heard || outcome == OutcomeAnswered || outcome == OutcomeFailed || outcome == OutcomeRejected
+	if outcome == OutcomeRejected && a.target.limit.Limited(now) {
+		// It is healthy, and has more requests than it accepts.
+		return
+	}
 	if outcome != OutcomeAnswered {
 		wasEjected := a.target.ejected()
 		a.target.failed(now, outcome, g.decayInterval())
@@ -289,7 +303,9 @@
 		return
 	}
 	a.target.succeeded(now, float64(elapsed)/float64(max(a.typical, time.Millisecond)), g.decayInterval())
-	g.routeState(a.shard.query.route.Name, now).latency.Observe(elapsed)
+	if !a.target.limit.Limited(now) {
+		g.routeState(a.shard.query.route.Name, now).latency.Observe(elapsed)
+	}
 }
 
 // replaceReply makes the pruned result of an aggregator the answer of its shard, in place of another target's result,
@@ -354,6 +370,7 @@
 		g.giveUp(s)
 	case found == busy:
 		g.enqueue(now, s)
+		g.dropLimited(now, s.service)
 	default:
 		if free {
 			g.countExtraRequest(s.query, ExtraUnpaid)
--- a/core/cassiagateway/service.go
+++ b/core/cassiagateway/service.go
@@ -26,12 +26,17 @@
 	targets        []*target
 	retryBudget    cassiabudget.Metered
 	waiting        waitQueue
+	// nextReturn is when the next caller may come back that was refused because of the rate that the targets accept.
+	nextReturn time.Time
 }
 
 // concurrency returns how many attempts of this VM may run on a target. All VMs together keep the target's slots busy
 // with a short queue in front of them; further attempts wait in the VMs, where they can still be dropped or sent to
-// another target.
+// another target. Until the target has answered for the first time, this VM can't know whether it names a limit, and runs one attempt.
 func (s *service) concurrency(t *target, vms int) int {
+	if !t.heard {
+		return 1
+	}
 	vms = max(1, vms)
 	wanted := int(math.Ceil(attemptsPerSlot * float64(max(1, t.Slots)) / float64(vms)))
 	if s.maxConnections > 0 {
@@ -70,28 +75,39 @@
 	// zone is the preferred zone, or empty.
 	zone  cassiaid.Zone
 	tried []*target
+	// limitWait returns how long a request has to wait for a target that names the rate of requests that it accepts, if a number
+	// of others are sent to it before.
+	limitWait func(t *target, ahead int) time.Duration
+}
+
+// candidate is the target that is expected to answer first.
+type candidate struct {
+	// target is nil if all targets are ejected.
+	target *target
+	// wait is the expected time until its answer, and sendIn that until it can get the request because of the rate that it accepts.
+	wait, sendIn time.Duration
+	// free is true if it has room now.
+	free bool
 }
 
 // pickTarget returns the target that is expected to answer first. If that one has no room, it returns busy rather than a
 // slower target. Targets that were already tried for the shard come last.
 func (s *service) pickTarget(in placementInput) (*target, placement) {
-	best, _, free := s.earliest(in)
+	best := s.earliest(in)
 	switch {
-	case best == nil:
+	case best.target == nil:
 		return nil, unreachable
-	case !free:
+	case !best.free:
 		return nil, busy
 	default:
-		return best, placed
+		return best.target, placed
 	}
 }
 
-// earliest returns the target that is expected to answer first, the expected time until its answer, and whether it has
-// room now. The target is nil if all are ejected.
-func (s *service) earliest(in placementInput) (*target, time.Duration, bool) {
-	var best *target
-	var bestScore, bestWait time.Duration
-	bestFree := false
+// earliest returns the target that is expected to answer first.
+func (s *service) earliest(in placementInput) candidate {
+	var best candidate
+	var bestScore time.Duration
 	for _, t := range s.targets {
 		if t.ejected() {
 			continue
@@ -103,6 +119,12 @@
 		if !free {
 			wait += t.remaining(in.now, duration) + time.Duration(float64(in.ahead)*float64(duration)/float64(room))
 		}
+		// The requests ahead are spread over the targets.
+		sendIn := in.limitWait(t, in.ahead/len(s.targets))
+		if sendIn > 0 {
+			free = false
+			wait = max(wait, sendIn+duration)
+		}
 		score := wait
 		if in.zone != "" && t.Zone != in.zone {
 			score = time.Duration(otherZoneFactor * float64(score))
@@ -113,11 +135,11 @@
 		if slices.Contains(in.tried, t) {
 			score += triedPenalty
 		}
-		if best == nil || score < bestScore {
-			best, bestScore, bestWait, bestFree = t, score, wait, free
+		if best.target == nil || score < bestScore {
+			best, bestScore = candidate{target: t, wait: wait, sendIn: sendIn, free: free}, score
 		}
 	}
-	return best, bestWait, bestFree
+	return best
 }
 
 // allTargetsEjected reports whether the service has targets and all are ejected. It is false for a service without
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -59,6 +59,11 @@
 	// wantsProbe is true if a connection should be opened before a request needs it; warmed is true once that was
 	// requested.
 	wantsProbe, warmed bool
+	// heard is true once the target has answered this VM.
+	heard bool
+	// limit is this VM's part of the rate of requests that the target accepts; rank is this VM's rank in the fleet of that number.
+	limit cassiabudget.RateLimit
+	rank  rank
 	// reportedAcceptance is the statement of the target about the rate of requests that it accepts that was reported last.
 	reportedAcceptance cassiabudget.Acceptance
 	// replaced is true if a different process was found at the target's address.
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -95,7 +95,7 @@
 	result := a.exchanger.Exchange(ctx, call)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.fitness.End(time.Now(), running, fitnessResult(result.Outcome))
+	a.fitness.End(time.Now(), running, fitnessResult(result))
 	return result
 }
 
@@ -126,9 +126,13 @@
 	return running, ""
 }
 
-// fitnessResult returns what an outcome means for the fitness of the target.
-func fitnessResult(o cassiagateway.Outcome) cassiafitness.Result {
-	switch o {
+// fitnessResult returns what a result means for the fitness of the target. A target that names the rate that it accepts may reject
+// requests although it is fit.
+func fitnessResult(r cassiapool.Result) cassiafitness.Result {
+	if r.Outcome == cassiagateway.OutcomeRejected && r.Acceptance.State == cassiabudget.AcceptanceLimited {
+		return cassiafitness.Unknown
+	}
+	switch r.Outcome {
 	case cassiagateway.OutcomeAnswered:
 		return cassiafitness.Answered
 	case cassiagateway.OutcomeFailed, cassiagateway.OutcomeRejected, cassiagateway.OutcomeBroken, cassiagateway.OutcomeLost,
--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -146,13 +146,17 @@
 }
 
 func (e *crashEnv) startVM(i int) {
-	ports := frontPorts{ip: e.host(crashHostOfVM, i), callers: "7400", readiness: "7401", peers: "7402"}
-	vm := e.launchAt(e.t, fleetName(i), fleetZone(i), ports, "--announce", e.host(crashHostOfRelay, i)+soakPort)
+	vm := e.launchVM(i)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.vms[i] = vm
 }
 
+func (e *crashEnv) launchVM(i int) *frontVM {
+	ports := frontPorts{ip: e.host(crashHostOfVM, i), callers: "7400", readiness: "7401", peers: "7402"}
+	return e.launchAt(e.t, fleetName(i), fleetZone(i), ports, "--announce", e.host(crashHostOfRelay, i)+soakPort)
+}
+
 func (e *crashEnv) vm(i int) *frontVM {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
