Name limits in the soak and judge them from what targets saw

A service whose targets name random rates from 0 to 12 a second, or none, from a second after the start on.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -84,6 +84,8 @@
 	requestInterval time.Duration
 	vms             []*soakVM
 	fragile         *cassiastage.Supervisor
+	limited         *cassiastage.Supervisor
+	limits          []soakLimit
 	callers         errgroup.Group
 	faults          errgroup.Group
 
@@ -178,6 +180,7 @@
 	}
 	s.addReplicas(relay)
 	s.addFragileService()
+	s.addLimitedService()
 	s.maxConnections = []int{26, 3}[s.random.IntN(2)]
 	s.plannedOnly = seed%3 == 0
 	if s.retryPressure = seed%2 == 1; s.retryPressure {
@@ -270,7 +273,8 @@
 	s.mutex.Unlock()
 	s.shardConnections = s.maxConnections
 	s.configure(routeConfig("/one/", "idempotent", "single"), routeConfig("/book/", "non_idempotent", "single"),
-		routeConfig(versionPath(number), "idempotent", "single"), s.fragileRoute())
+		routeConfig(versionPath(number), "idempotent", "single"), s.fragileRoute(),
+		routeConfig(soakLimitedRoute, "idempotent", soakLimitedService))
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.versions = append(s.versions, soakVersion{number: number, accepted: time.Now()})
@@ -286,6 +290,7 @@
 		s.callers.Go(func() error { s.call(random, stop); return nil })
 	}
 	s.startFragileCallers(stop)
+	s.startLimitedCallers(stop)
 	var injectors errgroup.Group
 	injectors.Go(func() error { s.injectFaults(s.random, soakFaults, soakMaxPause); return nil })
 	if s.retryPressure {
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -125,6 +125,7 @@
 	s.checkDrains()
 	s.checkBudget()
 	s.checkDeadly()
+	s.checkLimits()
 	s.t.Logf("seed %d: %d of %d requests answered, %d disturbances, %s", s.seed, answered, len(s.requests), len(s.disturbances), s.statusCounts())
 	if answered == 0 {
 		s.t.Errorf("no request was answered")
@@ -298,6 +299,8 @@
 			}
 		case strings.HasPrefix(r.path, soakFragileRoute):
 			sent[soakFragileService] = append(sent[soakFragileService], at)
+		case strings.HasPrefix(r.path, soakLimitedRoute):
+			sent[soakLimitedService] = append(sent[soakLimitedService], at)
 		case r.err != nil || r.answer.status != http.StatusNotFound:
 			sent["single"] = append(sent["single"], at)
 		}
@@ -306,8 +309,10 @@
 	for _, r := range s.replicas {
 		arrivals[r.Service] = append(arrivals[r.Service], r.Arrivals()...)
 	}
-	for _, target := range s.fragile.All() {
-		arrivals[soakFragileService] = append(arrivals[soakFragileService], target.Arrivals()...)
+	for _, service := range []*cassiastage.Supervisor{s.fragile, s.limited} {
+		for _, target := range service.All() {
+			arrivals[target.Service] = append(arrivals[target.Service], target.Arrivals()...)
+		}
 	}
 	for service, each := range arrivals {
 		over, at := envBudget.worstExcess(sent[service], each)
