Keep to the rates of targets in cassiasaddle serve, too

What targets saw: a target that named 2 requests a second got 515 more in 4 s than it bears (TestServeKeepsToTheRateOfTargets with what targets state ignored).

Cause: the same as in cassiafront, in the other tier: no owner asked what a target states. Change: owners divide the rate with the same RateLimit, in the limiter that starts attempts, and refuse what would wait longer than 50 ms, so that the planner takes another replica or answers without the shard. Header, message and parser are shared by both tiers.

What it leaves: an owner uses its part only, so about half of a rate stays unused.

--- a/core/cassiabudget/acceptance.go
+++ b/core/cassiabudget/acceptance.go
@@ -1,5 +1,14 @@
 package cassiabudget
 
+import (
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+
+	"cassiasaddle/core/cassiaschema"
+)
+
 // Rate is a number of requests per second.
 type Rate float64
 
@@ -43,3 +52,41 @@
 	}
 	return lowest
 }
+
+// ParseAcceptance returns the acceptance of an answer with the given values of the header that names the rate. A value may hold
+// several rates, separated by commas.
+func ParseAcceptance(values []string) Acceptance {
+	var rates []float64
+	for _, value := range values {
+		for part := range strings.SplitSeq(value, ",") {
+			rate, err := strconv.ParseFloat(strings.TrimSpace(part), 64)
+			if err != nil && !errors.Is(err, strconv.ErrRange) {
+				rate = math.NaN()
+			}
+			rates = append(rates, rate)
+		}
+	}
+	return AcceptanceOf(rates)
+}
+
+// Message returns the message for the acceptance, or nil if it is unknown.
+func (a Acceptance) Message() *cassiaschema.Acceptance {
+	switch a.State {
+	case AcceptanceUnlimited:
+		return &cassiaschema.Acceptance{}
+	case AcceptanceLimited:
+		return &cassiaschema.Acceptance{Rates: []float64{float64(a.Rate)}}
+	case AcceptanceMalformed:
+		// No target can name this rate, so the receiver finds it malformed, too.
+		return &cassiaschema.Acceptance{Rates: []float64{-1}}
+	}
+	return nil
+}
+
+// AcceptanceFrom returns the acceptance that a message holds; nil means unknown.
+func AcceptanceFrom(m *cassiaschema.Acceptance) Acceptance {
+	if m == nil {
+		return Acceptance{}
+	}
+	return AcceptanceOf(m.GetRates())
+}
--- a/core/cassialimit/limiter.go
+++ b/core/cassialimit/limiter.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
+	"cassiasaddle/core/cassiaschema"
 )
 
 const (
@@ -15,6 +17,9 @@
 	// startMargin decides which of the attempts of the same priority starts first: one whose deadline is at least startMargin times
 	// the expected duration away starts before those with less time left.
 	startMargin = 1.5
+	// maxRateWait is how long an attempt waits at most for the rate that the target accepts. Another replica, or an answer without
+	// the shard, serves the caller better than a longer wait.
+	maxRateWait = 50 * time.Millisecond
 )
 
 // Bounds are the upper bounds of a Limiter.
@@ -24,6 +29,8 @@
 	Concurrency int
 	// Queue is the maximum number of attempts that wait; zero means 64.
 	Queue int
+	// Owners is the number of VMs that send to the target; zero means 1.
+	Owners int
 }
 
 // Limiter decides when the attempts of one VM start on one target. It is not safe for concurrent use.
@@ -31,8 +38,10 @@
 	clock    cassiaplan.Clock
 	bounds   Bounds
 	adaptive adaptive
-	queue    queue
-	running  map[cassiaid.AttemptID]runningAttempt
+	// rate is this VM's part of the rate that the target accepts, if it names one.
+	rate    cassiabudget.RateLimit
+	queue   queue
+	running map[cassiaid.AttemptID]runningAttempt
 	// alone is true while an attempt runs that has to run alone.
 	alone    bool
 	draining bool
@@ -74,6 +83,7 @@
 		}
 	case Lost:
 		l.adaptive.reset()
+		l.rate = cassiabudget.RateLimit{}
 		effects = l.refuseAll(ReasonLost)
 	case BoundsChanged:
 		l.setBounds(m.Bounds)
@@ -117,6 +127,9 @@
 	if now.Add(l.estimateWait(now, at) + l.adaptive.estimate.expected(now)).After(o.Deadline) {
 		return []Effect{Refuse{ID: o.ID, Reason: ReasonOverloaded}}
 	}
+	if l.rate.Wait(now, l.place(), len(l.queue.offers)) > maxRateWait {
+		return []Effect{Refuse{ID: o.ID, Reason: ReasonOverloaded}}
+	}
 	l.queue.insert(at, o)
 	if len(l.queue.offers) <= l.bounds.Queue {
 		return nil
@@ -147,9 +160,12 @@
 		expected := l.adaptive.estimate.expected(now)
 		wait = time.Duration(float64(ahead-free+1) * float64(expected) / float64(limit) * waitMargin)
 	}
-	return max(wait, l.adaptive.pausedUntil.Sub(now))
+	return max(wait, l.adaptive.pausedUntil.Sub(now), l.rate.Wait(now, l.place(), ahead))
 }
 
+// place returns this VM's place among the owners, which all have a part of the rate.
+func (l *Limiter) place() cassiabudget.Place { return cassiabudget.Place{Members: l.bounds.Owners} }
+
 func (l *Limiter) done(now time.Time, m Done) {
 	r, ok := l.running[m.ID]
 	if !ok {
@@ -160,6 +176,11 @@
 	if r.alone {
 		l.alone = false
 	}
+	l.rate.Observe(now, l.place(), m.Acceptance)
+	if m.Outcome == cassiaschema.ShardOutcome_overloaded && l.rate.Limited(now) {
+		// The target is healthy, and has more requests than it accepts.
+		return
+	}
 	l.adaptive.done(now, m, busy, r.startedIdle, l.bounds.Concurrency)
 }
 
@@ -201,13 +222,14 @@
 		o := l.queue.take(at)
 		l.running[o.ID] = runningAttempt{alone: o.Alone, startedIdle: len(l.running) == 0}
 		l.alone = l.alone || o.Alone
+		l.rate.Take(now, l.place())
 		effects = append(effects, Start{ID: o.ID})
 	}
 	return l.scheduleWake(now, effects)
 }
 
 func (l *Limiter) canStart(now time.Time, o Offer) bool {
-	if l.alone || now.Before(l.adaptive.pausedUntil) {
+	if l.alone || now.Before(l.adaptive.pausedUntil) || l.rate.Wait(now, l.place(), 0) > 0 {
 		return false
 	}
 	if o.Alone {
@@ -224,6 +246,11 @@
 	if paused := l.adaptive.pausedUntil; len(l.queue.offers) > 0 && now.Before(paused) && paused.Before(at) {
 		at = paused
 	}
+	if len(l.queue.offers) > 0 {
+		if wait := l.rate.Wait(now, l.place(), 0); wait > 0 && now.Add(wait).Before(at) {
+			at = now.Add(wait)
+		}
+	}
 	if at.IsZero() || at.Equal(l.wakeAt) {
 		return effects
 	}
--- a/core/cassialimit/limiter_test.go
+++ b/core/cassialimit/limiter_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 
@@ -226,3 +227,56 @@
 	clock.Advance(900 * time.Millisecond)
 	c.Assert(withoutWakeAt(l.Update(Tick{})), qt.DeepEquals, []Effect{Refuse{ID: 3, Reason: ReasonOverloaded}})
 }
+
+// limited returns the Done of an attempt whose target names a rate.
+func limited(id cassiaid.AttemptID, outcome cassiaschema.ShardOutcome, rate float64) Done {
+	return Done{ID: id, Outcome: outcome, Elapsed: time.Millisecond, Acceptance: cassiabudget.AcceptanceOf([]float64{rate})}
+}
+
+// TestLimiterKeepsToTheRateOfItsTarget guards against attempts that start because there is room, although the target accepts no more,
+// and against attempts that wait for long where others could serve the caller.
+func TestLimiterKeepsToTheRateOfItsTarget(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClockAt(origin)
+	l := NewLimiter(clock, Bounds{Concurrency: 4, Owners: 2})
+	l.Update(offerAt(clock, 1, time.Second))
+	l.Update(limited(1, cassiaschema.ShardOutcome_answered, 10))
+	started, refused := 0, 0
+	for id := range cassiaid.AttemptID(1000) {
+		effects := l.Update(offerAt(clock, 2+id, time.Second))
+		clock.Advance(10 * time.Millisecond)
+		for _, e := range append(effects, l.Update(Tick{})...) {
+			switch e := e.(type) {
+			case Start:
+				started++
+				l.Update(limited(e.ID, cassiaschema.ShardOutcome_answered, 10))
+			case Refuse:
+				c.Assert(e.Reason, qt.Equals, ReasonOverloaded)
+				refused++
+			}
+		}
+		c.Assert(l.Queued() <= 1, qt.IsTrue)
+	}
+	// One of two owners starts 5 a second for 10 s, and what it has saved up in a second.
+	c.Check(started >= 45 && started <= 56, qt.IsTrue, qt.Commentf("%d attempts started, %d were refused", started, refused))
+	c.Check(started+refused >= 999, qt.IsTrue)
+}
+
+// TestRejectionsAtTheRateDoNotLowerTheLimit: a target that names a rate is healthy.
+func TestRejectionsAtTheRateDoNotLowerTheLimit(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClockAt(origin)
+	l := NewLimiter(clock, Bounds{Concurrency: 8})
+	for id := range cassiaid.AttemptID(20) {
+		l.Update(offerAt(clock, id, time.Second))
+		l.Update(offerAt(clock, 1000+id, time.Second))
+		l.Update(limited(id, cassiaschema.ShardOutcome_answered, 1e6))
+		l.Update(limited(1000+id, cassiaschema.ShardOutcome_answered, 1e6))
+		clock.Advance(time.Second)
+	}
+	before := l.Limit()
+	c.Assert(before > 1, qt.IsTrue)
+	l.Update(offerAt(clock, 5000, time.Second))
+	l.Update(limited(5000, cassiaschema.ShardOutcome_overloaded, 1e6))
+	c.Check(l.Limit(), qt.Equals, before)
+}
--- a/core/cassialimit/message.go
+++ b/core/cassialimit/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 )
@@ -24,6 +25,8 @@
 	ID      cassiaid.AttemptID
 	Outcome cassiaschema.ShardOutcome
 	Elapsed time.Duration
+	// Acceptance is what the target's answer states about the rate of requests that the target accepts.
+	Acceptance cassiabudget.Acceptance
 }
 
 // Cancel reports that the result of an attempt is no longer needed.
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -229,7 +229,7 @@
 	var pruned []*cassiaschema.AggregateResult
 	var parts [][]byte
 	for _, r := range b.ready {
-		result := &cassiaschema.AggregateResult{Number: r.attempt.GetNumber(), Acceptance: encodeAcceptance(r.Acceptance)}
+		result := &cassiaschema.AggregateResult{Number: r.attempt.GetNumber(), Acceptance: r.Acceptance.Message()}
 		results.Results = append(results.Results, result)
 		if r.Outcome != cassiagateway.OutcomeAnswered {
 			result.Failure = string(r.Outcome)
--- a/io/cassiaaggregate/batch.go
+++ b/io/cassiaaggregate/batch.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
@@ -68,25 +67,3 @@
 		Host: m.GetHost(), Header: header, RequestID: m.GetRequestId(), Body: m.GetBody(),
 		Deadline: now.Add(m.GetRemaining().AsDuration())}
 }
-
-// encodeAcceptance returns the message for what a target's answer states about the rate that the target accepts, or nil if that is
-// unknown.
-func encodeAcceptance(a cassiabudget.Acceptance) *cassiaschema.Acceptance {
-	switch a.State {
-	case cassiabudget.AcceptanceUnlimited:
-		return &cassiaschema.Acceptance{}
-	case cassiabudget.AcceptanceLimited:
-		return &cassiaschema.Acceptance{Rates: []float64{float64(a.Rate)}}
-	case cassiabudget.AcceptanceMalformed:
-		// No target can name this rate, so the receiver finds it malformed, too.
-		return &cassiaschema.Acceptance{Rates: []float64{-1}}
-	}
-	return nil
-}
-
-func decodeAcceptance(m *cassiaschema.Acceptance) cassiabudget.Acceptance {
-	if m == nil {
-		return cassiabudget.Acceptance{}
-	}
-	return cassiabudget.AcceptanceOf(m.GetRates())
-}
--- a/io/cassiaaggregate/client.go
+++ b/io/cassiaaggregate/client.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
@@ -167,7 +168,7 @@
 		if batch == nil {
 			continue
 		}
-		ended := cassiagateway.AttemptEnded{Attempt: id, Outcome: cassiagateway.OutcomeAnswered, Acceptance: decodeAcceptance(r.GetAcceptance())}
+		ended := cassiagateway.AttemptEnded{Attempt: id, Outcome: cassiagateway.OutcomeAnswered, Acceptance: cassiabudget.AcceptanceFrom(r.GetAcceptance())}
 		if r.GetFailure() != "" {
 			ended.Outcome = cassiagateway.ParseOutcome(r.GetFailure())
 		}
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -36,6 +36,8 @@
 	Connections int
 	// MaxConcurrency bounds the attempts in flight; at 0 only the number of connections bounds them.
 	MaxConcurrency int
+	// Owners is the number of VMs that send to the target.
+	Owners int
 }
 
 // Ownership reports which targets this VM owns, by the current settings and members.
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassialimit"
 	"cassiasaddle/core/cassiaquarantine"
@@ -57,7 +58,7 @@
 	if owned.MaxConcurrency > 0 {
 		most = min(most, owned.MaxConcurrency)
 	}
-	return cassialimit.Bounds{Concurrency: most}
+	return cassialimit.Bounds{Concurrency: most, Owners: owned.Owners}
 }
 
 // setShare applies a change of this VM's share. Running attempts keep their connections, and the limiter keeps its
@@ -178,7 +179,8 @@
 	if result.TargetLost {
 		refused = t.update(cassialimit.Lost{})
 	}
-	refused = append(refused, t.update(cassialimit.Done{ID: a.id(), Outcome: result.Outcome, Elapsed: result.Elapsed.AsDuration()})...)
+	refused = append(refused, t.update(cassialimit.Done{ID: a.id(), Outcome: result.Outcome, Elapsed: result.Elapsed.AsDuration(),
+		Acceptance: cassiabudget.AcceptanceFrom(result.Acceptance)})...)
 	t.mutex.Unlock()
 	t.refuseAll(refused)
 	a.batch.add(result)
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -4,11 +4,8 @@
 	"context"
 	"errors"
 	"io"
-	"math"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -313,19 +310,10 @@
 // acceptanceOf returns what a reply states about the rate of requests that the target accepts. A reply to a request that was not
 // run need not name a rate while the target has one.
 func (p *Pool) acceptanceOf(outcome cassiagateway.Outcome, response *http.Response) cassiabudget.Acceptance {
-	var rates []float64
-	for _, value := range response.Header.Values(p.Headers.AcceptedRate) {
-		for part := range strings.SplitSeq(value, ",") {
-			rate, err := strconv.ParseFloat(strings.TrimSpace(part), 64)
-			if err != nil && !errors.Is(err, strconv.ErrRange) {
-				rate = math.NaN()
-			}
-			rates = append(rates, rate)
-		}
-	}
+	values := response.Header.Values(p.Headers.AcceptedRate)
 	ran := outcome == cassiagateway.OutcomeAnswered || outcome == cassiagateway.OutcomeFailed
-	if outcome == cassiagateway.OutcomeWrongTarget || len(rates) == 0 && !ran {
+	if outcome == cassiagateway.OutcomeWrongTarget || len(values) == 0 && !ran {
 		return cassiabudget.Acceptance{}
 	}
-	return cassiabudget.AcceptanceOf(rates)
+	return cassiabudget.ParseAcceptance(values)
 }
--- a/io/cassiaserver/ownership.go
+++ b/io/cassiaserver/ownership.go
@@ -29,7 +29,7 @@
 func ownedTarget(o cassiaroute.OwnedTarget) cassiaowner.OwnedTarget {
 	return cassiaowner.OwnedTarget{
 		Front: o.Front, Name: cassiaid.TargetName(o.Target.Name), Address: o.Target.Address,
-		Connections: o.Share.Connections, MaxConcurrency: o.Share.Concurrency,
+		Connections: o.Share.Connections, MaxConcurrency: o.Share.Concurrency, Owners: o.Share.Owners,
 	}
 }
 
--- a/io/cassiatarget/reply.go
+++ b/io/cassiatarget/reply.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 )
@@ -23,6 +24,8 @@
 	headerHeld           = "Held-Snapshots"
 	headerDraining       = "Draining"
 	headerNotStarted     = "Not-Started"
+	// headerAcceptedRate names the requests a second that the target accepts from all VMs together, while it needs relief.
+	headerAcceptedRate = "Accepted-Rate"
 )
 
 // Health is a target's health report. State is ready, cold or draining; Load is the number of running and queued
@@ -55,6 +58,9 @@
 	result.ShardMapEpoch = uintHeader(header, headerEpoch)
 	result.Snapshot = uintHeader(header, headerSnapshot)
 	result.Draining = header.Get(headerDraining) == "true"
+	if values := header.Values(headerAcceptedRate); len(values) > 0 || header.Get(headerNotStarted) == "" {
+		result.Acceptance = cassiabudget.ParseAcceptance(values).Message()
+	}
 }
 
 // uintHeader returns the value of a numeric header, or 0 if it is absent or malformed.
--- a/standin/cassiashard/attempt.go
+++ b/standin/cassiashard/attempt.go
@@ -13,15 +13,16 @@
 
 // Headers of requests and replies.
 const (
-	headerAttempt     = "Attempt-Id"
-	headerShard       = "Shard"
-	headerSnapshot    = "Snapshot"
-	headerEpoch       = "Shard-Map-Epoch"
-	headerDeadline    = "Deadline-Ms"
-	headerIdempotency = "Idempotency-Key"
-	headerHeld        = "Held-Snapshots"
-	headerDraining    = "Draining"
-	headerNotStarted  = "Not-Started"
+	headerAttempt      = "Attempt-Id"
+	headerShard        = "Shard"
+	headerSnapshot     = "Snapshot"
+	headerEpoch        = "Shard-Map-Epoch"
+	headerDeadline     = "Deadline-Ms"
+	headerIdempotency  = "Idempotency-Key"
+	headerHeld         = "Held-Snapshots"
+	headerDraining     = "Draining"
+	headerAcceptedRate = "Accepted-Rate"
+	headerNotStarted   = "Not-Started"
 )
 
 // maxBodyBytes is how much of a request's body is read; the rest is ignored.
--- a/standin/cassiashard/behaviour.go
+++ b/standin/cassiashard/behaviour.go
@@ -43,6 +43,8 @@
 	HeldSnapshots []uint64 `json:"heldSnapshots"`
 	ShardMapEpoch uint64   `json:"shardMapEpoch"`
 	Draining      bool     `json:"draining"`
+	// AcceptedRate is the requests a second that the target says it accepts; 0 means that it says nothing.
+	AcceptedRate float64 `json:"acceptedRate"`
 	// HealthState replaces the true state in health reports if not empty.
 	HealthState string `json:"healthState"`
 	// HealthLagMs is how old the state, snapshots and shard map epoch in health reports are; the load is never delayed.
--- a/standin/cassiashard/reply.go
+++ b/standin/cassiashard/reply.go
@@ -47,6 +47,9 @@
 	if b.Draining {
 		header.Set(headerDraining, "true")
 	}
+	if b.AcceptedRate > 0 {
+		header.Set(headerAcceptedRate, strconv.FormatFloat(b.AcceptedRate, 'f', -1, 64))
+	}
 }
 
 // writeRefusal replies to an attempt that was not started.
--- a/test/limit_test.go
+++ b/test/limit_test.go
@@ -6,12 +6,15 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/platform/cassiastage"
 )
 
@@ -274,3 +277,49 @@
 		return strings.Contains(vm.process.output.String(), "event=targetLimitMalformed")
 	}), qt.IsTrue)
 }
+
+// TestServeKeepsToTheRateOfTargets guards against the same in cassiasaddle serve, where a target has several owners: more requests
+// than a target bears, and fan-outs that fail for a shard that they need not have.
+func TestServeKeepsToTheRateOfTargets(t *testing.T) {
+	const rate = 2
+	c := qt.New(t)
+	front := newFront("search", 4, twoZones)
+	cl := startCluster(t, layout{zones: twoZones, vmsPerZone: 2, fronts: []*cassiaschema.Front{front}, behaviour: `{"workMs":5}`})
+	for _, target := range front.Shards[0].Targets {
+		cl.setBehaviour(target.Name, fmt.Sprintf(`{"acceptedRate":%d}`, rate))
+	}
+	named := time.Now()
+	const callFor = 14 * time.Second
+	var callers errgroup.Group
+	var answered, failed atomic.Int64
+	for caller := range 6 {
+		callers.Go(func() error {
+			for i := caller; time.Since(named) < callFor; i++ {
+				// The last VM is killed meanwhile.
+				a, err := tryQuery(cl.vms[i%(len(cl.vms)-1)], "search", fmt.Sprintf(`{"caller":%d,"n":%d}`, caller, i))
+				if err == nil && a.Status == http.StatusOK && a.Coverage.Answered >= len(front.Shards)-1 {
+					answered.Add(1)
+				} else {
+					failed.Add(1)
+				}
+				sleep(20 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	sleep(callFor / 2)
+	cl.vms[len(cl.vms)-1].process.signal(syscall.SIGKILL)
+	c.Assert(callers.Wait(), qt.IsNil)
+	arrivals := make(map[string][]cassiastage.Arrival)
+	for _, e := range cl.executions() {
+		arrivals[e.Target] = append(arrivals[e.Target], cassiastage.Arrival{At: time.UnixMicro(e.ArrivedUnixMicros)})
+	}
+	for _, target := range front.Shards[0].Targets {
+		over, at := envLimits.worstExcess(rate, arrivals[target.Name], named, time.Now())
+		seen := fmt.Sprintf("%s: %+.1f requests over what it bears, from %v on; %d in all", target.Name, over, at.Sub(named), len(arrivals[target.Name]))
+		t.Log(seen)
+		c.Check(over <= 0, qt.IsTrue, qt.Commentf("%s", seen))
+	}
+	t.Logf("%d queries were answered from %d shards or more, %d were not", answered.Load(), len(front.Shards)-1, failed.Load())
+	c.Check(float64(answered.Load()) >= 0.95*float64(answered.Load()+failed.Load()), qt.IsTrue)
+}
