Return only what was taken from a part of a rate

A request sent in a turn takes no token, and one that did not reach its target gave one back all the same. Found reading the change; no run showed it.

--- a/core/cassiabudget/ratelimit.go
+++ b/core/cassiabudget/ratelimit.go
@@ -127,20 +127,22 @@
 	return wait
 }
 
-// Take records that a request is sent; Wait has returned 0 for it.
-func (l *RateLimit) Take(now time.Time, place Place) {
+// Take records that a request is sent, for which Wait has returned 0. It returns true if Return has to follow should the request not
+// reach the target.
+func (l *RateLimit) Take(now time.Time, place Place) bool {
 	if !l.Limited(now) {
-		return
+		return false
 	}
 	l.refill(now, place)
 	if l.tokens < wholeRequest && l.untilTurn(now, place) == 0 {
 		l.usedTurn = turnAt(now)
-		return
+		return false
 	}
 	l.tokens--
+	return true
 }
 
-// Return takes back a Take whose request has not reached the target.
+// Return takes back a Take that returned true.
 func (l *RateLimit) Return() { l.tokens++ }
 
 // refill adds the tokens for the time since the last call.
--- a/core/cassiabudget/ratelimit_test.go
+++ b/core/cassiabudget/ratelimit_test.go
@@ -249,7 +249,7 @@
 	c.Assert(wait <= 2*time.Duration(place.Members)*turnInterval, qt.IsTrue, qt.Commentf("%v", wait))
 	now = now.Add(turnInterval + wait)
 	c.Assert(l.Wait(now, place, 0), qt.Equals, time.Duration(0))
-	l.Take(now, place)
+	c.Check(l.Take(now, place), qt.IsFalse)
 	c.Check(l.Wait(now, place, 0) > 0, qt.IsTrue)
 }
 
@@ -275,7 +275,7 @@
 	l.Observe(now, place, Acceptance{State: AcceptanceLimited, Rate: 1})
 	now = now.Add(time.Second)
 	c.Assert(l.Wait(now, place, 0), qt.Equals, time.Duration(0))
-	l.Take(now, place)
+	c.Assert(l.Take(now, place), qt.IsTrue)
 	c.Check(l.Wait(now, place, 1) > time.Second, qt.IsTrue)
 	l.Return()
 	c.Check(l.Wait(now, place, 0), qt.Equals, time.Duration(0))
--- a/core/cassiagateway/query.go
+++ b/core/cassiagateway/query.go
@@ -93,7 +93,7 @@
 	aggregatorPays, paid bool
 	// begun is true once bytes of the request may have been sent.
 	begun bool
-	// limited is true if the attempt was charged to the rate that its target accepts.
+	// limited is true if the attempt was charged to this VM's part of the rate that its target accepts.
 	limited bool
 }
 
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -145,7 +145,8 @@
 
 // placementInput returns the input for choosing a target for a shard.
 func (g *Gateway) placementInput(now time.Time, s *shard) placementInput {
-	return placementInput{now: now, typical: g.typicalLatency(now, s.query.route), decayInterval: g.decayInterval(), vms: g.vmCount(now), zone: s.query.zone, tried: s.tried,
+	return placementInput{now: now, typical: g.typicalLatency(now, s.query.route), decayInterval: g.decayInterval(), vms: g.vmCount(now),
+		zone: s.query.zone, tried: s.tried,
 		limitWait: func(t *target, ahead int) time.Duration { return g.limitWait(now, t, ahead) }}
 }
 
@@ -154,9 +155,7 @@
 	q := s.query
 	g.nextID++
 	a := &attempt{id: g.nextID, shard: s, target: t, sentAt: now, typical: typical, aggregator: g.aggregatorFor(now, q.route, t)}
-	if a.limited = t.limit.Limited(now); a.limited {
-		t.limit.Take(now, g.place(now, t))
-	}
+	a.limited = t.limit.Take(now, g.place(now, t))
 	a.pruned, a.begun = a.aggregator != "" && len(s.tried) == s.declined, a.aggregator != ""
 	extra := s.spentAttempts > 0
 	a.aggregatorPays = extra && g.paidByAggregator(now, s, a.aggregator)
