Log quarantines learned from other VMs

Now the first notice of each quarantine is logged with its sender, and tests print the end of an output without answered requests. No change of behaviour.

--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -102,7 +102,8 @@
 
 // guardTargets connects the guard with the other VMs and the store.
 func (p *program) guardTargets() {
-	p.notifier = &cassiaguard.Notifier{Guard: p.guard, Others: p.gate.InformedVMs, Timeout: crashNoticeTimeout, Scope: p.metrics.Scope}
+	p.notifier = &cassiaguard.Notifier{Guard: p.guard, Others: p.gate.InformedVMs, Timeout: crashNoticeTimeout, Log: p.logEvent,
+		Scope: p.metrics.Scope}
 	p.announcer = cassiaguard.NewAnnouncer(cassiaguard.AnnouncerConfig{Guard: p.guard, Store: p.store, VMs: p.gate.OtherVMs, Log: p.logEvent,
 		Send: func(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) error {
 			return p.notifier.Node.Send(ctx, vm, 0, frame)
--- a/io/cassiaguard/guard.go
+++ b/io/cassiaguard/guard.go
@@ -330,9 +330,11 @@
 	g.ApplyNotice(cassiaquarantine.AnswerLearned{Fingerprint: fingerprint, Shard: shard})
 }
 
-// Quarantined records a quarantine that another VM has decided.
-func (g *Guard) Quarantined(fingerprint cassiaid.Fingerprint, remaining time.Duration) {
+// Quarantined records a quarantine that another VM has decided and reports whether the request was not quarantined before.
+func (g *Guard) Quarantined(fingerprint cassiaid.Fingerprint, remaining time.Duration) bool {
+	known := g.Remaining(fingerprint) > 0
 	g.ApplyNotice(cassiaquarantine.QuarantineLearned{Fingerprint: fingerprint, Remaining: remaining})
+	return !known
 }
 
 func (g *Guard) update(m cassiaquarantine.Message) []cassiaquarantine.Effect {
--- a/io/cassiaguard/notifier.go
+++ b/io/cassiaguard/notifier.go
@@ -33,7 +33,8 @@
 	Send(ctx context.Context, vm cassiaid.VMName, orderingKey uint64, frame *cassiaschema.PeerFrame) error
 }
 
-// Notifier exchanges what Guards have observed with other VMs by frames; it implements Peers. All fields but Timeout are required.
+// Notifier exchanges what Guards have observed with other VMs by frames; it implements Peers. All fields but Log and Timeout are
+// required.
 type Notifier struct {
 	Guard *Guard
 	Node  Exchanger
@@ -42,6 +43,8 @@
 	// Quarantined receives the quarantines that this VM has decided.
 	Quarantined func(quarantine cassiaquarantine.ShareQuarantine)
 	Scope       tally.Scope
+	// Log, if set, writes a log line for an event; fields are alternating keys and values.
+	Log func(event string, fields ...any)
 	// Timeout bounds how long the result of an attempt that lost its target waits for the other VMs, and each inquiry and
 	// answer to them; defaultTimeout if zero.
 	Timeout time.Duration
@@ -213,9 +216,7 @@
 		n.handleAnswerNotice(body.AnswerNotice)
 		return nil, true
 	case *cassiaschema.PeerFrame_QuarantineNotice:
-		for _, r := range body.QuarantineNotice.GetRequests() {
-			n.Guard.Quarantined(cassiaid.Fingerprint(r.GetFingerprint()), r.GetRemaining().AsDuration())
-		}
+		n.handleQuarantineNotice(from, body.QuarantineNotice)
 		return nil, true
 	}
 	return nil, false
@@ -249,3 +250,13 @@
 		Fingerprint: cassiaid.Fingerprint(a.Fingerprint), Shard: cassiaid.ShardIndex(a.Shard), BeforeLoss: a.Earlier,
 	})
 }
+
+// handleQuarantineNotice records the quarantines that another VM knows.
+func (n *Notifier) handleQuarantineNotice(from cassiaid.VMName, notice *cassiaschema.QuarantineNotice) {
+	for _, r := range notice.GetRequests() {
+		fingerprint, remaining := cassiaid.Fingerprint(r.GetFingerprint()), r.GetRemaining().AsDuration()
+		if n.Guard.Quarantined(fingerprint, remaining) && n.Log != nil {
+			n.Log("quarantineLearned", "from", from, "fingerprint", fingerprint, "remaining", remaining)
+		}
+	}
+}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -76,9 +77,14 @@
 	return p
 }
 
-const tailBytes = 6000
+const tailBytes = 12000
 
+// tail returns the end of a program's output without the lines of answered requests, which would hide all others.
 func tail(text string) string {
+	lines := slices.DeleteFunc(strings.SplitAfter(text, "\n"), func(line string) bool {
+		return strings.Contains(line, "event=answered") && strings.Contains(line, "status=200")
+	})
+	text = strings.Join(lines, "")
 	if len(text) > tailBytes {
 		return "..." + text[len(text)-tailBytes:]
 	}
