Tell each VM of a quarantine until it confirms it

Cause: only the first notice went to all VMs; when it was lost, each VM that knew told one VM chosen at random each second.

Now the VM that announces a quarantine repeats its notice to each VM every second until that VM confirms it, and closes a connection that stays silent for so long. Notices are confirmed by a reply for that.

--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -17,8 +17,6 @@
 
 	"cassiasaddle/core/cassiaclock"
 	"cassiasaddle/core/cassiagateway"
-	"cassiasaddle/core/cassiaid"
-	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiaaggregate"
 	"cassiasaddle/io/cassiafollow"
 	"cassiasaddle/io/cassiagate"
@@ -105,9 +103,7 @@
 	p.notifier = &cassiaguard.Notifier{Guard: p.guard, Others: p.gate.InformedVMs, Timeout: crashNoticeTimeout, Log: p.logEvent,
 		Scope: p.metrics.Scope}
 	p.announcer = cassiaguard.NewAnnouncer(cassiaguard.AnnouncerConfig{Guard: p.guard, Store: p.store, VMs: p.gate.OtherVMs, Log: p.logEvent,
-		Send: func(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) error {
-			return p.notifier.Node.Send(ctx, vm, 0, frame)
-		}})
+		Send: p.notifier.Deliver})
 	p.notifier.Quarantined = p.announcer.Announce
 	p.gate.Announcer = p.announcer
 	p.guard.SetPeers(p.notifier)
--- a/io/cassiaguard/announcer.go
+++ b/io/cassiaguard/announcer.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// announceInterval is how often a VM that knows of quarantines repeats them to one other VM, and looks for those that the
-	// store lacks.
+	// announceInterval is how often a VM that knows of quarantines repeats them to one other VM, looks for those that the
+	// store lacks, and tells VMs again that have not confirmed its own.
 	announceInterval = time.Second
 	// saveDelay is how long a VM leaves it to the one that decided on a quarantine to save it. A random time of up to the
 	// same length comes on top, so that not all VMs save it.
@@ -55,15 +55,16 @@
 	Store QuarantineStore
 	// VMs returns the other VMs; there are none until they can be reached.
 	VMs func() []cassiaid.VMName
-	// Send sends a frame to another VM. It is called only after VMs has returned one.
+	// Send sends a frame to another VM and returns nil once that VM has confirmed it. It is called only after VMs has
+	// returned one.
 	Send func(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) error
 	// Log writes a log line for an event; fields are alternating keys and values.
 	Log func(event string, fields ...any)
 }
 
-// Announcer spreads the quarantines that a Guard knows: to all other VMs when this VM decides on one, from then on to
-// one random VM in each announceInterval, which reaches VMs that were cut off, and to the store. It is safe for concurrent
-// use.
+// Announcer spreads the quarantines that a Guard knows: those on which this VM decides to each other VM until it confirms
+// them, all of them to one random VM in each announceInterval, which spreads those of VMs that were lost, and to the store.
+// It is safe for concurrent use.
 type Announcer struct {
 	config AnnouncerConfig
 	group  errgroup.Group
@@ -73,8 +74,10 @@
 	stored map[cassiaid.Fingerprint]time.Time
 	// saveAt is when this VM saves a quarantine that the store lacks.
 	saveAt map[cassiaid.Fingerprint]time.Time
-	// told holds the quarantines that this VM has told to all other VMs.
-	told map[cassiaid.Fingerprint]bool
+	// told holds the VMs that have confirmed each quarantine that this VM announces.
+	told map[cassiaid.Fingerprint]map[cassiaid.VMName]bool
+	// telling holds the VMs to which a notice is on its way, unreached those that have not confirmed their last one.
+	telling, unreached map[cassiaid.VMName]bool
 	// wake asks Run to look for quarantines to save; it has room for one request.
 	wake chan struct{}
 }
@@ -82,7 +85,8 @@
 // NewAnnouncer returns an Announcer; Run must be called to repeat and save quarantines.
 func NewAnnouncer(config AnnouncerConfig) *Announcer {
 	return &Announcer{config: config, stored: make(map[cassiaid.Fingerprint]time.Time), saveAt: make(map[cassiaid.Fingerprint]time.Time),
-		told: make(map[cassiaid.Fingerprint]bool), wake: make(chan struct{}, 1)}
+		told: make(map[cassiaid.Fingerprint]map[cassiaid.VMName]bool), telling: make(map[cassiaid.VMName]bool),
+		unreached: make(map[cassiaid.VMName]bool), wake: make(chan struct{}, 1)}
 }
 
 // Announce tells all other VMs and the store of a quarantine that this VM has decided on, a moment later if it has decided by
@@ -143,7 +147,8 @@
 		case <-a.wake:
 		}
 		missing := a.missing()
-		a.tellAll(missing)
+		a.announce(missing)
+		a.tellAll()
 		if len(missing) == 0 || time.Now().Before(pauseUntil) {
 			continue
 		}
@@ -159,26 +164,101 @@
 	}
 }
 
-// tellAll tells all other VMs of quarantines, of each once.
-func (a *Announcer) tellAll(quarantines []StoredQuarantine) {
-	untold := make(map[cassiaid.Fingerprint]time.Duration)
+// announce adds quarantines to those of which this VM tells all others.
+func (a *Announcer) announce(quarantines []StoredQuarantine) {
 	a.mutex.Lock()
+	defer a.mutex.Unlock()
 	for _, q := range quarantines {
-		if !a.told[q.Fingerprint] {
-			a.told[q.Fingerprint] = true
-			untold[q.Fingerprint] = time.Until(q.Until)
+		if a.told[q.Fingerprint] == nil {
+			a.told[q.Fingerprint] = make(map[cassiaid.VMName]bool)
 		}
 	}
-	a.mutex.Unlock()
+}
+
+// tellAll starts to tell each other VM of the announced quarantines that it has not confirmed.
+func (a *Announcer) tellAll() {
+	for _, vm := range a.config.VMs() {
+		if a.startTelling(vm) {
+			a.group.Go(func() error { a.tell(vm); return nil })
+		}
+	}
+}
+
+// startTelling reports whether a VM is to be told, which no notice on its way does yet.
+func (a *Announcer) startTelling(vm cassiaid.VMName) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.telling[vm] || len(a.untold(vm)) == 0 {
+		return false
+	}
+	a.telling[vm] = true
+	return true
+}
+
+// tell sends notices to a VM until it has confirmed all announced quarantines or does not confirm a notice.
+func (a *Announcer) tell(vm cassiaid.VMName) {
+	for untold := a.nextNotice(vm); len(untold) > 0; untold = a.nextNotice(vm) {
+		if err := a.send(vm, quarantineNotice(a.remaining(untold))); err != nil {
+			a.notConfirmed(vm, err)
+			return
+		}
+		a.confirmed(vm, untold)
+	}
+}
+
+// nextNotice returns the content of the next notice for a VM, or nothing once the VM has confirmed all.
+func (a *Announcer) nextNotice(vm cassiaid.VMName) []cassiaid.Fingerprint {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	untold := a.untold(vm)
 	if len(untold) == 0 {
-		return
+		delete(a.telling, vm)
 	}
-	frame := quarantineNotice(untold)
-	for _, vm := range a.config.VMs() {
-		a.group.Go(func() error { a.send(vm, frame); return nil })
+	return untold
+}
+
+func (a *Announcer) confirmed(vm cassiaid.VMName, fingerprints []cassiaid.Fingerprint) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	delete(a.unreached, vm)
+	for _, f := range fingerprints {
+		if told := a.told[f]; told != nil {
+			told[vm] = true
+		}
+	}
+}
+
+// notConfirmed leaves a VM to the next interval. It logs the first of several failures only.
+func (a *Announcer) notConfirmed(vm cassiaid.VMName, err error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	delete(a.telling, vm)
+	if !a.unreached[vm] {
+		a.unreached[vm] = true
+		a.config.Log("quarantineNotSent", "to", vm, "error", err)
 	}
 }
 
+// untold returns up to maxAnnounced announced quarantines that a VM has not confirmed; the caller holds the mutex.
+func (a *Announcer) untold(vm cassiaid.VMName) []cassiaid.Fingerprint {
+	var untold []cassiaid.Fingerprint
+	for f, told := range a.told {
+		if !told[vm] && len(untold) < maxAnnounced {
+			untold = append(untold, f)
+		}
+	}
+	return untold
+}
+
+// remaining returns the remaining times of quarantines.
+func (a *Announcer) remaining(fingerprints []cassiaid.Fingerprint) map[cassiaid.Fingerprint]time.Duration {
+	remaining := make(map[cassiaid.Fingerprint]time.Duration)
+	for _, f := range fingerprints {
+		remaining[f] = a.config.Guard.Remaining(f)
+	}
+	return remaining
+}
+
 // repeat tells one random VM of all quarantines.
 func (a *Announcer) repeat() {
 	active := a.config.Guard.Active()
@@ -187,7 +267,11 @@
 		return
 	}
 	vm, frame := vms[rand.IntN(len(vms))], quarantineNotice(active)
-	a.group.Go(func() error { a.send(vm, frame); return nil })
+	a.group.Go(func() error {
+		// Another VM is told after the next interval.
+		_ = a.send(vm, frame)
+		return nil
+	})
 }
 
 func quarantineNotice(quarantines map[cassiaid.Fingerprint]time.Duration) *cassiaschema.PeerFrame {
@@ -201,12 +285,10 @@
 	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_QuarantineNotice{QuarantineNotice: notice}}
 }
 
-func (a *Announcer) send(vm cassiaid.VMName, frame *cassiaschema.PeerFrame) {
+func (a *Announcer) send(vm cassiaid.VMName, frame *cassiaschema.PeerFrame) error {
 	ctx, cancel := context.WithTimeout(context.Background(), announceInterval)
 	defer cancel()
-	if err := a.config.Send(ctx, vm, frame); err != nil {
-		a.config.Log("quarantineNotSent", "to", vm, "error", err)
-	}
+	return a.config.Send(ctx, vm, frame)
 }
 
 // missing returns the quarantines that this VM should save now, because the store lacks them and no other VM has saved them
@@ -217,7 +299,10 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	maps.DeleteFunc(a.saveAt, func(f cassiaid.Fingerprint, _ time.Time) bool { return active[f] == 0 })
-	maps.DeleteFunc(a.told, func(f cassiaid.Fingerprint, _ bool) bool { return active[f] == 0 })
+	maps.DeleteFunc(a.told, func(f cassiaid.Fingerprint, _ map[cassiaid.VMName]bool) bool { return active[f] == 0 })
+	if len(a.told) == 0 {
+		clear(a.unreached)
+	}
 	maps.DeleteFunc(a.stored, func(_ cassiaid.Fingerprint, until time.Time) bool { return now.After(until) })
 	var missing []StoredQuarantine
 	for fingerprint, remaining := range active {
--- a/io/cassiaguard/announcer_test.go
+++ b/io/cassiaguard/announcer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,6 +59,12 @@
 			return nil
 		}})
 	store.announcer = a
+	runAnnouncer(t, a)
+	return a, guard
+}
+
+// runAnnouncer runs an announcer until the test ends.
+func runAnnouncer(t *testing.T, a *Announcer) {
 	ctx, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return a.Run(ctx) })
@@ -64,7 +72,6 @@
 		stop()
 		qt.Check(t, group.Wait(), qt.IsNil)
 	})
-	return a, guard
 }
 
 func eventually(t *testing.T, within time.Duration, condition func() bool) {
@@ -101,6 +108,43 @@
 	qt.Check(t, store.saveCount(), qt.Equals, 1)
 }
 
+// TestQuarantineReachesAVMThatWasCutOff guards against a VM that missed the first notice of a quarantine being left to chance.
+func TestQuarantineReachesAVMThatWasCutOff(t *testing.T) {
+	t.Parallel()
+	const vms = 20
+	others := make(map[cassiaid.VMName]*Guard)
+	var names []cassiaid.VMName
+	for i := range vms {
+		name := cassiaid.VMName(fmt.Sprintf("vm-%d", i))
+		names, others[name] = append(names, name), NewGuard(clockwork.NewRealClock())
+	}
+	var reachable atomic.Bool
+	guard := NewGuard(clockwork.NewRealClock())
+	store := &fakeStore{down: true}
+	a := NewAnnouncer(AnnouncerConfig{Guard: guard, Store: store, Log: func(string, ...any) {},
+		VMs: func() []cassiaid.VMName { return names },
+		Send: func(_ context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) error {
+			if vm != names[0] && !reachable.Load() {
+				return errors.New("cut off")
+			}
+			(&Notifier{Guard: others[vm]}).HandleFrame("vm", frame)
+			return nil
+		}})
+	runAnnouncer(t, a)
+	guard.Quarantined(1, time.Minute)
+	a.Announce(cassiaquarantine.ShareQuarantine{Fingerprint: 1, Remaining: time.Minute})
+	eventually(t, announceInterval/2, func() bool { return others[names[0]].Remaining(1) > 0 })
+	reachable.Store(true)
+	eventually(t, 2*announceInterval, func() bool {
+		for _, other := range others {
+			if other.Remaining(1) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // TestLearnedQuarantineIsAnnouncedSoon: the VM whose notice completes a blame may not know of the earlier losses, so that no VM
 // but those that learn from it decides.
 func TestLearnedQuarantineIsAnnouncedSoon(t *testing.T) {
--- a/io/cassiaguard/notifier.go
+++ b/io/cassiaguard/notifier.go
@@ -31,6 +31,8 @@
 type Exchanger interface {
 	Exchange(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error)
 	Send(ctx context.Context, vm cassiaid.VMName, orderingKey uint64, frame *cassiaschema.PeerFrame) error
+	// Drop closes the connection to a VM; the next frame opens a new one.
+	Drop(vm cassiaid.VMName)
 }
 
 // Notifier exchanges what Guards have observed with other VMs by frames; it implements Peers. All fields but Log and Timeout are
@@ -56,6 +58,16 @@
 	return context.WithTimeout(context.Background(), cmp.Or(n.Timeout, defaultTimeout))
 }
 
+// Deliver sends a frame to another VM and returns nil once that VM has replied to it.
+func (n *Notifier) Deliver(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) error {
+	_, err := n.Node.Exchange(ctx, vm, frame)
+	if ctx.Err() != nil {
+		// The connection may still lead to an earlier process of that VM and would stay silent for long.
+		n.Node.Drop(vm)
+	}
+	return err
+}
+
 // ShareLoss sends the loss of a target to the other VMs. It returns after they acknowledged it or timed out and after the other
 // runs of the lost requests have ended or timed out, so that no retry starts while those runs may still crash a target, too.
 func (n *Notifier) ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss) {
@@ -217,7 +229,9 @@
 		return nil, true
 	case *cassiaschema.PeerFrame_QuarantineNotice:
 		n.handleQuarantineNotice(from, body.QuarantineNotice)
-		return nil, true
+		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_QuarantineNoticeReply{
+			QuarantineNoticeReply: &cassiaschema.QuarantineNoticeReply{},
+		}}, true
 	}
 	return nil, false
 }
--- a/io/cassiaguard/notifier_test.go
+++ b/io/cassiaguard/notifier_test.go
@@ -29,6 +29,8 @@
 	return &cassiaschema.PeerFrame{}, nil
 }
 
+func (n *slowNode) Drop(cassiaid.VMName) {}
+
 func (n *slowNode) Send(context.Context, cassiaid.VMName, uint64, *cassiaschema.PeerFrame) error {
 	return nil
 }
--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -251,6 +251,14 @@
 	e.store.SetFaults(cassiastage.Faults{})
 }
 
+// cutVMsWhileStoreAway separates all VMs from each other for 2 s and from the store for 10 s.
+func (e *crashEnv) cutVMsWhileStoreAway() {
+	var store errgroup.Group
+	store.Go(func() error { e.storeAway(10 * time.Second); return nil })
+	e.cutVMs(2 * time.Second)
+	store.Wait() //nolint:errcheck // it returns no error
+}
+
 // checkDeadly requires that the deadly request crashes at most the given number of targets, and that it reaches targets in at
 // most crashRepeats requests later than crashContact after it has crashed crashesBeforeContact of them.
 func (e *crashEnv) checkDeadly(maxCrashes int) {
@@ -330,6 +338,8 @@
 		maxCrashes int
 		// addresses is the number of addresses from which the caller sends in turn; one if zero.
 		addresses int
+		// vms is the number of VMs; three if zero.
+		vms int
 		// disturb runs beside the callers from the first deadly request on. If it kills VMs, it breaks the requests that
 		// they serve, and callers find them gone until they have started again.
 		disturb func(e *crashEnv)
@@ -355,12 +365,9 @@
 		}},
 		{name: "VMs are cut off from each other", path: "/book/x", firstOnly: 2500 * time.Millisecond,
 			disturb: func(e *crashEnv) { e.cutVMs(8 * time.Second) }},
-		{name: "VMs are cut off while the store is away", path: "/one/x", firstOnly: 5 * time.Second, disturb: func(e *crashEnv) {
-			var store errgroup.Group
-			store.Go(func() error { e.storeAway(10 * time.Second); return nil })
-			e.cutVMs(2 * time.Second)
-			store.Wait() //nolint:errcheck // it returns no error
-		}},
+		{name: "VMs are cut off while the store is away", path: "/one/x", firstOnly: 5 * time.Second, disturb: (*crashEnv).cutVMsWhileStoreAway},
+		{name: "eight VMs are cut off while the store is away", path: "/one/x", vms: 8, firstOnly: 5 * time.Second,
+			disturb: (*crashEnv).cutVMsWhileStoreAway},
 		{name: "caller changes its address", path: "/one/x", addresses: crashAddresses, maxCrashes: crashesBeforeContact},
 		{name: "caller changes its address, not idempotent", path: "/book/x", addresses: crashAddresses, maxCrashes: crashesBeforeContact},
 		// The first two addresses may each crash one target of each shard.
@@ -378,7 +385,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			e := newCrashEnv(t, 3)
+			e := newCrashEnv(t, cmp.Or(test.vms, 3))
 			e.sendHarmless(test.path)
 			e.sendDeadly(test.path, cmp.Or(test.interval, crashInterval), test.firstOnly, test.addresses)
 			minServed := crashMinServed
