Tell missed losses in replies between VMs

VMs that were cut off from each other while they lost targets to one request went on as if the others had seen none: each told its next loss only, so that three VMs with one loss each needed two more before anyone decided.

Now the replies to loss notices and to the inquiry before a suspect runs name the losses that count against the requests asked about, with their age, and the quarantines. A VM that learns of missed losses decides anew before it sends.

--- a/core/cassiaquarantine/companion_test.go
+++ b/core/cassiaquarantine/companion_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
 	"cassiasaddle/core/cassiaid"
 )
@@ -95,3 +96,21 @@
 	c.Check(k.owners[0].Remaining(3*maxPeriods-1) > 0, qt.IsTrue)
 	c.Check(len(k.owners[0].Active()) <= maxPeriods, qt.IsTrue)
 }
+
+// TestLossThatIsToldLaterKeepsItsTime guards against one crash counting twice because a VM tells of it long after another one.
+func TestLossThatIsToldLaterKeepsItsTime(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	q := NewQuarantine(clock)
+	q.Update(LossLearned{Loss: Loss{Target: "t1", Reporter: "vm-1", Runs: []Run{{Attempt: 1, Fingerprint: 1}}}})
+	clock.Advance(5 * time.Second)
+	late := LossLearned{Loss: Loss{Target: "t1", Reporter: "vm-2", Runs: []Run{{Attempt: 2, Fingerprint: 1}}}, Age: 5 * time.Second}
+	q.Update(late)
+	c.Check(q.Remaining(1), qt.Equals, time.Duration(0))
+	told := q.LossesOf(1)
+	c.Assert(told, qt.HasLen, 2)
+	c.Check(told[1], qt.DeepEquals, late)
+	q.Update(LossLearned{Loss: Loss{Target: "t2", Reporter: "vm-1", Runs: []Run{{Attempt: 3, Fingerprint: 1}}}})
+	c.Check(q.Remaining(1) > 0, qt.IsTrue)
+	c.Check(q.LossesOf(1), qt.HasLen, 0)
+}
--- a/core/cassiaquarantine/message.go
+++ b/core/cassiaquarantine/message.go
@@ -68,8 +68,11 @@
 	BeforeLoss bool
 }
 
-// LossLearned reports a loss that another VM has observed.
-type LossLearned struct{ Loss Loss }
+// LossLearned reports a loss that another VM has observed, Age before now.
+type LossLearned struct {
+	Loss Loss
+	Age  time.Duration
+}
 
 // LossShared reports that the ShareLoss effect of a loss has been performed, so that the other owners know of the loss.
 type LossShared struct{ Loss Loss }
--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -105,7 +105,7 @@
 	case AnswerLearned:
 		return markLearned(q.learnAnswer(now, m))
 	case LossLearned:
-		return markLearned(q.learnLoss(now, m.Loss))
+		return markLearned(q.learnLoss(now, m))
 	case LossShared:
 		q.markShared(m.Loss)
 	case QuarantineLearned:
@@ -300,12 +300,36 @@
 	return 0
 }
 
-func (q *Quarantine) learnLoss(now time.Time, loss Loss) []Effect {
-	if len(loss.Runs) == 0 || q.hasRecorded(loss) {
+func (q *Quarantine) learnLoss(now time.Time, m LossLearned) []Effect {
+	if len(m.Loss.Runs) == 0 || m.Age > Window || q.Knows(m.Loss) {
 		return nil
 	}
-	q.addToSuspects(now, loss)
-	return append(q.shareEarlierAnswers(now, loss), q.quarantineBlamed(now, loss.Runs, 0)...)
+	q.addToSuspects(now.Add(-max(m.Age, 0)), m.Loss)
+	return append(q.shareEarlierAnswers(now, m.Loss), q.quarantineBlamed(now, m.Loss.Runs, 0)...)
+}
+
+// LossesOf returns the losses that count against a request, for VMs that may have missed them. Runs of requests that have been
+// cleared since are left out.
+func (q *Quarantine) LossesOf(f cassiaid.Fingerprint) []LossLearned {
+	now := q.clock.Now()
+	s := q.suspects[f]
+	if s == nil {
+		return nil
+	}
+	var losses []LossLearned
+	for _, recorded := range q.losses {
+		if now.Sub(recorded.at) > Window || !s.hasLoss(recorded) {
+			continue
+		}
+		loss := recorded.loss
+		loss.Runs = slices.DeleteFunc(slices.Clone(loss.Runs), func(r Run) bool {
+			return !slices.ContainsFunc(r.fingerprints(), func(f cassiaid.Fingerprint) bool { return q.suspects[f].hasLoss(recorded) })
+		})
+		if len(loss.Runs) > 0 {
+			losses = append(losses, LossLearned{Loss: loss, Age: now.Sub(recorded.at)})
+		}
+	}
+	return losses
 }
 
 // shareEarlierAnswers returns a ShareAnswer for each request part of the loss that this VM knows to have been answered within
@@ -322,9 +346,9 @@
 	return effects
 }
 
-// hasRecorded reports whether the same loss has been recorded before: one of its attempts is part of a recorded loss, and an
+// Knows reports whether the same loss has been recorded before: one of its attempts is part of a recorded loss, and an
 // attempt is lost only once.
-func (q *Quarantine) hasRecorded(loss Loss) bool {
+func (q *Quarantine) Knows(loss Loss) bool {
 	return slices.ContainsFunc(q.losses, func(s recordedLoss) bool {
 		return slices.ContainsFunc(s.loss.Runs, func(known Run) bool {
 			return slices.ContainsFunc(loss.Runs, func(r Run) bool { return r.Attempt == known.Attempt })
@@ -341,12 +365,12 @@
 	q.losses = append(q.losses, recordedLoss{at: now, loss: loss})
 }
 
-// addToSuspects records a loss and adds it to each request that ran on the target. Other VMs may have reported the same crash
+// addToSuspects records a loss at a time and adds it to each request that ran on the target. Other VMs may have reported the same crash
 // for their own runs; those and the runs of this loss are companions of each other.
 func (q *Quarantine) addToSuspects(now time.Time, loss Loss) {
 	var companions []Run
 	for _, earlier := range q.losses {
-		if earlier.loss.Target != loss.Target || earlier.loss.Reporter == loss.Reporter || now.Sub(earlier.at) > sameCrashWindow {
+		if earlier.loss.Target != loss.Target || earlier.loss.Reporter == loss.Reporter || now.Sub(earlier.at).Abs() > sameCrashWindow {
 			continue
 		}
 		for _, r := range earlier.loss.Runs {
--- a/core/cassiaquarantine/suspect.go
+++ b/core/cassiaquarantine/suspect.go
@@ -90,6 +90,13 @@
 	return s != nil && slices.ContainsFunc(s.losses, func(l suspectLoss) bool { return l.target == target })
 }
 
+// hasLoss reports whether a recorded loss counts against the suspect. It is false for a nil suspect.
+func (s *suspect) hasLoss(recorded recordedLoss) bool {
+	return s != nil && slices.ContainsFunc(s.losses, func(l suspectLoss) bool {
+		return l.target == recorded.loss.Target && l.reporter == recorded.loss.Reporter && l.at.Equal(recorded.at)
+	})
+}
+
 // addCompanions records the runs of a loss for which the suspect has an earlier report by another VM. It does nothing for a nil
 // suspect.
 func (s *suspect) addCompanions(now time.Time, loss Loss) {
--- a/io/cassiaguard/guard.go
+++ b/io/cassiaguard/guard.go
@@ -303,6 +303,20 @@
 	return g.core.BlocksOtherVMs(fingerprint, shard)
 }
 
+// Knows reports whether a loss has been recorded within Window.
+func (g *Guard) Knows(loss cassiaquarantine.Loss) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.core.Knows(loss)
+}
+
+// LossesOf returns the losses that count against a request, for VMs that may have missed them.
+func (g *Guard) LossesOf(fingerprint cassiaid.Fingerprint) []cassiaquarantine.LossLearned {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.core.LossesOf(fingerprint)
+}
+
 // Running reports whether this VM runs a request for a shard.
 func (g *Guard) Running(fingerprint cassiaid.Fingerprint, shard cassiaid.ShardIndex) bool {
 	g.mutex.Lock()
--- a/io/cassiaguard/notifier.go
+++ b/io/cassiaguard/notifier.go
@@ -72,12 +72,7 @@
 // runs of the lost requests have ended or timed out, so that no retry starts while those runs may still crash a target, too.
 func (n *Notifier) ShareLoss(front cassiaid.FrontKey, loss cassiaquarantine.Loss) {
 	n.Scope.Counter("targetLosses").Inc(1)
-	notice := &cassiaschema.LossNotice{Target: string(loss.Target)}
-	for _, r := range loss.Runs {
-		notice.Runs = append(notice.Runs, &cassiaschema.LostRun{
-			AttemptId: uint64(r.Attempt), Fingerprint: uint64(r.Fingerprint), Shard: uint32(r.Shard), Alone: r.Alone, Content: uint64(r.Content),
-		})
-	}
+	notice := encodeLoss(cassiaquarantine.LossLearned{Loss: loss})
 	var remote remoteRuns
 	told := make(chan struct{})
 	n.group.Go(func() error {
@@ -109,6 +104,7 @@
 		for _, a := range reply.GetLossNoticeReply().GetAnswered() {
 			n.handleAnswerNotice(a)
 		}
+		n.learnHistory(front, vm, reply.GetLossNoticeReply().GetHistory())
 		remote.add(reply.GetLossNoticeReply().GetRunning())
 	})
 }
@@ -173,7 +169,11 @@
 	n.forEachOther(front, func(owner cassiaid.VMName) {
 		frame := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiry{RunInquiry: inquiry}}
 		reply, err := n.Node.Exchange(ctx, owner, frame)
-		if err == nil && reply.GetRunInquiryReply().GetRunning() {
+		if err != nil {
+			return
+		}
+		missedLosses := n.learnHistory(front, owner, reply.GetRunInquiryReply().GetHistory())
+		if missedLosses || reply.GetRunInquiryReply().GetRunning() {
 			running.Store(true)
 		}
 	})
@@ -218,17 +218,12 @@
 	case *cassiaschema.PeerFrame_LossNotice:
 		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_LossNoticeReply{LossNoticeReply: n.handleLossNotice(from, body.LossNotice)}}, true
 	case *cassiaschema.PeerFrame_RunInquiry:
-		fingerprint, content := cassiaid.Fingerprint(body.RunInquiry.GetFingerprint()), cassiaid.Fingerprint(body.RunInquiry.GetContent())
-		shard := cassiaid.ShardIndex(body.RunInquiry.GetShard())
-		blocked := n.Guard.BlocksOtherVMs(fingerprint, shard) || content != 0 && n.Guard.BlocksOtherVMs(content, shard)
-		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiryReply{
-			RunInquiryReply: &cassiaschema.RunInquiryReply{Running: blocked},
-		}}, true
+		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiryReply{RunInquiryReply: n.handleRunInquiry(body.RunInquiry)}}, true
 	case *cassiaschema.PeerFrame_AnswerNotice:
 		n.handleAnswerNotice(body.AnswerNotice)
 		return nil, true
 	case *cassiaschema.PeerFrame_QuarantineNotice:
-		n.handleQuarantineNotice(from, body.QuarantineNotice)
+		n.learnQuarantines(from, body.QuarantineNotice.GetRequests())
 		return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_QuarantineNoticeReply{
 			QuarantineNoticeReply: &cassiaschema.QuarantineNoticeReply{},
 		}}, true
@@ -236,21 +231,30 @@
 	return nil, false
 }
 
+// handleRunInquiry tells whether this VM runs a request, and what it knows against it.
+func (n *Notifier) handleRunInquiry(inquiry *cassiaschema.RunInquiry) *cassiaschema.RunInquiryReply {
+	run := cassiaquarantine.Run{Fingerprint: cassiaid.Fingerprint(inquiry.GetFingerprint()), Content: cassiaid.Fingerprint(inquiry.GetContent()),
+		Shard: cassiaid.ShardIndex(inquiry.GetShard())}
+	reply := &cassiaschema.RunInquiryReply{}
+	fingerprints := fingerprintsOf([]cassiaquarantine.Run{run})
+	for _, f := range fingerprints {
+		reply.Running = reply.Running || n.Guard.BlocksOtherVMs(f, run.Shard)
+	}
+	reply.History = &cassiaschema.CrashHistory{Losses: n.lossesOf(fingerprints), Quarantined: n.quarantinesOf(fingerprints)}
+	return reply
+}
+
 // handleLossNotice records a loss that another owner has seen. The reply lists the lost requests that this VM's targets
-// have answered, as evidence that they did not cause the loss, and those that this VM is running.
+// have answered, as evidence that they did not cause the loss, those that this VM is running, and what it knows against them.
 func (n *Notifier) handleLossNotice(from cassiaid.VMName, notice *cassiaschema.LossNotice) *cassiaschema.LossNoticeReply {
-	loss := cassiaquarantine.Loss{Target: cassiaid.TargetName(notice.Target), Reporter: from}
-	for _, r := range notice.Runs {
-		loss.Runs = append(loss.Runs, cassiaquarantine.Run{
-			Attempt: cassiaid.AttemptID(r.AttemptId), Fingerprint: cassiaid.Fingerprint(r.Fingerprint), Content: cassiaid.Fingerprint(r.Content),
-			Shard: cassiaid.ShardIndex(r.Shard), Alone: r.Alone,
-		})
-	}
-	reply := &cassiaschema.LossNoticeReply{}
-	for _, a := range n.Guard.ApplyNotice(cassiaquarantine.LossLearned{Loss: loss}) {
+	learned := decodeLoss(from, notice)
+	fingerprints := fingerprintsOf(learned.Loss.Runs)
+	reply := &cassiaschema.LossNoticeReply{History: &cassiaschema.CrashHistory{Losses: n.lossesOf(fingerprints)}}
+	for _, a := range n.Guard.ApplyNotice(learned) {
 		reply.Answered = append(reply.Answered, answerNotice(a))
 	}
-	for _, r := range loss.Runs {
+	reply.History.Quarantined = n.quarantinesOf(fingerprints)
+	for _, r := range learned.Loss.Runs {
 		if n.Guard.Running(r.Fingerprint, r.Shard) {
 			reply.Running = append(reply.Running, uint64(r.Fingerprint))
 		}
@@ -265,9 +269,9 @@
 	})
 }
 
-// handleQuarantineNotice records the quarantines that another VM knows.
-func (n *Notifier) handleQuarantineNotice(from cassiaid.VMName, notice *cassiaschema.QuarantineNotice) {
-	for _, r := range notice.GetRequests() {
+// learnQuarantines records quarantines that another VM knows.
+func (n *Notifier) learnQuarantines(from cassiaid.VMName, quarantined []*cassiaschema.QuarantinedRequest) {
+	for _, r := range quarantined {
 		fingerprint, remaining := cassiaid.Fingerprint(r.GetFingerprint()), r.GetRemaining().AsDuration()
 		if n.Guard.Quarantined(fingerprint, remaining) && n.Log != nil {
 			n.Log("quarantineLearned", "from", from, "fingerprint", fingerprint, "remaining", remaining)
