Reserve the addresses of test environments with VMs

Two processes of the process tests at the same time could choose the same loopback addresses, and a relay or VM then failed to start (seen twice in some 100 plays, three or more processes at a time). Counts of failed calls now name the reason.

--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -66,6 +68,7 @@
 	took   time.Duration
 	status int
 	retry  string
+	reason string
 	err    error
 }
 
@@ -75,7 +78,8 @@
 // targets for each shard of /search/.
 func newCrashEnv(t *testing.T, vms int) *crashEnv {
 	e := &crashEnv{platformEnv: &platformEnv{c: qt.New(t), store: cassiastage.NewStore()}, t: t, start: time.Now(),
-		number: crashEnvs.Add(1), vms: make([]*frontVM, vms)}
+		vms: make([]*frontVM, vms)}
+	e.reserveAddresses()
 	e.serveStore(t)
 	e.addService("fragile", []byte("the whole answer"), slices.Repeat([]string{"zone-a", "zone-b"}, 6))
 	for shard := range envShards {
@@ -107,6 +111,23 @@
 // could be taken by a relay's sockets before a VM that starts again listens at them.
 var crashEnvs atomic.Int32
 
+// crashReservation is the last part of the address that reserves the others of an environment.
+const crashReservation = 253
+
+// reserveAddresses chooses loopback addresses that no other environment uses, of this process or another one, and reserves them by
+// a listener until the test ends.
+func (e *crashEnv) reserveAddresses() {
+	for {
+		e.number = crashEnvs.Add(1)
+		listener, err := net.Listen("tcp", e.host(crashHostOfVM, crashReservation)+soakPort)
+		if err == nil {
+			e.t.Cleanup(func() { listener.Close() }) //nolint:errcheck // nothing connects to it
+			return
+		}
+		e.c.Assert(errors.Is(err, syscall.EADDRINUSE), qt.IsTrue, qt.Commentf("%v", err))
+	}
+}
+
 // host returns the loopback address of a VM or of the relay in front of it.
 func (e *crashEnv) host(kind, vm int) string {
 	return fmt.Sprintf("127.%d.%d.%d", 220+kind, (os.Getpid()+int(e.number)*37)%250, 1+vm)
@@ -171,6 +192,9 @@
 	if err == nil {
 		c.retry = answer.header.Get("Retry-After")
 	}
+	if !c.served() {
+		c.reason = answer.body
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	*calls = append(*calls, c)
@@ -315,11 +339,11 @@
 	e.c.Check(float64(served) >= minServed*float64(len(e.harmless)), qt.IsTrue, qt.Commentf("%s", seen))
 }
 
-// countStatuses returns how many calls ended with each status; 0 stands for calls without an answer.
+// countStatuses returns how many calls ended with each status and reason; 0 stands for calls without an answer.
 func countStatuses(calls []crashCall) string {
-	counts := make(map[int]int)
+	counts := make(map[string]int)
 	for _, c := range calls {
-		counts[c.status]++
+		counts[strings.TrimSpace(fmt.Sprint(c.status, " ", c.reason))]++
 	}
 	return fmt.Sprint(counts)
 }
