Rank VMs only for targets that name a limit

The place of this VM among those that send to a target was worked out for each target after each change of the list of VMs, limited or not, though only limits need it. No change of behaviour.

--- a/core/cassiabudget/ratelimit.go
+++ b/core/cassiabudget/ratelimit.go
@@ -70,8 +70,8 @@
 	filledAt time.Time
 }
 
-// Observe records what an answer of the target states. A new limit starts without tokens, since the member may have sent many
-// requests before it heard of the limit.
+// Observe records what an answer of the target states; place is needed only if it states a limit. A new limit starts without
+// tokens, since the member may have sent many requests before it heard of the limit.
 func (l *RateLimit) Observe(now time.Time, place Place, a Acceptance) {
 	switch a.State {
 	case AcceptanceLimited:
--- a/core/cassiagateway/limit.go
+++ b/core/cassiagateway/limit.go
@@ -28,7 +28,11 @@
 
 // observeAcceptance applies what an answer of a target states about the rate of requests that the target accepts.
 func (g *Gateway) observeAcceptance(now time.Time, t *target, a cassiabudget.Acceptance) {
-	t.limit.Observe(now, g.place(now, t), a)
+	var place cassiabudget.Place
+	if a.State == cassiabudget.AcceptanceLimited {
+		place = g.place(now, t)
+	}
+	t.limit.Observe(now, place, a)
 	g.reportAcceptance(t, a)
 	if a.State == cassiabudget.AcceptanceLimited {
 		g.dropLimited(now, t.service)
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -155,7 +155,7 @@
 	q := s.query
 	g.nextID++
 	a := &attempt{id: g.nextID, shard: s, target: t, sentAt: now, typical: typical, aggregator: g.aggregatorFor(now, q.route, t)}
-	a.limited = t.limit.Take(now, g.place(now, t))
+	a.limited = t.limit.Limited(now) && t.limit.Take(now, g.place(now, t))
 	a.pruned, a.begun = a.aggregator != "" && len(s.tried) == s.declined, a.aggregator != ""
 	extra := s.spentAttempts > 0
 	a.aggregatorPays = extra && g.paidByAggregator(now, s, a.aggregator)
