Look again at processes that reset connections while they end

Cause: a process that ends closes its connections before its listener, and in between it resets new ones. The check whether a target has ended took such a reset for a living process at once, so the crash was counted as a lost answer and the request as harmless.

Now an address that resets or closes connections is looked at up to four times, 10 ms apart.

--- a/io/cassialiveness/liveness.go
+++ b/io/cassialiveness/liveness.go
@@ -10,36 +10,37 @@
 const (
 	// dialTimeout limits each connect. A process that does not answer it is not known to have ended.
 	dialTimeout = 100 * time.Millisecond
-	// recheckDelay gives a process that is ending the time to close its listener after its connections.
+	// recheckDelay and maxChecks give a process that is ending the time to close its listener after its connections.
 	recheckDelay = 10 * time.Millisecond
+	maxChecks    = 4
 )
 
-// HasEnded reports whether the process that listened at a TCP address has ended: the address refuses connections, at once or
-// after recheckDelay. Otherwise it returns the connection that it opened, which the caller has to close, or nil if the
-// process could not be reached in time.
+// HasEnded reports whether the process that listened at a TCP address has ended: the address refuses connections, if not at once
+// then while it closes or resets those it accepts. Otherwise it returns the connection that it opened, which the caller has to
+// close, or nil if no connection stays open.
 func HasEnded(address string) (ended bool, open net.Conn) {
-	c, refused := dial(address)
-	if c == nil {
-		return refused, nil
+	for range maxChecks {
+		c, err := dial(address)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return true, nil
+		case err != nil && !errors.Is(err, syscall.ECONNRESET):
+			return false, nil
+		}
+		time.Sleep(recheckDelay)
+		if c == nil {
+			continue
+		}
+		if IsQuiet(c) {
+			return false, c
+		}
+		// The process has closed the connection, either because it ends or because it takes no more connections.
+		c.Close() //nolint:errcheck // it is closed already
 	}
-	time.Sleep(recheckDelay)
-	if IsQuiet(c) {
-		return false, c
-	}
-	// The process has closed the connection, either because it ends or because it takes no more connections.
-	c.Close() //nolint:errcheck // it is closed already
-	c, refused = dial(address)
-	return refused, c
+	return false, nil
 }
 
-func dial(address string) (c net.Conn, refused bool) {
-	c, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err != nil {
-		// A reset comes from a process that has accepted the connection.
-		return nil, errors.Is(err, syscall.ECONNREFUSED)
-	}
-	return c, false
-}
+func dial(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) }
 
 // IsQuiet reports whether nothing has arrived on a connection: neither bytes nor its end.
 func IsQuiet(c net.Conn) bool {
--- a/io/cassialiveness/liveness_test.go
+++ b/io/cassialiveness/liveness_test.go
@@ -1,8 +1,11 @@
 package cassialiveness
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
@@ -55,6 +58,21 @@
 	qt.Check(t, ended, qt.IsTrue)
 }
 
+// TestProcessThatIsSlowToEndHasEnded guards against a process that resets connections for a while before it closes its listener being
+// taken for alive.
+func TestProcessThatIsSlowToEndHasEnded(t *testing.T) {
+	for range 20 {
+		listener := listen(t, func(_ net.Listener, c net.Conn) {
+			c.(*net.TCPConn).SetLinger(0) //nolint:errcheck // the connection is reset in either case
+			c.Close()                     //nolint:errcheck // the end of the connection is what the test is about
+		})
+		closing := time.AfterFunc(2*recheckDelay, func() { listener.Close() }) //nolint:errcheck // as above
+		ended, _ := HasEnded(listener.Addr().String())
+		closing.Stop()
+		qt.Check(t, ended, qt.IsTrue)
+	}
+}
+
 // TestProcessThatResetsConnectionsHasNotEnded: a target over its limit of connections resets new ones, which may already be seen
 // by the connect.
 func TestProcessThatResetsConnectionsHasNotEnded(t *testing.T) {
@@ -63,8 +81,8 @@
 		c.Close()                     //nolint:errcheck // as above
 	})
 	for range 300 {
-		c, refused := dial(listener.Addr().String())
-		qt.Assert(t, refused, qt.IsFalse)
+		c, err := dial(listener.Addr().String())
+		qt.Assert(t, errors.Is(err, syscall.ECONNREFUSED), qt.IsFalse)
 		if c != nil {
 			c.Close() //nolint:errcheck // the other side closes it, too
 		}
