Test a deadly request whose caller gives up

Suspected: targets that crash after the caller of a request has closed its connection are not counted against the request.

--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -53,7 +53,9 @@
 	start    time.Time
 	callers  errgroup.Group
 	number   int32
-	relays   []*cassiarelay.Relay
+	// crashAfter is how long targets run the deadly request before they crash.
+	crashAfter time.Duration
+	relays     []*cassiarelay.Relay
 
 	mutex    sync.Mutex
 	vms      []*frontVM
@@ -74,10 +76,13 @@
 
 func (c crashCall) served() bool { return c.err == nil && c.status == http.StatusOK }
 
-// newCrashEnv starts VMs, a service of 12 targets behind the routes /one/, whose requests are idempotent, and /book/, and three
+// newCrashEnv returns a started environment whose targets crash as soon as they run the deadly request.
+func newCrashEnv(t *testing.T, vms int) *crashEnv { return startCrashEnv(t, vms, 0) }
+
+// startCrashEnv starts VMs, a service of 12 targets behind the routes /one/, whose requests are idempotent, and /book/, and three
 // targets for each shard of /search/.
-func newCrashEnv(t *testing.T, vms int) *crashEnv {
-	e := &crashEnv{platformEnv: &platformEnv{c: qt.New(t), store: cassiastage.NewStore()}, t: t, start: time.Now(),
+func startCrashEnv(t *testing.T, vms int, crashAfter time.Duration) *crashEnv {
+	e := &crashEnv{crashAfter: crashAfter, platformEnv: &platformEnv{c: qt.New(t), store: cassiastage.NewStore()}, t: t, start: time.Now(),
 		vms: make([]*frontVM, vms)}
 	e.reserveAddresses()
 	e.serveStore(t)
@@ -100,7 +105,7 @@
 }
 
 func (e *crashEnv) addService(name string, body []byte, zones []string) {
-	behaviour := cassiastage.Behaviour{Work: 20 * time.Millisecond,
+	behaviour := cassiastage.Behaviour{Work: 20 * time.Millisecond, CrashAfter: e.crashAfter,
 		Deadly: func(_ *http.Request, body []byte) bool { return string(body) == deadlyBody }}
 	service := cassiastage.NewSupervisor(e.store, name, body, behaviour, zones...)
 	e.t.Cleanup(service.Close)
@@ -220,6 +225,31 @@
 	})
 }
 
+// sendDeadlyBriefly is like sendDeadly, to all VMs in turn, but the caller closes the connection after a time.
+func (e *crashEnv) sendDeadlyBriefly(path string, patience time.Duration) {
+	until := time.Now().Add(crashDuration)
+	e.callers.Go(func() error {
+		sleep(crashHeadStart)
+		for i := 0; time.Now().Before(until); i++ {
+			e.call(&e.deadly, impatientTransport{e.transport, patience}, e.vm(i), path, deadlyBody)
+			sleep(crashInterval)
+		}
+		return nil
+	})
+}
+
+// impatientTransport cancels each request after a time.
+type impatientTransport struct {
+	http.RoundTripper
+	patience time.Duration
+}
+
+func (t impatientTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx, cancel := context.WithCancel(r.Context())
+	time.AfterFunc(t.patience, cancel)
+	return t.RoundTripper.RoundTrip(r.WithContext(ctx))
+}
+
 // sendHarmless has six callers send harmless requests, each with a body of its own, to the VMs in turn for crashDuration.
 func (e *crashEnv) sendHarmless(path string) {
 	until := time.Now().Add(crashDuration)
@@ -429,6 +459,23 @@
 	}
 }
 
+// TestFrontStopsADeadlyRequestWhoseCallerGivesUp guards against targets that crash after the caller of a request has gone not
+// being counted against the request.
+func TestFrontStopsADeadlyRequestWhoseCallerGivesUp(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct{ name, path string }{{"idempotent", "/one/x"}, {"not idempotent", "/book/x"}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			const crashAfter, patience = 40 * time.Millisecond, 15 * time.Millisecond
+			e := startCrashEnv(t, 3, crashAfter)
+			e.sendHarmless(test.path)
+			e.sendDeadlyBriefly(test.path, patience)
+			e.checkDeadly(crashesBeforeContact)
+			e.checkHarmless(crashMinServed)
+		})
+	}
+}
+
 // TestFrontServesAPopularRequestWhoseTargetsEnd guards against a request being blamed for targets that end by themselves
 // while they run it, for one caller or for all that send it.
 func TestFrontServesAPopularRequestWhoseTargetsEnd(t *testing.T) {
