Count targets that end under cancelled attempts

An attempt that was cancelled, or past its deadline, when its target ended was never a loss, so the request was not held against it: cassiasaddle serve did not look whether the target had ended, cassiafront looked and then took the end for silence.

Now a connection that ends by itself is looked at whatever has happened to the attempt. TestTargetThatEndsUnderACancelledAttemptIsLost and TestCancelDoesNotHideTheEndOfATarget failed before.

--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -86,10 +86,11 @@
 	if result.Outcome == cassiagateway.OutcomeLost && !p.hasEnded(call) {
 		result.Outcome = cassiagateway.OutcomeBroken
 	}
-	// ctx was cancelled and its function closed the connection, so an incomplete reply is not the target's fault.
+	// ctx was cancelled and its function closed the connection, so an incomplete reply is not the target's fault, unless the
+	// target has ended.
 	if !stopAfterFunc() {
 		reusable = false
-		if result.Outcome == cassiagateway.OutcomeBroken || result.Outcome == cassiagateway.OutcomeLost {
+		if result.Outcome == cassiagateway.OutcomeBroken {
 			result.Outcome = cassiagateway.OutcomeSilent
 		}
 	}
--- a/io/cassiapool/pool_test.go
+++ b/io/cassiapool/pool_test.go
@@ -340,3 +340,31 @@
 	c.Check(most <= maxBufferedBytes, qt.IsTrue)
 	c.Check(pool.buffered.Load(), qt.Equals, int64(0))
 }
+
+// TestCancelDoesNotHideTheEndOfATarget guards against a target that ends being taken for silent because the attempt is cancelled
+// before the end is certain.
+func TestCancelDoesNotHideTheEndOfATarget(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		first, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		http.ReadRequest(bufio.NewReader(first)) //nolint:errcheck // the connection is closed in either case
+		first.Close()                            //nolint:errcheck // simulates the end of the process
+		second, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		cancel()
+		listener.Close() //nolint:errcheck // simulates the end of the process
+		return second.Close()
+	})
+	outcome := (&Pool{Headers: testHeaders}).Exchange(ctx, call(listener.Addr().String(), "1")).Outcome
+	c.Check(outcome, qt.Equals, cassiagateway.OutcomeLost)
+	c.Check(group.Wait(), qt.IsNil)
+}
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -117,6 +117,8 @@
 	reply, err := c.transport.RoundTrip(request)
 	if err != nil {
 		c.classifyFailure(ctx, result, &sent, call.Deadline)
+		// A connection that this client closed says nothing about the target.
+		result.TargetLost = result.Started && runContext.Err() == nil && c.hasEnded()
 	} else {
 		c.classifyReply(ctx, result, call, reply)
 	}
@@ -185,7 +187,6 @@
 		result.Outcome = cassiaschema.ShardOutcome_unreachable
 	default:
 		result.Outcome = cassiaschema.ShardOutcome_failed
-		result.TargetLost = c.hasEnded()
 	}
 }
 
--- a/io/cassiatarget/client_test.go
+++ b/io/cassiatarget/client_test.go
@@ -176,6 +176,35 @@
 	c.Check(result.Started, qt.IsTrue)
 }
 
+// TestTargetThatEndsUnderACancelledAttemptIsLost guards against a cancellation hiding the crash of a target.
+func TestTargetThatEndsUnderACancelledAttemptIsLost(t *testing.T) {
+	c := qt.New(t)
+	running, cancelled := make(chan struct{}), make(chan struct{})
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/cancel" {
+			close(cancelled)
+			return
+		}
+		close(running)
+		<-cancelled
+		server.Listener.Close() //nolint:errcheck // simulates the end of the process
+		dropConnection(w, r)
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		<-running
+		cancel()
+		return nil
+	})
+	result := New("t", server.Listener.Addr().String(), 2).Run(ctx, callOf(1))
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_cancelled)
+	c.Check(result.TargetLost, qt.IsTrue)
+}
+
 func TestPastDeadlineIsNotSent(t *testing.T) {
 	c := qt.New(t)
 	call := callOf(1)
