Count a crash once for all runs of a request

Cause: when a caller had several equal requests on a target that ended, the one loss was recorded once for each of them, so VMs that had not answered this caller counted two or three crashes.

Now the runs of a loss are one entry of their request. TestCrashUnderSeveralRunsOfARequestCountsOnce failed before.

--- a/core/cassiaquarantine/companion_test.go
+++ b/core/cassiaquarantine/companion_test.go
@@ -97,6 +97,26 @@
 	c.Check(len(k.owners[0].Active()) <= maxPeriods, qt.IsTrue)
 }
 
+// TestCrashUnderSeveralRunsOfARequestCountsOnce guards against a request that a caller sends several times at once being blamed for
+// the first target that ends.
+func TestCrashUnderSeveralRunsOfARequestCountsOnce(t *testing.T) {
+	c := qt.New(t)
+	runs := []Run{{Attempt: 1, Fingerprint: 1, Content: 2}, {Attempt: 2, Fingerprint: 1, Content: 2}, {Attempt: 3, Fingerprint: 1, Content: 2}}
+	local, learned := NewQuarantine(clockwork.NewFakeClock()), NewQuarantine(clockwork.NewFakeClock())
+	for _, r := range runs {
+		local.Update(Started{Run: r, Target: "t1"})
+	}
+	for _, r := range runs {
+		local.Update(Ended{Attempt: r.Attempt, Ending: EndingLost})
+	}
+	learned.Update(LossLearned{Loss: Loss{Target: "t1", Reporter: "vm-1", Runs: runs}})
+	for _, q := range []*Quarantine{local, learned} {
+		c.Check(q.Remaining(1), qt.Equals, time.Duration(0))
+		q.Update(LossLearned{Loss: Loss{Target: "t2", Reporter: "vm-2", Runs: []Run{{Attempt: 4, Fingerprint: 1, Content: 2}}}})
+		c.Check(q.Remaining(1) > 0, qt.IsTrue)
+	}
+}
+
 // TestLossThatIsToldLaterKeepsItsTime guards against one crash counting twice because a VM tells of it long after another one.
 func TestLossThatIsToldLaterKeepsItsTime(t *testing.T) {
 	c := qt.New(t)
--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -53,8 +53,9 @@
 
 // recordedLoss is a loss within Window.
 type recordedLoss struct {
-	at   time.Time
-	loss Loss
+	number int
+	at     time.Time
+	loss   Loss
 }
 
 // quarantinePeriod is the latest quarantine of a request, which may be over.
@@ -72,6 +73,8 @@
 	suspects map[cassiaid.Fingerprint]*suspect
 	periods  map[cassiaid.Fingerprint]quarantinePeriod
 	losses   []recordedLoss
+	// lossNumber is the number of the latest recorded loss.
+	lossNumber int
 	// unsharedRuns counts, for each request, its attempts in losses for which LossShared has not been received, so that the other
 	// owners may not know of them.
 	unsharedRuns map[cassiaid.Fingerprint]int
@@ -362,7 +365,8 @@
 	if len(q.losses) >= maxLosses {
 		q.losses = q.losses[1:]
 	}
-	q.losses = append(q.losses, recordedLoss{at: now, loss: loss})
+	q.lossNumber++
+	q.losses = append(q.losses, recordedLoss{number: q.lossNumber, at: now, loss: loss})
 }
 
 // addToSuspects records a loss at a time and adds it to each request that ran on the target. Other VMs may have reported the same crash
@@ -391,7 +395,7 @@
 				q.suspects[f] = s
 			}
 			s.dropBefore(now.Add(-Window))
-			l := suspectLoss{at: now, target: loss.Target, shard: r.Shard, alone: r.Alone, reporter: loss.Reporter}
+			l := suspectLoss{number: q.lossNumber, at: now, target: loss.Target, shard: r.Shard, alone: r.Alone, reporter: loss.Reporter}
 			l.addCompanions(f, r.Content, companions)
 			s.addLoss(l, r.Fingerprint)
 		}
--- a/core/cassiaquarantine/suspect.go
+++ b/core/cassiaquarantine/suspect.go
@@ -9,6 +9,8 @@
 
 // suspectLoss is the loss of a target that ran the request of a suspect.
 type suspectLoss struct {
+	// number is that of the recordedLoss.
+	number int
 	at     time.Time
 	target cassiaid.TargetName
 	shard  cassiaid.ShardIndex
@@ -60,12 +62,13 @@
 // isContent reports whether the suspect is a content, whoever sends it.
 func (s *suspect) isContent() bool { return s.fingerprint == s.content }
 
-// addLoss records a loss of the suspect with all the runs of that loss that it has.
+// addLoss records a loss of the suspect, once for all the runs of a part that it had on the target.
 func (s *suspect) addLoss(loss suspectLoss, caller cassiaid.Fingerprint) {
 	for i := range s.losses {
 		l := &s.losses[i]
-		if s.isContent() && l.target == loss.target && l.reporter == loss.reporter && l.at.Equal(loss.at) {
+		if l.number == loss.number && l.shard == loss.shard {
 			l.callers = append(l.callers, caller)
+			l.alone = l.alone && loss.alone
 			return
 		}
 	}
@@ -92,9 +95,7 @@
 
 // hasLoss reports whether a recorded loss counts against the suspect. It is false for a nil suspect.
 func (s *suspect) hasLoss(recorded recordedLoss) bool {
-	return s != nil && slices.ContainsFunc(s.losses, func(l suspectLoss) bool {
-		return l.target == recorded.loss.Target && l.reporter == recorded.loss.Reporter && l.at.Equal(recorded.at)
-	})
+	return s != nil && slices.ContainsFunc(s.losses, func(l suspectLoss) bool { return l.number == recorded.number })
 }
 
 // addCompanions records the runs of a loss for which the suspect has an earlier report by another VM. It does nothing for a nil
--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -508,6 +508,9 @@
 			e.c.Assert(e.callers.Wait(), qt.IsNil)
 			const minServedOfPopular = 0.9
 			e.checkHarmless(minServedOfPopular)
+			for _, c := range e.harmless {
+				e.c.Check(strings.Contains(c.reason, "crashed targets before"), qt.IsFalse)
+			}
 		})
 	}
 }
