Keep connections in use when a notice is not confirmed

Reading the diff: a VM of an earlier version does not confirm notices of quarantines, so during an upgrade its connection would have been closed every second while a quarantine lasts, and the batches on it with it. Now a connection is closed only if nothing has arrived on it since the notice was sent.

--- a/io/cassiaguard/guard.go
+++ b/io/cassiaguard/guard.go
@@ -344,11 +344,11 @@
 	g.ApplyNotice(cassiaquarantine.AnswerLearned{Fingerprint: fingerprint, Shard: shard})
 }
 
-// Quarantined records a quarantine that another VM has decided and reports whether the request was not quarantined before.
+// Quarantined records a quarantine that another VM has decided and reports whether it is new to this VM.
 func (g *Guard) Quarantined(fingerprint cassiaid.Fingerprint, remaining time.Duration) bool {
 	known := g.Remaining(fingerprint) > 0
 	g.ApplyNotice(cassiaquarantine.QuarantineLearned{Fingerprint: fingerprint, Remaining: remaining})
-	return !known
+	return !known && g.Remaining(fingerprint) > 0
 }
 
 func (g *Guard) update(m cassiaquarantine.Message) []cassiaquarantine.Effect {
--- a/io/cassiaguard/history_test.go
+++ b/io/cassiaguard/history_test.go
@@ -46,7 +46,7 @@
 	return err
 }
 
-func (l testLink) Drop(cassiaid.VMName) {}
+func (l testLink) DropSilent(cassiaid.VMName, time.Time) {}
 
 // newTestNetwork returns a network of VMs that do not announce quarantines.
 func newTestNetwork(vms int) *testNetwork {
--- a/io/cassiaguard/notifier.go
+++ b/io/cassiaguard/notifier.go
@@ -31,8 +31,8 @@
 type Exchanger interface {
 	Exchange(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error)
 	Send(ctx context.Context, vm cassiaid.VMName, orderingKey uint64, frame *cassiaschema.PeerFrame) error
-	// Drop closes the connection to a VM; the next frame opens a new one.
-	Drop(vm cassiaid.VMName)
+	// DropSilent closes the connection to a VM if nothing has arrived on it since a time; the next frame opens a new one.
+	DropSilent(vm cassiaid.VMName, since time.Time)
 }
 
 // Notifier exchanges what Guards have observed with other VMs by frames; it implements Peers. All fields but Log and Timeout are
@@ -60,10 +60,10 @@
 
 // Deliver sends a frame to another VM and returns nil once that VM has replied to it.
 func (n *Notifier) Deliver(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) error {
+	sentAt := time.Now()
 	_, err := n.Node.Exchange(ctx, vm, frame)
 	if ctx.Err() != nil {
-		// The connection may still lead to an earlier process of that VM and would stay silent for long.
-		n.Node.Drop(vm)
+		n.Node.DropSilent(vm, sentAt)
 	}
 	return err
 }
@@ -160,7 +160,8 @@
 }
 
 // RunsElsewhere reports whether another owner of the front's targets is running a request for a shard. An owner that
-// does not reply in time counts as not running it.
+// does not reply in time counts as not running it. One that tells of losses which this VM had missed counts as running it, so that
+// the caller decides anew.
 func (n *Notifier) RunsElsewhere(front cassiaid.FrontKey, run cassiaquarantine.Run) bool {
 	ctx, cancel := n.timeout()
 	defer cancel()
--- a/io/cassiaguard/notifier_test.go
+++ b/io/cassiaguard/notifier_test.go
@@ -29,7 +29,7 @@
 	return &cassiaschema.PeerFrame{}, nil
 }
 
-func (n *slowNode) Drop(cassiaid.VMName) {}
+func (n *slowNode) DropSilent(cassiaid.VMName, time.Time) {}
 
 func (n *slowNode) Send(context.Context, cassiaid.VMName, uint64, *cassiaschema.PeerFrame) error {
 	return nil
--- a/io/cassiapeer/node.go
+++ b/io/cassiapeer/node.go
@@ -306,6 +306,7 @@
 // its Exchange has ended.
 func (n *Node) dispatchFrame(p *peerConnection, frame *cassiaschema.PeerFrame, isReply bool, reply Replier) {
 	n.framesReceived.Inc(1)
+	p.receivedAt.Store(time.Now().UnixNano())
 	if isReply && frame.ExchangeId != 0 {
 		n.mutex.Lock()
 		waiting := n.pendingReplies[frame.ExchangeId]
@@ -331,6 +332,17 @@
 	}
 }
 
+// DropSilent closes the connection to a VM if no frame has arrived on it since a time. It may lead to an earlier process of that
+// VM and would stay silent for long.
+func (n *Node) DropSilent(vm cassiaid.VMName, since time.Time) {
+	n.mutex.Lock()
+	p := n.peers[vm]
+	n.mutex.Unlock()
+	if p != nil && p.receivedAt.Load() < since.UnixNano() {
+		p.connection.CloseWithError(2, "no reply") //nolint:errcheck // the connection is discarded
+	}
+}
+
 // Close closes all connections and the socket, and waits for the node's goroutines.
 func (n *Node) Close() error {
 	n.cancel()
--- a/io/cassiapeer/peer.go
+++ b/io/cassiapeer/peer.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -29,6 +30,8 @@
 	name       cassiaid.VMName
 	connection *quic.Conn
 	outgoing   [streamsPerPeer]outgoingStream
+	// receivedAt is when the last frame arrived or the connection was opened, in nanoseconds since the Unix epoch.
+	receivedAt atomic.Int64
 }
 
 // outgoingStream is a long-lived stream that this VM opened to send frames; stream is nil until the first frame.
@@ -38,7 +41,9 @@
 }
 
 func newPeerConnection(n *Node, name cassiaid.VMName, connection *quic.Conn) *peerConnection {
-	return &peerConnection{node: n, name: name, connection: connection}
+	p := &peerConnection{node: n, name: name, connection: connection}
+	p.receivedAt.Store(time.Now().UnixNano())
+	return p
 }
 
 // serve accepts and reads the streams that the other VM opens, until the connection ends.
