Do not take a VM for lost when an unused connection to it ends

Two VMs that dial each other at the same time have two connections. The one that is not used ends after 30 s, and both VMs then ended all attempts that they had sent through each other, or ran for each other, on the other one. Found by reading; no run shows callers that suffered from it.

Now an idle connection that another one has replaced ends without consequences. TestIdleConnectionBesideOneInUse failed before.

--- a/io/cassiapeer/node.go
+++ b/io/cassiapeer/node.go
@@ -44,7 +44,7 @@
 type Handler interface {
 	// HandleFrame receives a frame that is not the reply to an Exchange.
 	HandleFrame(from cassiaid.VMName, frame *cassiaschema.PeerFrame, reply Replier)
-	// PeerLost is called when a connection to a VM ended.
+	// PeerLost is called when a connection to a VM ended, unless it was not used any more.
 	PeerLost(peer cassiaid.VMName)
 }
 
@@ -197,15 +197,18 @@
 	return p
 }
 
-// waitForClose waits for the end of a connection, removes it, and calls PeerLost unless the node is closing.
+// waitForClose waits for the end of a connection, removes it, and calls PeerLost unless the node is closing or the connection only
+// became idle because another one to the same VM is used.
 func (n *Node) waitForClose(p *peerConnection) {
 	<-p.connection.Context().Done()
 	n.mutex.Lock()
-	if n.peers[p.name] == p {
+	replaced := n.peers[p.name] != nil && n.peers[p.name] != p
+	if !replaced {
 		delete(n.peers, p.name)
 	}
 	n.mutex.Unlock()
-	if n.context.Err() != nil {
+	var idle *quic.IdleTimeoutError
+	if n.context.Err() != nil || replaced && errors.As(context.Cause(p.connection.Context()), &idle) {
 		return
 	}
 	n.lostPeers.Inc(1)
