Build lists of quarantined requests in one place

Reading the diff: notices and replies each built the list, the fingerprints of a run were taken apart by hand beside Run.fingerprints, and a loss that is told later was recorded under a parameter named now.

--- a/core/cassiaquarantine/admit.go
+++ b/core/cassiaquarantine/admit.go
@@ -78,7 +78,7 @@
 // AdmitRun is like AdmitAfterWait, for both fingerprints of a run. It returns the stricter verdict.
 func (q *Quarantine) AdmitRun(r Run) Verdict {
 	verdict := VerdictRun
-	for _, f := range r.fingerprints() {
+	for _, f := range r.Fingerprints() {
 		switch v := q.AdmitAfterWait(f, r.Shard); {
 		case v == VerdictQuarantined, v == VerdictRefuseNow && verdict != VerdictQuarantined, verdict == VerdictRun:
 			verdict = v
--- a/core/cassiaquarantine/message.go
+++ b/core/cassiaquarantine/message.go
@@ -21,8 +21,8 @@
 	Alone bool
 }
 
-// fingerprints returns the fingerprints by which the run's request is judged.
-func (r Run) fingerprints() []cassiaid.Fingerprint {
+// Fingerprints returns the fingerprints by which the run's request is judged.
+func (r Run) Fingerprints() []cassiaid.Fingerprint {
 	if r.Content == 0 {
 		return []cassiaid.Fingerprint{r.Fingerprint}
 	}
--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -177,7 +177,7 @@
 func (q *Quarantine) start(m Started) {
 	a := &runningAttempt{run: m.Run, target: m.Target}
 	q.attempts[m.Run.Attempt] = a
-	for _, f := range m.Run.fingerprints() {
+	for _, f := range m.Run.Fingerprints() {
 		q.running[f] = append(q.running[f], a)
 	}
 }
@@ -185,7 +185,7 @@
 // remove drops an attempt that has ended.
 func (q *Quarantine) remove(a *runningAttempt) {
 	delete(q.attempts, a.run.Attempt)
-	for _, f := range a.run.fingerprints() {
+	for _, f := range a.run.Fingerprints() {
 		q.running[f] = slices.DeleteFunc(q.running[f], func(other *runningAttempt) bool { return other == a })
 		if len(q.running[f]) == 0 {
 			delete(q.running, f)
@@ -202,7 +202,7 @@
 	switch m.Ending {
 	case EndingAnswered:
 		var effects []Effect
-		for _, f := range a.run.fingerprints() {
+		for _, f := range a.run.Fingerprints() {
 			suspected, blamed := q.clearByAnswer(now, f, a.run.Shard)
 			effects = append(effects, blamed...)
 			if suspected {
@@ -273,7 +273,7 @@
 	}
 	slices.SortFunc(loss.Runs, func(x, y Run) int { return compare(x.Attempt, y.Attempt) })
 	for _, r := range loss.Runs {
-		for _, f := range r.fingerprints() {
+		for _, f := range r.Fingerprints() {
 			q.unsharedRuns[f]++
 		}
 	}
@@ -285,7 +285,7 @@
 // markShared records that the other owners know of a loss.
 func (q *Quarantine) markShared(loss Loss) {
 	for _, r := range loss.Runs {
-		for _, f := range r.fingerprints() {
+		for _, f := range r.Fingerprints() {
 			if q.unsharedRuns[f]--; q.unsharedRuns[f] <= 0 {
 				delete(q.unsharedRuns, f)
 			}
@@ -325,22 +325,23 @@
 			continue
 		}
 		loss := recorded.loss
-		loss.Runs = slices.DeleteFunc(slices.Clone(loss.Runs), func(r Run) bool {
-			return !slices.ContainsFunc(r.fingerprints(), func(f cassiaid.Fingerprint) bool { return q.suspects[f].hasLoss(recorded) })
-		})
-		if len(loss.Runs) > 0 {
-			losses = append(losses, LossLearned{Loss: loss, Age: now.Sub(recorded.at)})
-		}
+		loss.Runs = slices.DeleteFunc(slices.Clone(loss.Runs), func(r Run) bool { return !q.countsAgainst(recorded, r) })
+		losses = append(losses, LossLearned{Loss: loss, Age: now.Sub(recorded.at)})
 	}
 	return losses
 }
 
+// countsAgainst reports whether a loss counts against the request of one of its runs, or against its content.
+func (q *Quarantine) countsAgainst(loss recordedLoss, r Run) bool {
+	return slices.ContainsFunc(r.Fingerprints(), func(f cassiaid.Fingerprint) bool { return q.suspects[f].hasLoss(loss) })
+}
+
 // shareEarlierAnswers returns a ShareAnswer for each request part of the loss that this VM knows to have been answered within
 // Window.
 func (q *Quarantine) shareEarlierAnswers(now time.Time, loss Loss) []Effect {
 	var effects []Effect
 	for _, r := range loss.Runs {
-		for _, f := range r.fingerprints() {
+		for _, f := range r.Fingerprints() {
 			if q.answeredParts.Has(now, Window, requestPart{f, r.Shard}) {
 				effects = append(effects, ShareAnswer{Fingerprint: f, Shard: r.Shard, BeforeLoss: true})
 			}
@@ -369,33 +370,33 @@
 	q.losses = append(q.losses, recordedLoss{number: q.lossNumber, at: now, loss: loss})
 }
 
-// addToSuspects records a loss at a time and adds it to each request that ran on the target. Other VMs may have reported the same crash
-// for their own runs; those and the runs of this loss are companions of each other.
-func (q *Quarantine) addToSuspects(now time.Time, loss Loss) {
+// addToSuspects records a loss that occurred at a time and adds it to each request that ran on the target. Other VMs may have reported
+// the same crash for their own runs; those and the runs of this loss are companions of each other.
+func (q *Quarantine) addToSuspects(at time.Time, loss Loss) {
 	var companions []Run
 	for _, earlier := range q.losses {
-		if earlier.loss.Target != loss.Target || earlier.loss.Reporter == loss.Reporter || now.Sub(earlier.at).Abs() > sameCrashWindow {
+		if earlier.loss.Target != loss.Target || earlier.loss.Reporter == loss.Reporter || at.Sub(earlier.at).Abs() > sameCrashWindow {
 			continue
 		}
 		for _, r := range earlier.loss.Runs {
-			for _, f := range r.fingerprints() {
-				q.suspects[f].addCompanions(now, loss)
+			for _, f := range r.Fingerprints() {
+				q.suspects[f].addCompanions(at, loss)
 			}
 		}
 		companions = append(companions, earlier.loss.Runs...)
 	}
 	companions = append(companions, loss.Runs...)
-	q.addLoss(now, loss)
+	q.addLoss(at, loss)
 	for _, r := range loss.Runs {
-		for _, f := range r.fingerprints() {
+		for _, f := range r.Fingerprints() {
 			s := q.suspects[f]
 			if s == nil {
-				q.evict(now)
+				q.evict(at)
 				s = &suspect{fingerprint: f, content: r.Content}
 				q.suspects[f] = s
 			}
-			s.dropBefore(now.Add(-Window))
-			l := suspectLoss{number: q.lossNumber, at: now, target: loss.Target, shard: r.Shard, alone: r.Alone, reporter: loss.Reporter}
+			s.dropBefore(at.Add(-Window))
+			l := suspectLoss{number: q.lossNumber, at: at, target: loss.Target, shard: r.Shard, alone: r.Alone, reporter: loss.Reporter}
 			l.addCompanions(f, r.Content, companions)
 			s.addLoss(l, r.Fingerprint)
 		}
@@ -423,7 +424,7 @@
 func (q *Quarantine) quarantineBlamed(now time.Time, runs []Run, ended cassiaid.AttemptID) []Effect {
 	var effects []Effect
 	for _, r := range runs {
-		for _, f := range r.fingerprints() {
+		for _, f := range r.Fingerprints() {
 			if q.Remaining(f) > 0 || !q.isBlamed(now, f, ended) {
 				continue
 			}
--- a/core/cassiaquarantine/suspect.go
+++ b/core/cassiaquarantine/suspect.go
@@ -18,7 +18,7 @@
 	alone bool
 	// reporter is the VM that observed the loss; empty for this VM.
 	reporter cassiaid.VMName
-	// callers are the fingerprints of the runs; there is one, or several if the suspect is a content.
+	// callers are the callers' fingerprints of the runs; they differ only if the suspect is a content.
 	callers []cassiaid.Fingerprint
 	// others are the other requests that ran on the target and have not been answered since.
 	others []cassiaid.Fingerprint
--- a/io/cassiaguard/announcer.go
+++ b/io/cassiaguard/announcer.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"cassiasaddle/core/cassiabackoff"
 	"cassiasaddle/core/cassiaid"
@@ -147,7 +146,7 @@
 		case <-a.wake:
 		}
 		missing := a.missing()
-		a.announce(missing)
+		a.addAnnounced(missing)
 		a.tellAll()
 		if len(missing) == 0 || time.Now().Before(pauseUntil) {
 			continue
@@ -164,8 +163,8 @@
 	}
 }
 
-// announce adds quarantines to those of which this VM tells all others.
-func (a *Announcer) announce(quarantines []StoredQuarantine) {
+// addAnnounced adds quarantines to those of which this VM tells all others.
+func (a *Announcer) addAnnounced(quarantines []StoredQuarantine) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	for _, q := range quarantines {
@@ -198,7 +197,7 @@
 // tell sends notices to a VM until it has confirmed all announced quarantines or does not confirm a notice.
 func (a *Announcer) tell(vm cassiaid.VMName) {
 	for untold := a.nextNotice(vm); len(untold) > 0; untold = a.nextNotice(vm) {
-		if err := a.send(vm, quarantineNotice(a.remaining(untold))); err != nil {
+		if err := a.send(vm, untold); err != nil {
 			a.notConfirmed(vm, err)
 			return
 		}
@@ -250,45 +249,27 @@
 	return untold
 }
 
-// remaining returns the remaining times of quarantines.
-func (a *Announcer) remaining(fingerprints []cassiaid.Fingerprint) map[cassiaid.Fingerprint]time.Duration {
-	remaining := make(map[cassiaid.Fingerprint]time.Duration)
-	for _, f := range fingerprints {
-		remaining[f] = a.config.Guard.Remaining(f)
-	}
-	return remaining
-}
-
 // repeat tells one random VM of all quarantines.
 func (a *Announcer) repeat() {
-	active := a.config.Guard.Active()
+	active := slices.Collect(maps.Keys(a.config.Guard.Active()))
 	vms := a.config.VMs()
 	if len(active) == 0 || len(vms) == 0 {
 		return
 	}
-	vm, frame := vms[rand.IntN(len(vms))], quarantineNotice(active)
+	vm := vms[rand.IntN(len(vms))]
 	a.group.Go(func() error {
 		// Another VM is told after the next interval.
-		_ = a.send(vm, frame)
+		_ = a.send(vm, active[:min(len(active), maxAnnounced)])
 		return nil
 	})
 }
 
-func quarantineNotice(quarantines map[cassiaid.Fingerprint]time.Duration) *cassiaschema.PeerFrame {
-	notice := &cassiaschema.QuarantineNotice{}
-	for fingerprint, remaining := range quarantines {
-		if len(notice.Requests) == maxAnnounced {
-			break
-		}
-		notice.Requests = append(notice.Requests, &cassiaschema.QuarantinedRequest{Fingerprint: uint64(fingerprint), Remaining: durationpb.New(remaining)})
-	}
-	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_QuarantineNotice{QuarantineNotice: notice}}
-}
-
-func (a *Announcer) send(vm cassiaid.VMName, frame *cassiaschema.PeerFrame) error {
+// send tells a VM of quarantines and returns nil once it has confirmed the notice.
+func (a *Announcer) send(vm cassiaid.VMName, fingerprints []cassiaid.Fingerprint) error {
 	ctx, cancel := context.WithTimeout(context.Background(), announceInterval)
 	defer cancel()
-	return a.config.Send(ctx, vm, frame)
+	notice := &cassiaschema.QuarantineNotice{Requests: a.config.Guard.quarantined(fingerprints)}
+	return a.config.Send(ctx, vm, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_QuarantineNotice{QuarantineNotice: notice}})
 }
 
 // missing returns the quarantines that this VM should save now, because the store lacks them and no other VM has saved them
--- a/io/cassiaguard/guard.go
+++ b/io/cassiaguard/guard.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	"cassiasaddle/core/cassiaclock"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaquarantine"
@@ -331,6 +333,17 @@
 	return g.core.Remaining(fingerprint)
 }
 
+// quarantined returns those of the requests that are quarantined, with their remaining time.
+func (g *Guard) quarantined(fingerprints []cassiaid.Fingerprint) []*cassiaschema.QuarantinedRequest {
+	var quarantined []*cassiaschema.QuarantinedRequest
+	for _, f := range fingerprints {
+		if remaining := g.Remaining(f); remaining > 0 {
+			quarantined = append(quarantined, &cassiaschema.QuarantinedRequest{Fingerprint: uint64(f), Remaining: durationpb.New(remaining)})
+		}
+	}
+	return quarantined
+}
+
 // NeedsCanary reports whether a front's policy requires a canary for a request: no target is known to have answered it
 // recently, and the policy is always, or a target was lost recently, or the request was quarantined recently.
 func (g *Guard) NeedsCanary(fingerprint cassiaid.Fingerprint, policy cassiaschema.Canary) bool {
--- a/io/cassiaguard/history.go
+++ b/io/cassiaguard/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -28,17 +29,6 @@
 	return notices
 }
 
-// quarantinesOf returns those of the requests that are quarantined.
-func (n *Notifier) quarantinesOf(fingerprints []cassiaid.Fingerprint) []*cassiaschema.QuarantinedRequest {
-	var quarantined []*cassiaschema.QuarantinedRequest
-	for _, f := range fingerprints {
-		if remaining := n.Guard.Remaining(f); remaining > 0 {
-			quarantined = append(quarantined, &cassiaschema.QuarantinedRequest{Fingerprint: uint64(f), Remaining: durationpb.New(remaining)})
-		}
-	}
-	return quarantined
-}
-
 // learnHistory records what another VM knows against requests of this VM, and reports whether that includes losses which this VM
 // had missed.
 func (n *Notifier) learnHistory(front cassiaid.FrontKey, from cassiaid.VMName, history *cassiaschema.CrashHistory) (missed bool) {
@@ -82,14 +72,9 @@
 // fingerprintsOf returns the fingerprints of runs, each once.
 func fingerprintsOf(runs []cassiaquarantine.Run) []cassiaid.Fingerprint {
 	var all []cassiaid.Fingerprint
-	seen := make(map[cassiaid.Fingerprint]bool)
 	for _, r := range runs {
-		for _, f := range []cassiaid.Fingerprint{r.Fingerprint, r.Content} {
-			if f != 0 && !seen[f] {
-				seen[f] = true
-				all = append(all, f)
-			}
-		}
+		all = append(all, r.Fingerprints()...)
 	}
-	return all
+	slices.Sort(all)
+	return slices.Compact(all)
 }
--- a/io/cassiaguard/notifier.go
+++ b/io/cassiaguard/notifier.go
@@ -236,12 +236,12 @@
 func (n *Notifier) handleRunInquiry(inquiry *cassiaschema.RunInquiry) *cassiaschema.RunInquiryReply {
 	run := cassiaquarantine.Run{Fingerprint: cassiaid.Fingerprint(inquiry.GetFingerprint()), Content: cassiaid.Fingerprint(inquiry.GetContent()),
 		Shard: cassiaid.ShardIndex(inquiry.GetShard())}
-	reply := &cassiaschema.RunInquiryReply{}
-	fingerprints := fingerprintsOf([]cassiaquarantine.Run{run})
+	fingerprints := run.Fingerprints()
+	reply := &cassiaschema.RunInquiryReply{History: &cassiaschema.CrashHistory{Losses: n.lossesOf(fingerprints),
+		Quarantined: n.Guard.quarantined(fingerprints)}}
 	for _, f := range fingerprints {
 		reply.Running = reply.Running || n.Guard.BlocksOtherVMs(f, run.Shard)
 	}
-	reply.History = &cassiaschema.CrashHistory{Losses: n.lossesOf(fingerprints), Quarantined: n.quarantinesOf(fingerprints)}
 	return reply
 }
 
@@ -254,7 +254,7 @@
 	for _, a := range n.Guard.ApplyNotice(learned) {
 		reply.Answered = append(reply.Answered, answerNotice(a))
 	}
-	reply.History.Quarantined = n.quarantinesOf(fingerprints)
+	reply.History.Quarantined = n.Guard.quarantined(fingerprints)
 	for _, r := range learned.Loss.Runs {
 		if n.Guard.Running(r.Fingerprint, r.Shard) {
 			reply.Running = append(reply.Running, uint64(r.Fingerprint))
