Keep connections open by the code that opens them ahead

Reading the diff: the loop that keeps connections between VMs open sent its own empty frame beside Client.Warm. It is a method of that client now and calls Warm; its counter of frames that were not sent is gone, as Warm has none.

--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -195,7 +195,7 @@
 	watchers.SetExchanger(node)
 	p.logEvent("peersServed", "address", p.settings.PeerAddress)
 	var group errgroup.Group
-	group.Go(func() error { p.notifier.KeepConnected(ctx, p.gate.ConnectedVMs); return nil })
+	group.Go(func() error { handler.Client.KeepConnected(ctx, p.gate.ConnectedVMs); return nil })
 	p.keepAuthority(ctx, value, restored)
 	return errors.Join(group.Wait(), node.Close())
 }
--- a/io/cassiaaggregate/client.go
+++ b/io/cassiaaggregate/client.go
@@ -113,19 +113,49 @@
 // connectTimeout bounds the opening of a connection by Warm.
 const connectTimeout = 2 * time.Second
 
-// Warm opens the connection to a VM ahead of its first batch.
+// Warm opens the connection to a VM ahead of its first frame, or keeps it from ending unused.
 func (c *Client) Warm(vm cassiaid.VMName) {
 	c.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 		defer cancel()
-		// The frame cancels no attempt and only opens the connection. An error is ignored, since the first batch shows
-		// whether the VM can be reached.
+		// The frame cancels no attempt. An error is ignored, since the next frame shows whether the VM can be reached.
 		_ = c.node.Send(ctx, vm, 0, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_AggregateCancel{
 			AggregateCancel: &cassiaschema.AggregateCancel{}}})
 		return nil
 	})
 }
 
+const (
+	// connectInterval is how often KeepConnected looks for VMs to which there is no connection.
+	connectInterval = time.Second
+	// keepAliveInterval is how often it sends a frame to each VM, well within the time after which unused connections end.
+	keepAliveInterval = 10 * time.Second
+)
+
+// KeepConnected opens connections to other VMs and keeps them open until ctx is done, so that the first notice of a loss does not
+// wait for a connection. vms returns the VMs.
+func (c *Client) KeepConnected(ctx context.Context, vms func() []cassiaid.VMName) {
+	ticker := time.NewTicker(connectInterval)
+	defer ticker.Stop()
+	warmedAt := make(map[cassiaid.VMName]time.Time)
+	for {
+		listed := make(map[cassiaid.VMName]time.Time)
+		for _, vm := range vms() {
+			listed[vm] = warmedAt[vm]
+			if time.Since(warmedAt[vm]) >= keepAliveInterval {
+				listed[vm] = time.Now()
+				c.Warm(vm)
+			}
+		}
+		warmedAt = listed
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Drop closes the connection to a VM, so that the next batch opens a new one.
 func (c *Client) Drop(vm cassiaid.VMName) {
 	c.group.Go(func() error { c.node.Drop(vm); return nil })
