Share the start of nodes and the deadly caller between tests

Reading the diff: three tests of connections between VMs started their nodes by the same lines, and the caller that gives up early repeated the loop of the one that does not.

--- a/io/cassiapeer/silent_test.go
+++ b/io/cassiapeer/connection_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/go-kit/log"
-	"github.com/uber-go/tally/v4"
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
@@ -28,35 +26,29 @@
 // PeerLost records the loss.
 func (r selectiveReplier) PeerLost(vm cassiaid.VMName) { r.lost <- vm }
 
+// inquiry returns a frame to which a selectiveReplier replies.
+func inquiry() *cassiaschema.PeerFrame {
+	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiry{RunInquiry: &cassiaschema.RunInquiry{}}}
+}
+
 // TestDropSilentKeepsConnectionsInUse guards against one frame without a reply ending a connection on which others are answered.
 func TestDropSilentKeepsConnectionsInUse(t *testing.T) {
 	c := qt.New(t)
 	directory, nodeAddresses := cassiatls.Directory(c.TempDir()), addresses{"a": "127.9.251.1:24901", "b": "127.9.251.2:24901"}
 	c.Assert(directory.Issue(time.Now(), time.Hour, "a", "b"), qt.IsNil)
 	handler := selectiveReplier{lost: make(chan cassiaid.VMName, 2)}
-	start := func(name cassiaid.VMName) *cassiapeer.Node {
-		credentials, err := cassiatls.New(directory.Files(name))
-		c.Assert(err, qt.IsNil)
-		n, err := cassiapeer.Listen(cassiapeer.Config{Self: name, Address: nodeAddresses[name], Identity: credentials, Resolver: nodeAddresses,
-			Handler: handler, Logger: log.NewNopLogger(), Scope: tally.NoopScope})
-		c.Assert(err, qt.IsNil)
-		n.Serve()
-		c.Cleanup(func() { c.Check(n.Close(), qt.IsNil) })
-		return n
-	}
-	a := start("a")
-	start("b")
+	a := startNode(c, "a", directory, nodeAddresses, handler, nil)
+	startNode(c, "b", directory, nodeAddresses, handler, nil)
 	exchange := func(frame *cassiaschema.PeerFrame) error {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := a.Exchange(ctx, "b", frame)
 		return err
 	}
-	inquiry := &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiry{RunInquiry: &cassiaschema.RunInquiry{}}}
 	before := time.Now()
-	c.Assert(exchange(inquiry), qt.IsNil)
+	c.Assert(exchange(inquiry()), qt.IsNil)
 	a.DropSilent("b", before)
-	c.Check(exchange(inquiry), qt.IsNil)
+	c.Check(exchange(inquiry()), qt.IsNil)
 	c.Check(handler.lost, qt.HasLen, 0)
 
 	after := time.Now()
@@ -68,3 +60,25 @@
 		t.Fatal("the silent connection is kept")
 	}
 }
+
+// TestIdleConnectionBesideOneInUse guards against a VM being taken for lost, with all that runs there, when one of two connections
+// to it ends because only the other one is used. Two VMs that dial each other at the same time open two.
+func TestIdleConnectionBesideOneInUse(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	directory, nodeAddresses := cassiatls.Directory(c.TempDir()), addresses{"a": "127.9.251.1:24902", "b": "127.9.251.2:24902"}
+	c.Assert(directory.Issue(time.Now(), time.Hour, "a", "b"), qt.IsNil)
+	handler := selectiveReplier{lost: make(chan cassiaid.VMName, 4)}
+	a := startNode(c, "a", directory, nodeAddresses, handler, nil)
+	startNode(c, "b", directory, nodeAddresses, handler, nil)
+	for range 2 {
+		a.DialAgain("b")
+	}
+	for end := time.Now().Add(cassiapeer.IdleTimeout + 2*time.Second); time.Now().Before(end); time.Sleep(cassiapeer.IdleTimeout / 10) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		_, err := a.Exchange(ctx, "b", inquiry())
+		cancel()
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check(handler.lost, qt.HasLen, 0)
+}
--- a/io/cassiapeer/lane_test.go
+++ b/io/cassiapeer/lane_test.go
@@ -58,6 +58,19 @@
 // PeerAddress returns the address of a node.
 func (a addresses) PeerAddress(vm cassiaid.VMName) (string, bool) { return a[vm], a[vm] != "" }
 
+// startNode starts a node that runs until the test ends. wrap wraps its socket unless it is nil.
+func startNode(c *qt.C, name cassiaid.VMName, directory cassiatls.Directory, nodes addresses, handler cassiapeer.Handler,
+	wrap func(net.PacketConn) net.PacketConn) *cassiapeer.Node {
+	credentials, err := cassiatls.New(directory.Files(name))
+	c.Assert(err, qt.IsNil)
+	n, err := cassiapeer.Listen(cassiapeer.Config{Self: name, Address: nodes[name], Identity: credentials, Resolver: nodes, Handler: handler,
+		Wrap: wrap, Logger: log.NewNopLogger(), Scope: tally.NoopScope})
+	c.Assert(err, qt.IsNil)
+	n.Serve()
+	c.Cleanup(func() { c.Check(n.Close(), qt.IsNil) })
+	return n
+}
+
 // TestLostPacketDelaysOnlyItsLane drops every packet of a frame, including retransmissions: frames on another stream,
 // which the ordering key selects, still arrive, and the delayed frame arrives once packets are no longer dropped.
 func TestLostPacketDelaysOnlyItsLane(t *testing.T) {
@@ -66,19 +79,9 @@
 	c.Assert(directory.Issue(time.Now(), time.Hour, "a", "b"), qt.IsNil)
 	var lossy atomic.Bool
 	var lost atomic.Int64
-	start := func(name cassiaid.VMName, handler sizeRecorder, wrap func(net.PacketConn) net.PacketConn) *cassiapeer.Node {
-		credentials, err := cassiatls.New(directory.Files(name))
-		c.Assert(err, qt.IsNil)
-		n, err := cassiapeer.Listen(cassiapeer.Config{Self: name, Address: nodeAddresses[name], Identity: credentials, Resolver: nodeAddresses,
-			Handler: handler, Wrap: wrap, Logger: log.NewNopLogger(), Scope: tally.NoopScope})
-		c.Assert(err, qt.IsNil)
-		n.Serve()
-		c.Cleanup(func() { c.Check(n.Close(), qt.IsNil) })
-		return n
-	}
 	receiver := sizeRecorder{make(chan int, 1<<14)}
-	start("b", receiver, nil)
-	sender := start("a", sizeRecorder{make(chan int, 1)}, func(inner net.PacketConn) net.PacketConn {
+	startNode(c, "b", directory, nodeAddresses, receiver, nil)
+	sender := startNode(c, "a", directory, nodeAddresses, sizeRecorder{make(chan int, 1)}, func(inner net.PacketConn) net.PacketConn {
 		return lossyConn{PacketConn: inner, lossy: &lossy, lost: &lost}
 	})
 	send := func(orderingKey uint64, bytes int) {
--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -206,10 +206,8 @@
 }
 
 // sendDeadly sends the deadly request from crashHeadStart until crashDuration, each time an interval after the last: to the
-// first VM only for a time, then to all in turn. The caller connects from the given number of addresses in turn, as transportsFrom
-// does.
-func (e *crashEnv) sendDeadly(path string, interval, firstOnly time.Duration, addresses int) {
-	transports := e.transportsFrom(addresses, e.callerHost)
+// first VM only for a time, then to all in turn. It uses the transports in turn.
+func (e *crashEnv) sendDeadly(path string, interval, firstOnly time.Duration, transports ...http.RoundTripper) {
 	until := time.Now().Add(crashDuration)
 	e.callers.Go(func() error {
 		sleep(crashHeadStart)
@@ -225,19 +223,6 @@
 	})
 }
 
-// sendDeadlyBriefly is like sendDeadly, to all VMs in turn, but the caller closes the connection after a time.
-func (e *crashEnv) sendDeadlyBriefly(path string, patience time.Duration) {
-	until := time.Now().Add(crashDuration)
-	e.callers.Go(func() error {
-		sleep(crashHeadStart)
-		for i := 0; time.Now().Before(until); i++ {
-			e.call(&e.deadly, impatientTransport{e.transport, patience}, e.vm(i), path, deadlyBody)
-			sleep(crashInterval)
-		}
-		return nil
-	})
-}
-
 // impatientTransport cancels each request after a time.
 type impatientTransport struct {
 	http.RoundTripper
@@ -453,7 +438,7 @@
 			e := newCrashEnv(t, cmp.Or(test.vms, 3))
 			e.delayLinks(test.linkDelay)
 			e.sendHarmless(test.path)
-			e.sendDeadly(test.path, cmp.Or(test.interval, crashInterval), test.firstOnly, test.addresses)
+			e.sendDeadly(test.path, cmp.Or(test.interval, crashInterval), test.firstOnly, e.transportsFrom(test.addresses, e.callerHost)...)
 			minServed := crashMinServed
 			if test.kills {
 				minServed = crashMinServedBesideKills
@@ -481,7 +466,7 @@
 			const crashAfter, patience = 40 * time.Millisecond, 15 * time.Millisecond
 			e := startCrashEnv(t, 3, crashAfter)
 			e.sendHarmless(test.path)
-			e.sendDeadlyBriefly(test.path, patience)
+			e.sendDeadly(test.path, crashInterval, 0, impatientTransport{e.transport, patience})
 			e.checkDeadly(crashesBeforeContact)
 			e.checkHarmless(crashMinServed)
 		})
