--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -18,6 +18,8 @@
 	Shard   cassiaid.ShardIndex
 	Target  cassiaid.TargetName
 	Address string
+	// StartUnixMillis is the start of the target's process as it is registered, or 0 if it is unknown.
+	StartUnixMillis int64
 	// Deadline is when the target may stop working on the attempt.
 	Deadline time.Time
 	// Aggregator is the VM in the target's zone that should send the attempt; if empty, this VM sends it.
@@ -62,6 +64,8 @@
 	Cause Outcome
 	// Rate is, for an EventLimited, the rate of requests that the target accepts from all VMs together.
 	Rate cassiabudget.Rate
+	// Pause is, for an EventPaused, how long the target wants no requests.
+	Pause time.Duration
 	// Unreached is, for EventEjected, the number of the target's ejections since it was last reached, or 0 if another
 	// process was found at its address. It is 0 for other events.
 	Unreached int
@@ -85,6 +89,12 @@
 	EventUnlimited Event = "targetUnlimited"
 	// EventMalformedLimit means that what the target names is not a rate; the rate that it named before stays in force.
 	EventMalformedLimit Event = "targetLimitMalformed"
+	// EventLeaving means that the target has stated that it leaves, and receives no more requests.
+	EventLeaving Event = "targetLeaving"
+	// EventPaused means that the target has stated that it wants no requests for a time.
+	EventPaused Event = "targetPaused"
+	// EventMalformedPause means that what the target names is not a time.
+	EventMalformedPause Event = "targetPauseMalformed"
 	// EventZoneSilent means that all targets of a zone were ejected, since several left attempts unanswered and none
 	// answered.
 	EventZoneSilent Event = "zoneSilent"
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiaclock"
@@ -52,7 +53,9 @@
 	slackShare float64
 	services   map[cassiacatalog.ServiceName]*service
 	targets    map[cassiaid.TargetName]*target
-	queries    map[QueryID]*query
+	// availability is what targets have stated in answers to this VM, or to VMs that send for it.
+	availability cassiaavailability.Registry
+	queries      map[QueryID]*query
 	// active holds the unfinished queries in order of arrival.
 	active   []*query
 	attempts map[cassiaid.AttemptID]*attempt
@@ -266,6 +269,7 @@
 			t.decayedAt = now
 		}
 		t.Target = listed
+		t.leaving, t.pausedUntil = g.availability.Leaving(t.process()), g.availability.PausedUntil(t.process())
 		current[listed.Name] = t
 		s.targets = append(s.targets, t)
 		g.orderedTargets = append(g.orderedTargets, t)
@@ -313,7 +317,7 @@
 		return true
 	})
 	g.failSilentLinks(now)
-	g.serveLimited(now)
+	g.serveRestricted(now)
 	for _, q := range slices.Clone(g.active) {
 		g.sendHedges(now, q)
 		g.dropLate(now, q)
--- a/core/cassiagateway/limit.go
+++ b/core/cassiagateway/limit.go
@@ -35,7 +35,7 @@
 	t.limit.Observe(now, place, a)
 	g.reportAcceptance(t, a)
 	if a.State == cassiabudget.AcceptanceLimited {
-		g.dropLimited(now, t.service)
+		g.dropRestricted(now, t.service)
 	}
 }
 
@@ -82,31 +82,27 @@
 	return cassiarendezvous.Score(xxhash.Sum64String(string(t)+" "+string(vm)), 1)
 }
 
-// limitWait returns how long a request has to wait because of the rate that a target accepts, if a number of others are sent to it
-// before.
+// limitWait returns how long a request has to wait because of a target's pause and the rate that it accepts, if a number of others
+// are sent to it before.
 func (g *Gateway) limitWait(now time.Time, t *target, ahead int) time.Duration {
-	if !t.limit.Limited(now) {
-		return 0
+	wait := t.pause(now)
+	if t.limit.Limited(now) {
+		wait = max(wait, t.limit.Wait(now, g.place(now, t), ahead))
 	}
-	return t.limit.Wait(now, g.place(now, t), ahead)
+	return wait
 }
 
-// hasLimitedTarget reports whether a target of the service has a limit.
-func (s *service) hasLimitedTarget(now time.Time) bool {
-	for _, t := range s.targets {
-		if t.limit.Limited(now) {
-			return true
-		}
-	}
-	return false
+// hasRestrictedTarget reports whether a target of the service has a limit or a pause.
+func (s *service) hasRestrictedTarget(now time.Time) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.restricted(now) })
 }
 
-// nextLimitedAt returns when the next waiting shard can be sent because a target accepts another request, or the zero time if none
-// waits for that.
+// nextLimitedAt returns when the next waiting shard can be sent because a target accepts another request or its pause ends, or the
+// zero time if none waits for that.
 func (g *Gateway) nextLimitedAt(now time.Time) time.Time {
 	var next time.Time
 	for _, t := range g.orderedTargets {
-		if t.ejected() || !t.limit.Limited(now) || t.service.waiting.head() == nil {
+		if !t.usable() || !t.restricted(now) || t.service.waiting.head() == nil {
 			continue
 		}
 		if at := now.Add(g.limitWait(now, t, 0)); at.After(now) && (next.IsZero() || at.Before(next)) {
@@ -116,19 +112,19 @@
 	return next
 }
 
-// serveLimited sends the waiting shards of services with a limited target, as far as the targets accept them now.
-func (g *Gateway) serveLimited(now time.Time) {
+// serveRestricted sends the waiting shards of services with a target that has a limit or has ended a pause, as far as the targets
+// accept them now.
+func (g *Gateway) serveRestricted(now time.Time) {
 	for _, t := range g.orderedTargets {
-		if t.limit.Limited(now) && t.service.waiting.head() != nil {
+		if (t.limit.Limited(now) || t.pauseEnded(now)) && t.service.waiting.head() != nil {
 			g.serveWaiting(now, t.service)
 		}
 	}
 }
 
-// dropLimited gives up the waiting shards of a service that can't be sent before their queries are given up, because of the rate that
-// its targets accept.
-func (g *Gateway) dropLimited(now time.Time, service *service) {
-	if !service.hasLimitedTarget(now) {
+// dropRestricted gives up the waiting shards of a service that can't be sent in time, because of what its targets have stated.
+func (g *Gateway) dropRestricted(now time.Time, service *service) {
+	if !service.hasRestrictedTarget(now) {
 		return
 	}
 	ahead := 0
@@ -138,7 +134,7 @@
 		}
 		in := g.placementInput(now, s)
 		in.ahead = ahead
-		if best := service.earliest(in); best.sendIn == 0 || !now.Add(best.wait).After(s.query.giveUpAt) {
+		if best := service.earliest(in); best.sendIn == 0 || s.waitsLong(now, best) {
 			ahead++
 			continue
 		}
@@ -154,7 +150,7 @@
 func (g *Gateway) limitedRetryAfter(now time.Time, q *query) time.Duration {
 	at := now.Add(minRetryAfter)
 	for _, s := range q.shards {
-		if s.state == shardAnswered || !s.service.hasLimitedTarget(now) {
+		if s.state == shardAnswered || !s.service.hasRestrictedTarget(now) {
 			continue
 		}
 		if returnAt := g.reserveReturn(now, s); returnAt.After(at) {
@@ -171,11 +167,15 @@
 	best := s.service.earliest(in)
 	var own, total cassiabudget.Rate
 	for _, t := range s.service.targets {
-		if t.ejected() || !t.limit.Limited(now) {
-			continue
+		switch {
+		case !t.usable() || !t.restricted(now):
+		case t.limit.Limited(now):
+			own += t.limit.Rate(now, g.place(now, t))
+			total += t.limit.TotalRate(now)
+		default:
+			// After its pause it runs one attempt of this VM at a time.
+			own += cassiabudget.Rate(1 / max(in.typical, time.Millisecond).Seconds())
 		}
-		own += t.limit.Rate(now, g.place(now, t))
-		total += t.limit.TotalRate(now)
 	}
 	sendIn := best.sendIn
 	if own == 0 {
--- a/core/cassiagateway/limit_test.go
+++ b/core/cassiagateway/limit_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiadirectory"
@@ -21,14 +22,17 @@
 	one     *cassiacatalog.Route
 	next    QueryID
 	rates   map[cassiaid.TargetName][]float64
-	sent    map[cassiaid.TargetName]int
+	// statements is what targets state about further requests. A target that asks for a pause does not run requests.
+	statements map[cassiaid.TargetName]cassiaavailability.Statement
+	sent       map[cassiaid.TargetName]int
 }
 
 const limitedWork = 10 * time.Millisecond
 
 func newLimitedWorld(shards int) *limitedWorld {
 	clock := clockwork.NewFakeClock()
-	w := &limitedWorld{clock: clock, rates: make(map[cassiaid.TargetName][]float64), sent: make(map[cassiaid.TargetName]int),
+	w := &limitedWorld{clock: clock, rates: make(map[cassiaid.TargetName][]float64),
+		statements: make(map[cassiaid.TargetName]cassiaavailability.Statement), sent: make(map[cassiaid.TargetName]int),
 		gateway: NewGateway(clock, halfRandom{}, Settings{ExtraRequests: cassiabudget.Allowance{Ratio: 0.2, Slack: 50}, Name: "vm-a", Zone: "a"}),
 		search: &cassiacatalog.Route{Name: "search", Idempotent: true, Timeout: time.Second, DesiredLatency: 100 * time.Millisecond,
 			MaxAttempts: 2, TopK: 5, MinCoverage: 0.5},
@@ -72,6 +76,9 @@
 			w.sent[s.Target]++
 			ended := answerBy(s.Attempt, string(s.Target))
 			ended.Acceptance = cassiabudget.AcceptanceOf(w.rates[s.Target])
+			if ended.Statement = w.statements[s.Target]; ended.Statement.Pause > 0 {
+				ended.Outcome, ended.Reply, ended.Acceptance = OutcomeRejected, nil, cassiabudget.Acceptance{}
+			}
 			effects = append(effects, w.gateway.Update(ended)...)
 		}
 	}
@@ -168,7 +175,7 @@
 	w.limit(50, targetName(0, 0), targetName(0, 1))
 	t0 := w.gateway.targets[targetName(0, 0)]
 	a := &attempt{target: t0, shard: &shard{query: &query{route: w.one}}, link: w.gateway.linkFor(linkKey{zone: "a"})}
-	w.gateway.recordOutcome(w.clock.Now(), a, OutcomeRejected)
+	w.gateway.recordOutcome(w.clock.Now(), a, AttemptEnded{Outcome: OutcomeRejected})
 	c.Check(t0.failureRate, qt.Equals, 0.0)
 	c.Check(t0.ejected(), qt.IsFalse)
 }
--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiadirectory"
@@ -45,6 +46,8 @@
 	Reply *Reply
 	// Acceptance is what the answer states about the rate of requests that the target accepts.
 	Acceptance cassiabudget.Acceptance
+	// Statement is what the answer states about further requests, or for OutcomeUnwanted an earlier one.
+	Statement cassiaavailability.Statement
 }
 
 // AttemptsEnded reports the outcomes of attempts that arrived in one frame of an aggregator. Their results were pruned
@@ -120,6 +123,9 @@
 	OutcomeOverBudget Outcome = "overBudget"
 	// OutcomeUnfit means that the aggregator considers the target stalled or failing; nothing was sent.
 	OutcomeUnfit Outcome = "unfit"
+	// OutcomeUnwanted means that nothing was sent because the target has stated to the sending VM that it leaves, or that it wants no
+	// requests for now.
+	OutcomeUnwanted Outcome = "unwanted"
 	// OutcomeWithheld means that nothing was sent because the request may crash targets and runs elsewhere.
 	OutcomeWithheld Outcome = "withheld"
 	// OutcomeQuarantined means that nothing was sent because the request crashes targets.
@@ -145,7 +151,8 @@
 // reachedTarget returns false if certainly no target received the request.
 func (o Outcome) reachedTarget() bool {
 	switch o {
-	case OutcomeUnsent, OutcomeAbandoned, OutcomeTargetUnknown, OutcomeOverBudget, OutcomeUnfit, OutcomeWithheld, OutcomeQuarantined:
+	case OutcomeUnsent, OutcomeAbandoned, OutcomeTargetUnknown, OutcomeOverBudget, OutcomeUnfit, OutcomeUnwanted, OutcomeWithheld,
+		OutcomeQuarantined:
 		return false
 	default:
 		return true
@@ -165,7 +172,7 @@
 func ParseOutcome(name string) Outcome {
 	switch o := Outcome(name); o {
 	case OutcomeAnswered, OutcomeFailed, OutcomeRejected, OutcomeWrongTarget, OutcomeUnsent, OutcomeAbandoned, OutcomeAggregatorLost,
-		OutcomeTargetUnknown, OutcomeOverBudget, OutcomeUnfit, OutcomeLost, OutcomeSilent:
+		OutcomeTargetUnknown, OutcomeOverBudget, OutcomeUnfit, OutcomeUnwanted, OutcomeLost, OutcomeSilent:
 		return o
 	default:
 		return OutcomeBroken
--- a/core/cassiagateway/queue.go
+++ b/core/cassiagateway/queue.go
@@ -94,11 +94,21 @@
 	}
 }
 
-// mayWait reports whether a new shard that has to wait for the rate that its targets accept may do so: it will be answered in time,
+// mayWait reports whether a new shard that has to wait because of what its targets have stated may do so: it will be answered in time,
 // or nothing else waits and it can still be answered.
 func (g *Gateway) mayWait(now time.Time, s *shard, best candidate) bool {
-	answeredAt := now.Add(best.wait)
-	return !answeredAt.After(s.query.closeAt) || s.service.waiting.head() == nil && !answeredAt.After(s.query.giveUpAt)
+	inTime := !now.Add(best.wait).After(s.query.closeAt)
+	return inTime || s.service.waiting.head() == nil && s.waitsLong(now, best)
+}
+
+// waitsLong reports whether a shard may wait for a target until its query is given up. It may not wait so long for the end of a pause,
+// since the target may ask for another one then.
+func (s *shard) waitsLong(now time.Time, best candidate) bool {
+	latest := s.query.giveUpAt
+	if best.target.pause(now) > 0 {
+		latest = s.query.closeAt
+	}
+	return !now.Add(best.wait).After(latest)
 }
 
 // dropLate gives up waiting shards that would answer after closeAt, as long as the required coverage remains. A shard
@@ -113,7 +123,7 @@
 		case len(q.shards)-q.givenUp > q.required():
 			q.trace.Dropped++
 			g.giveUp(s)
-		case s.service.hasLimitedTarget(now):
+		case s.service.hasRestrictedTarget(now):
 			// It was let in because it can be sent, and keeps its place.
 		default:
 			s.service.waiting.postpone(s)
--- a/core/cassiagateway/reach.go
+++ b/core/cassiagateway/reach.go
@@ -30,6 +30,9 @@
 // sendProbes probes ejected targets whose ejection period is over, and targets that need an open connection.
 func (g *Gateway) sendProbes(now time.Time) {
 	for _, t := range g.orderedTargets {
+		if t.leaving {
+			continue
+		}
 		due := t.wantsProbe || t.ejections > 0 && !now.Before(t.ejectedUntil)
 		if due && !t.replaced && !t.probing && g.runningProbes < maxConcurrentProbes {
 			t.probing, t.wantsProbe = true, false
@@ -73,7 +76,7 @@
 		return at
 	}
 	for _, t := range g.orderedTargets {
-		if t.ejections > 0 && !t.replaced && !t.probing && (at.IsZero() || t.ejectedUntil.Before(at)) {
+		if t.ejections > 0 && !t.replaced && !t.leaving && !t.probing && (at.IsZero() || t.ejectedUntil.Before(at)) {
 			at = t.ejectedUntil
 		}
 	}
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -173,7 +173,7 @@
 	s.hedgeAt = g.hedgeTime(now, s)
 	q.trace.Attempts++
 	g.emit(Send{Query: q.id, Attempt: a.id, Shard: s.index, Target: t.Name, Address: t.Address,
-		Deadline: minTime(q.deadline, q.giveUpAt.Add(giveUpMargin)), NewConnection: !q.route.Idempotent,
+		StartUnixMillis: t.StartUnixMillis, Deadline: minTime(q.deadline, q.giveUpAt.Add(giveUpMargin)), NewConnection: !q.route.Idempotent,
 		Aggregator: a.aggregator, Unpruned: !a.pruned, AggregatorPays: a.aggregatorPays, Force: force})
 }
 
@@ -236,7 +236,8 @@
 	s.running = without(s.running, a)
 	g.unneeded = without(g.unneeded, a)
 	g.observeAcceptance(now, a.target, m.Acceptance)
-	g.recordOutcome(now, a, m.Outcome)
+	g.observeStatement(now, a.target, m.Statement)
+	g.recordOutcome(now, a, m)
 	if !m.Outcome.reachedTarget() {
 		if a.limited {
 			a.target.limit.Return()
@@ -262,13 +263,13 @@
 }
 
 // recordOutcome updates the measurements of the link, the aggregator, the target and the route after an attempt.
-func (g *Gateway) recordOutcome(now time.Time, a *attempt, outcome Outcome) {
-	elapsed := now.Sub(a.sentAt)
+func (g *Gateway) recordOutcome(now time.Time, a *attempt, m AttemptEnded) {
+	elapsed, outcome := now.Sub(a.sentAt), m.Outcome
 	a.link.attemptEnded(now, a, outcome)
 	switch outcome {
 	case OutcomeAbandoned, OutcomeWithheld, OutcomeQuarantined:
 		return
-	case OutcomeOverBudget:
+	case OutcomeOverBudget, OutcomeUnwanted:
 		g.aggregators.resetFailures(a.aggregator)
 		return
 	case OutcomeUnfit:
@@ -285,8 +286,9 @@
 	if a.aggregator != "" {
 		g.aggregators.resetFailures(a.aggregator)
 	}
+	a.target.endTrial(a.sentAt, outcome)
 	a.target.heard = a.target.heard || outcome == OutcomeAnswered || outcome == OutcomeFailed || outcome == OutcomeRejected
-	if outcome == OutcomeRejected && a.target.limit.Limited(now) {
+	if outcome == OutcomeRejected && a.target.limit.Limited(now) || m.Statement.Pause > 0 {
 		// It is healthy, and has more requests than it accepts.
 		return
 	}
@@ -369,7 +371,7 @@
 		g.giveUp(s)
 	case found == busy:
 		g.enqueue(now, s)
-		g.dropLimited(now, s.service)
+		g.dropRestricted(now, s.service)
 	default:
 		if free {
 			g.countExtraRequest(s.query, ExtraUnpaid)
--- a/core/cassiagateway/service.go
+++ b/core/cassiagateway/service.go
@@ -33,8 +33,9 @@
 // concurrency returns how many attempts of this VM may run on a target. All VMs together keep the target's slots busy
 // with a short queue in front of them; further attempts wait in the VMs, where they can still be dropped or sent to
 // another target. Until the target has answered for the first time, this VM can't know whether it names a limit, and runs one attempt.
+// It does the same after a pause.
 func (s *service) concurrency(t *target, vms int) int {
-	if !t.heard {
+	if !t.heard || t.onTrial {
 		return 1
 	}
 	vms = max(1, vms)
@@ -58,7 +59,7 @@
 	placed placement = iota
 	// busy means that the best reachable target has no room now.
 	busy
-	// unreachable means that every target is ejected, or there are none.
+	// unreachable means that every target is ejected or leaves, or there are none.
 	unreachable
 )
 
@@ -75,16 +76,16 @@
 	// zone is the preferred zone, or empty.
 	zone  cassiaid.Zone
 	tried []*target
-	// limitWait returns how long a request has to wait for a target that names the rate of requests that it accepts, if a number
-	// of others are sent to it before.
+	// limitWait returns how long a request has to wait for a target because of what the target has stated, if a number of others are
+	// sent to it before.
 	limitWait func(t *target, ahead int) time.Duration
 }
 
 // candidate is the target that is expected to answer first.
 type candidate struct {
-	// target is nil if all targets are ejected.
+	// target is nil if all targets are ejected or leave.
 	target *target
-	// wait is the expected time until its answer, and sendIn that until it can get the request because of the rate that it accepts.
+	// wait is the expected time until its answer, and sendIn that until it can get the request because of what it has stated.
 	wait, sendIn time.Duration
 	// free is true if it has room now.
 	free bool
@@ -109,7 +110,7 @@
 	var best candidate
 	var bestScore time.Duration
 	for _, t := range s.targets {
-		if t.ejected() {
+		if !t.usable() {
 			continue
 		}
 		room := s.concurrency(t, in.vms)
@@ -123,7 +124,7 @@
 		sendIn := in.limitWait(t, in.ahead/len(s.targets))
 		if sendIn > 0 {
 			free = false
-			wait = max(wait, sendIn+duration)
+			wait = max(wait+t.pause(in.now), sendIn+duration)
 		}
 		score := wait
 		if in.zone != "" && t.Zone != in.zone {
@@ -142,15 +143,20 @@
 	return best
 }
 
-// allTargetsEjected reports whether the service has targets and all are ejected. It is false for a service without
-// targets: other VMs could not serve it either.
+// allTargetsEjected reports whether the service has targets that do not leave, and all of these are ejected. It is false for a
+// service without such targets: other VMs could not serve it either.
 func (s *service) allTargetsEjected() bool {
+	ejected := 0
 	for _, t := range s.targets {
-		if !t.ejected() {
+		switch {
+		case t.leaving:
+		case t.ejected():
+			ejected++
+		default:
 			return false
 		}
 	}
-	return len(s.targets) > 0
+	return ejected > 0
 }
 
 const (
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -66,6 +66,13 @@
 	rank  rank
 	// reportedAcceptance is the statement of the target about the rate of requests that it accepts that was reported last.
 	reportedAcceptance cassiabudget.Acceptance
+	// leaving is true once the target has stated that it leaves; until pausedUntil it wants no requests.
+	leaving     bool
+	pausedUntil time.Time
+	// onTrial is true from a pause until the target has run an attempt that was sent after it.
+	onTrial bool
+	// malformedPause is true once a malformed pause of the target was reported.
+	malformedPause bool
 	// replaced is true if a different process was found at the target's address.
 	replaced bool
 }
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -91,7 +91,7 @@
 	if running == nil {
 		return cassiapool.Result{Outcome: refusal}
 	}
-	call.Address = target.Address
+	call.Address, call.StartUnixMillis = target.Address, target.StartUnixMillis
 	result := a.exchanger.Exchange(ctx, call)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
@@ -126,10 +126,10 @@
 	return running, ""
 }
 
-// fitnessResult returns what a result means for the fitness of the target. A target that names the rate that it accepts may reject
-// requests although it is fit.
+// fitnessResult returns what a result means for the fitness of the target. A target that names the rate that it accepts, or asks for a
+// pause, may reject requests although it is fit.
 func fitnessResult(r cassiapool.Result) cassiafitness.Result {
-	if r.Outcome == cassiagateway.OutcomeRejected && r.Acceptance.State == cassiabudget.AcceptanceLimited {
+	if r.Outcome == cassiagateway.OutcomeRejected && r.Acceptance.State == cassiabudget.AcceptanceLimited || r.Statement.Pause > 0 {
 		return cassiafitness.Unknown
 	}
 	switch r.Outcome {
@@ -229,7 +229,8 @@
 	var pruned []*cassiaschema.AggregateResult
 	var parts [][]byte
 	for _, r := range b.ready {
-		result := &cassiaschema.AggregateResult{Number: r.attempt.GetNumber(), Acceptance: r.Acceptance.Message()}
+		result := &cassiaschema.AggregateResult{Number: r.attempt.GetNumber(), Acceptance: r.Acceptance.Message(),
+			Availability: r.Statement.Message()}
 		results.Results = append(results.Results, result)
 		if r.Outcome != cassiagateway.OutcomeAnswered {
 			result.Failure = string(r.Outcome)
--- a/io/cassiaaggregate/client.go
+++ b/io/cassiaaggregate/client.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
@@ -198,7 +199,8 @@
 		if batch == nil {
 			continue
 		}
-		ended := cassiagateway.AttemptEnded{Attempt: id, Outcome: cassiagateway.OutcomeAnswered, Acceptance: cassiabudget.AcceptanceFrom(r.GetAcceptance())}
+		ended := cassiagateway.AttemptEnded{Attempt: id, Outcome: cassiagateway.OutcomeAnswered,
+			Acceptance: cassiabudget.AcceptanceFrom(r.GetAcceptance()), Statement: cassiaavailability.StatementFrom(r.GetAvailability())}
 		if r.GetFailure() != "" {
 			ended.Outcome = cassiagateway.ParseOutcome(r.GetFailure())
 		}
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -44,7 +44,8 @@
 
 func (r *Report) viewChanged(e cassiagateway.ViewChanged) {
 	r.count("beliefs", "event", string(e.Event))
-	level.Info(r.logger).Log("event", e.Event, "target", e.Target, "targetZone", e.Zone, "path", e.VM, "cause", e.Cause, "unreached", e.Unreached, "rate", float64(e.Rate))
+	level.Info(r.logger).Log("event", e.Event, "target", e.Target, "targetZone", e.Zone, "path", e.VM, "cause", e.Cause, "unreached", e.Unreached, "rate", float64(e.Rate),
+		"pause", e.Pause)
 }
 
 func (r *Report) retryShareChanged(e cassiagateway.RetryShareChanged) {
--- a/io/cassiagate/send.go
+++ b/io/cassiagate/send.go
@@ -79,7 +79,8 @@
 		return
 	}
 	call := q.call
-	call.Address, call.Instance, call.Deadline, call.NewConnection = e.Address, string(e.Target), e.Deadline, e.NewConnection
+	call.Address, call.Instance, call.StartUnixMillis = e.Address, string(e.Target), e.StartUnixMillis
+	call.Deadline, call.NewConnection = e.Deadline, e.NewConnection
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancels[e.Attempt] = cancel
 	call.BeforeSend = func() bool {
@@ -106,7 +107,7 @@
 	g.mutex.Lock()
 	delete(g.cancels, id)
 	g.perform(g.gateway.Update(cassiagateway.AttemptEnded{Attempt: id, Outcome: result.Outcome, Reply: result.Reply,
-		Acceptance: result.Acceptance}))
+		Acceptance: result.Acceptance, Statement: result.Statement}))
 	g.mutex.Unlock()
 	if share != nil {
 		share()
--- a/io/cassiapool/call.go
+++ b/io/cassiapool/call.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"cassiasaddle/core/cassiaavailability"
+	"cassiasaddle/core/cassiaid"
 )
 
 // Headers holds the names of the headers exchanged with targets, which the platform defines.
@@ -23,6 +26,8 @@
 	// AcceptedRate names the header in which a target states how many requests a second it accepts from all VMs together, a
 	// decimal number, while it needs relief.
 	AcceptedRate string
+	// Leaving names the header that a target sets to 1 in all answers while it leaves.
+	Leaving string
 }
 
 // Call is one request to one target.
@@ -30,7 +35,9 @@
 	Address string
 	// Instance identifies the target's process; a process with another identity refuses the request.
 	Instance string
-	Method   string
+	// StartUnixMillis is the start of the target's process as it is registered, or 0 if it is unknown.
+	StartUnixMillis int64
+	Method          string
 	// URI is the path and query string as the caller sent them.
 	URI  string
 	Host string
@@ -45,6 +52,11 @@
 	BeforeSend func() bool
 }
 
+// process returns the process of the target that the call is meant for.
+func (c *Call) process() cassiaavailability.Process {
+	return cassiaavailability.Process{Target: cassiaid.TargetName(c.Instance), StartUnixMillis: c.StartUnixMillis}
+}
+
 // hopByHop lists the headers that apply to a single connection or to the transfer of the body, and are not forwarded.
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	"Content-Length", "Expect"}
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaclock"
 	"cassiasaddle/core/cassiagateway"
@@ -45,6 +46,8 @@
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
+	// availability is what targets have stated in answers to this VM.
+	availability cassiaavailability.Registry
 }
 
 // Result is how an exchange with a target ended.
@@ -53,9 +56,12 @@
 	// Reply is set for OutcomeAnswered and OutcomeFailed.
 	Reply      *cassiagateway.Reply
 	Acceptance cassiabudget.Acceptance
+	// Statement is what the answer states about further requests. For OutcomeUnwanted it is what an earlier answer has stated.
+	Statement cassiaavailability.Statement
 }
 
-// Exchange sends a request and returns its result. Cancelling ctx closes the connection.
+// Exchange sends a request and returns its result. Cancelling ctx closes the connection. Nothing is sent to a target that has stated
+// in an answer to this VM that it leaves, or that it wants no requests for now.
 func (p *Pool) Exchange(ctx context.Context, call Call) Result {
 	result, stale := p.exchangeOnce(ctx, call, !call.NewConnection)
 	if stale {
@@ -68,6 +74,9 @@
 // exchangeOnce sends a request on one connection, which may be an idle one if reuse is true; stale is true if it was an
 // idle one and no byte was sent.
 func (p *Pool) exchangeOnce(ctx context.Context, call Call, reuse bool) (result Result, stale bool) {
+	if statement, unwanted := p.unwanted(call); unwanted {
+		return Result{Outcome: cassiagateway.OutcomeUnwanted, Statement: statement}, false
+	}
 	c, reused, err := p.connect(ctx, call, reuse)
 	if err != nil {
 		if ctx.Err() != nil {
@@ -79,6 +88,11 @@
 		p.putIdle(call.Address, c)
 		return Result{Outcome: cassiagateway.OutcomeAbandoned}, false
 	}
+	if statement, unwanted := p.unwanted(call); unwanted {
+		// The target has stated it while the connection was opened.
+		p.putIdle(call.Address, c)
+		return Result{Outcome: cassiagateway.OutcomeUnwanted, Statement: statement}, false
+	}
 	stopAfterFunc := context.AfterFunc(ctx, func() {
 		c.Close() //nolint:errcheck // the exchange was cancelled
 	})
@@ -107,6 +121,14 @@
 	return result, false
 }
 
+// unwanted reports whether the target of a call wants no requests from this VM now, and what it has stated.
+func (p *Pool) unwanted(call Call) (cassiaavailability.Statement, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	statement := p.availability.Current(p.now(), call.process())
+	return statement, statement != cassiaavailability.Statement{}
+}
+
 // Probe opens a connection to a target and reports whether that succeeded within connectTimeout. It keeps the
 // connection for the next request to the given instance.
 func (p *Pool) Probe(address, instance string) bool {
@@ -261,7 +283,9 @@
 			continue
 		}
 		outcome, reply := p.classifyReply(response, echoed != "", body)
-		return Result{Outcome: outcome, Reply: reply, Acceptance: p.acceptanceOf(outcome, response)}, c.updateExpiry(response, p.now())
+		result := Result{Outcome: outcome, Reply: reply, Acceptance: p.acceptanceOf(outcome, response),
+			Statement: p.observeStatement(call, outcome, response)}
+		return result, c.updateExpiry(response, p.now())
 	}
 	return Result{Outcome: cassiagateway.OutcomeBroken}, false
 }
@@ -308,6 +332,23 @@
 	}
 }
 
+// observeStatement records what a reply states about further requests, and returns it. A reply of another process than the one that
+// the call is meant for states nothing about that.
+func (p *Pool) observeStatement(call Call, outcome cassiagateway.Outcome, response *http.Response) cassiaavailability.Statement {
+	if outcome == cassiagateway.OutcomeWrongTarget {
+		return cassiaavailability.Statement{}
+	}
+	var pauses []string
+	if response.StatusCode == http.StatusServiceUnavailable {
+		pauses = response.Header.Values("Retry-After")
+	}
+	statement := cassiaavailability.ParseStatement(response.Header.Values(p.Headers.Leaving), pauses)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.availability.Observe(p.now(), call.process(), statement)
+	return statement
+}
+
 // acceptanceOf returns what a reply states about the rate of requests that the target accepts. A reply to a request that was not
 // run need not name a rate while the target has one.
 func (p *Pool) acceptanceOf(outcome cassiagateway.Outcome, response *http.Response) cassiabudget.Acceptance {
--- a/io/cassiapool/pool_test.go
+++ b/io/cassiapool/pool_test.go
@@ -13,14 +13,16 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiagateway"
 )
 
 var testHeaders = Headers{RequestID: "X-Id", Deadline: "X-Deadline", Stamp: "X-Stamp", ExpectInstance: "X-Expect",
-	NotExecuted: "X-Not-Executed", AcceptedRate: "X-Rate"}
+	NotExecuted: "X-Not-Executed", AcceptedRate: "X-Rate", Leaving: "X-Leaving"}
 
 // script replies to the requests of one connection, in order; it may close the connection.
 type script func(connection net.Conn, reader *bufio.Reader)
@@ -151,6 +153,44 @@
 	}
 }
 
+// TestNothingIsSentToATargetThatWantsNothing guards against requests to a target after it has stated that it leaves or asked for a pause,
+// whichever of this VM's attempts heard that, and against statements of other targets and of answers that state none.
+func TestNothingIsSentToATargetThatWantsNothing(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: 0\r\n"
+	const busy = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
+	for _, test := range []struct {
+		name, answer string
+		want         cassiaavailability.Statement
+	}{
+		{"leaving", ok + "X-Leaving: 1\r\n\r\n", cassiaavailability.Statement{Leaving: true}},
+		{"leaving, refused", busy + "X-Leaving: 1\r\n\r\n", cassiaavailability.Statement{Leaving: true}},
+		{"pause", busy + "Retry-After: 1.5\r\n\r\n", cassiaavailability.Statement{Pause: 1500 * time.Millisecond}},
+		{"own failure with a pause", "HTTP/1.1 503 Busy\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: 0\r\nRetry-After: 2\r\n\r\n",
+			cassiaavailability.Statement{Pause: 2 * time.Second}},
+		{"success with a time", ok + "Retry-After: 2\r\n\r\n", cassiaavailability.Statement{}},
+		{"another target", "HTTP/1.1 421 Misdirected\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n", cassiaavailability.Statement{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			clock := clockwork.NewFakeClockAt(time.Now())
+			p := &Pool{Headers: testHeaders, Clock: clock}
+			call := Call{Address: listen(t, answerEach(test.answer)), Instance: "i-1", StartUnixMillis: 7, Method: "GET", URI: "/", Host: "h", RequestID: "r-1",
+				Deadline: time.Now().Add(time.Second)}
+			first := p.Exchange(context.Background(), call)
+			c.Check(first.Statement, qt.Equals, test.want)
+			again := p.Exchange(context.Background(), call)
+			unwanted := test.want != cassiaavailability.Statement{}
+			c.Check(again.Outcome == cassiagateway.OutcomeUnwanted, qt.Equals, unwanted, qt.Commentf("%s", again.Outcome))
+			c.Check(again.Statement, qt.Equals, test.want)
+			clock.Advance(test.want.Pause)
+			c.Check(p.Exchange(context.Background(), call).Outcome == cassiagateway.OutcomeUnwanted, qt.Equals, test.want.Leaving)
+			later := call
+			later.StartUnixMillis++
+			c.Check(p.Exchange(context.Background(), later).Outcome, qt.Not(qt.Equals), cassiagateway.OutcomeUnwanted)
+		})
+	}
+}
+
 // TestBytesAfterAnAnswerEndTheConnection: a second reply that arrives late must not be taken for the reply to the next
 // request on the connection.
 func TestBytesAfterAnAnswerEndTheConnection(t *testing.T) {
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -65,7 +65,7 @@
 }
 
 // serveStore starts the store's server and creates the callers' transport.
-func (s *platformEnv) serveStore(t *testing.T) {
+func (s *platformEnv) serveStore(t testing.TB) {
 	s.server = httptest.NewServer(s.store)
 	t.Cleanup(s.server.Close)
 	// Keep an idle connection for each caller.
@@ -141,7 +141,7 @@
 const envIP = "127.78.0.1"
 
 // freePort returns a port of envIP that no process uses and no other call has returned.
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	_, port, err := net.SplitHostPort(freeAddress(t, envIP))
 	qt.Assert(t, err, qt.IsNil)
 	return port
@@ -149,7 +149,7 @@
 
 // launch starts a VM with additional flags. It doesn't wait until the VM is ready. The settings include something.new, an unknown
 // name that the VM must ignore.
-func (s *platformEnv) launch(t *testing.T, name, zone string, flags ...string) *frontVM {
+func (s *platformEnv) launch(t testing.TB, name, zone string, flags ...string) *frontVM {
 	return s.launchAt(t, name, zone, frontPorts{ip: envIP, callers: freePort(t), readiness: freePort(t), peers: freePort(t)}, flags...)
 }
 
@@ -157,7 +157,7 @@
 type frontPorts struct{ ip, callers, readiness, peers string }
 
 // launchAt is like launch, with the given ports.
-func (s *platformEnv) launchAt(t *testing.T, name, zone string, ports frontPorts, flags ...string) *frontVM {
+func (s *platformEnv) launchAt(t testing.TB, name, zone string, ports frontPorts, flags ...string) *frontVM {
 	vm := &frontVM{callerAddress: ports.ip + ":" + ports.callers, readinessAddress: ports.ip + ":" + ports.readiness}
 	lines := []string{"node_name=" + name, "zone=" + zone, "ip=" + ports.ip, "listen.front=" + vm.callerAddress,
 		"listen.ready_addr=" + vm.readinessAddress, "internal_ports=" + ports.peers + ",65535", "limits.memory_mb=284", "limits.cpu_share=0.4",
--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -66,6 +66,7 @@
 // crashCall is a request of a caller with its result.
 type crashCall struct {
 	id     string
+	vm     *frontVM
 	at     time.Time
 	took   time.Duration
 	status int
@@ -193,7 +194,7 @@
 func (e *crashEnv) call(calls *[]crashCall, transport http.RoundTripper, vm *frontVM, path, body string) {
 	from := time.Now()
 	answer, id, err := e.doThrough(transport, vm, http.MethodPost, path, body)
-	c := crashCall{id: id, at: from, took: time.Since(from), status: answer.status, err: err}
+	c := crashCall{id: id, vm: vm, at: from, took: time.Since(from), status: answer.status, err: err}
 	if err == nil {
 		c.retry = answer.header.Get("Retry-After")
 	}
--- a/test/limit_test.go
+++ b/test/limit_test.go
@@ -64,10 +64,15 @@
 	return time.Now()
 }
 
-// callFor has six callers send harmless requests for limitFor to the VMs that vmOf returns, whether they are answered or refused.
+// callFor is callDuring for limitFor.
 func (e *crashEnv) callFor(path string, vmOf func(caller, i int) int) {
+	e.callDuring(limitFor, path, vmOf)
+}
+
+// callDuring has six callers send harmless requests for a time to the VMs that vmOf returns, whether they are answered or refused.
+func (e *crashEnv) callDuring(d time.Duration, path string, vmOf func(caller, i int) int) {
 	const pause = 10 * time.Millisecond
-	until := time.Now().Add(limitFor)
+	until := time.Now().Add(d)
 	for caller := range 6 {
 		e.callers.Go(func() error {
 			for i := 0; time.Now().Before(until); i++ {
