--- a/core/cassialimit/limiter.go
+++ b/core/cassialimit/limiter.go
@@ -17,7 +17,7 @@
 	// startMargin decides which of the attempts of the same priority starts first: one whose deadline is at least startMargin times
 	// the expected duration away starts before those with less time left.
 	startMargin = 1.5
-	// maxRateWait is how long an attempt waits at most for the rate that the target accepts. Another replica, or an answer without
+	// maxRateWait is how long an attempt waits at most for the rate that the target accepts, or for the end of its pause. Another replica, or an answer without
 	// the shard, serves the caller better than a longer wait.
 	maxRateWait = 50 * time.Millisecond
 )
@@ -45,7 +45,9 @@
 	// alone is true while an attempt runs that has to run alone.
 	alone    bool
 	draining bool
-	wakeAt   time.Time
+	// pausedUntil is until when the target wants no attempts.
+	pausedUntil time.Time
+	wakeAt      time.Time
 }
 
 // runningAttempt records how an attempt was started.
@@ -83,11 +85,13 @@
 		}
 	case Lost:
 		l.adaptive.reset()
-		l.rate = cassiabudget.RateLimit{}
+		l.rate, l.pausedUntil = cassiabudget.RateLimit{}, time.Time{}
 		effects = l.refuseAll(ReasonLost)
 	case BoundsChanged:
 		l.setBounds(m.Bounds)
 		l.adaptive.clamp(l.bounds.Concurrency)
+	case Pause:
+		effects = l.pause(now, m.Until)
 	case Tick:
 		l.wakeAt = time.Time{}
 	}
@@ -127,7 +131,7 @@
 	if now.Add(l.estimateWait(now, at) + l.adaptive.estimate.expected(now)).After(o.Deadline) {
 		return []Effect{Refuse{ID: o.ID, Reason: ReasonOverloaded}}
 	}
-	if l.rate.Wait(now, l.place(), len(l.queue.offers)) > maxRateWait {
+	if l.rate.Wait(now, l.place(), len(l.queue.offers)) > maxRateWait || l.pausedUntil.Sub(now) > maxRateWait {
 		return []Effect{Refuse{ID: o.ID, Reason: ReasonOverloaded}}
 	}
 	l.queue.insert(at, o)
@@ -140,6 +144,19 @@
 	return []Effect{Refuse{ID: l.queue.takeLast().ID, Reason: ReasonOverloaded}}
 }
 
+// pause starts nothing until a time, and then starts from a low limit. It refuses the waiting attempts unless the pause is short.
+func (l *Limiter) pause(now, until time.Time) []Effect {
+	if !until.After(l.pausedUntil) {
+		return nil
+	}
+	l.pausedUntil = until
+	l.adaptive.reset()
+	if until.Sub(now) <= maxRateWait {
+		return nil
+	}
+	return l.refuseAll(ReasonOverloaded)
+}
+
 // has reports whether an attempt is waiting or running.
 func (l *Limiter) has(id cassiaid.AttemptID) bool {
 	_, ok := l.running[id]
@@ -160,7 +177,15 @@
 		expected := l.adaptive.estimate.expected(now)
 		wait = time.Duration(float64(ahead-free+1) * float64(expected) / float64(limit) * waitMargin)
 	}
-	return max(wait, l.adaptive.pausedUntil.Sub(now), l.rate.Wait(now, l.place(), ahead))
+	return max(wait, l.startsAt().Sub(now), l.rate.Wait(now, l.place(), ahead))
+}
+
+// startsAt returns the time before which no attempt starts, because of the target's pause or its refusals.
+func (l *Limiter) startsAt() time.Time {
+	if l.pausedUntil.After(l.adaptive.pausedUntil) {
+		return l.pausedUntil
+	}
+	return l.adaptive.pausedUntil
 }
 
 // place returns this VM's place among the owners, which all have a part of the rate.
@@ -177,7 +202,7 @@
 		l.alone = false
 	}
 	l.rate.Observe(now, l.place(), m.Acceptance)
-	if m.Outcome == cassiaschema.ShardOutcome_overloaded && l.rate.Limited(now) {
+	if m.Outcome == cassiaschema.ShardOutcome_overloaded && l.rate.Limited(now) || now.Before(l.pausedUntil) {
 		// The target is healthy, and has more requests than it accepts.
 		return
 	}
@@ -229,7 +254,7 @@
 }
 
 func (l *Limiter) canStart(now time.Time, o Offer) bool {
-	if l.alone || now.Before(l.adaptive.pausedUntil) || l.rate.Wait(now, l.place(), 0) > 0 {
+	if l.alone || now.Before(l.startsAt()) || l.rate.Wait(now, l.place(), 0) > 0 {
 		return false
 	}
 	if o.Alone {
@@ -243,7 +268,7 @@
 	if !at.IsZero() {
 		at = at.Add(-l.adaptive.estimate.expected(now))
 	}
-	if paused := l.adaptive.pausedUntil; len(l.queue.offers) > 0 && now.Before(paused) && paused.Before(at) {
+	if paused := l.startsAt(); len(l.queue.offers) > 0 && now.Before(paused) && paused.Before(at) {
 		at = paused
 	}
 	if len(l.queue.offers) > 0 {
--- a/core/cassialimit/message.go
+++ b/core/cassialimit/message.go
@@ -41,6 +41,9 @@
 // Lost reports that the target's process or its connections are gone. Each running attempt still ends with a Done.
 type Lost struct{}
 
+// Pause reports that the target wants no attempts until a time.
+type Pause struct{ Until time.Time }
+
 // Tick reports that the time of the last WakeAt has come.
 type Tick struct{}
 
@@ -54,5 +57,6 @@
 func (Drain) isMessage()         {}
 func (Undrain) isMessage()       {}
 func (Lost) isMessage()          {}
+func (Pause) isMessage()         {}
 func (Tick) isMessage()          {}
 func (BoundsChanged) isMessage() {}
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiadelay"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
@@ -80,6 +82,8 @@
 	targets    map[targetKey]*target
 	attempts   map[cassiaid.AttemptID]*attempt
 	latenessOf map[cassiaid.VMName]*cassiadelay.Lateness
+	// availability is what targets have stated in answers to this VM.
+	availability cassiaavailability.Registry
 
 	// batches counts the batches that still wait for results.
 	batches cassiadrain.Work
@@ -245,6 +249,30 @@
 	delete(o.attempts, a.id())
 }
 
+// observeStatement records what a result states about further requests to its target.
+func (o *Owner) observeStatement(result *cassiaschema.ShardResult) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	name := cassiaid.TargetName(result.Target)
+	if result.TargetLost {
+		o.availability.Forget(name)
+		return
+	}
+	statement := cassiaavailability.StatementFrom(result.Availability)
+	if !o.availability.Observe(o.config.Clock.Now(), cassiaavailability.Process{Target: name}, statement) && !statement.Malformed {
+		return
+	}
+	o.config.Scope.Counter("targetPauses").Inc(1)
+	level.Info(o.config.Logger).Log("msg", "target pauses", "target", name, "pause", statement.Pause, "malformed", statement.Malformed)
+}
+
+// pausedUntil returns until when a target wants no requests from this VM; the time is zero or has passed if it wants them now.
+func (o *Owner) pausedUntil(name cassiaid.TargetName) time.Time {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.availability.PausedUntil(cassiaavailability.Process{Target: name})
+}
+
 // Drain refuses new batches and waits until the running ones have ended or ctx is done.
 func (o *Owner) Drain(ctx context.Context) error { return o.batches.Drain(ctx) }
 
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -21,15 +21,17 @@
 
 	mutex sync.Mutex
 	// owned is this VM's current share; client and limiter are configured by it.
-	owned     OwnedTarget
-	client    *cassiatarget.Client
-	limiter   *cassialimit.Limiter
-	leaving   bool
-	waiting   map[cassiaid.AttemptID]*attempt
-	running   map[cassiaid.AttemptID]*attempt
-	timer     *time.Timer
-	lastUsed  time.Time
-	knowledge *cassiaschema.TargetKnowledge
+	owned   OwnedTarget
+	client  *cassiatarget.Client
+	limiter *cassialimit.Limiter
+	leaving bool
+	// pausedUntil is the end of the pause that the limiter knows of.
+	pausedUntil time.Time
+	waiting     map[cassiaid.AttemptID]*attempt
+	running     map[cassiaid.AttemptID]*attempt
+	timer       *time.Timer
+	lastUsed    time.Time
+	knowledge   *cassiaschema.TargetKnowledge
 }
 
 func newTarget(o *Owner, owned OwnedTarget) *target {
@@ -103,10 +105,11 @@
 }
 
 // update passes a message to the limiter and performs its effects. The caller holds the mutex and has to pass the
-// result to refuseAll after unlocking it. The limiter first gets a change of the leaving state, so that no attempt
-// starts on a target that is known to be leaving.
+// result to refuseAll after unlocking it. The limiter first gets a change of the leaving state and a pause, so that no attempt
+// starts on a target that is known to want none.
 func (t *target) update(message cassialimit.Message) []refusal {
 	effects := t.syncLeaving()
+	effects = append(effects, t.syncPause()...)
 	effects = append(effects, t.limiter.Update(message)...)
 	return t.performEffects(effects)
 }
@@ -125,6 +128,16 @@
 	return t.limiter.Update(cassialimit.Undrain{})
 }
 
+// syncPause passes a pause of the target to the limiter; an attempt of another front may have been refused.
+func (t *target) syncPause() []cassialimit.Effect {
+	until := t.owner.pausedUntil(t.key.name)
+	if !until.After(t.pausedUntil) {
+		return nil
+	}
+	t.pausedUntil = until
+	return t.limiter.Update(cassialimit.Pause{Until: until})
+}
+
 func (t *target) performEffects(effects []cassialimit.Effect) []refusal {
 	var refused []refusal
 	for _, e := range effects {
@@ -170,6 +183,7 @@
 	a.setQueueTime(result, started)
 	t.owner.removeAttempt(a)
 	t.updateKnowledge(result)
+	t.owner.observeStatement(result)
 	if a.batch.remote {
 		t.owner.config.Observer.ResultSeen(t.key.front, result)
 	}
@@ -256,6 +270,9 @@
 
 // checkHealth calls the target's health endpoint and passes its state to the observer.
 func (t *target) checkHealth(ctx context.Context) {
+	if t.owner.config.Clock.Now().Before(t.owner.pausedUntil(t.key.name)) {
+		return
+	}
 	health, err := t.currentClient().Health(ctx)
 	t.mutex.Lock()
 	t.knowledge.Reachable = err == nil
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -204,6 +204,7 @@
 func (c *Client) classifyReply(ctx context.Context, result *cassiaschema.ShardResult, call Call, reply *http.Response) {
 	defer discard(reply)
 	readTargetState(result, reply.Header)
+	readPause(result, reply)
 	if reply.StatusCode != http.StatusOK {
 		classifyStatus(ctx, result, reply)
 		return
--- a/io/cassiatarget/reply.go
+++ b/io/cassiatarget/reply.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
@@ -63,6 +64,13 @@
 	}
 }
 
+// readPause copies the pause that a target asks for when it refuses an attempt to the result.
+func readPause(result *cassiaschema.ShardResult, reply *http.Response) {
+	if reply.StatusCode == http.StatusServiceUnavailable {
+		result.Availability = cassiaavailability.ParseStatement(nil, reply.Header.Values("Retry-After")).Message()
+	}
+}
+
 // uintHeader returns the value of a numeric header, or 0 if it is absent or malformed.
 func uintHeader(header http.Header, name string) uint64 {
 	value, err := strconv.ParseUint(header.Get(name), 10, 64)
--- a/standin/cassiashard/attempt.go
+++ b/standin/cassiashard/attempt.go
@@ -177,7 +177,7 @@
 		return &refusal{http.StatusConflict, "repartitioned"}
 	case !b.holdsSnapshot(a.snapshot):
 		return &refusal{http.StatusGone, "snapshotGone"}
-	case b.ShedAbove > 0 && len(t.slots.queue) >= b.ShedAbove:
+	case b.PauseSeconds > 0, b.ShedAbove > 0 && len(t.slots.queue) >= b.ShedAbove:
 		return &refusal{http.StatusServiceUnavailable, "overloaded"}
 	}
 	return nil
--- a/standin/cassiashard/behaviour.go
+++ b/standin/cassiashard/behaviour.go
@@ -45,6 +45,8 @@
 	Draining      bool     `json:"draining"`
 	// AcceptedRate is the requests a second that the target says it accepts; 0 means that it says nothing.
 	AcceptedRate float64 `json:"acceptedRate"`
+	// PauseSeconds makes the target refuse all attempts as overloaded, with this Retry-After, if it is above 0.
+	PauseSeconds float64 `json:"pauseSeconds"`
 	// HealthState replaces the true state in health reports if not empty.
 	HealthState string `json:"healthState"`
 	// HealthLagMs is how old the state, snapshots and shard map epoch in health reports are; the load is never delayed.
--- a/standin/cassiashard/reply.go
+++ b/standin/cassiashard/reply.go
@@ -56,6 +56,9 @@
 func (t *Target) writeRefusal(w http.ResponseWriter, a *attempt, refused refusal) {
 	t.writeHeaders(w.Header(), a)
 	w.Header().Set(headerNotStarted, refused.reason)
+	if pause := t.Behaviour().PauseSeconds; pause > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(pause, 'f', -1, 64))
+	}
 	writeProblem(w, refused.status, refused.reason)
 }
 
