--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -86,6 +86,8 @@
 	fragile         *cassiastage.Supervisor
 	limited         *cassiastage.Supervisor
 	limits          []soakLimit
+	stating         *cassiastage.Supervisor
+	statements      []soakStatement
 	callers         errgroup.Group
 	faults          errgroup.Group
 
@@ -181,6 +183,7 @@
 	s.addReplicas(relay)
 	s.addFragileService()
 	s.addLimitedService()
+	s.addStatingService()
 	s.maxConnections = []int{26, 3}[s.random.IntN(2)]
 	s.plannedOnly = seed%3 == 0
 	if s.retryPressure = seed%2 == 1; s.retryPressure {
@@ -274,7 +277,7 @@
 	s.shardConnections = s.maxConnections
 	s.configure(routeConfig("/one/", "idempotent", "single"), routeConfig("/book/", "non_idempotent", "single"),
 		routeConfig(versionPath(number), "idempotent", "single"), s.fragileRoute(),
-		routeConfig(soakLimitedRoute, "idempotent", soakLimitedService))
+		routeConfig(soakLimitedRoute, "idempotent", soakLimitedService), routeConfig(soakStatingRoute, "idempotent", soakStatingService))
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.versions = append(s.versions, soakVersion{number: number, accepted: time.Now()})
@@ -291,6 +294,7 @@
 	}
 	s.startFragileCallers(stop)
 	s.startLimitedCallers(stop)
+	s.startStatingCallers(stop)
 	var injectors errgroup.Group
 	injectors.Go(func() error { s.injectFaults(s.random, soakFaults, soakMaxPause); return nil })
 	if s.retryPressure {
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -126,6 +126,7 @@
 	s.checkBudget()
 	s.checkDeadly()
 	s.checkLimits()
+	s.checkStatements()
 	s.t.Logf("seed %d: %d of %d requests answered, %d disturbances, %s", s.seed, answered, len(s.requests), len(s.disturbances), s.statusCounts())
 	if answered == 0 {
 		s.t.Errorf("no request was answered")
@@ -301,6 +302,8 @@
 			sent[soakFragileService] = append(sent[soakFragileService], at)
 		case strings.HasPrefix(r.path, soakLimitedRoute):
 			sent[soakLimitedService] = append(sent[soakLimitedService], at)
+		case strings.HasPrefix(r.path, soakStatingRoute):
+			sent[soakStatingService] = append(sent[soakStatingService], at)
 		case r.err != nil || r.answer.status != http.StatusNotFound:
 			sent["single"] = append(sent["single"], at)
 		}
@@ -309,7 +312,7 @@
 	for _, r := range s.replicas {
 		arrivals[r.Service] = append(arrivals[r.Service], r.Arrivals()...)
 	}
-	for _, service := range []*cassiastage.Supervisor{s.fragile, s.limited} {
+	for _, service := range []*cassiastage.Supervisor{s.fragile, s.limited, s.stating} {
 		for _, target := range service.All() {
 			arrivals[target.Service] = append(arrivals[target.Service], target.Arrivals()...)
 		}
