--- a/core/cassiagateway/aggregator.go
+++ b/core/cassiagateway/aggregator.go
@@ -153,6 +153,7 @@
 		}
 		if aggregator == "" && !t.warmed && g.fleetKnown {
 			t.warmed, t.wantsProbe = true, true
+			g.watch(t)
 		}
 	}
 	g.sendProbes(now)
--- a/core/cassiagateway/availability.go
+++ b/core/cassiagateway/availability.go
@@ -42,6 +42,7 @@
 		g.emit(ViewChanged{Event: EventPaused, Target: t.Name, Zone: t.Zone, Pause: t.pause(now)})
 	}
 	t.onTrial = true
+	g.watch(t)
 	g.dropRestricted(now, t.service)
 }
 
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -64,9 +64,11 @@
 	unneeded []*attempt
 	// orderedTargets holds the targets in the order of the directory.
 	orderedTargets []*target
-	links          map[linkKey]*link
-	aggregators    aggregators
-	runningProbes  int
+	// watched holds the targets that are due for a probe or for waiting shards at some time; see watch.
+	watched       []*target
+	links         map[linkKey]*link
+	aggregators   aggregators
+	runningProbes int
 	// fanOutServices holds the services that are shards of any route.
 	fanOutServices map[cassiacatalog.ServiceName]bool
 	fleetKnown     bool
@@ -158,6 +160,7 @@
 		g.tick(now)
 	}
 	g.updateSlackShare(now)
+	g.unwatch(now)
 	g.scheduleWake(now)
 	return g.effects
 }
@@ -270,12 +273,19 @@
 		}
 		t.Target = listed
 		t.leaving, t.pausedUntil = g.availability.Leaving(t.process()), g.availability.PausedUntil(t.process())
+		if t.pause(now) > 0 {
+			t.onTrial = true
+		}
 		current[listed.Name] = t
 		s.targets = append(s.targets, t)
 		g.orderedTargets = append(g.orderedTargets, t)
 	}
 	g.targets = current
+	g.watched = slices.DeleteFunc(g.watched, func(t *target) bool { return current[t.Name] != t })
 	for _, t := range g.orderedTargets {
+		if t.onTrial {
+			g.watch(t)
+		}
 		g.serveWaiting(now, t.service)
 	}
 }
--- a/core/cassiagateway/limit.go
+++ b/core/cassiagateway/limit.go
@@ -33,6 +33,9 @@
 		place = g.place(now, t)
 	}
 	t.limit.Observe(now, place, a)
+	if t.limit.Limited(now) {
+		g.watch(t)
+	}
 	g.reportAcceptance(t, a)
 	if a.State == cassiabudget.AcceptanceLimited {
 		g.dropRestricted(now, t.service)
@@ -101,7 +104,7 @@
 // zero time if none waits for that.
 func (g *Gateway) nextLimitedAt(now time.Time) time.Time {
 	var next time.Time
-	for _, t := range g.orderedTargets {
+	for _, t := range g.watched {
 		if !t.usable() || !t.restricted(now) || t.service.waiting.head() == nil {
 			continue
 		}
@@ -115,7 +118,7 @@
 // serveRestricted sends the waiting shards of services with a target that has a limit or has ended a pause, as far as the targets
 // accept them now.
 func (g *Gateway) serveRestricted(now time.Time) {
-	for _, t := range g.orderedTargets {
+	for _, t := range g.watched {
 		if (t.limit.Limited(now) || t.pauseEnded(now)) && t.service.waiting.head() != nil {
 			g.serveWaiting(now, t.service)
 		}
--- a/core/cassiagateway/link.go
+++ b/core/cassiagateway/link.go
@@ -35,6 +35,9 @@
 	running    []*attempt
 	// silent holds the targets with an attempt that ended without an answer since lastAnswer.
 	silent map[cassiaid.TargetName]bool
+	// silentFrom is the result of the last computation of silentAt; it holds until an attempt starts or ends.
+	silentFrom  time.Time
+	silentKnown bool
 }
 
 func (g *Gateway) linkFor(key linkKey) *link {
@@ -47,12 +50,16 @@
 }
 
 // attemptStarted adds a running attempt.
-func (l *link) attemptStarted(a *attempt) { l.running = append(l.running, a) }
+func (l *link) attemptStarted(a *attempt) {
+	l.running = append(l.running, a)
+	l.silentKnown = false
+}
 
 // attemptEnded removes an attempt and records its outcome. A broken connection is evidence neither for nor against the
 // link.
 func (l *link) attemptEnded(now time.Time, a *attempt, outcome Outcome) {
 	l.running = without(l.running, a)
+	l.silentKnown = false
 	switch outcome {
 	case OutcomeAnswered, OutcomeFailed, OutcomeRejected, OutcomeWrongTarget, OutcomeUnfit:
 		l.lastAnswer = now
@@ -65,7 +72,15 @@
 // silentAt returns when the link counts as silent unless an answer arrives first, or the zero time if too few targets
 // are waiting for one.
 func (l *link) silentAt() time.Time {
-	if len(l.running) == 0 {
+	if !l.silentKnown {
+		l.silentFrom, l.silentKnown = l.computeSilentAt(), true
+	}
+	return l.silentFrom
+}
+
+func (l *link) computeSilentAt() time.Time {
+	missing := max(1, minSilentTargets-len(l.silent))
+	if len(l.running) < missing {
 		return time.Time{}
 	}
 	silentFrom := make(map[cassiaid.TargetName]time.Time)
@@ -78,7 +93,6 @@
 			silentFrom[a.target.Name] = at
 		}
 	}
-	missing := max(1, minSilentTargets-len(l.silent))
 	if len(silentFrom) < missing {
 		return time.Time{}
 	}
@@ -121,6 +135,7 @@
 		for _, t := range g.orderedTargets {
 			if t.Zone == l.key.zone && !t.ejected() {
 				t.eject(now)
+				g.watch(t)
 			}
 		}
 	}
@@ -133,4 +148,5 @@
 	}
 	// Attempts that are still running must not count as silent again.
 	l.lastAnswer = now
+	l.silentKnown = false
 }
--- a/core/cassiagateway/reach.go
+++ b/core/cassiagateway/reach.go
@@ -29,7 +29,7 @@
 
 // sendProbes probes ejected targets whose ejection period is over, and targets that need an open connection.
 func (g *Gateway) sendProbes(now time.Time) {
-	for _, t := range g.orderedTargets {
+	for _, t := range g.watched {
 		if t.leaving {
 			continue
 		}
@@ -50,6 +50,7 @@
 	}
 	wasEjected := t.ejected()
 	t.probed(now, m.Reached)
+	g.watch(t)
 	if m.Reached && wasEjected {
 		g.emit(ViewChanged{Event: EventReached, Target: t.Name, Zone: t.Zone})
 		g.probeZone(now, t)
@@ -61,7 +62,7 @@
 // probeZone makes probes to the other ejected targets of a zone due at once, since the whole zone may be reachable
 // again.
 func (g *Gateway) probeZone(now time.Time, reached *target) {
-	for _, t := range g.orderedTargets {
+	for _, t := range g.watched {
 		if t.Zone == reached.Zone && t.ejected() && now.Before(t.ejectedUntil) {
 			t.ejectedUntil = now
 		}
@@ -75,7 +76,7 @@
 	if g.runningProbes >= maxConcurrentProbes {
 		return at
 	}
-	for _, t := range g.orderedTargets {
+	for _, t := range g.watched {
 		if t.ejections > 0 && !t.replaced && !t.leaving && !t.probing && (at.IsZero() || t.ejectedUntil.Before(at)) {
 			at = t.ejectedUntil
 		}
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -295,6 +295,9 @@
 	if outcome != OutcomeAnswered {
 		wasEjected := a.target.ejected()
 		a.target.failed(now, outcome, g.decayInterval())
+		if a.target.ejected() {
+			g.watch(a.target)
+		}
 		if t := a.target; t.ejected() && !wasEjected {
 			g.emit(ViewChanged{Event: EventEjected, Target: t.Name, Zone: t.Zone, Cause: outcome, Unreached: t.ejections})
 		}
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -59,6 +59,8 @@
 	// wantsProbe is true if a connection should be opened before a request needs it; warmed is true once that was
 	// requested.
 	wantsProbe, warmed bool
+	// watched is true while the gateway's list of watched targets holds this one.
+	watched bool
 	// heard is true once the target has answered this VM.
 	heard bool
 	// limit is this VM's part of the rate of requests that the target accepts; rank is this VM's rank in the fleet of that number.
