--- a/core/cassiagateway/aggregator.go
+++ b/core/cassiagateway/aggregator.go
@@ -1,6 +1,7 @@
 package cassiagateway
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -34,6 +35,14 @@
 type aggregators struct {
 	byZone map[cassiaid.Zone][]*aggregator
 	byName map[cassiaid.VMName]*aggregator
+	// ranked holds the VMs of a zone by falling score for each key that was picked for since the last list of VMs.
+	ranked map[rankingKey][]*aggregator
+}
+
+// rankingKey identifies an order of the VMs of a zone.
+type rankingKey struct {
+	key  string
+	zone cassiaid.Zone
 }
 
 // aggregator is one VM that can act as an aggregator, with this VM's experience of it.
@@ -49,6 +58,7 @@
 func (a *aggregators) setVMs(vms []VM) {
 	known := a.byName
 	a.byName, a.byZone = make(map[cassiaid.VMName]*aggregator), make(map[cassiaid.Zone][]*aggregator)
+	a.ranked = make(map[rankingKey][]*aggregator)
 	for _, vm := range vms {
 		agg := known[vm.Name]
 		if agg == nil || agg.vm != vm {
@@ -64,24 +74,34 @@
 // directAfterFailure ago. It uses rendezvous hashing weighted by the VMs' processors, so equal keys keep the same
 // aggregator while it is available.
 func (a *aggregators) pick(now time.Time, key string, self cassiaid.VMName, zone cassiaid.Zone) cassiaid.VMName {
-	var first, best *aggregator
-	var firstScore, bestScore float64
-	for _, agg := range a.byZone[zone] {
-		score := agg.score(key)
-		if first == nil || score > firstScore {
-			first, firstScore = agg, score
-		}
-		if !now.Before(agg.backoffUntil) && (best == nil || score > bestScore) {
-			best, bestScore = agg, score
-		}
-	}
-	if best == nil || best.vm.Name == self {
+	ranked := a.rank(key, zone)
+	best := slices.IndexFunc(ranked, func(agg *aggregator) bool { return !now.Before(agg.backoffUntil) })
+	if best < 0 || ranked[best].vm.Name == self {
 		return ""
 	}
-	if !first.failedAt.IsZero() && now.Sub(first.failedAt) < directAfterFailure {
+	if first := ranked[0]; !first.failedAt.IsZero() && now.Sub(first.failedAt) < directAfterFailure {
 		return ""
 	}
-	return best.vm.Name
+	return ranked[best].vm.Name
+}
+
+// rank returns the VMs of a zone by falling score for a key.
+func (a *aggregators) rank(key string, zone cassiaid.Zone) []*aggregator {
+	k := rankingKey{key: key, zone: zone}
+	ranked, known := a.ranked[k]
+	if known {
+		return ranked
+	}
+	scores := make(map[*aggregator]float64, len(a.byZone[zone]))
+	for _, agg := range a.byZone[zone] {
+		scores[agg] = agg.score(key)
+	}
+	ranked = slices.Clone(a.byZone[zone])
+	slices.SortStableFunc(ranked, func(x, y *aggregator) int { return cmp.Compare(scores[y], scores[x]) })
+	if a.ranked != nil {
+		a.ranked[k] = ranked
+	}
+	return ranked
 }
 
 // score returns the weighted rendezvous score of the VM for a key; the highest one wins.
@@ -123,7 +143,7 @@
 		return ""
 	}
 	if t.service.connectionsScarce(g.vmCount(now)) {
-		return g.aggregators.pick(now, sliceKey(t), g.settings.Name, t.Zone)
+		return g.aggregators.pick(now, t.slice, g.settings.Name, t.Zone)
 	}
 	if t.Zone == g.settings.Zone {
 		return ""
@@ -132,8 +152,8 @@
 }
 
 // sliceKey returns the rendezvous key of the slice that a target belongs to.
-func sliceKey(t *target) string {
-	return "slice " + strconv.FormatUint(xxhash.Sum64String(string(t.Name))%slicesPerZone, 10)
+func sliceKey(t cassiaid.TargetName) string {
+	return "slice " + strconv.FormatUint(xxhash.Sum64String(string(t))%slicesPerZone, 10)
 }
 
 // openConnections opens the connections that the first requests will need: to targets in this VM's zone that it sends to
@@ -145,7 +165,7 @@
 		}
 		aggregator := cassiaid.VMName("")
 		if t.service.connectionsScarce(g.vmCount(now)) {
-			aggregator = g.aggregators.pick(now, sliceKey(t), g.settings.Name, t.Zone)
+			aggregator = g.aggregators.pick(now, t.slice, g.settings.Name, t.Zone)
 		}
 		if agg := g.aggregators.byName[aggregator]; agg != nil && !agg.warmed {
 			agg.warmed = true
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -43,6 +43,8 @@
 type target struct {
 	cassiadirectory.Target
 	service *service
+	// slice is the rendezvous key of the slice of its zone that the target belongs to.
+	slice   string
 	running []*attempt
 	// relativeLatency is the moving average of the target's latency divided by the typical latency of the route.
 	relativeLatency float64
@@ -80,7 +82,7 @@
 }
 
 func newTarget(t cassiadirectory.Target, s *service) *target {
-	return &target{Target: t, service: s, relativeLatency: 1}
+	return &target{Target: t, service: s, slice: sliceKey(t.Name), relativeLatency: 1}
 }
 
 // decay moves the measurements towards normal as time passes without samples, so that a target that was avoided is tried
