--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -162,6 +162,7 @@
 // Reply is a target's complete answer.
 type Reply struct {
 	Status int
+	// Header holds the headers as received; those that concern only the target's connection are not passed on.
 	Header map[string][]string
 	// Stamp is the target's proof that it answered this request.
 	Stamp string
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -67,13 +67,14 @@
 	now := time.Now()
 	b := &servedBatch{firstAttemptID: m.GetFirstAttemptId(), outstanding: len(m.GetAttempts()), reply: reply,
 		pruner: cassiarecord.Pruner{Count: int(m.GetTopK())}}
+	call := decodeCall(m, now)
 	for _, attempt := range m.GetAttempts() {
 		id := b.firstAttemptID + attempt.GetNumber()
 		ctx, cancel := context.WithCancel(context.Background())
 		a.addRunning(from, id, cancel)
 		a.group.Go(func() error {
 			defer cancel()
-			result := a.exchange(ctx, decodeCall(m, attempt, now), m.GetRoute(), attempt)
+			result := a.exchange(ctx, call, m.GetRoute(), attempt)
 			a.removeRunning(from, id)
 			b.add(servedResult{attempt: attempt, Result: result})
 			return nil
@@ -83,6 +84,7 @@
 
 func (a *Aggregator) exchange(ctx context.Context, call cassiapool.Call, route string,
 	attempt *cassiaschema.AggregateAttempt) cassiapool.Result {
+	call.Instance = attempt.GetTarget()
 	target, ok := a.targets.Target(cassiaid.TargetName(call.Instance))
 	if !ok {
 		return cassiapool.Result{Outcome: cassiagateway.OutcomeTargetUnknown}
--- a/io/cassiaaggregate/batch.go
+++ b/io/cassiaaggregate/batch.go
@@ -57,13 +57,13 @@
 	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_AggregateBatch{AggregateBatch: m}}
 }
 
-// decodeCall returns the request of a received batch for one of its targets.
-func decodeCall(m *cassiaschema.AggregateBatch, a *cassiaschema.AggregateAttempt, now time.Time) cassiapool.Call {
+// decodeCall returns the request of a received batch, which its attempts share but for the target.
+func decodeCall(m *cassiaschema.AggregateBatch, now time.Time) cassiapool.Call {
 	header := make(http.Header, len(m.GetHeaders()))
 	for _, field := range m.GetHeaders() {
 		header[field.GetName()] = append(header[field.GetName()], field.GetValue())
 	}
-	return cassiapool.Call{Instance: a.GetTarget(), Method: m.GetMethod(), URI: m.GetUri(),
+	return cassiapool.Call{Method: m.GetMethod(), URI: m.GetUri(),
 		Host: m.GetHost(), Header: header, RequestID: m.GetRequestId(), Body: m.GetBody(),
 		Deadline: now.Add(m.GetRemaining().AsDuration())}
 }
--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -175,7 +175,7 @@
 		return http.StatusBadGateway
 	}
 	header := w.Header()
-	for name, values := range reply.Header {
+	for name, values := range cassiapool.EndToEnd(reply.Header) {
 		header[name] = values
 	}
 	if len(header.Values("Content-Type")) == 0 {
--- a/io/cassiapool/call.go
+++ b/io/cassiapool/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -75,13 +74,19 @@
 	return copied
 }
 
+// typicalHeadBytes is enough for the headers of most requests.
+const typicalHeadBytes = 512
+
 // encode returns the request in HTTP/1.1 format, with the deadline relative to now.
 func (c *Call) encode(names Headers, now time.Time) ([]byte, error) {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.URI, c.Host)
+	b.Grow(typicalHeadBytes + len(c.URI) + len(c.Body))
+	b.WriteString(c.Method + " " + c.URI + " HTTP/1.1\r\n")
 	left := max(0, c.Deadline.Sub(now).Milliseconds())
-	fmt.Fprintf(&b, "%s: %s\r\n%s: %d\r\n%s: %s\r\n", names.RequestID, c.RequestID, names.Deadline, left,
-		names.ExpectInstance, c.Instance)
+	for _, field := range [...][2]string{{"Host", c.Host}, {names.RequestID, c.RequestID}, {names.Deadline, strconv.FormatInt(left, 10)},
+		{names.ExpectInstance, c.Instance}} {
+		b.WriteString(field[0] + ": " + field[1] + "\r\n")
+	}
 	if err := c.Header.Write(&b); err != nil {
 		return nil, err
 	}
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -274,7 +274,7 @@
 			return Result{Outcome: cassiagateway.OutcomeBroken}, false
 		}
 		c.bounded.left = maxBodyWireBytes
-		body, err := p.readBody(response.Body)
+		body, err := p.readBody(response.Body, response.ContentLength)
 		if err != nil {
 			return Result{Outcome: classifyReadError(err)}, false
 		}
@@ -316,7 +316,7 @@
 // classifyReply returns the outcome of a complete reply. A success needs the target's stamp and the echoed request ID,
 // a failure the stamp; without them the reply counts as broken.
 func (p *Pool) classifyReply(response *http.Response, echoed bool, body []byte) (cassiagateway.Outcome, *cassiagateway.Reply) {
-	reply := &cassiagateway.Reply{Status: response.StatusCode, Header: EndToEnd(response.Header), Body: body,
+	reply := &cassiagateway.Reply{Status: response.StatusCode, Header: response.Header, Body: body,
 		Stamp: response.Header.Get(p.Headers.Stamp)}
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest:
--- a/io/cassiapool/reply.go
+++ b/io/cassiapool/reply.go
@@ -37,8 +37,14 @@
 	return n, err
 }
 
-// readBody reads a body up to maxReplyBytes. A long one also has to fit into what other exchanges leave of maxBufferedBytes.
-func (p *Pool) readBody(body io.Reader) ([]byte, error) {
+// readBody reads a body of a length, or of unknown length if that is negative, up to maxReplyBytes. A long one also has to fit into
+// what other exchanges leave of maxBufferedBytes.
+func (p *Pool) readBody(body io.Reader, length int64) ([]byte, error) {
+	if length >= 0 && length <= smallBodyBytes {
+		content := make([]byte, length)
+		_, err := io.ReadFull(body, content)
+		return content, err
+	}
 	var buffer bytes.Buffer
 	reserved := int64(0)
 	defer func() { p.buffered.Add(-reserved) }()
