--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiadirectory"
@@ -18,6 +16,7 @@
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiapeer"
 	"cassiasaddle/io/cassiapool"
+	"cassiasaddle/io/cassiaworker"
 )
 
 // resultBatchDelay is how long a result waits for others to be sent in the same frame; it is short compared with the
@@ -45,7 +44,7 @@
 
 	exchanger Exchanger
 	targets   Targets
-	group     errgroup.Group
+	workers   cassiaworker.Workers
 
 	mutex   sync.Mutex
 	zones   []cassiaid.Zone
@@ -72,12 +71,11 @@
 		id := b.firstAttemptID + attempt.GetNumber()
 		ctx, cancel := context.WithCancel(context.Background())
 		a.addRunning(from, id, cancel)
-		a.group.Go(func() error {
+		a.workers.Go(func() {
 			defer cancel()
 			result := a.exchange(ctx, call, m.GetRoute(), attempt)
 			a.removeRunning(from, id)
 			b.add(servedResult{attempt: attempt, Result: result})
-			return nil
 		})
 	}
 }
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -20,6 +20,7 @@
 	"cassiasaddle/io/cassiafollow"
 	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassiapool"
+	"cassiasaddle/io/cassiaworker"
 )
 
 // pendingQuery is a caller's request that has no answer yet.
@@ -45,6 +46,8 @@
 	self    cassiaid.VMName
 	catalog atomic.Pointer[cassiacatalog.Catalog]
 	group   errgroup.Group
+	// workers run the exchanges with targets.
+	workers cassiaworker.Workers
 
 	mutex            sync.Mutex
 	gateway          *cassiagateway.Gateway
--- a/io/cassiagate/send.go
+++ b/io/cassiagate/send.go
@@ -87,10 +87,9 @@
 		g.update(cassiagateway.AttemptBegins{Attempt: e.Attempt})
 		return ctx.Err() == nil
 	}
-	g.group.Go(func() error {
+	g.workers.Go(func() {
 		defer cancel()
 		g.exchange(ctx, call, e.Attempt)
-		return nil
 	})
 }
 
