--- a/test/process_test.go
+++ b/test/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -45,6 +46,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	recordStalls(ctx, &group)
+	defer group.Wait() //nolint:errcheck // it returns no error
+	defer stop()
 	return m.Run()
 }
 
