--- a/core/cassiagateway/aggregator.go
+++ b/core/cassiagateway/aggregator.go
@@ -48,7 +48,6 @@
 // aggregator is one VM that can act as an aggregator, with this VM's experience of it.
 type aggregator struct {
 	vm           VM
-	warmed       bool
 	failures     int
 	failedAt     time.Time
 	backoffUntil time.Time
@@ -139,16 +138,41 @@
 // itself. Where a target accepts fewer connections than there are VMs, one VM of its zone sends to it for all VMs, over
 // connections that are already open. Otherwise only attempts to other zones go through an aggregator.
 func (g *Gateway) aggregatorFor(now time.Time, r *cassiacatalog.Route, t *target) cassiaid.VMName {
-	if !r.FansOut() || g.settings.Zone == "" {
+	if !r.FansOut() {
 		return ""
 	}
-	if t.service.connectionsScarce(g.vmCount(now)) {
-		return g.aggregators.pick(now, t.slice, g.settings.Name, t.Zone)
-	}
-	if t.Zone == g.settings.Zone {
+	k, through := g.rankingKeyOf(now, t)
+	if !through {
 		return ""
 	}
-	return g.aggregators.pick(now, string(g.settings.Name), g.settings.Name, t.Zone)
+	return g.aggregators.pick(now, k.key, g.settings.Name, k.zone)
+}
+
+// rankingKeyOf returns the key by which the aggregator for a target is picked, and false if this VM sends to the target itself.
+func (g *Gateway) rankingKeyOf(now time.Time, t *target) (rankingKey, bool) {
+	switch {
+	case g.settings.Zone == "":
+		return rankingKey{}, false
+	case t.service.connectionsScarce(g.vmCount(now)):
+		return rankingKey{key: t.slice, zone: t.Zone}, true
+	case t.Zone == g.settings.Zone:
+		return rankingKey{}, false
+	default:
+		return rankingKey{key: string(g.settings.Name), zone: t.Zone}, true
+	}
+}
+
+// Aggregators returns the VMs through which this VM sends fan-outs now, so that connections to them can be open before a caller
+// waits for that.
+func (g *Gateway) Aggregators() []cassiaid.VMName {
+	now := g.clock.Now()
+	var picked []cassiaid.VMName
+	for _, k := range g.aggregatorKeys {
+		if vm := g.aggregators.pick(now, k.key, g.settings.Name, k.zone); vm != "" && !slices.Contains(picked, vm) {
+			picked = append(picked, vm)
+		}
+	}
+	return picked
 }
 
 // sliceKey returns the rendezvous key of the slice that a target belongs to.
@@ -156,22 +180,22 @@
 	return "slice " + strconv.FormatUint(xxhash.Sum64String(string(t))%slicesPerZone, 10)
 }
 
-// openConnections opens the connections that the first requests will need: to targets in this VM's zone that it sends to
-// itself, and to the aggregators of the others.
+// openConnections opens the connections that the first fan-outs will need to targets in this VM's zone that it sends to itself, and
+// collects the keys of the aggregators of the others.
 func (g *Gateway) openConnections(now time.Time) {
+	g.aggregatorKeys = g.aggregatorKeys[:0]
+	known := make(map[rankingKey]bool)
 	for _, t := range g.orderedTargets {
-		if t.Zone != g.settings.Zone || !g.fanOutServices[t.service.name] {
+		if !g.fanOutServices[t.service.name] {
 			continue
 		}
-		aggregator := cassiaid.VMName("")
-		if t.service.connectionsScarce(g.vmCount(now)) {
-			aggregator = g.aggregators.pick(now, t.slice, g.settings.Name, t.Zone)
-		}
-		if agg := g.aggregators.byName[aggregator]; agg != nil && !agg.warmed {
-			agg.warmed = true
-			g.emit(Warm{VM: aggregator})
+		k, through := g.rankingKeyOf(now, t)
+		if through && !known[k] {
+			known[k] = true
+			g.aggregatorKeys = append(g.aggregatorKeys, k)
 		}
-		if aggregator == "" && !t.warmed && g.fleetKnown {
+		direct := !through || g.aggregators.pick(now, k.key, g.settings.Name, k.zone) == ""
+		if direct && t.Zone == g.settings.Zone && !t.warmed && g.fleetKnown {
 			t.warmed, t.wantsProbe = true, true
 			g.watch(t)
 		}
--- a/core/cassiagateway/aggregator_test.go
+++ b/core/cassiagateway/aggregator_test.go
@@ -154,6 +154,50 @@
 	c.Check(len(aggregatorVMs) > 1 && len(aggregatorVMs) <= slicesPerZone, qt.IsTrue, qt.Commentf("%d VMs send to the targets, want at least 2 and at most slicesPerZone", len(aggregatorVMs)))
 }
 
+// TestAggregatorsAreKnownAheadOfFanOuts guards against fan-outs that are the first to use the connection to an aggregator, and against
+// connections to all VMs of a large fleet.
+func TestAggregatorsAreKnownAheadOfFanOuts(t *testing.T) {
+	const zones, vms, shards = 6, 120, 60
+	zone := func(i int) cassiaid.Zone { return cassiaid.Zone("abcdef"[i%zones : i%zones+1]) }
+	for _, test := range []struct {
+		name           string
+		maxConnections int
+		// most is how many aggregators a VM may have.
+		most int
+	}{{"scarce connections", 57, zones * slicesPerZone}, {"many connections", 0, zones - 1}} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			clock := clockwork.NewFakeClock()
+			route := &cassiacatalog.Route{Name: "search", Idempotent: true, Timeout: time.Second, DesiredLatency: 100 * time.Millisecond,
+				MaxAttempts: 2, TopK: 5, MinCoverage: 0.5}
+			var fleet []VM
+			for i := range vms {
+				fleet = append(fleet, VM{Name: cassiaid.VMName(fmt.Sprintf("vm-%03d", i)), Zone: zone(i), Cores: 0.2})
+			}
+			var targets []cassiadirectory.Target
+			services, fanOut := make(map[cassiacatalog.ServiceName]cassiacatalog.Service), make(map[cassiacatalog.ServiceName]bool)
+			for s := range shards {
+				name := serviceName(s)
+				services[name], fanOut[name] = cassiacatalog.Service{Name: name, MaxConnections: test.maxConnections}, true
+				route.Shards = append(route.Shards, name)
+				targets = append(targets, cassiadirectory.Target{Name: targetName(s, 0), Service: name, Zone: zone(s), Slots: 2})
+			}
+			g := NewGateway(clock, halfRandom{}, Settings{Name: "vm-000", Zone: "a"})
+			g.Update(FleetChanged{VMs: fleet})
+			g.Update(TargetsChanged{Targets: targets})
+			g.Update(ServicesChanged{Services: services, FanOut: fanOut})
+			known := make(map[cassiaid.VMName]bool)
+			for _, vm := range g.Aggregators() {
+				known[vm] = true
+			}
+			c.Check(len(known) <= test.most, qt.IsTrue, qt.Commentf("%d aggregators", len(known)))
+			for _, s := range effectsOf[Send](g.Update(Arrived{Query: 1, Route: route, Deadline: clock.Now().Add(time.Second)})) {
+				c.Check(s.Aggregator == "" || known[s.Aggregator], qt.IsTrue, qt.Commentf("%s was not known", s.Aggregator))
+			}
+		})
+	}
+}
+
 // TestRouteWithoutTargetsKeepsVMReady: requests for a route without targets, which no VM could serve, must not make this
 // VM report that it cannot serve.
 func TestRouteWithoutTargetsKeepsVMReady(t *testing.T) {
--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -47,9 +47,6 @@
 	Address string
 }
 
-// Warm opens the connection to an aggregator ahead of its first use.
-type Warm struct{ VM cassiaid.VMName }
-
 // Refresh asks for the list of targets to be read again, since a target's process is newer than the list.
 type Refresh struct{}
 
@@ -143,7 +140,6 @@
 func (Send) isEffect()              {}
 func (Cancel) isEffect()            {}
 func (Probe) isEffect()             {}
-func (Warm) isEffect()              {}
 func (Refresh) isEffect()           {}
 func (ViewChanged) isEffect()       {}
 func (ExtraRequest) isEffect()      {}
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -65,10 +65,12 @@
 	// orderedTargets holds the targets in the order of the directory.
 	orderedTargets []*target
 	// watched holds the targets that are due for a probe or for waiting shards at some time; see watch.
-	watched       []*target
-	links         map[linkKey]*link
-	aggregators   aggregators
-	runningProbes int
+	watched     []*target
+	links       map[linkKey]*link
+	aggregators aggregators
+	// aggregatorKeys holds the keys by which aggregators are picked for the targets of fan-outs.
+	aggregatorKeys []rankingKey
+	runningProbes  int
 	// fanOutServices holds the services that are shards of any route.
 	fanOutServices map[cassiacatalog.ServiceName]bool
 	fleetKnown     bool
--- a/io/cassiaaggregate/client.go
+++ b/io/cassiaaggregate/client.go
@@ -40,6 +40,8 @@
 	pending map[cassiaid.AttemptID]*pendingBatch
 	// lastReceived is when results last arrived from a VM.
 	lastReceived map[cassiaid.VMName]time.Time
+	// lost holds the VMs whose connections were lost since KeepConnected last looked.
+	lost map[cassiaid.VMName]bool
 }
 
 // pendingBatch is a batch that still has attempts without a result.
@@ -57,7 +59,8 @@
 // NewClient returns a Client that sends through node and reports ended attempts to onEnded. onEnded must not call the
 // Client while it runs.
 func NewClient(node Node, onEnded EndedFunc) *Client {
-	return &Client{node: node, onEnded: onEnded, pending: make(map[cassiaid.AttemptID]*pendingBatch), lastReceived: make(map[cassiaid.VMName]time.Time)}
+	return &Client{node: node, onEnded: onEnded, pending: make(map[cassiaid.AttemptID]*pendingBatch),
+		lastReceived: make(map[cassiaid.VMName]time.Time), lost: make(map[cassiaid.VMName]bool)}
 }
 
 // Send asks a VM to send the attempts of a batch. Each attempt is reported once to the EndedFunc.
@@ -130,22 +133,34 @@
 	// connectInterval is how often KeepConnected looks for VMs to which there is no connection.
 	connectInterval = time.Second
 	// keepAliveInterval is how often it sends a frame to each VM, well within the time after which unused connections end.
-	keepAliveInterval = 10 * time.Second
+	keepAliveInterval = 20 * time.Second
+	// maxOpenedTogether is how many connections it opens in a connectInterval. A handshake takes a small VM several milliseconds,
+	// during which its callers wait.
+	maxOpenedTogether = 8
 )
 
-// KeepConnected opens connections to other VMs and keeps them open until ctx is done, so that the first notice of a loss does not
-// wait for a connection. vms returns the VMs.
+// KeepConnected opens connections to other VMs and keeps them open until ctx is done, so that neither the first notice of a loss nor a
+// fan-out waits for a connection. vms returns the VMs; those at the front are connected first.
 func (c *Client) KeepConnected(ctx context.Context, vms func() []cassiaid.VMName) {
 	ticker := time.NewTicker(connectInterval)
 	defer ticker.Stop()
 	warmedAt := make(map[cassiaid.VMName]time.Time)
 	for {
 		listed := make(map[cassiaid.VMName]time.Time)
+		lost, opened := c.takeLost(), 0
 		for _, vm := range vms() {
-			listed[vm] = warmedAt[vm]
-			if time.Since(warmedAt[vm]) >= keepAliveInterval {
+			at, known := warmedAt[vm]
+			opens := !known || lost[vm]
+			if opens {
+				opened++
+			}
+			switch {
+			case opens && opened > maxOpenedTogether:
+			case opens || time.Since(at) >= keepAliveInterval:
 				listed[vm] = time.Now()
 				c.Warm(vm)
+			default:
+				listed[vm] = at
 			}
 		}
 		warmedAt = listed
@@ -157,6 +172,15 @@
 	}
 }
 
+// takeLost returns the VMs whose connections were lost since the last call.
+func (c *Client) takeLost() map[cassiaid.VMName]bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	lost := c.lost
+	c.lost = make(map[cassiaid.VMName]bool)
+	return lost
+}
+
 // Drop closes the connection to a VM, so that the next batch opens a new one.
 func (c *Client) Drop(vm cassiaid.VMName) {
 	c.group.Go(func() error { c.node.Drop(vm); return nil })
@@ -166,6 +190,7 @@
 func (c *Client) PeerLost(vm cassiaid.VMName) {
 	c.mutex.Lock()
 	delete(c.lastReceived, vm)
+	c.lost[vm] = true
 	var ids []cassiaid.AttemptID
 	for id, batch := range c.pending {
 		if batch.vm == vm {
--- a/io/cassiaaggregate/connections_test.go
+++ b/io/cassiaaggregate/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -66,3 +67,40 @@
 	qt.Check(t, group.Wait(), qt.IsNil)
 	qt.Check(t, node.sent["vm-2"], qt.Equals, 1)
 }
+
+// TestConnectionsAreOpenedAFewAtATime guards against a VM that spends its processor on handshakes while callers wait, and against lost
+// connections that the next fan-out has to open.
+func TestConnectionsAreOpenedAFewAtATime(t *testing.T) {
+	t.Parallel()
+	node := &sendRecorder{sent: make(map[cassiaid.VMName]int)}
+	client := NewClient(node, func(cassiagateway.AttemptsEnded) {})
+	var vms []cassiaid.VMName
+	for i := range 2*maxOpenedTogether + 1 {
+		vms = append(vms, cassiaid.VMName(fmt.Sprint("vm-", i)))
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error {
+		client.KeepConnected(ctx, func() []cassiaid.VMName { return vms })
+		return nil
+	})
+	time.Sleep(connectInterval / 2)
+	for i, vm := range vms {
+		qt.Check(t, node.sentTo(vm), qt.Equals, i < maxOpenedTogether, qt.Commentf("%s", vm))
+	}
+	time.Sleep(2 * connectInterval)
+	for _, vm := range vms {
+		qt.Check(t, node.sentTo(vm), qt.IsTrue, qt.Commentf("%s", vm))
+	}
+	client.PeerLost("vm-0")
+	time.Sleep(connectInterval)
+	stop()
+	qt.Check(t, group.Wait(), qt.IsNil)
+	for _, vm := range vms {
+		want := 1
+		if vm == "vm-0" {
+			want = 2
+		}
+		qt.Check(t, node.sent[vm], qt.Equals, want, qt.Commentf("%s", vm))
+	}
+}
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -187,13 +187,15 @@
 }
 
 // ConnectedVMs returns the other VMs to which connections are kept open: those that are informed of a crash, unless they are chosen
-// anew each time.
+// anew each time, and those through which fan-outs are sent.
 func (g *Gate) ConnectedVMs() []cassiaid.VMName {
 	others := g.OtherVMs()
-	if len(others) > maxInformedVMs {
-		return nil
+	if len(others) <= maxInformedVMs {
+		return others
 	}
-	return others
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.gateway.Aggregators()
 }
 
 // OtherVMs returns the other VMs on the list; there are none until VMs can be reached.
@@ -306,10 +308,6 @@
 			g.send(batches, e)
 		case cassiagateway.Cancel:
 			g.cancel(e.Attempt)
-		case cassiagateway.Warm:
-			if g.aggregatorClient != nil {
-				g.aggregatorClient.Warm(e.VM)
-			}
 		case cassiagateway.Refresh:
 			g.report.event("refresh")
 			if g.Refresh != nil {
