--- a/test/process_test.go
+++ b/test/process_test.go
@@ -73,16 +73,27 @@
 		return p.command.Wait()
 	})
 	t.Cleanup(func() {
+		ended := p.endOf()
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		p.waiter.Wait() //nolint:errcheck // a killed process exits with an error
 		if t.Failed() {
-			t.Logf("output of %s %s:\n%s", program, strings.Join(arguments, " "), tail(p.output.String()))
+			t.Logf("output of %s %s, which %s:\n%s", program, strings.Join(arguments, " "), ended, tail(p.output.String()))
 		}
 	})
 	return p
 }
 
+// endOf describes how the process has ended.
+func (p *process) endOf() string {
+	select {
+	case <-p.exited:
+		return "ended with " + p.command.ProcessState.String()
+	default:
+		return "was running"
+	}
+}
+
 const tailBytes = 12000
 
 // tail returns the end of a program's output without the lines of answered requests, which would hide all others.
