--- a/core/cassiagateway/aggregator.go
+++ b/core/cassiagateway/aggregator.go
@@ -25,9 +25,6 @@
 	// slicesPerZone is the number of slices that a zone's targets are divided into where connections are scarce; each
 	// slice has one aggregator. Fewer slices merge more results in one place, more slices spread the work better.
 	slicesPerZone = 6
-	// otherZoneFactor multiplies the score of targets outside the preferred zone, so that the results for one answer
-	// come from few zones and can be merged there.
-	otherZoneFactor = 1.15
 )
 
 // aggregators holds the VMs that can send attempts to targets in their own zone on behalf of this VM. An aggregator
@@ -202,28 +199,3 @@
 	}
 	g.sendProbes(now)
 }
-
-// preferredZone returns the zone whose targets a query should prefer. It is this VM's own zone if the route has no
-// fan-out or its first shard has targets there. Otherwise it is one of that shard's zones, chosen by a hash of the VM's
-// name so that the choice is stable, or empty if the shard has no targets.
-func (g *Gateway) preferredZone(r *cassiacatalog.Route) cassiaid.Zone {
-	if !r.FansOut() {
-		return g.settings.Zone
-	}
-	var zones []cassiaid.Zone
-	seen := map[cassiaid.Zone]bool{}
-	for _, t := range g.service(r.Shards[0]).targets {
-		if t.Zone == g.settings.Zone {
-			return t.Zone
-		}
-		if !seen[t.Zone] {
-			seen[t.Zone] = true
-			zones = append(zones, t.Zone)
-		}
-	}
-	if len(zones) == 0 {
-		return ""
-	}
-	slices.Sort(zones)
-	return zones[xxhash.Sum64String(string(g.settings.Name))%uint64(len(zones))]
-}
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -64,6 +64,8 @@
 	unneeded []*attempt
 	// orderedTargets holds the targets in the order of the directory.
 	orderedTargets []*target
+	// targetsNumber is the number of lists of targets so far.
+	targetsNumber int
 	// watched holds the targets that are due for a probe or for waiting shards at some time; see watch.
 	watched     []*target
 	links       map[linkKey]*link
@@ -99,6 +101,10 @@
 	lastRequestAt  time.Time
 	// waitCorrection scales the estimated wait at admission.
 	waitCorrection waitCorrection
+	// zones is the order of zones for orderedRoute and the list of targets with the number orderedTargets.
+	zones          zoneOrder
+	orderedRoute   *cassiacatalog.Route
+	orderedTargets int
 }
 
 // countRequest adds a request to the decayed number of recent requests.
@@ -266,6 +272,7 @@
 		s.targets = s.targets[:0]
 	}
 	g.orderedTargets = g.orderedTargets[:0]
+	g.targetsNumber++
 	for _, listed := range list {
 		s := g.service(listed.Service)
 		t, ok := g.targets[listed.Name]
--- a/core/cassiagateway/query.go
+++ b/core/cassiagateway/query.go
@@ -21,8 +21,8 @@
 	// giveUpAt is when the query ends even without the required coverage.
 	giveUpAt time.Time
 	shards   []*shard
-	// zone is the preferred zone of the targets, so that an aggregator there can merge their results.
-	zone     cassiaid.Zone
+	// zones is the order in which zones of targets are preferred, so that aggregators of few zones merge the results.
+	zones    zoneOrder
 	answered int
 	givenUp  int
 	// mayHaveRun is true once a target may have run the request.
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -75,7 +75,7 @@
 		q.shards = append(q.shards, &shard{query: q, index: cassiaid.ShardIndex(i), service: g.service(name)})
 	}
 	q.trace.Shards = len(q.shards)
-	q.zone = g.preferredZone(r)
+	q.zones = g.zoneOrder(now, r)
 	return q
 }
 
@@ -146,7 +146,7 @@
 // placementInput returns the input for choosing a target for a shard.
 func (g *Gateway) placementInput(now time.Time, s *shard) placementInput {
 	return placementInput{now: now, typical: g.typicalLatency(now, s.query.route), decayInterval: g.decayInterval(), vms: g.vmCount(now),
-		zone: s.query.zone, tried: s.tried,
+		zones: s.query.zones, tried: s.tried,
 		limitWait: func(t *target, ahead int) time.Duration { return g.limitWait(now, t, ahead) }}
 }
 
--- a/core/cassiagateway/service.go
+++ b/core/cassiagateway/service.go
@@ -7,7 +7,6 @@
 
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiacatalog"
-	"cassiasaddle/core/cassiaid"
 )
 
 const (
@@ -73,8 +72,7 @@
 	vms           int
 	// ahead is how many shards wait for the service before this one.
 	ahead int
-	// zone is the preferred zone, or empty.
-	zone  cassiaid.Zone
+	zones zoneOrder
 	tried []*target
 	// limitWait returns how long a request has to wait for a target because of what the target has stated, if a number of others are
 	// sent to it before.
@@ -126,10 +124,7 @@
 			free = false
 			wait = max(wait+t.pause(in.now), sendIn+duration)
 		}
-		score := wait
-		if in.zone != "" && t.Zone != in.zone {
-			score = time.Duration(otherZoneFactor * float64(score))
-		}
+		score := time.Duration(in.zones.factor(t.Zone) * float64(wait))
 		if t.stalled(in.now) {
 			score += stallPenalty
 		}
