--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -27,6 +27,8 @@
 	// Unpruned asks Aggregator for the complete result. Otherwise Aggregator drops the records that cannot be among the
 	// query's top records, judging by the results that it has already passed on.
 	Unpruned bool
+	// Floor is a record below which the complete result need not hold any, since the answer has enough greater ones; it may be empty.
+	Floor []byte
 	// AggregatorPays is true if the attempt is not the first of its shard and is charged to the retry budget of
 	// Aggregator instead of this VM's.
 	AggregatorPays bool
--- a/core/cassiagateway/query.go
+++ b/core/cassiagateway/query.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"cassiasaddle/core/cassiacatalog"
@@ -33,7 +34,10 @@
 	// quarantined is true once an attempt was not sent because the request crashes targets.
 	quarantined bool
 	finished    bool
-	trace       Trace
+	// least is the result of the last computation of leastRecord, for so many answered shards.
+	least   []byte
+	leastOf int
+	trace   Trace
 }
 
 // shard is one service that a query asks.
@@ -151,6 +155,32 @@
 	return m
 }
 
+// leastRecord returns the least of the greatest records of the replies so far, or nil if there are fewer than the route's TopK. The answer
+// will hold none below it, since it uses all of these replies. Replies that may still be replaced by others do not count.
+func (q *query) leastRecord() []byte {
+	if q.leastOf == q.answered {
+		return q.least
+	}
+	q.leastOf, q.least = q.answered, nil
+	var parts [][]byte
+	for _, s := range q.shards {
+		if s.state == shardAnswered && !s.mayBeReplaced() {
+			parts = append(parts, s.reply.Body)
+		}
+	}
+	if size := q.route.TopK * cassiarecord.RecordSize; size > 0 {
+		if greatest := cassiarecord.Greatest(parts, q.route.TopK); len(greatest) == size {
+			q.least = greatest[size-cassiarecord.RecordSize:]
+		}
+	}
+	return q.least
+}
+
+// mayBeReplaced reports whether the shard's reply is replaced if a running attempt is answered.
+func (s *shard) mayBeReplaced() bool {
+	return slices.ContainsFunc(s.running, func(a *attempt) bool { return a.pruned })
+}
+
 // recordFailure records the outcome and the target of a failed attempt in the trace.
 func (q *query) recordFailure(a *attempt, o Outcome) {
 	q.trace.LastFailure = fmt.Sprintf("%s@%s", o, a.target.Name)
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -172,9 +172,13 @@
 	s.state = shardOpen
 	s.hedgeAt = g.hedgeTime(now, s)
 	q.trace.Attempts++
+	var floor []byte
+	if a.aggregator != "" && !a.pruned {
+		floor = q.leastRecord()
+	}
 	g.emit(Send{Query: q.id, Attempt: a.id, Shard: s.index, Target: t.Name, Address: t.Address,
 		StartUnixMillis: t.StartUnixMillis, Deadline: minTime(q.deadline, q.giveUpAt.Add(giveUpMargin)), NewConnection: !q.route.Idempotent,
-		Aggregator: a.aggregator, Unpruned: !a.pruned, AggregatorPays: a.aggregatorPays, Force: force})
+		Aggregator: a.aggregator, Unpruned: !a.pruned, Floor: floor, AggregatorPays: a.aggregatorPays, Force: force})
 }
 
 func minTime(a, b time.Time) time.Time {
--- a/core/cassiarecord/greatest.go
+++ b/core/cassiarecord/greatest.go
@@ -1,6 +1,7 @@
 package cassiarecord
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"slices"
@@ -19,6 +20,19 @@
 	return encode(r.records)
 }
 
+// GreatestFrom is Greatest without the records that are less than floor; an empty floor leaves out none.
+func GreatestFrom(parts [][]byte, count int, floor []byte) []byte {
+	greatest := Greatest(parts, count)
+	if len(floor) < RecordSize {
+		return greatest
+	}
+	n := len(greatest)
+	for n > 0 && bytes.Compare(greatest[n-RecordSize:n], floor[:RecordSize]) < 0 {
+		n -= RecordSize
+	}
+	return greatest[:n]
+}
+
 // Pruner prunes parts: it drops the records that can't be among the Count greatest of all parts passed to it. If
 // Count is zero, it drops all records.
 type Pruner struct {
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -64,7 +64,7 @@
 // Serve starts the attempts of a batch without waiting for them; their results go to reply in one or more frames.
 func (a *Aggregator) Serve(from cassiaid.VMName, m *cassiaschema.AggregateBatch, reply cassiapeer.Replier) {
 	now := time.Now()
-	b := &servedBatch{firstAttemptID: m.GetFirstAttemptId(), outstanding: len(m.GetAttempts()), reply: reply,
+	b := &servedBatch{firstAttemptID: m.GetFirstAttemptId(), outstanding: len(m.GetAttempts()), reply: reply, floor: m.GetFloor(),
 		pruner: cassiarecord.Pruner{Count: int(m.GetTopK())}}
 	call := decodeCall(m, now)
 	for _, attempt := range m.GetAttempts() {
@@ -184,6 +184,8 @@
 	// firstAttemptID is added to an attempt's number in the batch to get its ID.
 	firstAttemptID uint64
 	reply          cassiapeer.Replier
+	// floor is a record below which unpruned results hold none; it may be empty.
+	floor []byte
 
 	mutex       sync.Mutex
 	pruner      cassiarecord.Pruner
@@ -238,7 +240,7 @@
 		}
 		result.Stamp = r.Reply.Stamp
 		if r.attempt.GetWhole() {
-			result.Records = cassiarecord.Greatest([][]byte{r.Reply.Body}, b.pruner.Count)
+			result.Records = cassiarecord.GreatestFrom([][]byte{r.Reply.Body}, b.pruner.Count, b.floor)
 			continue
 		}
 		pruned = append(pruned, result)
--- a/io/cassiaaggregate/batch.go
+++ b/io/cassiaaggregate/batch.go
@@ -35,6 +35,8 @@
 	Route cassiacatalog.RouteName
 	// TopK is how many of the greatest records the caller wants; at 0 all results are empty.
 	TopK int
+	// Floor is a record below which the results of unpruned attempts need not hold any; it may be empty.
+	Floor []byte
 	// Attempts has at least one element.
 	Attempts []Attempt
 }
@@ -43,7 +45,7 @@
 func (b *Batch) encode(now time.Time) *cassiaschema.PeerFrame {
 	m := &cassiaschema.AggregateBatch{QueryId: uint64(b.Query), Method: b.Call.Method, Uri: b.Call.URI, Host: b.Call.Host,
 		RequestId: b.Call.RequestID, Body: b.Call.Body, Remaining: durationpb.New(b.Call.Deadline.Sub(now)), TopK: uint32(b.TopK),
-		Route: string(b.Route)}
+		Route: string(b.Route), Floor: b.Floor}
 	for name, values := range b.Call.Header {
 		for _, value := range values {
 			m.Headers = append(m.Headers, &cassiaschema.HeaderField{Name: name, Value: value})
--- a/io/cassiagate/send.go
+++ b/io/cassiagate/send.go
@@ -141,6 +141,9 @@
 		batch.Call.Deadline = e.Deadline
 		batches[key] = batch
 	}
+	if len(e.Floor) > 0 {
+		batch.Floor = e.Floor
+	}
 	batch.Attempts = append(batch.Attempts, cassiaaggregate.Attempt{ID: e.Attempt, Target: e.Target, Unpruned: e.Unpruned,
 		Extra: e.AggregatorPays, Force: e.Force})
 }
