--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -201,8 +201,10 @@
 	Shards   int
 	Answered int
 	Attempts int
-	Hedges   int
-	Retries  int
+	// OtherZones counts the attempts on targets outside of this VM's zone; Attempts includes them.
+	OtherZones int
+	Hedges     int
+	Retries    int
 	// Unpaid counts the retries that cost no retry budget (see ExtraUnpaid); Retries includes them.
 	Unpaid int
 	// Denied counts hedges and retries that the retry budget did not allow.
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -172,6 +172,9 @@
 	s.state = shardOpen
 	s.hedgeAt = g.hedgeTime(now, s)
 	q.trace.Attempts++
+	if t.Zone != g.settings.Zone {
+		q.trace.OtherZones++
+	}
 	var floor []byte
 	if a.aggregator != "" && !a.pruned {
 		floor = q.leastRecord()
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -87,7 +87,7 @@
 	t := a.Trace
 	r.scope.Histogram("request_latency", latencyBuckets).RecordDuration(t.Elapsed)
 	line := []any{"event", "answered", "request", id, "route", route.Name, "status", status, "elapsed", t.Elapsed,
-		"shards", t.Shards, "answered", t.Answered, "attempts", t.Attempts, "hedges", t.Hedges, "retries", t.Retries}
+		"shards", t.Shards, "answered", t.Answered, "attempts", t.Attempts, "otherZones", t.OtherZones, "hedges", t.Hedges, "retries", t.Retries}
 	if t.Skipped+t.Dropped > 0 {
 		line = append(line, "skipped", t.Skipped, "dropped", t.Dropped)
 	}
