--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -62,6 +62,7 @@
 	routes   map[cassiacatalog.RouteName]*routeState
 	// unneeded holds running attempts whose results are no longer needed; each is cancelled at its cancelAt.
 	unneeded []*attempt
+	zones    map[cassiaid.Zone]*zoneLatency
 	// orderedTargets holds the targets in the order of the directory.
 	orderedTargets []*target
 	// targetsNumber is the number of lists of targets so far.
@@ -126,6 +127,7 @@
 		share:    cassiabudget.Share[cassiaid.VMName]{Self: settings.Name, Window: settings.ExtraRequests.Window},
 		services: make(map[cassiacatalog.ServiceName]*service),
 		targets:  make(map[cassiaid.TargetName]*target),
+		zones:    make(map[cassiaid.Zone]*zoneLatency),
 		queries:  make(map[QueryID]*query),
 		attempts: make(map[cassiaid.AttemptID]*attempt),
 		routes:   make(map[cassiacatalog.RouteName]*routeState),
@@ -277,7 +279,7 @@
 		s := g.service(listed.Service)
 		t, ok := g.targets[listed.Name]
 		if !ok || t.StartUnixMillis != listed.StartUnixMillis || t.Address != listed.Address || t.service != s {
-			t = newTarget(listed, s)
+			t = newTarget(listed, s, g.zoneLatency(listed.Zone))
 			t.decayedAt = now
 		}
 		t.Target = listed
@@ -299,6 +301,16 @@
 	}
 }
 
+// zoneLatency returns the relative latency of the targets of a zone.
+func (g *Gateway) zoneLatency(zone cassiaid.Zone) *zoneLatency {
+	z := g.zones[zone]
+	if z == nil {
+		z = &zoneLatency{}
+		g.zones[zone] = z
+	}
+	return z
+}
+
 // scheduleWake emits a WakeAt for the earliest pending deadline, unless that time is already scheduled.
 func (g *Gateway) scheduleWake(now time.Time) {
 	var at time.Time
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -14,7 +14,9 @@
 	latencyWeight = 0.25
 	// failureWeight is the weight of the newest attempt in a target's failure rate.
 	failureWeight = 0.3
-	// Without new samples, a target's relative latency and failure rate lose half of their deviation from normal in each
+	// zoneLatencyWeight is the weight of the newest sample in the relative latency of a zone.
+	zoneLatencyWeight = 0.03
+	// Without new samples, a target's failure rate and the deviation of its relative latency from that of its zone halve in each
 	// decay interval: decayRequests times the mean time between requests, within these limits.
 	minDecayInterval = 2 * time.Second
 	maxDecayInterval = 15 * time.Second
@@ -48,6 +50,7 @@
 	running []*attempt
 	// relativeLatency is the moving average of the target's latency divided by the typical latency of the route.
 	relativeLatency float64
+	zone            *zoneLatency
 	failureRate     float64
 	decayedAt       time.Time
 	// ejections is the number of ejections, by attempts, probes or a silent zone, since the target was last reached;
@@ -81,15 +84,32 @@
 	replaced bool
 }
 
-func newTarget(t cassiadirectory.Target, s *service) *target {
-	return &target{Target: t, service: s, slice: sliceKey(t.Name), relativeLatency: 1}
+func newTarget(t cassiadirectory.Target, s *service, zone *zoneLatency) *target {
+	return &target{Target: t, service: s, slice: sliceKey(t.Name), zone: zone, relativeLatency: zone.relative()}
 }
 
+// zoneLatency is the moving average of the relative latency of all targets of a zone, as seen from this VM. It tells the distance of the
+// zone, and stands in for targets without samples.
+type zoneLatency struct {
+	// deviation is the average less 1, the value before any sample.
+	deviation float64
+}
+
+func (z *zoneLatency) relative() float64 { return 1 + z.deviation }
+
+// observe adds a sample. A target that is slow for reasons of its own counts as maxZoneSample.
+func (z *zoneLatency) observe(relative float64) {
+	z.deviation += zoneLatencyWeight * (min(relative, maxZoneSample) - z.relative())
+}
+
+// maxZoneSample bounds a sample of a zone's relative latency.
+const maxZoneSample = 3.0
+
 // decay moves the measurements towards normal as time passes without samples, so that a target that was avoided is tried
 // again.
 func (t *target) decay(now time.Time, decayInterval time.Duration) {
 	for now.Sub(t.decayedAt) >= decayInterval {
-		t.relativeLatency = 1 + (t.relativeLatency-1)/2
+		t.relativeLatency = t.zone.relative() + (t.relativeLatency-t.zone.relative())/2
 		t.failureRate /= 2
 		if t.decayedAt = t.decayedAt.Add(decayInterval); now.Sub(t.decayedAt) > 10*decayInterval {
 			t.decayedAt = now
@@ -101,6 +121,7 @@
 func (t *target) succeeded(now time.Time, relative float64, decayInterval time.Duration) {
 	t.decay(now, decayInterval)
 	t.relativeLatency += latencyWeight * (relative - t.relativeLatency)
+	t.zone.observe(relative)
 	t.failureRate -= failureWeight * t.failureRate
 	t.ejections, t.unanswered, t.ejectedUntil = 0, 0, time.Time{}
 	t.decayedAt = now
