--- a/core/cassiacatalog/catalog.go
+++ b/core/cassiacatalog/catalog.go
@@ -100,6 +100,15 @@
 	return services
 }
 
+// LargestFanOut returns the most shards of a route.
+func (c *Catalog) LargestFanOut() int {
+	most := 0
+	for _, r := range c.Routes {
+		most = max(most, len(r.Shards))
+	}
+	return most
+}
+
 // Match returns the route of the host whose Prefix is the longest prefix of path, or nil. It finds only prefixes that
 // end in a slash. A port in host is ignored.
 func (c *Catalog) Match(host, path string) *Route {
--- a/core/cassiagateway/aggregator.go
+++ b/core/cassiagateway/aggregator.go
@@ -22,9 +22,10 @@
 	// to maxAggregatorBackoff.
 	minAggregatorBackoff = time.Second
 	maxAggregatorBackoff = 8 * time.Second
-	// slicesPerZone is the number of slices that a zone's targets are divided into where connections are scarce; each
-	// slice has one aggregator. Fewer slices merge more results in one place, more slices spread the work better.
-	slicesPerZone = 6
+	// sliceShards is the number of shards of the largest fan-out in a slice. A zone's targets are divided into slices where connections
+	// are scarce; each slice has one aggregator. Larger slices merge more results in one place, smaller ones keep the processor of an
+	// aggregator for a shorter time.
+	sliceShards = 45
 )
 
 // aggregators holds the VMs that can send attempts to targets in their own zone on behalf of this VM. An aggregator
@@ -172,9 +173,25 @@
 	return picked
 }
 
-// sliceKey returns the rendezvous key of the slice that a target belongs to.
-func sliceKey(t cassiaid.TargetName) string {
-	return "slice " + strconv.FormatUint(xxhash.Sum64String(string(t))%slicesPerZone, 10)
+// slicesFor returns the number of slices of each zone if the largest fan-out has so many shards. VMs with the same configuration agree
+// on it.
+func slicesFor(shards int) int { return max(1, (shards+sliceShards-1)/sliceShards) }
+
+// sliceKey returns the rendezvous key of the slice that a target belongs to, of a number of slices.
+func sliceKey(t cassiaid.TargetName, slices int) string {
+	return "slice " + strconv.FormatUint(xxhash.Sum64String(string(t))%uint64(slices), 10)
+}
+
+// setSlices divides the targets into the number of slices for the largest fan-out.
+func (g *Gateway) setSlices(largestFanOut int) {
+	slices := slicesFor(largestFanOut)
+	if slices == g.slices {
+		return
+	}
+	g.slices = slices
+	for _, t := range g.orderedTargets {
+		t.slice = sliceKey(t.Name, slices)
+	}
 }
 
 // openConnections opens the connections that the first fan-outs will need to targets in this VM's zone that it sends to itself, and
--- a/core/cassiagateway/aggregator_test.go
+++ b/core/cassiagateway/aggregator_test.go
@@ -120,7 +120,8 @@
 		MaxAttempts: 2, TopK: 5, MinCoverage: 0.5}
 	var targets []cassiadirectory.Target
 	services := make(map[cassiacatalog.ServiceName]cassiacatalog.Service)
-	for s := range 30 {
+	const shards = 2*sliceShards + 1
+	for s := range shards {
 		name := serviceName(s)
 		services[name] = cassiacatalog.Service{Name: name, MaxConnections: 57}
 		route.Shards = append(route.Shards, name)
@@ -129,7 +130,7 @@
 	senders := make(map[cassiaid.TargetName]map[cassiaid.VMName]bool)
 	for _, vm := range fleet {
 		g := NewGateway(clock, halfRandom{}, Settings{Name: vm.Name, Zone: vm.Zone})
-		g.Update(ServicesChanged{Services: services})
+		g.Update(ServicesChanged{Services: services, LargestFanOut: shards})
 		g.Update(FleetChanged{VMs: fleet})
 		g.Update(TargetsChanged{Targets: targets})
 		for _, s := range effectsOf[Send](g.Update(Arrived{Query: 1, Route: route, Deadline: clock.Now().Add(time.Second)})) {
@@ -151,20 +152,21 @@
 			aggregatorVMs[vm] = true
 		}
 	}
-	c.Check(len(aggregatorVMs) > 1 && len(aggregatorVMs) <= slicesPerZone, qt.IsTrue, qt.Commentf("%d VMs send to the targets, want at least 2 and at most slicesPerZone", len(aggregatorVMs)))
+	c.Check(len(aggregatorVMs) > 1 && len(aggregatorVMs) <= slicesFor(shards), qt.IsTrue,
+		qt.Commentf("%d VMs send to the targets, want at least 2 and at most %d", len(aggregatorVMs), slicesFor(shards)))
 }
 
 // TestAggregatorsAreKnownAheadOfFanOuts guards against fan-outs that are the first to use the connection to an aggregator, and against
 // connections to all VMs of a large fleet.
 func TestAggregatorsAreKnownAheadOfFanOuts(t *testing.T) {
-	const zones, vms, shards = 6, 120, 60
+	const zones, vms, shards = 6, 120, 2 * sliceShards
 	zone := func(i int) cassiaid.Zone { return cassiaid.Zone("abcdef"[i%zones : i%zones+1]) }
 	for _, test := range []struct {
 		name           string
 		maxConnections int
 		// most is how many aggregators a VM may have.
 		most int
-	}{{"scarce connections", 57, zones * slicesPerZone}, {"many connections", 0, zones - 1}} {
+	}{{"scarce connections", 57, zones * slicesFor(shards)}, {"many connections", 0, zones - 1}} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			clock := clockwork.NewFakeClock()
@@ -185,7 +187,7 @@
 			g := NewGateway(clock, halfRandom{}, Settings{Name: "vm-000", Zone: "a"})
 			g.Update(FleetChanged{VMs: fleet})
 			g.Update(TargetsChanged{Targets: targets})
-			g.Update(ServicesChanged{Services: services, FanOut: fanOut})
+			g.Update(ServicesChanged{Services: services, FanOut: fanOut, LargestFanOut: shards})
 			known := make(map[cassiaid.VMName]bool)
 			for _, vm := range g.Aggregators() {
 				known[vm] = true
@@ -198,6 +200,22 @@
 	}
 }
 
+// TestSlicesFollowTheLargestFanOut guards against aggregators that get many attempts of one fan-out, or a few each, because of a
+// number of slices that suits another fan-out.
+func TestSlicesFollowTheLargestFanOut(t *testing.T) {
+	c := qt.New(t)
+	for _, shards := range []int{0, 1, sliceShards, sliceShards + 1, 4 * sliceShards} {
+		slices := slicesFor(shards)
+		c.Check(slices >= 1 && shards <= slices*sliceShards && (slices == 1 || shards > (slices-1)*sliceShards), qt.IsTrue, qt.Commentf("%d shards, %d slices", shards, slices))
+	}
+	g, _ := remoteShards(clockwork.NewFakeClock(), 3)
+	target := g.targets[targetName(2, 0)]
+	for _, shards := range []int{1, 40 * sliceShards, 1} {
+		g.Update(ServicesChanged{LargestFanOut: shards})
+		c.Check(target.slice, qt.Equals, sliceKey(target.Name, slicesFor(shards)))
+	}
+}
+
 // TestRouteWithoutTargetsKeepsVMReady: requests for a route without targets, which no VM could serve, must not make this
 // VM report that it cannot serve.
 func TestRouteWithoutTargetsKeepsVMReady(t *testing.T) {
--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -60,8 +60,9 @@
 // ServicesChanged replaces the configuration of the services.
 type ServicesChanged struct {
 	Services map[cassiacatalog.ServiceName]cassiacatalog.Service
-	// FanOut holds the services that are shards of any route.
-	FanOut map[cassiacatalog.ServiceName]bool
+	// FanOut holds the services that are shards of any route, LargestFanOut the most shards of one.
+	FanOut        map[cassiacatalog.ServiceName]bool
+	LargestFanOut int
 }
 
 // VM describes one VM of the cluster.
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -84,8 +84,8 @@
 	replaced bool
 }
 
-func newTarget(t cassiadirectory.Target, s *service, zone *zoneLatency) *target {
-	return &target{Target: t, service: s, slice: sliceKey(t.Name), zone: zone, relativeLatency: zone.relative()}
+func newTarget(t cassiadirectory.Target, s *service, slice string, zone *zoneLatency) *target {
+	return &target{Target: t, service: s, slice: slice, zone: zone, relativeLatency: zone.relative()}
 }
 
 // zoneLatency is the moving average of the relative latency of all targets of a zone, as seen from this VM. It tells the distance of the
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -91,7 +91,7 @@
 	}
 	g.catalog.Store(c)
 	g.report.catalogInForce(c)
-	g.perform(g.gateway.Update(cassiagateway.ServicesChanged{Services: c.Services, FanOut: c.FanOutServices()}))
+	g.perform(g.gateway.Update(cassiagateway.ServicesChanged{Services: c.Services, FanOut: c.FanOutServices(), LargestFanOut: c.LargestFanOut()}))
 }
 
 // UpdateDirectory applies changes of the registered targets and of the connection to the store.
