--- a/test/soakavailability_test.go
+++ b/test/soakavailability_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -42,23 +41,7 @@
 // startStatingCallers starts the callers of the stating service. From soakStatingDelay on, half of its targets leave and the others ask for
 // random pauses, each from a random time on.
 func (s *soak) startStatingCallers(stop <-chan struct{}) {
-	for i := range soakStatingCallers {
-		random := rand.New(rand.NewPCG(s.seed, soakStatingStream+1+uint64(i)))
-		s.callers.Go(func() error {
-			for {
-				select {
-				case <-stop:
-					return nil
-				default:
-				}
-				vm := s.anyVM(random)
-				if lifetime, up, _ := vm.state(); up {
-					s.callOnce(vm, lifetime, http.MethodGet, soakStatingRoute+"x", "")
-				}
-				sleep(time.Duration(random.Float64() * float64(soakMaxStatingPause)))
-			}
-		})
-	}
+	s.startRandomCallers(stop, soakStatingCallers, soakStatingStream+1, soakStatingRoute+"x", soakMaxStatingPause)
 	random := rand.New(rand.NewPCG(s.seed, soakStatingStream))
 	s.callers.Go(func() error {
 		sleep(soakStatingDelay)
--- a/test/soaklimit_test.go
+++ b/test/soaklimit_test.go
@@ -45,23 +45,7 @@
 
 // startLimitedCallers starts the callers of the limited service, and has its targets name random rates soakLimitDelay later.
 func (s *soak) startLimitedCallers(stop <-chan struct{}) {
-	for i := range soakLimitedCallers {
-		random := rand.New(rand.NewPCG(s.seed, soakLimitedStream+1+uint64(i)))
-		s.callers.Go(func() error {
-			for {
-				select {
-				case <-stop:
-					return nil
-				default:
-				}
-				vm := s.anyVM(random)
-				if lifetime, up, _ := vm.state(); up {
-					s.callOnce(vm, lifetime, http.MethodGet, soakLimitedRoute+"x", "")
-				}
-				sleep(time.Duration(random.Float64() * float64(soakMaxLimitedPause)))
-			}
-		})
-	}
+	s.startRandomCallers(stop, soakLimitedCallers, soakLimitedStream+1, soakLimitedRoute+"x", soakMaxLimitedPause)
 	random := rand.New(rand.NewPCG(s.seed, soakLimitedStream))
 	s.callers.Go(func() error {
 		sleep(soakLimitDelay)
@@ -81,6 +65,28 @@
 	})
 }
 
+// startRandomCallers starts callers with the random streams from the given one on. Each sends requests to random VMs, with random pauses,
+// until stop is closed.
+func (s *soak) startRandomCallers(stop <-chan struct{}, callers int, stream uint64, path string, maxPause time.Duration) {
+	for i := range callers {
+		random := rand.New(rand.NewPCG(s.seed, stream+uint64(i)))
+		s.callers.Go(func() error {
+			for {
+				select {
+				case <-stop:
+					return nil
+				default:
+				}
+				vm := s.anyVM(random)
+				if lifetime, up, _ := vm.state(); up {
+					s.callOnce(vm, lifetime, http.MethodGet, path, "")
+				}
+				sleep(time.Duration(random.Float64() * float64(maxPause)))
+			}
+		})
+	}
+}
+
 // checkLimits requires that targets get no more requests than they bear from VMs that were not disturbed within borneAfter.
 func (s *soak) checkLimits() {
 	requests := make(map[string]soakRequest)
