--- a/test/front_test.go
+++ b/test/front_test.go
@@ -607,3 +607,40 @@
 }
 
 func shardName(shard int) string { return fmt.Sprintf("shard-%d", shard) }
+
+// TestFrontCopiesOfAnswersReachNoOtherCaller guards against an answer that a target sends once more, late, on a connection that is in use
+// again, being taken for the answer to the next request.
+func TestFrontCopiesOfAnswersReachNoOtherCaller(t *testing.T) {
+	t.Parallel()
+	e := newCrashEnv(t, 2)
+	for _, service := range e.services {
+		for i, target := range service.Running() {
+			target.SetBehaviour(cassiastage.Behaviour{Work: time.Duration(i*7%20) * time.Millisecond, Copies: true})
+		}
+	}
+	const requests, callers = 60, 4
+	var group errgroup.Group
+	var served atomic.Int64
+	for caller := range callers {
+		group.Go(func() error {
+			for i := range requests {
+				path := []string{"/one/x", "/search/x"}[i%2]
+				answer, id, err := e.do(e.vm(caller+i), http.MethodGet, path, "")
+				if err != nil || answer.status != http.StatusOK {
+					continue
+				}
+				served.Add(1)
+				stamps := answer.header.Get("X-Cassiasaddle-Server-Stamp") + answer.header.Get("X-Cassiasaddle-Part-Stamps")
+				for stamp := range strings.SplitSeq(stamps, ", ") {
+					if !strings.HasSuffix(stamp, "."+id) {
+						t.Errorf("request %s got an answer with the stamp %s", id, stamp)
+					}
+				}
+			}
+			return nil
+		})
+	}
+	e.c.Assert(group.Wait(), qt.IsNil)
+	t.Logf("%d of %d requests were served", served.Load(), requests*callers)
+	e.c.Check(float64(served.Load()) >= crashMinServed*requests*callers, qt.IsTrue)
+}
