--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -61,8 +61,8 @@
 	attempts map[cassiaid.AttemptID]*attempt
 	routes   map[cassiacatalog.RouteName]*routeState
 	// unneeded holds running attempts whose results are no longer needed; each is cancelled at its cancelAt.
-	unneeded []*attempt
-	zones    map[cassiaid.Zone]*zoneLatency
+	unneeded      []*attempt
+	zoneLatencies map[cassiaid.Zone]*zoneLatency
 	// orderedTargets holds the targets in the order of the directory.
 	orderedTargets []*target
 	// slices is the number of slices that the targets of a zone are divided into.
@@ -104,10 +104,10 @@
 	lastRequestAt  time.Time
 	// waitCorrection scales the estimated wait at admission.
 	waitCorrection waitCorrection
-	// zones is the order of zones for orderedRoute and the list of targets with the number orderedTargets.
-	zones          zoneOrder
-	orderedRoute   *cassiacatalog.Route
-	orderedTargets int
+	// zones is the order of zones for a configuration of the route and the list of targets with a number.
+	zones        zoneOrder
+	zonesRoute   *cassiacatalog.Route
+	zonesTargets int
 }
 
 // countRequest adds a request to the decayed number of recent requests.
@@ -126,15 +126,15 @@
 		// IDs start at a random number.
 		nextID: cassiaid.AttemptID(random.Float64() * (1 << 48)),
 		clock:  clock, random: random, settings: settings,
-		slices:   slicesFor(0),
-		share:    cassiabudget.Share[cassiaid.VMName]{Self: settings.Name, Window: settings.ExtraRequests.Window},
-		services: make(map[cassiacatalog.ServiceName]*service),
-		targets:  make(map[cassiaid.TargetName]*target),
-		zones:    make(map[cassiaid.Zone]*zoneLatency),
-		queries:  make(map[QueryID]*query),
-		attempts: make(map[cassiaid.AttemptID]*attempt),
-		routes:   make(map[cassiacatalog.RouteName]*routeState),
-		links:    make(map[linkKey]*link),
+		slices:        slicesFor(0),
+		share:         cassiabudget.Share[cassiaid.VMName]{Self: settings.Name, Window: settings.ExtraRequests.Window},
+		services:      make(map[cassiacatalog.ServiceName]*service),
+		targets:       make(map[cassiaid.TargetName]*target),
+		zoneLatencies: make(map[cassiaid.Zone]*zoneLatency),
+		queries:       make(map[QueryID]*query),
+		attempts:      make(map[cassiaid.AttemptID]*attempt),
+		routes:        make(map[cassiacatalog.RouteName]*routeState),
+		links:         make(map[linkKey]*link),
 	}
 }
 
@@ -307,10 +307,10 @@
 
 // zoneLatency returns the relative latency of the targets of a zone.
 func (g *Gateway) zoneLatency(zone cassiaid.Zone) *zoneLatency {
-	z := g.zones[zone]
+	z := g.zoneLatencies[zone]
 	if z == nil {
 		z = &zoneLatency{}
-		g.zones[zone] = z
+		g.zoneLatencies[zone] = z
 	}
 	return z
 }
--- a/core/cassiagateway/service.go
+++ b/core/cassiagateway/service.go
@@ -72,6 +72,7 @@
 	vms           int
 	// ahead is how many shards wait for the service before this one.
 	ahead int
+	// zones is the order in which zones of targets are preferred.
 	zones zoneOrder
 	tried []*target
 	// limitWait returns how long a request has to wait for a target because of what the target has stated, if a number of others are
--- a/core/cassiagateway/zones.go
+++ b/core/cassiagateway/zones.go
@@ -43,13 +43,13 @@
 		return zoneOrder{g.settings.Zone}
 	}
 	state := g.routeState(r.Name, now)
-	if state.orderedRoute != r || state.orderedTargets != g.targetsNumber {
+	if state.zonesRoute != r || state.zonesTargets != g.targetsNumber {
 		shardZones := make([][]cassiaid.Zone, 0, len(r.Shards))
 		for _, name := range r.Shards {
 			shardZones = append(shardZones, g.service(name).zones())
 		}
 		state.zones = coverShards(g.settings.Zone, shardZones, g.zoneScore)
-		state.orderedRoute, state.orderedTargets = r, g.targetsNumber
+		state.zonesRoute, state.zonesTargets = r, g.targetsNumber
 	}
 	return state.zones
 }
