--- a/core/cassialimit/limiter.go
+++ b/core/cassialimit/limiter.go
@@ -146,9 +146,6 @@
 
 // pause starts nothing until a time, and then starts from a low limit. It refuses the waiting attempts unless the pause is short.
 func (l *Limiter) pause(now, until time.Time) []Effect {
-	if !until.After(l.pausedUntil) {
-		return nil
-	}
 	l.pausedUntil = until
 	l.adaptive.reset()
 	if until.Sub(now) <= maxRateWait {
--- a/core/cassialimit/message.go
+++ b/core/cassialimit/message.go
@@ -41,7 +41,7 @@
 // Lost reports that the target's process or its connections are gone. Each running attempt still ends with a Done.
 type Lost struct{}
 
-// Pause reports that the target wants no attempts until a time.
+// Pause reports until when the target wants no attempts; a time that is zero or has passed ends an earlier pause.
 type Pause struct{ Until time.Time }
 
 // Tick reports that the time of the last WakeAt has come.
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -82,6 +82,8 @@
 	targets    map[targetKey]*target
 	attempts   map[cassiaid.AttemptID]*attempt
 	latenessOf map[cassiaid.VMName]*cassiadelay.Lateness
+	// statementsMutex guards availability. No other mutex is locked while it is held.
+	statementsMutex sync.Mutex
 	// availability is what targets have stated in answers to this VM.
 	availability cassiaavailability.Registry
 
@@ -251,8 +253,8 @@
 
 // observeStatement records what a result states about further requests to its target.
 func (o *Owner) observeStatement(result *cassiaschema.ShardResult) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
+	o.statementsMutex.Lock()
+	defer o.statementsMutex.Unlock()
 	name := cassiaid.TargetName(result.Target)
 	if result.TargetLost {
 		o.availability.Forget(name)
@@ -268,8 +270,8 @@
 
 // pausedUntil returns until when a target wants no requests from this VM; the time is zero or has passed if it wants them now.
 func (o *Owner) pausedUntil(name cassiaid.TargetName) time.Time {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
+	o.statementsMutex.Lock()
+	defer o.statementsMutex.Unlock()
 	return o.availability.PausedUntil(cassiaavailability.Process{Target: name})
 }
 
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -128,10 +128,11 @@
 	return t.limiter.Update(cassialimit.Undrain{})
 }
 
-// syncPause passes a pause of the target to the limiter; an attempt of another front may have been refused.
+// syncPause passes a change of the target's pause to the limiter; an attempt of another front may have been refused, or have lost the
+// process that had asked for the pause.
 func (t *target) syncPause() []cassialimit.Effect {
 	until := t.owner.pausedUntil(t.key.name)
-	if !until.After(t.pausedUntil) {
+	if until.Equal(t.pausedUntil) {
 		return nil
 	}
 	t.pausedUntil = until
