--- a/core/cassiagateway/hedge.go
+++ b/core/cassiagateway/hedge.go
@@ -13,8 +13,18 @@
 	maxHedgeShare = 0.35
 	// minHedgeDelay is the shortest delay before a hedge.
 	minHedgeDelay = 8 * time.Millisecond
+	// A hedge helps against a target that is slower than the others. While less than hedgeAnsweredShare of the shards of a fan-out are
+	// answered, most of its attempts are late, so the way to the targets is slow or this VM is behind, and hedges would add to that. A
+	// fan-out of less than minShardsToHold shards may be late by chance.
+	hedgeAnsweredShare = 0.5
+	minShardsToHold    = 8
 )
 
+// holdsHedges reports whether hedges have to wait since most attempts of the query are late.
+func (q *query) holdsHedges() bool {
+	return len(q.shards) >= minShardsToHold && float64(q.answered) < hedgeAnsweredShare*float64(len(q.shards))
+}
+
 // hedgeTime returns when a hedge for a shard should be sent, or the zero time if the route is not idempotent or the
 // shard's attempts are used up.
 func (g *Gateway) hedgeTime(now time.Time, s *shard) time.Time {
@@ -33,7 +43,7 @@
 
 // sendHedges sends a hedge for each shard of a query whose hedge time has come.
 func (g *Gateway) sendHedges(now time.Time, q *query) {
-	if q.finished {
+	if q.finished || q.holdsHedges() {
 		return
 	}
 	for _, s := range q.shards {
--- a/core/cassiagateway/query.go
+++ b/core/cassiagateway/query.go
@@ -130,8 +130,9 @@
 	if now.Before(q.closeAt) && q.closeAt.Before(at) {
 		at = q.closeAt
 	}
+	hedges := !q.holdsHedges()
 	for _, s := range q.shards {
-		if s.state == shardOpen && !s.hedgeAt.IsZero() && s.hedgeAt.Before(at) {
+		if hedges && s.state == shardOpen && !s.hedgeAt.IsZero() && s.hedgeAt.Before(at) {
 			at = s.hedgeAt
 		}
 		if s.state == shardWaiting && !s.late && now.Before(s.dropAt) && s.dropAt.Before(at) {
