--- a/core/cassiagateway/aggregator.go
+++ b/core/cassiagateway/aggregator.go
@@ -178,19 +178,19 @@
 func slicesFor(shards int) int { return max(1, (shards+sliceShards-1)/sliceShards) }
 
 // sliceKey returns the rendezvous key of the slice that a target belongs to, of a number of slices.
-func sliceKey(t cassiaid.TargetName, slices int) string {
-	return "slice " + strconv.FormatUint(xxhash.Sum64String(string(t))%uint64(slices), 10)
+func sliceKey(t cassiaid.TargetName, count int) string {
+	return "slice " + strconv.FormatUint(xxhash.Sum64String(string(t))%uint64(count), 10)
 }
 
 // setSlices divides the targets into the number of slices for the largest fan-out.
 func (g *Gateway) setSlices(largestFanOut int) {
-	slices := slicesFor(largestFanOut)
-	if slices == g.slices {
+	count := slicesFor(largestFanOut)
+	if count == g.sliceCount {
 		return
 	}
-	g.slices = slices
+	g.sliceCount = count
 	for _, t := range g.orderedTargets {
-		t.slice = sliceKey(t.Name, slices)
+		t.slice = sliceKey(t.Name, count)
 	}
 }
 
--- a/core/cassiagateway/aggregator_test.go
+++ b/core/cassiagateway/aggregator_test.go
@@ -205,8 +205,8 @@
 func TestSlicesFollowTheLargestFanOut(t *testing.T) {
 	c := qt.New(t)
 	for _, shards := range []int{0, 1, sliceShards, sliceShards + 1, 4 * sliceShards} {
-		slices := slicesFor(shards)
-		c.Check(slices >= 1 && shards <= slices*sliceShards && (slices == 1 || shards > (slices-1)*sliceShards), qt.IsTrue, qt.Commentf("%d shards, %d slices", shards, slices))
+		count := slicesFor(shards)
+		c.Check(count >= 1 && shards <= count*sliceShards && (count == 1 || shards > (count-1)*sliceShards), qt.IsTrue, qt.Commentf("%d shards, %d slices", shards, count))
 	}
 	g, _ := remoteShards(clockwork.NewFakeClock(), 3)
 	target := g.targets[targetName(2, 0)]
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -65,8 +65,8 @@
 	zoneLatencies map[cassiaid.Zone]*zoneLatency
 	// orderedTargets holds the targets in the order of the directory.
 	orderedTargets []*target
-	// slices is the number of slices that the targets of a zone are divided into.
-	slices int
+	// sliceCount is the number of slices that the targets of a zone are divided into.
+	sliceCount int
 	// targetsNumber is the number of lists of targets so far.
 	targetsNumber int
 	// watched holds the targets that are due for a probe or for waiting shards at some time; see watch.
@@ -126,7 +126,7 @@
 		// IDs start at a random number.
 		nextID: cassiaid.AttemptID(random.Float64() * (1 << 48)),
 		clock:  clock, random: random, settings: settings,
-		slices:        slicesFor(0),
+		sliceCount:    slicesFor(0),
 		share:         cassiabudget.Share[cassiaid.VMName]{Self: settings.Name, Window: settings.ExtraRequests.Window},
 		services:      make(map[cassiacatalog.ServiceName]*service),
 		targets:       make(map[cassiaid.TargetName]*target),
@@ -283,7 +283,7 @@
 		s := g.service(listed.Service)
 		t, ok := g.targets[listed.Name]
 		if !ok || t.StartUnixMillis != listed.StartUnixMillis || t.Address != listed.Address || t.service != s {
-			t = newTarget(listed, s, sliceKey(listed.Name, g.slices), g.zoneLatency(listed.Zone))
+			t = newTarget(listed, s, sliceKey(listed.Name, g.sliceCount), g.zoneLatency(listed.Zone))
 			t.decayedAt = now
 		}
 		t.Target = listed
--- a/core/cassiagateway/hedge.go
+++ b/core/cassiagateway/hedge.go
@@ -22,7 +22,8 @@
 
 // holdsHedges reports whether hedges have to wait since most attempts of the query are late.
 func (q *query) holdsHedges() bool {
-	return len(q.shards) >= minShardsToHold && float64(q.answered) < hedgeAnsweredShare*float64(len(q.shards))
+	asked := len(q.shards) - q.givenUp
+	return asked >= minShardsToHold && float64(q.answered) < hedgeAnsweredShare*float64(asked)
 }
 
 // hedgeTime returns when a hedge for a shard should be sent, or the zero time if the route is not idempotent or the
--- a/core/cassiagateway/hedge_test.go
+++ b/core/cassiagateway/hedge_test.go
@@ -59,3 +59,24 @@
 	clock.Advance(40 * time.Millisecond)
 	c.Check(effectsOf[Send](g.Update(Tick{})), qt.HasLen, 2)
 }
+
+// TestHedgesDoNotWaitForShardsThatWereGivenUp guards against a fan-out without hedges because most of its shards have no target.
+func TestHedgesDoNotWaitForShardsThatWereGivenUp(t *testing.T) {
+	c := qt.New(t)
+	const shards = minShardsToHold
+	clock := clockwork.NewFakeClock()
+	g, route := replicatedShards(clock, shards)
+	route.MinCoverage = 0.1
+	for s := range 2 * shards {
+		route.Shards = append(route.Shards, serviceName(shards+s))
+	}
+	sends := effectsOf[Send](g.Update(Arrived{Query: 1, Route: route, Deadline: clock.Now().Add(time.Second)}))
+	c.Assert(sends, qt.HasLen, shards)
+	var ended []AttemptEnded
+	for _, s := range sends[:shards/2] {
+		ended = append(ended, answerBy(s.Attempt, "stamp"))
+	}
+	g.Update(AttemptsEnded{Ended: ended})
+	clock.Advance(40 * time.Millisecond)
+	c.Check(effectsOf[Send](g.Update(Tick{})), qt.HasLen, shards/2)
+}
