--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -274,17 +274,22 @@
 			return Result{Outcome: cassiagateway.OutcomeBroken}, false
 		}
 		c.bounded.left = maxBodyWireBytes
+		echoed := response.Header.Get(p.Headers.RequestID)
+		mismatched := echoed != "" && echoed != call.RequestID
 		body, err := p.readBody(response.Body, response.ContentLength)
 		if err != nil {
-			return Result{Outcome: classifyReadError(err)}, false
+			result := Result{Outcome: classifyReadError(err)}
+			if !mismatched {
+				result.Statement = p.observeStatement(call, response)
+			}
+			return result, false
 		}
-		echoed := response.Header.Get(p.Headers.RequestID)
-		if echoed != "" && echoed != call.RequestID {
+		if mismatched {
 			continue
 		}
 		outcome, reply := p.classifyReply(response, echoed != "", body)
 		result := Result{Outcome: outcome, Reply: reply, Acceptance: p.acceptanceOf(outcome, response),
-			Statement: p.observeStatement(call, outcome, response)}
+			Statement: p.observeStatement(call, response)}
 		return result, c.updateExpiry(response, p.now())
 	}
 	return Result{Outcome: cassiagateway.OutcomeBroken}, false
@@ -334,8 +339,8 @@
 
 // observeStatement records what a reply states about further requests, and returns it. A reply of another process than the one that
 // the call is meant for states nothing about that.
-func (p *Pool) observeStatement(call Call, outcome cassiagateway.Outcome, response *http.Response) cassiaavailability.Statement {
-	if outcome == cassiagateway.OutcomeWrongTarget {
+func (p *Pool) observeStatement(call Call, response *http.Response) cassiaavailability.Statement {
+	if response.StatusCode == http.StatusMisdirectedRequest {
 		return cassiaavailability.Statement{}
 	}
 	var pauses []string
