--- a/core/cassiaquarantine/content_test.go
+++ b/core/cassiaquarantine/content_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 	"pgregory.net/rapid"
 
 	"cassiasaddle/core/cassiaid"
@@ -152,3 +153,23 @@
 		c.Check(owner.Remaining(testContent), qt.Equals, time.Duration(0))
 	}
 }
+
+// TestBlamedCompanionDoesNotHideADeadlyContent guards against a deadly content going free because a VM that did not know of it blamed
+// a request that ran beside it on all lost targets.
+func TestBlamedCompanionDoesNotHideADeadlyContent(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	q := NewQuarantine(clock)
+	lose := func(target cassiaid.TargetName, reporter cassiaid.VMName, attempt cassiaid.AttemptID, caller, content cassiaid.Fingerprint) {
+		run := Run{Attempt: attempt, Fingerprint: caller, Content: content}
+		q.Update(LossLearned{Loss: Loss{Target: target, Reporter: reporter, Runs: []Run{run}}})
+	}
+	for i, target := range []cassiaid.TargetName{"t1", "t2"} {
+		lose(target, "vm-0", cassiaid.AttemptID(2*i+1), 1, testContent)
+		lose(target, "vm-2", cassiaid.AttemptID(2*i+2), 5, otherContent)
+		clock.Advance(time.Second)
+	}
+	q.Update(QuarantineLearned{Fingerprint: 5, Remaining: time.Minute})
+	lose("t3", "vm-0", 10, 2, testContent)
+	c.Check(q.Remaining(testContent) > 0, qt.IsTrue)
+}
