--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -117,6 +117,7 @@
 	presenceCtx, withdraw := context.WithCancel(ctx)
 	watchers, journal := cassiafollow.NewWatchers(p.self, p.logEvent), &cassiafollow.Journal{}
 	follower := cassiafollow.NewFollower(p.store, p.gate, watchers, journal, p.logEvent)
+	follower.Scope = p.metrics.Scope
 	p.gate.Refresh = follower.Refresh
 	var group errgroup.Group
 	group.Go(func() error { return follower.Run(servicesCtx) })
@@ -181,7 +182,7 @@
 	aggregator.OnExtraRequest = func(allowed bool) {
 		p.metrics.Scope.Tagged(map[string]string{"allowed": strconv.FormatBool(allowed)}).Counter("repeats_for_others").Inc(1)
 	}
-	handler := &cassiaaggregate.Handler{Aggregator: aggregator, Watches: &cassiafollow.WatchServer{Journal: journal},
+	handler := &cassiaaggregate.Handler{Aggregator: aggregator, Watches: &cassiafollow.WatchServer{Journal: journal, Log: p.logEvent},
 		Notifier: p.notifier}
 	node, err := cassiapeer.Listen(cassiapeer.Config{Self: p.settings.VM, Address: p.settings.PeerAddress, Identity: credentials,
 		Resolver: p.gate, Handler: handler, Logger: p.logger, Scope: p.metrics.Scope})
--- a/io/cassiaaggregate/handler.go
+++ b/io/cassiaaggregate/handler.go
@@ -28,7 +28,7 @@
 		h.Client.Results(from, body.AggregateResults)
 	case *cassiaschema.PeerFrame_StoreWatch:
 		if h.Watches != nil {
-			h.Watches.Serve(body.StoreWatch, reply)
+			h.Watches.Serve(from, body.StoreWatch, reply)
 		}
 	case *cassiaschema.PeerFrame_AggregateCancel:
 		h.Aggregator.Cancel(from, body.AggregateCancel)
--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"cassiasaddle/core/cassiabackoff"
@@ -79,8 +80,23 @@
 	AllKeys bool
 	// Next is the position from which to watch next.
 	Next Position
-	// fromStore is true when the result came from the store itself and not from another VM.
-	fromStore bool
+	// watcher is the VM that the result came from; it is empty when the store itself gave it.
+	watcher cassiaid.VMName
+}
+
+// fromStore reports whether the result came from the store itself and not from another VM.
+func (r WatchResult) fromStore() bool { return r.watcher == "" }
+
+// way names how the result came, for the log.
+func (r WatchResult) way() string {
+	switch {
+	case !r.fromStore():
+		return "watcher"
+	case r.AllKeys:
+		return "list"
+	default:
+		return "store"
+	}
 }
 
 // Change is a decoded event. At most one of its fields is set; the zero value is an event to ignore. Catalog is a
@@ -129,6 +145,9 @@
 
 // Follower keeps a Sink up to date with the contents of a Source.
 type Follower struct {
+	// Scope counts the changes by the way on which they came; nothing is counted when nil.
+	Scope tally.Scope
+
 	source   Source
 	sink     Sink
 	log      Log
@@ -173,6 +192,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	fresh := false
 	for ctx.Err() == nil {
+		start := time.Now()
 		events, position, err := f.list(ctx, fresh)
 		if errors.Is(err, ErrCompacted) {
 			fresh = true
@@ -183,7 +203,7 @@
 			continue
 		}
 		f.callSucceeded()
-		f.install(events, position, true)
+		f.install(WatchResult{Events: events, AllKeys: true, Next: position}, time.Since(start))
 		fresh = f.watch(ctx, position)
 	}
 	return nil
@@ -205,16 +225,19 @@
 	return Position{Era: p.Era, Revision: max(p.Revision, next.Revision)}
 }
 
-// install replaces everything known with a list of events; a later event of a key overrides an earlier one.
-func (f *Follower) install(events []Event, position Position, fromStore bool) {
-	keys := latestByKey(events)
+// install replaces everything known with the keys that a call returned after some time; a later event of a key overrides an
+// earlier one.
+func (f *Follower) install(all WatchResult, elapsed time.Duration) {
+	keys, position := latestByKey(all.Events), all.Next
 	f.noteEra(position.Era)
-	f.journal.Reset(keys, position, fromStore)
+	f.journal.Reset(keys, position, all.fromStore())
 	f.vms = make(map[cassiaid.VMName]VM)
 	var catalog *cassiacatalog.Catalog
 	var listed cassiadirectory.Listed
 	quarantines := QuarantinesChanged{All: true}
-	for _, c := range f.decode(keys) {
+	changes := f.decode(keys)
+	f.logChanges(Position{}, all, changes, elapsed)
+	for _, c := range changes {
 		if c.Catalog != nil {
 			catalog = c.Catalog
 		}
@@ -279,6 +302,7 @@
 // when ctx is done.
 func (f *Follower) watch(ctx context.Context, position Position) (fresh bool) {
 	for ctx.Err() == nil {
+		start := time.Now()
 		result, refreshed, err := f.watchOnce(ctx, position)
 		if refreshed {
 			return true
@@ -294,14 +318,17 @@
 		f.callSucceeded()
 		if result.AllKeys {
 			position = result.Next
-			f.install(result.Events, position, result.fromStore)
+			f.install(result, time.Since(start))
 			continue
 		}
+		after := position
 		position = position.advance(result.Next)
-		f.journal.Append(result.Events, position.Revision, result.fromStore)
-		f.apply(f.decode(result.Events))
+		f.journal.Append(result.Events, position.Revision, result.fromStore())
+		changes := f.decode(result.Events)
+		f.logChanges(after, result, changes, time.Since(start))
+		f.apply(changes)
 		f.sink.ConfirmFleet()
-		if result.fromStore && len(result.Events) > 0 {
+		if result.fromStore() && len(result.Events) > 0 {
 			sleep(ctx, coalesceDelay)
 		}
 	}
@@ -339,7 +366,32 @@
 	if err != nil && !errors.Is(err, ErrCompacted) {
 		f.lastWatchFailure = time.Now()
 	}
-	return WatchResult{Events: events, Next: next, fromStore: true}, err
+	return WatchResult{Events: events, Next: next}, err
+}
+
+// logChanges logs which way changes came, how much there was and how long the call took, in which it also waited for the first
+// change. A configuration among them is named, so that its way can be told from the log.
+func (f *Follower) logChanges(after Position, result WatchResult, changes []Change, elapsed time.Duration) {
+	if len(changes) == 0 {
+		return
+	}
+	bytes := 0
+	for _, e := range result.Events {
+		bytes += len(e.Value)
+	}
+	line := []any{"way", result.way(), "watcher", result.watcher, "after", after.Revision, "revision", result.Next.Revision,
+		"changes", len(changes), "bytes", bytes, "elapsed", elapsed}
+	for _, c := range changes {
+		if c.Catalog != nil {
+			line = append(line, "configuration", c.Catalog.Version)
+		}
+	}
+	f.log("changesReceived", line...)
+	if f.Scope != nil {
+		scope := f.Scope.Tagged(map[string]string{"way": result.way()})
+		scope.Counter("changes_received").Inc(int64(len(changes)))
+		scope.Counter("change_bytes_received").Inc(int64(bytes))
+	}
 }
 
 // apply passes changes of the configuration, the targets and the VMs to the sink.
--- a/io/cassiafollow/watchers.go
+++ b/io/cassiafollow/watchers.go
@@ -113,6 +113,7 @@
 	if watcher == "" {
 		return WatchResult{}, false
 	}
+	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, delegatedWatchTimeout+watcherReplyMargin)
 	defer cancel()
 	request := &cassiaschema.StoreWatch{After: uint64(after.Revision), Era: uint64(after.Era), Wait: durationpb.New(delegatedWatchTimeout)}
@@ -123,10 +124,10 @@
 		exchanger.Drop(watcher)
 	}
 	if err != nil || reply.GetLost() {
-		w.avoid(watcher, err)
+		w.avoid(watcher, after, time.Since(start), err)
 		return WatchResult{}, false
 	}
-	result = WatchResult{AllKeys: reply.GetWhole(), Next: Position{Era: Era(reply.GetEra()), Revision: Revision(reply.GetRevision())}}
+	result = WatchResult{watcher: watcher, AllKeys: reply.GetWhole(), Next: Position{Era: Era(reply.GetEra()), Revision: Revision(reply.GetRevision())}}
 	for _, e := range reply.GetEvents() {
 		result.Events = append(result.Events, Event{Key: e.GetKey(), Value: e.GetValue(), Revision: Revision(e.GetRevision()), Removed: e.GetRemoved()})
 	}
@@ -152,9 +153,10 @@
 	return "", nil
 }
 
-// avoid records that a watcher failed, so that it is not asked for watcherAvoidPeriod.
-func (w *Watchers) avoid(name cassiaid.VMName, err error) {
-	w.log("watcherAvoided", "watcher", name, "error", err)
+// avoid records that a watch after a position failed at a watcher, so that the watcher is not asked for watcherAvoidPeriod. The error
+// is nil if the watcher said that it may be behind the store.
+func (w *Watchers) avoid(name cassiaid.VMName, after Position, elapsed time.Duration, err error) {
+	w.log("watcherAvoided", "watcher", name, "after", after.Revision, "elapsed", elapsed, "error", err)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.avoided[name] = time.Now().Add(watcherAvoidPeriod)
@@ -163,12 +165,15 @@
 // WatchServer answers the watches of VMs that do not watch the store themselves from the Journal of this VM.
 type WatchServer struct {
 	Journal *Journal
-	group   errgroup.Group
+	// Log receives a line for each reply that holds changes; nothing is logged when nil.
+	Log   Log
+	group errgroup.Group
 }
 
-// Serve replies to a watch once there are changes, the journal is stale or the watch times out; it does not block.
-func (s *WatchServer) Serve(request *cassiaschema.StoreWatch, reply cassiapeer.Replier) {
+// Serve replies to the watch of a VM once there are changes, the journal is stale or the watch times out; it does not block.
+func (s *WatchServer) Serve(from cassiaid.VMName, request *cassiaschema.StoreWatch, reply cassiapeer.Replier) {
 	s.group.Go(func() error {
+		start := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), min(request.GetWait().AsDuration(), MaxWatchTimeout))
 		defer cancel()
 		events, to, status := s.Journal.Await(ctx, Position{Era: Era(request.GetEra()), Revision: Revision(request.GetAfter())})
@@ -176,8 +181,13 @@
 		for _, e := range events {
 			message.Events = append(message.Events, &cassiaschema.StoreEvent{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Removed: e.Removed})
 		}
+		ready := time.Now()
 		// Without the reply the other VM asks the store.
-		_ = reply(&cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_StoreWatchReply{StoreWatchReply: message}})
+		err := reply(&cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_StoreWatchReply{StoreWatchReply: message}})
+		if len(events) > 0 && s.Log != nil {
+			s.Log("changesSent", "to", from, "after", request.GetAfter(), "revision", to.Revision, "changes", len(events),
+				"allKeys", message.GetWhole(), "waited", ready.Sub(start), "sentIn", time.Since(ready), "error", err)
+		}
 		return nil
 	})
 }
