Send changes to the VMs of a zone in compressed pages

Cause: a watch at a watcher had 1.4 s for its whole reply, and the reply held all changes after the asking VM's position. After a reshard that is a quarter of a megabyte, which a watcher sends to up to 24 VMs (48 while the other watcher is avoided) over one small link. When the time was over, all of it was thrown away and asked for again, with more. Class: a time limit that is shorter than what it bounds takes when all ask at once, with no progress kept.

A reply now ends after 64 KiB at a revision, compressed once for all VMs that ask from the same position; the next watch goes on from there. VMs of an earlier version get whole replies as before.

--- a/io/cassiafollow/watchers.go
+++ b/io/cassiafollow/watchers.go
@@ -8,12 +8,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
-	"cassiasaddle/io/cassiapeer"
 )
 
 const (
@@ -116,9 +114,14 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, delegatedWatchTimeout+watcherReplyMargin)
 	defer cancel()
-	request := &cassiaschema.StoreWatch{After: uint64(after.Revision), Era: uint64(after.Era), Wait: durationpb.New(delegatedWatchTimeout)}
+	request := &cassiaschema.StoreWatch{After: uint64(after.Revision), Era: uint64(after.Era), Wait: durationpb.New(delegatedWatchTimeout),
+		Paged: true}
 	frame, err := exchanger.Exchange(ctx, watcher, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_StoreWatch{StoreWatch: request}})
 	reply := frame.GetStoreWatchReply()
+	var events []Event
+	if err == nil {
+		events, err = decodeEvents(reply)
+	}
 	if err != nil {
 		// The connection may still lead to an earlier process of that VM and would stay silent for long.
 		exchanger.Drop(watcher)
@@ -127,11 +130,8 @@
 		w.avoid(watcher, after, time.Since(start), err)
 		return WatchResult{}, false
 	}
-	result = WatchResult{watcher: watcher, AllKeys: reply.GetWhole(), Next: Position{Era: Era(reply.GetEra()), Revision: Revision(reply.GetRevision())}}
-	for _, e := range reply.GetEvents() {
-		result.Events = append(result.Events, Event{Key: e.GetKey(), Value: e.GetValue(), Revision: Revision(e.GetRevision()), Removed: e.GetRemoved()})
-	}
-	return result, true
+	return WatchResult{watcher: watcher, AllKeys: reply.GetWhole(), Events: events,
+		Next: Position{Era: Era(reply.GetEra()), Revision: Revision(reply.GetRevision())}}, true
 }
 
 // pick returns the watcher to ask, or none if this VM is a watcher and may ask the store, or if no watcher can be asked. The
@@ -161,33 +161,3 @@
 	defer w.mutex.Unlock()
 	w.avoided[name] = time.Now().Add(watcherAvoidPeriod)
 }
-
-// WatchServer answers the watches of VMs that do not watch the store themselves from the Journal of this VM.
-type WatchServer struct {
-	Journal *Journal
-	// Log receives a line for each reply that holds changes; nothing is logged when nil.
-	Log   Log
-	group errgroup.Group
-}
-
-// Serve replies to the watch of a VM once there are changes, the journal is stale or the watch times out; it does not block.
-func (s *WatchServer) Serve(from cassiaid.VMName, request *cassiaschema.StoreWatch, reply cassiapeer.Replier) {
-	s.group.Go(func() error {
-		start := time.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), min(request.GetWait().AsDuration(), MaxWatchTimeout))
-		defer cancel()
-		events, to, status := s.Journal.Await(ctx, Position{Era: Era(request.GetEra()), Revision: Revision(request.GetAfter())})
-		message := &cassiaschema.StoreWatchReply{Lost: status == JournalStale, Whole: status == JournalAllKeys, Revision: uint64(to.Revision), Era: uint64(to.Era)}
-		for _, e := range events {
-			message.Events = append(message.Events, &cassiaschema.StoreEvent{Key: e.Key, Value: e.Value, Revision: uint64(e.Revision), Removed: e.Removed})
-		}
-		ready := time.Now()
-		// Without the reply the other VM asks the store.
-		err := reply(&cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_StoreWatchReply{StoreWatchReply: message}})
-		if len(events) > 0 && s.Log != nil {
-			s.Log("changesSent", "to", from, "after", request.GetAfter(), "revision", to.Revision, "changes", len(events),
-				"allKeys", message.GetWhole(), "waited", ready.Sub(start), "sentIn", time.Since(ready), "error", err)
-		}
-		return nil
-	})
-}
--- /dev/null
+++ b/io/cassiafollow/watchserver.go
@@ -0,0 +1,54 @@
+package cassiafollow
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiapeer"
+)
+
+// WatchServer answers the watches of VMs that do not watch the store themselves from the Journal of this VM.
+type WatchServer struct {
+	Journal *Journal
+	// Log receives a line for each reply that holds changes; nothing is logged when nil.
+	Log   Log
+	pages pageCache
+	group errgroup.Group
+}
+
+// Serve replies to the watch of a VM once there are changes, the journal is stale or the watch times out; it does not block.
+func (s *WatchServer) Serve(from cassiaid.VMName, request *cassiaschema.StoreWatch, reply cassiapeer.Replier) {
+	s.group.Go(func() error {
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), min(request.GetWait().AsDuration(), MaxWatchTimeout))
+		defer cancel()
+		after := Position{Era: Era(request.GetEra()), Revision: Revision(request.GetAfter())}
+		events, to, status := s.Journal.Await(ctx, after)
+		message := &cassiaschema.StoreWatchReply{Lost: status == JournalStale, Whole: status == JournalAllKeys}
+		var err error
+		if request.GetPaged() && len(events) > 0 {
+			if status == JournalChanges {
+				events, to = firstPage(events, to)
+			}
+			message.CompressedEvents, err = s.pages.compressed(pageKey{after: after, to: to}, events)
+		} else {
+			message.Events = encodeEvents(events)
+		}
+		message.Revision, message.Era = uint64(to.Revision), uint64(to.Era)
+		ready := time.Now()
+		if err == nil {
+			err = reply(&cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_StoreWatchReply{StoreWatchReply: message}})
+		}
+		// Without the reply the other VM asks the store.
+		if (len(events) > 0 || err != nil) && s.Log != nil {
+			s.Log("changesSent", "to", from, "after", after.Revision, "revision", to.Revision, "changes", len(events),
+				"allKeys", message.GetWhole(), "compressedBytes", len(message.GetCompressedEvents()), "waited", ready.Sub(start),
+				"sentIn", time.Since(ready), "error", err)
+		}
+		return nil
+	})
+}
