Keep the connection to a watcher whose reply is late

The connection is now closed only if nothing has arrived on it since the watch was sent; one to an earlier process of the watcher stays silent and is closed.

--- a/io/cassiafollow/slowlink_test.go
+++ b/io/cassiafollow/slowlink_test.go
@@ -60,6 +60,9 @@
 	server    *WatchServer
 	watchers  map[cassiaid.VMName]*Watchers
 	nodes     map[cassiaid.VMName]*cassiapeer.Node
+	// replyDelay is how long a watcher takes to look at a watch; lost counts the connections that ended.
+	replyDelay time.Duration
+	lost       atomic.Int64
 }
 
 func newWatchEnv(t *testing.T, host int) *watchEnv {
@@ -111,13 +114,16 @@
 
 // HandleFrame implements cassiapeer.Handler.
 func (e *watchEnv) HandleFrame(from cassiaid.VMName, frame *cassiaschema.PeerFrame, reply cassiapeer.Replier) {
+	if frame.GetRunInquiry() != nil {
+		e.c.Check(reply(&cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiryReply{RunInquiryReply: &cassiaschema.RunInquiryReply{}}}), qt.IsNil)
+	}
 	if watch := frame.GetStoreWatch(); watch != nil {
-		e.server.Serve(from, watch, reply)
+		time.AfterFunc(e.replyDelay, func() { e.server.Serve(from, watch, reply) })
 	}
 }
 
 // PeerLost implements cassiapeer.Handler.
-func (e *watchEnv) PeerLost(cassiaid.VMName) {}
+func (e *watchEnv) PeerLost(cassiaid.VMName) { e.lost.Add(1) }
 
 // follow watches at the watchers until a change of a key arrives. The store itself can't be reached.
 func (e *watchEnv) follow(ctx context.Context, w *Watchers, position Position, key string) error {
@@ -179,3 +185,34 @@
 	e.c.Assert(group.Wait(), qt.IsNil)
 	e.c.Check(late.Load(), qt.Equals, int64(0), qt.Commentf("VMs without the configuration %v after the change", configApplyLimit))
 }
+
+// TestWatcherThatRepliesLateKeepsItsConnections guards against one late reply that ends everything else on the connection to a watcher, and
+// has all VMs of a zone open new connections to a watcher that is busy.
+func TestWatcherThatRepliesLateKeepsItsConnections(t *testing.T) {
+	e := newWatchEnv(t, 241)
+	e.replyDelay = delegatedWatchTimeout + 2*watcherReplyMargin
+	e.server.Journal.Reset(nil, Position{Revision: 1}, true)
+	var asking *Watchers
+	for _, w := range e.watchers {
+		if !e.isWatcher(w) {
+			asking = w
+		}
+	}
+	watcher, _ := asking.pick(false)
+	node := e.nodes[asking.self.Name]
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error {
+		defer cancel()
+		_, ok := asking.Watch(t.Context(), Position{Revision: 1}, false)
+		e.c.Check(ok, qt.IsFalse)
+		return nil
+	})
+	for ctx.Err() == nil {
+		_, err := node.Exchange(t.Context(), watcher, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_RunInquiry{RunInquiry: &cassiaschema.RunInquiry{}}})
+		e.c.Check(err, qt.IsNil)
+		sleep(ctx, initialBackoff)
+	}
+	e.c.Assert(group.Wait(), qt.IsNil)
+	e.c.Check(e.lost.Load(), qt.Equals, int64(0), qt.Commentf("connections that were closed"))
+}
--- a/io/cassiafollow/watchers.go
+++ b/io/cassiafollow/watchers.go
@@ -34,8 +34,8 @@
 // Exchanger sends a request to another VM and returns its reply; *cassiapeer.Node implements it.
 type Exchanger interface {
 	Exchange(ctx context.Context, vm cassiaid.VMName, frame *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error)
-	// Drop closes the connection to a VM; the next exchange opens a new one.
-	Drop(vm cassiaid.VMName)
+	// DropSilent closes the connection to a VM if nothing has arrived on it since a time; the next exchange opens a new one.
+	DropSilent(vm cassiaid.VMName, since time.Time)
 }
 
 // Watchers selects the VMs of this VM's zone that watch the store and asks them for changes. It is safe for concurrent use.
@@ -123,8 +123,8 @@
 		events, err = decodeEvents(reply)
 	}
 	if err != nil {
-		// The connection may still lead to an earlier process of that VM and would stay silent for long.
-		exchanger.Drop(watcher)
+		// A silent connection may lead to an earlier process of that VM and would stay silent for long.
+		exchanger.DropSilent(watcher, start)
 	}
 	if err != nil || reply.GetLost() {
 		w.avoid(watcher, after, time.Since(start), err)
