--- a/io/cassiafollow/journal.go
+++ b/io/cassiafollow/journal.go
@@ -1,16 +1,18 @@
 package cassiafollow
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	// maxJournalEvents and maxJournalBytes bound the changes that the journal keeps; a VM that needs older ones gets all
-	// keys.
-	maxJournalEvents = 2048
-	maxJournalBytes  = 8 << 20
+	// maxRemovedKeys bounds the removed keys that the journal remembers; a VM that needs older ones gets all keys.
+	maxRemovedKeys = 4096
 	// maxStoreSilence is how long after the last contact with the store the journal still reports that nothing has
 	// changed. After that, Await returns JournalStale and the VMs that rely on the journal ask the store themselves.
 	// The two times together stay below the time within which a configuration has to be in force on all VMs.
@@ -26,21 +28,22 @@
 	// JournalAllKeys means that the journal no longer has all changes after the revision; the events are the current values
 	// of all keys.
 	JournalAllKeys
-	// JournalChanges means that the events are all changes after the revision.
+	// JournalChanges means that the events are the last changes of all keys that changed after the revision.
 	JournalChanges
 )
 
-// Journal keeps the recent changes and the current value of each key, to answer VMs that do not watch the store themselves.
-// The zero value is empty and reports JournalStale. It is safe for concurrent use.
+// Journal keeps the last change of each key, to answer VMs that do not watch the store themselves. Changes that later ones have replaced are
+// not kept, since VMs need only the current values. The zero value is empty and reports JournalStale. It is safe for concurrent use.
 type Journal struct {
 	mutex sync.Mutex
 	era   Era
-	// events holds all changes whose revision r satisfies from < r <= to.
+	// The journal has the last change of each key that changed after from, and reaches up to to.
 	from, to Revision
-	events   []Event
-	bytes    int
-	// latest is the last event of each key that exists.
-	latest    map[string]Event
+	// latest holds the last event of each key, removed holds the keys among them that no longer exist.
+	latest  map[string]Event
+	removed map[string]bool
+	// ordered holds the events of latest by revision; nil when it has to be made again.
+	ordered   []Event
 	storeLost bool
 	// lastStoreContact is when the store itself last confirmed that the journal is complete.
 	lastStoreContact time.Time
@@ -48,30 +51,80 @@
 	changed chan struct{}
 }
 
-// Reset replaces the contents with all keys at a position; fromStore tells whether they came from the store itself.
+// Reset takes over all keys at a position; fromStore tells whether they came from the store itself. VMs that ask for what came after an
+// earlier position of the same era still get only the changes.
 func (j *Journal) Reset(keys []Event, at Position, fromStore bool) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
-	j.era, j.from, j.to, j.events, j.bytes = at.Era, at.Revision, at.Revision, nil, 0
-	j.latest = make(map[string]Event, len(keys))
+	if j.to == 0 || j.era != at.Era {
+		j.era, j.from, j.to = at.Era, at.Revision, at.Revision
+		j.latest, j.removed, j.ordered = make(map[string]Event, len(keys)), make(map[string]bool), nil
+	}
+	listed := make(map[string]bool, len(keys))
 	for _, e := range keys {
-		j.latest[e.Key] = e
+		listed[e.Key] = true
+		j.record(e)
+	}
+	for key, e := range j.latest {
+		if !listed[key] && !e.Removed && e.Revision <= at.Revision {
+			j.record(Event{Key: key, Revision: at.Revision, Removed: true})
+		}
 	}
+	j.dropOldRemovals()
 	if fromStore {
 		j.lastStoreContact = time.Now()
 	}
+	j.to = max(j.to, at.Revision)
 	j.notify()
 }
 
-// setLatest updates the current value of the event's key.
-func (j *Journal) setLatest(e Event) {
+// record keeps an event unless a later one of its key is known.
+func (j *Journal) record(e Event) {
+	if known, ok := j.latest[e.Key]; ok && known.Revision > e.Revision {
+		return
+	}
+	if j.latest == nil {
+		j.latest, j.removed = make(map[string]Event), make(map[string]bool)
+	}
+	j.latest[e.Key] = e
+	j.ordered = nil
 	if e.Removed {
-		delete(j.latest, e.Key)
+		j.removed[e.Key] = true
 	} else {
-		j.latest[e.Key] = e
+		delete(j.removed, e.Key)
 	}
 }
 
+// dropOldRemovals forgets the removed keys beyond maxRemovedKeys, the oldest first.
+func (j *Journal) dropOldRemovals() {
+	if len(j.removed) <= maxRemovedKeys {
+		return
+	}
+	for _, e := range j.byRevision() {
+		if !e.Removed {
+			continue
+		}
+		delete(j.latest, e.Key)
+		delete(j.removed, e.Key)
+		j.from = max(j.from, e.Revision)
+		// Many are dropped at once, since the order has to be made again after that.
+		if len(j.removed) <= maxRemovedKeys/2 {
+			break
+		}
+	}
+	j.ordered = nil
+}
+
+// byRevision returns the last events of all keys, ordered by revision.
+func (j *Journal) byRevision() []Event {
+	if j.ordered == nil {
+		j.ordered = slices.SortedFunc(maps.Values(j.latest), func(a, b Event) int {
+			return cmp.Or(cmp.Compare(a.Revision, b.Revision), strings.Compare(a.Key, b.Key))
+		})
+	}
+	return j.ordered
+}
+
 // Append adds the events up to a revision of the same era. Only a result of the store itself, for which fromStore is true, counts as contact
 // with the store: otherwise two VMs that ask each other would confirm each other's journal forever.
 func (j *Journal) Append(events []Event, to Revision, fromStore bool) {
@@ -81,15 +134,9 @@
 		j.lastStoreContact = time.Now()
 	}
 	for _, e := range events {
-		j.setLatest(e)
-		j.events = append(j.events, e)
-		j.bytes += len(e.Value)
-	}
-	for len(j.events) > maxJournalEvents || j.bytes > maxJournalBytes {
-		j.from = j.events[0].Revision
-		j.bytes -= len(j.events[0].Value)
-		j.events = j.events[1:]
+		j.record(e)
 	}
+	j.dropOldRemovals()
 	if to > j.to {
 		j.to = to
 		j.notify()
@@ -143,22 +190,18 @@
 	}
 }
 
-// since returns the events that Await returns with a status.
+// since returns the events that Await returns with a status, ordered by revision. The caller must not change them.
 func (j *Journal) since(after Revision, status JournalStatus) []Event {
-	var events []Event
 	switch status {
 	case JournalChanges:
-		for _, e := range j.events {
-			if e.Revision > after {
-				events = append(events, e)
-			}
-		}
+		ordered := j.byRevision()
+		first, _ := slices.BinarySearchFunc(ordered, after+1, func(e Event, r Revision) int { return cmp.Compare(e.Revision, r) })
+		return ordered[first:]
 	case JournalAllKeys:
-		for _, e := range j.latest {
-			events = append(events, e)
-		}
+		return slices.DeleteFunc(slices.Clone(j.byRevision()), func(e Event) bool { return e.Removed })
+	default:
+		return nil
 	}
-	return events
 }
 
 // notify wakes all calls of Await.
