--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -20,6 +20,7 @@
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/io/cassiaaggregate"
 	"cassiasaddle/io/cassiafollow"
+	"cassiasaddle/io/cassiaforward"
 	"cassiasaddle/io/cassiagate"
 	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassialog"
@@ -64,10 +65,12 @@
 	// notifier gets its Node when the VMs can reach each other.
 	notifier  *cassiaguard.Notifier
 	announcer *cassiaguard.Announcer
-	pool      *cassiapool.Pool
-	store     *cassiaplatform.Store
-	logger    log.Logger
-	metrics   *cassialog.Metrics
+	// forwards serves the requests that other VMs pass to this one.
+	forwards *cassiaforward.Server
+	pool     *cassiapool.Pool
+	store    *cassiaplatform.Store
+	logger   log.Logger
+	metrics  *cassialog.Metrics
 }
 
 // newProgram creates the components of a VM; run starts them.
@@ -85,7 +88,8 @@
 	store := &cassiaplatform.Store{Client: client, MinLease: settings.MinLease, OnInvalidConfig: func(key string, err error) {
 		level.Warn(logger).Log("event", "entryIgnored", "key", key, "error", err)
 	}}
-	config := cassiagate.ServerConfig{Address: settings.CallerAddress, ReadyAddress: settings.ReadyAddress,
+	forwards := cassiaforward.NewServer(gate.ForwardServer(headers))
+	config := cassiagate.ServerConfig{Forwards: forwards, Address: settings.CallerAddress, ReadyAddress: settings.ReadyAddress,
 		ReadyPath: cassiaplatform.ReadyPath, Headers: headers, ServeAfterStop: drainDelay, Grace: settings.StopGrace - stopMargin}
 	if o.metricsPort != "" {
 		config.MetricsAddress, config.MetricsPath = net.JoinHostPort(settings.IP, o.metricsPort), "/metrics"
@@ -93,7 +97,7 @@
 	}
 	self := cassiafollow.VM{Name: settings.VM, Zone: settings.Zone, PeerAddress: cmp.Or(o.advertisedAddress, settings.PeerAddress),
 		Cores: settings.Cores}
-	p := &program{settings: settings, options: o, self: self, config: config, gate: gate, guard: guard, pool: pool, store: store,
+	p := &program{settings: settings, options: o, self: self, config: config, gate: gate, guard: guard, pool: pool, store: store, forwards: forwards,
 		logger: logger, metrics: metrics}
 	p.guardTargets()
 	return p
@@ -182,7 +186,7 @@
 	aggregator.OnExtraRequest = func(allowed bool) {
 		p.metrics.Scope.Tagged(map[string]string{"allowed": strconv.FormatBool(allowed)}).Counter("repeats_for_others").Inc(1)
 	}
-	handler := &cassiaaggregate.Handler{Aggregator: aggregator, Watches: &cassiafollow.WatchServer{Journal: journal, Log: p.logEvent},
+	handler := &cassiaaggregate.Handler{Aggregator: aggregator, ForwardServer: p.forwards, Watches: &cassiafollow.WatchServer{Journal: journal, Log: p.logEvent},
 		Notifier: p.notifier}
 	node, err := cassiapeer.Listen(cassiapeer.Config{Self: p.settings.VM, Address: p.settings.PeerAddress, Identity: credentials,
 		Resolver: p.gate, Handler: handler, Logger: p.logger, Scope: p.metrics.Scope})
@@ -190,9 +194,10 @@
 		return err
 	}
 	handler.Client = cassiaaggregate.NewClient(node, p.gate.AttemptsEnded)
+	handler.ForwardClient = cassiaforward.NewClient(node, p.gate.Update)
 	p.notifier.Node = node
 	node.Serve()
-	p.gate.SetAggregatorClient(handler.Client)
+	p.gate.SetPeerClients(handler.Client, handler.ForwardClient)
 	watchers.SetExchanger(node)
 	p.logEvent("peersServed", "address", p.settings.PeerAddress)
 	var group errgroup.Group
--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -39,6 +39,17 @@
 	NewConnection bool
 }
 
+// Forward passes a query on to another VM, which answers it for this one; exactly one ForwardEnded must follow.
+type Forward struct {
+	Query QueryID
+	VM    cassiaid.VMName
+	// Deadline is when targets may stop working on the query.
+	Deadline time.Time
+}
+
+// CancelForward takes a query back from the VM that it was passed on to; its ForwardEnded must still follow.
+type CancelForward struct{ Query QueryID }
+
 // Cancel ends an attempt by closing its connection; its AttemptEnded must still follow.
 type Cancel struct{ Attempt cassiaid.AttemptID }
 
@@ -94,6 +105,10 @@
 	EventPaused Event = "targetPaused"
 	// EventMalformedPause means that what the target names is not a time.
 	EventMalformedPause Event = "targetPauseMalformed"
+	// EventIsolated means that this VM reaches no target, so that other VMs serve its queries; EventReconnected means that it reaches
+	// one again.
+	EventIsolated    Event = "isolated"
+	EventReconnected Event = "reconnected"
 	// EventZoneSilent means that all targets of a zone were ejected, since several left attempts unanswered and none
 	// answered.
 	EventZoneSilent Event = "zoneSilent"
@@ -140,6 +155,8 @@
 type WakeAt struct{ Time time.Time }
 
 func (Send) isEffect()              {}
+func (Forward) isEffect()           {}
+func (CancelForward) isEffect()     {}
 func (Cancel) isEffect()            {}
 func (Probe) isEffect()             {}
 func (Refresh) isEffect()           {}
@@ -149,11 +166,13 @@
 func (Finish) isEffect()            {}
 func (WakeAt) isEffect()            {}
 
-// Answer is the result of a query; exactly one of Reply, Merged and Refusal is set.
+// Answer is the result of a query; exactly one of Reply, Forwarded, Merged and Refusal is set.
 type Answer struct {
-	Reply   *Reply
-	Merged  *Merged
-	Refusal *Refusal
+	Reply *Reply
+	// Forwarded is the answer of the VM that served the query for this one, to be passed on unchanged.
+	Forwarded *Reply
+	Merged    *Merged
+	Refusal   *Refusal
 	// Trace describes how the answer came about.
 	Trace Trace
 }
@@ -184,6 +203,8 @@
 const (
 	// RefusalUnreachable means that too few shards have a reachable target.
 	RefusalUnreachable RefusalReason = "unreachable"
+	// RefusalIsolated means that this VM reaches no target; it is used only for queries of other VMs, which can pass them on elsewhere.
+	RefusalIsolated RefusalReason = "isolated"
 	// RefusalOverloaded means that the targets are busy for longer than the query can wait.
 	RefusalOverloaded RefusalReason = "overloaded"
 	// RefusalLimited means that the targets accept too few requests per second to answer the query in time.
@@ -213,6 +234,9 @@
 	// waiting too long.
 	Skipped int
 	Dropped int
+	// Forwards counts the VMs that the query was passed on to, ForwardedTo is the last of them.
+	Forwards    int
+	ForwardedTo cassiaid.VMName
 	// LastFailure is the last failed attempt, formatted as outcome@target.
 	LastFailure string
 	Elapsed     time.Duration
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -70,8 +70,12 @@
 	// targetsNumber is the number of lists of targets so far.
 	targetsNumber int
 	// watched holds the targets that are due for a probe or for waiting shards at some time; see watch.
-	watched     []*target
-	links       map[linkKey]*link
+	watched []*target
+	links   map[linkKey]*link
+	// isolation tells whether this VM reaches any target itself; forwarder chooses the VMs that serve queries for it.
+	isolation   isolation
+	forwarder   forwarder
+	vms         []VM
 	aggregators aggregators
 	// aggregatorKeys holds the keys by which aggregators are picked for the targets of fan-outs.
 	aggregatorKeys []rankingKey
@@ -154,6 +158,12 @@
 		g.attemptsEnded(now, m.Ended)
 	case ProbeEnded:
 		g.probeEnded(now, m)
+	case TargetUnreached:
+		g.suspectIsolation(now, m.SentAt)
+	case ForwardAccepted:
+		g.forwardAccepted(m)
+	case ForwardEnded:
+		g.forwardEnded(now, m)
 	case CallerGone:
 		g.callerGone(now, m.Query)
 	case TargetsChanged:
@@ -184,6 +194,7 @@
 	for i, vm := range vms {
 		names[i] = vm.Name
 	}
+	g.vms = vms
 	g.share.List(now, names)
 	g.aggregators.setVMs(vms)
 	g.fleetKnown = len(vms) > 0
@@ -332,6 +343,7 @@
 	for _, l := range g.links {
 		sooner(l.silentAt())
 	}
+	sooner(g.isolation.nextCheckAt())
 	sooner(g.nextProbeAt())
 	sooner(g.nextLimitedAt(now))
 	sooner(g.share.NextChange(now))
@@ -352,8 +364,15 @@
 		return true
 	})
 	g.failSilentLinks(now)
+	if at := g.isolation.nextCheckAt(); !at.IsZero() && !now.Before(at) {
+		g.checkIsolation(now)
+	}
 	g.serveRestricted(now)
 	for _, q := range slices.Clone(g.active) {
+		if q.forward != nil {
+			g.advanceForwarded(now, q)
+			continue
+		}
 		g.sendHedges(now, q)
 		g.dropLate(now, q)
 		g.advance(now, q)
--- a/core/cassiagateway/link.go
+++ b/core/cassiagateway/link.go
@@ -132,6 +132,7 @@
 		g.backOffAggregator(now, l.key, OutcomeSilent)
 	} else {
 		g.emit(ViewChanged{Event: EventZoneSilent, Zone: l.key.zone, Cause: OutcomeSilent})
+		g.suspectIsolation(now, now.Add(-silenceTimeout))
 		for _, t := range g.orderedTargets {
 			if t.Zone == l.key.zone && !t.ejected() {
 				t.eject(now)
--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -23,6 +23,8 @@
 	Route *cassiacatalog.Route
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// ForOther is true if another VM passed the request on to this one, which must not pass it on again.
+	ForOther bool
 }
 
 // CallerGone reports that the caller of a query no longer waits for its answer.
@@ -36,8 +38,43 @@
 type ProbeEnded struct {
 	Target  cassiaid.TargetName
 	Reached bool
+	// Reset is true if the connection that was accepted ended at once.
+	Reset bool
 }
 
+// TargetUnreached reports that a target did not answer what this VM sent to it for another VM.
+type TargetUnreached struct{ SentAt time.Time }
+
+// ForwardAccepted reports that a VM serves the query of a Forward.
+type ForwardAccepted struct {
+	Query QueryID
+	VM    cassiaid.VMName
+}
+
+// ForwardEnded reports how a Forward ended; exactly one follows each.
+type ForwardEnded struct {
+	Query   QueryID
+	VM      cassiaid.VMName
+	Outcome ForwardOutcome
+	// Reply is the VM's answer for the caller if Outcome is ForwardAnswered.
+	Reply *Reply
+}
+
+// ForwardOutcome is the way a Forward ended.
+type ForwardOutcome string
+
+// Outcomes of a Forward.
+const (
+	// ForwardAnswered means that the VM answered the query, possibly with a refusal.
+	ForwardAnswered ForwardOutcome = "answered"
+	// ForwardDeclined means that the VM takes no queries of other VMs now, or that the query was not sent to it; no target runs it.
+	ForwardDeclined ForwardOutcome = "declined"
+	// ForwardUnreachable means that the VM reaches targets, but not those of this query; no target runs it.
+	ForwardUnreachable ForwardOutcome = "unreachable"
+	// ForwardLost means that the VM did not answer; a target may run the query.
+	ForwardLost ForwardOutcome = "lost"
+)
+
 // AttemptEnded reports the outcome of an attempt; exactly one follows each Send.
 type AttemptEnded struct {
 	Attempt cassiaid.AttemptID
@@ -89,6 +126,9 @@
 func (AttemptEnded) isMessage()    {}
 func (ProbeEnded) isMessage()      {}
 func (AttemptsEnded) isMessage()   {}
+func (TargetUnreached) isMessage() {}
+func (ForwardAccepted) isMessage() {}
+func (ForwardEnded) isMessage()    {}
 func (TargetsChanged) isMessage()  {}
 func (ServicesChanged) isMessage() {}
 func (FleetChanged) isMessage()    {}
--- a/core/cassiagateway/query.go
+++ b/core/cassiagateway/query.go
@@ -34,6 +34,11 @@
 	// quarantined is true once an attempt was not sent because the request crashes targets.
 	quarantined bool
 	finished    bool
+	// forward is set while another VM serves the query for this one; forwardTried holds the VMs that it was passed on to.
+	forward      *forwarding
+	forwardTried []cassiaid.VMName
+	// forOther is true if this VM serves the query for another one.
+	forOther bool
 	// least is the result of the last computation of leastRecord, for so many answered shards.
 	least   []byte
 	leastOf int
@@ -127,6 +132,12 @@
 // wakeAt returns when the query next needs a tick.
 func (q *query) wakeAt(now time.Time) time.Time {
 	at := q.giveUpAt
+	if q.forward != nil {
+		if by := q.forward.acceptBy(); !by.IsZero() && by.Before(at) {
+			return by
+		}
+		return at
+	}
 	if now.Before(q.closeAt) && q.closeAt.Before(at) {
 		at = q.closeAt
 	}
--- a/core/cassiagateway/reach.go
+++ b/core/cassiagateway/reach.go
@@ -27,30 +27,40 @@
 	g.emit(Refresh{})
 }
 
-// sendProbes probes ejected targets whose ejection period is over, and targets that need an open connection.
+// sendProbes probes ejected targets whose ejection period is over, and targets that need an open connection. While this VM is isolated, only
+// samples of targets are probed.
 func (g *Gateway) sendProbes(now time.Time) {
+	if g.isolation.isolated {
+		return
+	}
 	for _, t := range g.watched {
 		if t.leaving {
 			continue
 		}
 		due := t.wantsProbe || t.ejections > 0 && !now.Before(t.ejectedUntil)
 		if due && !t.replaced && !t.probing && g.runningProbes < maxConcurrentProbes {
-			t.probing, t.wantsProbe = true, false
-			g.runningProbes++
-			g.emit(Probe{Target: t.Name, Address: t.Address})
+			g.probe(now, t)
 		}
 	}
 }
 
+func (g *Gateway) probe(now time.Time, t *target) {
+	t.probing, t.wantsProbe, t.probedAt = true, false, now
+	g.runningProbes++
+	g.emit(Probe{Target: t.Name, Address: t.Address})
+}
+
 func (g *Gateway) probeEnded(now time.Time, m ProbeEnded) {
 	g.runningProbes--
 	t, ok := g.targets[m.Target]
 	if !ok || !t.probing {
+		g.isolationProbed(now, m, now, true)
 		return
 	}
 	wasEjected := t.ejected()
 	t.probed(now, m.Reached)
 	g.watch(t)
+	g.isolationProbed(now, m, t.probedAt, wasEjected)
 	if m.Reached && wasEjected {
 		g.emit(ViewChanged{Event: EventReached, Target: t.Name, Zone: t.Zone})
 		g.probeZone(now, t)
@@ -73,7 +83,7 @@
 // reached.
 func (g *Gateway) nextProbeAt() time.Time {
 	var at time.Time
-	if g.runningProbes >= maxConcurrentProbes {
+	if g.runningProbes >= maxConcurrentProbes || g.isolation.isolated {
 		return at
 	}
 	for _, t := range g.watched {
@@ -84,10 +94,13 @@
 	return at
 }
 
-// CanServe reports whether at least half of the recent requests could be served now; it is true before the first
-// request. The recent requests of a route are counted as of its last request, so they do not decay while it has none. A
+// CanServe reports whether this VM reaches any target, and at least half of the recent requests could be served now; it is true before
+// the first request. The recent requests of a route are counted as of its last request, so they do not decay while it has none. A
 // VM that cannot reach the targets of its callers should report itself as not ready, so that the callers use other VMs.
 func (g *Gateway) CanServe() bool {
+	if g.isolation.isolated {
+		return false
+	}
 	total, servable := 0.0, 0.0
 	for _, r := range g.routes {
 		if r.route == nil || r.recentRequests == 0 {
--- a/core/cassiagateway/refuse.go
+++ b/core/cassiagateway/refuse.go
@@ -15,12 +15,7 @@
 // refuse ends a query without an answer. For a route without fan-out, a failure answer of the target is passed on to
 // the caller if there is one.
 func (g *Gateway) refuse(now time.Time, q *query, reason RefusalReason) {
-	begun := false
-	for _, s := range q.shards {
-		for _, a := range s.running {
-			begun = begun || a.begun
-		}
-	}
+	begun := q.hasBegun()
 	g.release(now, q)
 	if q.trace.Attempts > 0 {
 		g.observeLateness(now, q)
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -41,6 +41,20 @@
 	}
 	g.observeArrival(now)
 	g.routeState(q.route.Name, now).countRequest(now, q.route)
+	if g.isolation.isolated {
+		if q.forOther {
+			g.refuse(now, q, RefusalIsolated)
+			return
+		}
+		if g.forward(now, q, "") {
+			return
+		}
+	}
+	g.serveLocally(now, q)
+}
+
+// serveLocally sends a query to targets if it can be served.
+func (g *Gateway) serveLocally(now time.Time, q *query) {
 	for _, s := range q.shards {
 		s.service.retryBudget.Earn(now, g.allowance(now, s.service), 1)
 		// Shards that wait already come first.
@@ -61,7 +75,7 @@
 // newQuery creates the state of a query: its times, its shards and its preferred zone.
 func (g *Gateway) newQuery(now time.Time, m Arrived) *query {
 	r := m.Route
-	q := &query{id: m.Query, route: r, arrivedAt: now, deadline: m.Deadline}
+	q := &query{id: m.Query, route: r, arrivedAt: now, deadline: m.Deadline, forOther: m.ForOther}
 	q.closeAt = now.Add(closeAfter(r.DesiredLatency))
 	q.giveUpAt = m.Deadline.Add(-giveUpMargin)
 	if r.Timeout > 0 && now.Add(r.Timeout).Before(q.giveUpAt) {
@@ -260,7 +274,7 @@
 		q.mayHaveRun = true
 	}
 	switch {
-	case q.finished:
+	case q.finished, q.forward != nil:
 	case s.state == shardOpen:
 		g.continueShard(now, a, m)
 	case a.pruned && m.Outcome == OutcomeAnswered:
@@ -292,6 +306,8 @@
 	}
 	if a.aggregator != "" {
 		g.aggregators.resetFailures(a.aggregator)
+	} else {
+		g.observeReach(now, a.sentAt, outcome)
 	}
 	a.target.endTrial(a.sentAt, outcome)
 	a.target.heard = a.target.heard || outcome == OutcomeAnswered || outcome == OutcomeFailed || outcome == OutcomeRejected
@@ -453,6 +469,7 @@
 
 // release removes a query and schedules the cancellation of its running attempts.
 func (g *Gateway) release(now time.Time, q *query) {
+	g.cancelForward(q)
 	q.finished = true
 	q.trace.Elapsed = now.Sub(q.arrivedAt)
 	delete(g.queries, q.id)
@@ -467,7 +484,7 @@
 // advance ends a query that is complete, can no longer reach the required coverage, or is out of time.
 func (g *Gateway) advance(now time.Time, q *query) {
 	switch {
-	case q.finished:
+	case q.finished, q.forward != nil:
 	case q.complete(now):
 		g.finish(now, q)
 	case q.quarantined && q.answered < q.required():
--- a/core/cassiagateway/simulation_test.go
+++ b/core/cassiagateway/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -63,6 +64,24 @@
 	extraShare float64
 	// isolatedZone is the zone that is cut off from the others; empty if none is.
 	isolatedZone cassiaid.Zone
+	// runs counts how often targets began to work on the request of a caller.
+	runs map[callerRequest]int
+}
+
+// callerRequest identifies a request by the VM that got it from its caller.
+type callerRequest struct {
+	vm    cassiaid.VMName
+	query QueryID
+}
+
+// vm returns a VM by its name.
+func (sim *simulation) vm(name cassiaid.VMName) *simulatedVM {
+	for _, v := range sim.vms {
+		if v.name == name {
+			return v
+		}
+	}
+	return nil
 }
 
 // connected reports whether two zones can exchange traffic.
@@ -120,6 +139,7 @@
 
 // work is one attempt on a simulated target.
 type work struct {
+	request   callerRequest
 	duration  time.Duration
 	ended     func(Outcome)
 	cancelled bool
@@ -151,6 +171,7 @@
 		}
 		t.running++
 		t.started++
+		t.sim.runs[k.request]++
 		t.sim.after(time.Duration(t.slowness*float64(k.duration)), func() {
 			t.running--
 			if !k.cancelled {
@@ -171,8 +192,13 @@
 
 // simulatedVM performs the effects of a gateway.
 type simulatedVM struct {
-	sim       *simulation
-	zone      cassiaid.Zone
+	sim  *simulation
+	name cassiaid.VMName
+	zone cassiaid.Zone
+	// cut is how the VM is cut off from all targets, if it is.
+	cut       targetCut
+	requests  map[QueryID]callerRequest
+	forwards  map[QueryID]*simulatedForward
 	gateway   *Gateway
 	wakeID    int
 	callbacks map[QueryID]func(Answer)
@@ -181,6 +207,52 @@
 	lastQuery QueryID
 }
 
+// targetCut is a way in which a VM loses its links to all targets.
+type targetCut string
+
+const (
+	// cutRefused has connections refused or reset at once.
+	cutRefused targetCut = "refused"
+	// cutSilent has nothing answered: connections that are opened hang, and so do those that are open.
+	cutSilent targetCut = "silent"
+)
+
+// simulatedConnectTimeout is how long a VM waits for a connection.
+const simulatedConnectTimeout = 300 * time.Millisecond
+
+// simulatedForward is a query that another VM serves.
+type simulatedForward struct {
+	to    *simulatedVM
+	query QueryID
+}
+
+// forward passes a query to another VM, which accepts it at once.
+func (v *simulatedVM) forward(e Forward) {
+	to, route, request := v.sim.vm(e.VM), v.routes[e.Query], v.requests[e.Query]
+	f := &simulatedForward{to: to}
+	v.forwards[e.Query] = f
+	v.sim.after(crossZoneDelay, func() {
+		to.lastQuery++
+		f.query = to.lastQuery
+		to.routes[f.query], to.requests[f.query] = route, request
+		to.callbacks[f.query] = func(a Answer) {
+			ended := ForwardEnded{Query: e.Query, VM: e.VM, Outcome: ForwardAnswered, Reply: &Reply{Status: http.StatusOK}}
+			switch {
+			case a.Refusal == nil:
+			case a.Refusal.Reason == RefusalIsolated:
+				ended.Outcome = ForwardDeclined
+			case a.Refusal.Reason == RefusalUnreachable && a.Refusal.NotRun:
+				ended.Outcome = ForwardUnreachable
+			default:
+				ended.Reply.Status = http.StatusServiceUnavailable
+			}
+			v.sim.after(crossZoneDelay, func() { v.update(ended) })
+		}
+		to.update(Arrived{Query: f.query, Route: route.route, Deadline: e.Deadline, ForOther: true})
+		v.sim.after(crossZoneDelay, func() { v.update(ForwardAccepted{Query: e.Query, VM: e.VM}) })
+	})
+}
+
 // simulatedRoute is a route and the mean duration of its attempts on a target.
 type simulatedRoute struct {
 	route        *cassiacatalog.Route
@@ -199,14 +271,24 @@
 				k.cancelled = true
 				v.end(e.Attempt, OutcomeSilent)
 			}
+		case Forward:
+			v.forward(e)
+		case CancelForward:
+			if f := v.forwards[e.Query]; f != nil {
+				v.sim.after(crossZoneDelay, func() { f.to.update(CallerGone{Query: f.query}) })
+			}
 		case Finish:
 			answer := v.callbacks[e.Query]
 			delete(v.callbacks, e.Query)
 			answer(e.Answer)
 		case Probe:
 			t := v.sim.targets[e.Target]
-			reached := !t.unresponsive && v.sim.connected(v.zone, t.zone)
-			v.sim.after(2*crossZoneDelay, func() { v.update(ProbeEnded{Target: e.Target, Reached: reached}) })
+			reached := !t.unresponsive && v.sim.connected(v.zone, t.zone) && v.cut == ""
+			delay := 2 * crossZoneDelay
+			if v.cut == cutSilent {
+				delay = simulatedConnectTimeout
+			}
+			v.sim.after(delay, func() { v.update(ProbeEnded{Target: e.Target, Reached: reached}) })
 		case WakeAt:
 			v.wakeID++
 			id := v.wakeID
@@ -241,7 +323,16 @@
 	// A lognormal duration with the given mean.
 	const spread = 0.35
 	duration := mean * math.Exp(spread*v.sim.random.NormFloat64()-spread*spread/2)
-	k := &work{duration: time.Duration(duration)}
+	k := &work{duration: time.Duration(duration), request: v.requests[e.Query]}
+	sender := v
+	if e.Aggregator != "" {
+		sender = v.sim.vm(e.Aggregator)
+	}
+	if sender.cut != "" {
+		v.running[e.Attempt] = k
+		v.sendCut(e, sender)
+		return
+	}
 	k.ended = func(o Outcome) {
 		v.sim.after(delay, func() {
 			if v.sim.connected(v.zone, t.zone) {
@@ -258,6 +349,29 @@
 	})
 }
 
+// sendCut has an attempt fail whose sender is cut off from all targets. Half of the attempts go out on connections that are open, unless
+// these are reset.
+func (v *simulatedVM) sendCut(e Send, sender *simulatedVM) {
+	switch {
+	case sender != v && sender.gateway.isolation.isolated:
+		v.sim.after(2*crossZoneDelay, func() { v.end(e.Attempt, OutcomeTargetUnknown) })
+	case sender.cut == cutSilent && v.sim.random.Float64() < 0.5:
+		v.update(AttemptBegins{Attempt: e.Attempt})
+	default:
+		delay := 2 * crossZoneDelay
+		if sender.cut == cutSilent {
+			delay = simulatedConnectTimeout
+		}
+		sentAt := v.sim.now
+		v.sim.after(delay, func() {
+			if sender != v {
+				sender.update(TargetUnreached{SentAt: sentAt})
+			}
+			v.end(e.Attempt, OutcomeUnsent)
+		})
+	}
+}
+
 // ask sends one request of a route to the VM and counts its result.
 func (v *simulatedVM) ask(r simulatedRoute, name string, deadline time.Duration) {
 	sim := v.sim
@@ -270,7 +384,7 @@
 	result.asked++
 	v.lastQuery++
 	id := v.lastQuery
-	v.routes[id] = r
+	v.routes[id], v.requests[id] = r, callerRequest{vm: v.name, query: id}
 	v.callbacks[id] = func(a Answer) {
 		covered := 1.0
 		if a.Merged != nil {
@@ -281,6 +395,8 @@
 			result.refused++
 		case a.Refusal != nil:
 			result.failed++
+		case a.Forwarded != nil && a.Forwarded.Status != http.StatusOK:
+			result.refused++
 		case sim.now.Sub(start) <= r.route.DesiredLatency:
 			result.onTime++
 			result.credit += covered * covered
@@ -296,7 +412,7 @@
 // zones.
 func newSimulation(vms, shards int) *simulation {
 	sim := &simulation{now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(simulationSeed, simulationSeed)),
-		targets: make(map[cassiaid.TargetName]*simulatedTarget), results: make(map[string]*routeResults)}
+		targets: make(map[cassiaid.TargetName]*simulatedTarget), results: make(map[string]*routeResults), runs: make(map[callerRequest]int)}
 	zones := []cassiaid.Zone{"a", "b", "c"}
 	var list []cassiadirectory.Target
 	services := make(map[cassiacatalog.ServiceName]cassiacatalog.Service)
@@ -310,10 +426,11 @@
 		}
 	}
 	for i := range vms {
-		v := &simulatedVM{sim: sim, zone: zones[i%len(zones)], callbacks: make(map[QueryID]func(Answer)),
-			running: make(map[cassiaid.AttemptID]*work), routes: make(map[QueryID]simulatedRoute)}
+		v := &simulatedVM{sim: sim, name: cassiaid.VMName(fmt.Sprintf("vm-%d", i)), zone: zones[i%len(zones)], callbacks: make(map[QueryID]func(Answer)),
+			running: make(map[cassiaid.AttemptID]*work), routes: make(map[QueryID]simulatedRoute), requests: make(map[QueryID]callerRequest),
+			forwards: make(map[QueryID]*simulatedForward)}
 		v.gateway = NewGateway(sim, rand.New(rand.NewPCG(simulationSeed, uint64(i))), Settings{ExtraRequests: cassiabudget.Allowance{Ratio: 0.2, Slack: 54}, VMs: vms,
-			Name: cassiaid.VMName(fmt.Sprintf("vm-%d", i)), Zone: v.zone})
+			Name: v.name, Zone: v.zone})
 		v.update(ServicesChanged{Services: services})
 		v.update(TargetsChanged{Targets: list})
 		sim.vms = append(sim.vms, v)
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -61,6 +61,8 @@
 	ejectedUntil time.Time
 	unfitUntil   time.Time
 	probing      bool
+	// probedAt is when the last probe began.
+	probedAt time.Time
 	// wantsProbe is true if a connection should be opened before a request needs it; warmed is true once that was
 	// requested.
 	wantsProbe, warmed bool
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -33,6 +33,8 @@
 	Target(name cassiaid.TargetName) (cassiadirectory.Target, bool)
 	// Zones returns the availability zones that have targets. The caller must not change the list.
 	Zones() []cassiaid.Zone
+	// ObserveReach takes note of whether a target answered what was sent to it at a time.
+	ObserveReach(reached bool, sentAt time.Time)
 }
 
 // Aggregator sends the attempts of other VMs' batches to targets and returns one result for each, pruned but not
@@ -92,13 +94,25 @@
 		return cassiapool.Result{Outcome: refusal}
 	}
 	call.Address, call.StartUnixMillis = target.Address, target.StartUnixMillis
+	sentAt := time.Now()
 	result := a.exchanger.Exchange(ctx, call)
+	a.observeReach(result.Outcome, sentAt)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.fitness.End(time.Now(), running, fitnessResult(result))
 	return result
 }
 
+// observeReach passes on what the outcome of an exchange tells about the links of this VM.
+func (a *Aggregator) observeReach(outcome cassiagateway.Outcome, sentAt time.Time) {
+	switch outcome {
+	case cassiagateway.OutcomeAnswered, cassiagateway.OutcomeFailed, cassiagateway.OutcomeRejected, cassiagateway.OutcomeWrongTarget:
+		a.targets.ObserveReach(true, sentAt)
+	case cassiagateway.OutcomeUnsent, cassiagateway.OutcomeSilent:
+		a.targets.ObserveReach(false, sentAt)
+	}
+}
+
 // admit records the start of an attempt. If the target is unfit or the retry budget of the service is used up, it
 // returns nil and the outcome to report instead.
 func (a *Aggregator) admit(target cassiadirectory.Target, route string,
--- a/io/cassiaaggregate/handler.go
+++ b/io/cassiaaggregate/handler.go
@@ -4,6 +4,7 @@
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiafollow"
+	"cassiasaddle/io/cassiaforward"
 	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassiapeer"
 )
@@ -15,6 +16,9 @@
 	Client *Client
 	// Watches serves store watches to VMs that do not watch the store themselves; if nil, such requests are ignored.
 	Watches *cassiafollow.WatchServer
+	// ForwardServer and ForwardClient handle requests that one VM passes to another; if nil, such frames are ignored.
+	ForwardServer *cassiaforward.Server
+	ForwardClient *cassiaforward.Client
 	// Notifier handles the frames about requests that crash targets; if nil, they are ignored.
 	Notifier *cassiaguard.Notifier
 }
@@ -32,6 +36,18 @@
 		}
 	case *cassiaschema.PeerFrame_AggregateCancel:
 		h.Aggregator.Cancel(from, body.AggregateCancel)
+	case *cassiaschema.PeerFrame_ForwardedRequest:
+		if h.ForwardServer != nil {
+			h.ForwardServer.Serve(from, body.ForwardedRequest, reply)
+		}
+	case *cassiaschema.PeerFrame_ForwardedReply:
+		if h.ForwardClient != nil {
+			h.ForwardClient.HandleReply(from, body.ForwardedReply)
+		}
+	case *cassiaschema.PeerFrame_ForwardedCancel:
+		if h.ForwardServer != nil {
+			h.ForwardServer.Cancel(from, body.ForwardedCancel)
+		}
 	default:
 		if h.Notifier == nil {
 			return
@@ -43,8 +59,14 @@
 	}
 }
 
-// PeerLost cancels the attempts that the lost VM asked for and ends those sent through it.
+// PeerLost cancels the attempts and requests that the lost VM asked for and ends those sent through it.
 func (h *Handler) PeerLost(peer cassiaid.VMName) {
 	h.Aggregator.PeerLost(peer)
 	h.Client.PeerLost(peer)
+	if h.ForwardServer != nil {
+		h.ForwardServer.PeerLost(peer)
+	}
+	if h.ForwardClient != nil {
+		h.ForwardClient.PeerLost(peer)
+	}
 }
--- /dev/null
+++ b/io/cassiagate/forward.go
@@ -0,0 +1,105 @@
+package cassiagate
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+
+	"cassiasaddle/core/cassiagateway"
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/io/cassiaforward"
+	"cassiasaddle/io/cassiapool"
+)
+
+// forward passes a pending request to another VM; the caller holds the mutex.
+func (g *Gate) forward(e cassiagateway.Forward) {
+	q := g.pending[e.Query]
+	if q == nil {
+		// Its caller has just left, and the gateway learns of that next.
+		return
+	}
+	g.report.forwarded(q.call.RequestID, e.VM)
+	g.forwardClient.Send(e.VM, e.Query, cassiaforward.Request{Method: q.call.Method, URI: q.call.URI, Host: q.call.Host, Header: q.call.Header,
+		RequestID: q.call.RequestID, Body: q.call.Body, Deadline: e.Deadline, Configuration: q.configuration,
+		Caller: q.fingerprints.caller, Content: q.fingerprints.content})
+}
+
+// ForwardServer returns a function that serves requests which other VMs pass to this one.
+func (g *Gate) ForwardServer(headers Headers) cassiaforward.ServeFunc {
+	h := &handler{gate: g, headers: headers}
+	return h.serveForwarded
+}
+
+// serveForwarded serves a request of another VM by a configuration that is not older than that VM's.
+func (h *handler) serveForwarded(ctx context.Context, from cassiaid.VMName, r cassiaforward.Request) cassiaforward.Result {
+	catalog := h.gate.catalog.Load()
+	if catalog == nil || catalog.Version < r.Configuration {
+		h.gate.report.declined(r.RequestID, from, "olderConfiguration")
+		return cassiaforward.Result{Outcome: cassiagateway.ForwardDeclined}
+	}
+	path, _, _ := strings.Cut(r.URI, "?")
+	route := catalog.Match(r.Host, path)
+	if route == nil {
+		// The configuration here is newer and does not have the route any more.
+		h.gate.report.refused(r.RequestID, "", "noRoute", http.StatusNotFound)
+		return cassiaforward.Result{Outcome: cassiagateway.ForwardAnswered, Reply: &cassiagateway.Reply{Status: http.StatusNotFound}}
+	}
+	call := cassiapool.Call{Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, RequestID: r.RequestID, Body: r.Body, Deadline: r.Deadline}
+	w := &answerBuffer{header: make(http.Header)}
+	refusal := h.serveRouted(ctx, w, routedRequest{call: call, route: route, configuration: catalog.Version, from: from,
+		fingerprints: fingerprints{caller: r.Caller, content: r.Content}})
+	switch {
+	case refusal == nil || !refusal.NotRun:
+	case refusal.Reason == cassiagateway.RefusalIsolated:
+		return cassiaforward.Result{Outcome: cassiagateway.ForwardDeclined}
+	case refusal.Reason == cassiagateway.RefusalUnreachable:
+		return cassiaforward.Result{Outcome: cassiagateway.ForwardUnreachable}
+	}
+	if w.status == 0 {
+		// The request was taken back or its deadline has passed.
+		return cassiaforward.Result{Outcome: cassiagateway.ForwardLost}
+	}
+	return cassiaforward.Result{Outcome: cassiagateway.ForwardAnswered, Reply: w.reply()}
+}
+
+// writeForwarded sends the answer of the VM that served a request unchanged.
+func (h *handler) writeForwarded(w http.ResponseWriter, reply *cassiagateway.Reply) int {
+	header := w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	if len(header.Values("Content-Type")) == 0 {
+		header["Content-Type"] = nil
+	}
+	h.writeBody(w, reply.Status, reply.Body)
+	return reply.Status
+}
+
+// answerBuffer is an http.ResponseWriter that keeps an answer for the VM that passed the request on.
+type answerBuffer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (b *answerBuffer) Header() http.Header { return b.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (b *answerBuffer) WriteHeader(status int) {
+	if b.status == 0 {
+		b.status = status
+	}
+}
+
+// Write implements http.ResponseWriter.
+func (b *answerBuffer) Write(part []byte) (int, error) {
+	b.WriteHeader(http.StatusOK)
+	return b.body.Write(part)
+}
+
+func (b *answerBuffer) reply() *cassiagateway.Reply {
+	b.header.Del("Content-Length")
+	return &cassiagateway.Reply{Status: b.status, Header: b.header, Body: b.body.Bytes()}
+}
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -18,18 +18,27 @@
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/io/cassiaaggregate"
 	"cassiasaddle/io/cassiafollow"
+	"cassiasaddle/io/cassiaforward"
 	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassiapool"
 	"cassiasaddle/io/cassiaworker"
 )
 
-// pendingQuery is a caller's request that has no answer yet.
-type pendingQuery struct {
+// routedRequest is a caller's request with the route by which it is served.
+type routedRequest struct {
 	call         cassiapool.Call
 	fingerprints fingerprints
-	route        cassiacatalog.RouteName
-	topK         int
-	answer       chan cassiagateway.Answer
+	route        *cassiacatalog.Route
+	// configuration is the version that the route is taken from.
+	configuration cassiacatalog.Version
+	// from is the VM that passed the request to this one; empty if the caller did.
+	from cassiaid.VMName
+}
+
+// pendingQuery is a request that has no answer yet.
+type pendingQuery struct {
+	routedRequest
+	answer chan cassiagateway.Answer
 }
 
 // Gate connects a cassiagateway.Gateway to the network: it passes requests and events to the gateway and performs the
@@ -62,6 +71,10 @@
 	targetsListed    bool
 	vms              []cassiafollow.VM
 	aggregatorClient *cassiaaggregate.Client
+	forwardClient    *cassiaforward.Client
+
+	// heardAt is when a target last answered what this VM sent for another one, in nanoseconds since the Unix epoch.
+	heardAt atomic.Int64
 }
 
 // NewGate returns a gate that has no routes and no targets yet. Its attempts start as guard allows.
@@ -74,7 +87,7 @@
 		// Ids start at a random number, since other VMs may still hold ids of this VM's previous process.
 		nextQuery: cassiagateway.QueryID(rand.Uint32()),
 		pending:   make(map[cassiagateway.QueryID]*pendingQuery), cancels: make(map[cassiaid.AttemptID]context.CancelFunc)}
-	g.gatewayTimer = time.AfterFunc(time.Hour, func() { g.update(cassiagateway.Tick{}) })
+	g.gatewayTimer = time.AfterFunc(time.Hour, func() { g.Update(cassiagateway.Tick{}) })
 	g.gatewayTimer.Stop()
 	g.directoryTimer = time.AfterFunc(time.Hour, func() { g.UpdateDirectory(cassiadirectory.Tick{}) })
 	g.directoryTimer.Stop()
@@ -139,13 +152,14 @@
 }
 
 // ConfirmFleet reports that the list last passed to UpdateFleet is still current.
-func (g *Gate) ConfirmFleet() { g.update(cassiagateway.FleetConfirmed{}) }
+func (g *Gate) ConfirmFleet() { g.Update(cassiagateway.FleetConfirmed{}) }
 
-// SetAggregatorClient sets the client through which VMs of other zones send this VM's attempts to the targets there.
-func (g *Gate) SetAggregatorClient(client *cassiaaggregate.Client) {
+// SetPeerClients sets the clients through which VMs of other zones send this VM's attempts to the targets there, and through which other
+// VMs serve requests of this one.
+func (g *Gate) SetPeerClients(aggregator *cassiaaggregate.Client, forward *cassiaforward.Client) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.aggregatorClient = client
+	g.aggregatorClient, g.forwardClient = aggregator, forward
 	g.publishFleet()
 }
 
@@ -211,12 +225,22 @@
 	return others
 }
 
-// Target returns a target that may be used, and false if there is none of that name.
+// Target returns a target that may be used, and false if there is none of that name or this VM reaches no target.
 func (g *Gate) Target(name cassiaid.TargetName) (cassiadirectory.Target, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	target, ok := g.targets[name]
-	return target, ok
+	return target, ok && !g.gateway.Isolated()
+}
+
+// ObserveReach records whether a target answered what this VM sent to it at a time for another VM.
+func (g *Gate) ObserveReach(reached bool, sentAt time.Time) {
+	switch {
+	case reached:
+		g.heardAt.Store(time.Now().UnixNano())
+	case g.heardAt.Load() <= sentAt.UnixNano():
+		g.Update(cassiagateway.TargetUnreached{SentAt: sentAt})
+	}
 }
 
 // Zones returns the availability zones that have targets, sorted by name; callers must not change the slice.
@@ -238,7 +262,7 @@
 		case e.Outcome == cassiagateway.OutcomeLost:
 			g.group.Go(func() error {
 				share()
-				g.update(e)
+				g.Update(e)
 				return nil
 			})
 		default:
@@ -247,7 +271,7 @@
 		}
 	}
 	if len(ended.Ended) > 0 {
-		g.update(ended)
+		g.Update(ended)
 	}
 }
 
@@ -264,13 +288,13 @@
 
 // submit passes a request to the gateway and waits for its answer; it returns false if ctx ends first because the caller has
 // gone.
-func (g *Gate) submit(ctx context.Context, route *cassiacatalog.Route, call cassiapool.Call, request fingerprints) (cassiagateway.Answer, bool) {
-	q := &pendingQuery{call: call, fingerprints: request, route: route.Name, topK: route.TopK, answer: make(chan cassiagateway.Answer, 1)}
+func (g *Gate) submit(ctx context.Context, r routedRequest) (cassiagateway.Answer, bool) {
+	q := &pendingQuery{routedRequest: r, answer: make(chan cassiagateway.Answer, 1)}
 	g.mutex.Lock()
 	g.nextQuery++
 	id := g.nextQuery
 	g.pending[id] = q
-	g.perform(g.gateway.Update(cassiagateway.Arrived{Query: id, Route: route, Deadline: call.Deadline}))
+	g.perform(g.gateway.Update(cassiagateway.Arrived{Query: id, Route: r.route, Deadline: r.call.Deadline, ForOther: r.from != ""}))
 	g.mutex.Unlock()
 	select {
 	case answer := <-q.answer:
@@ -289,8 +313,8 @@
 	return max(g.guard.Remaining(request.caller), g.guard.Remaining(request.content))
 }
 
-// update passes a message to the gateway and performs the effects.
-func (g *Gate) update(m cassiagateway.Message) {
+// Update passes a message to the gateway and performs the effects.
+func (g *Gate) Update(m cassiagateway.Message) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.perform(g.gateway.Update(m))
@@ -308,6 +332,10 @@
 			g.send(batches, e)
 		case cassiagateway.Cancel:
 			g.cancel(e.Attempt)
+		case cassiagateway.Forward:
+			g.forward(e)
+		case cassiagateway.CancelForward:
+			g.forwardClient.Cancel(e.Query)
 		case cassiagateway.Refresh:
 			g.report.event("refresh")
 			if g.Refresh != nil {
@@ -349,7 +377,7 @@
 // holds the mutex.
 func (g *Gate) abandon(id cassiaid.AttemptID) {
 	g.group.Go(func() error {
-		g.update(cassiagateway.AttemptEnded{Attempt: id, Outcome: cassiagateway.OutcomeAbandoned})
+		g.Update(cassiagateway.AttemptEnded{Attempt: id, Outcome: cassiagateway.OutcomeAbandoned})
 		return nil
 	})
 }
@@ -357,9 +385,9 @@
 // probe opens a connection to a target and reports whether that succeeded.
 func (g *Gate) probe(e cassiagateway.Probe) {
 	g.group.Go(func() error {
-		reached := g.pool.Probe(e.Address, string(e.Target))
-		g.report.probeEnded(e.Target, reached)
-		g.update(cassiagateway.ProbeEnded{Target: e.Target, Reached: reached})
+		reached, reset := g.pool.Probe(e.Address, string(e.Target))
+		g.report.probeEnded(e.Target, reached, reset)
+		g.Update(cassiagateway.ProbeEnded{Target: e.Target, Reached: reached, Reset: reset})
 		return nil
 	})
 }
--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -1,6 +1,7 @@
 package cassiagate
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -61,21 +62,27 @@
 		h.refuseBody(w, id, route, err)
 		return
 	}
-	request := fingerprintsOf(r, body)
-	if remaining := h.gate.quarantineRemaining(request); remaining > 0 {
-		h.refuseQuarantined(w, remaining)
-		h.gate.report.quarantined(id, route.Name, request, remaining)
-		return
-	}
 	call := cassiapool.Call{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h.forwardedHeader(r.Header),
 		RequestID: id, Body: body, Deadline: arrived.Add(h.timeout(r, route))}
-	answer, ok := h.gate.submit(r.Context(), route, call, request)
+	h.serveRouted(r.Context(), w, routedRequest{call: call, fingerprints: fingerprintsOf(r, body), route: route, configuration: catalog.Version})
+}
+
+// serveRouted answers a request unless it is quarantined or its caller leaves. It returns the refusal if the gateway refused it.
+func (h *handler) serveRouted(ctx context.Context, w http.ResponseWriter, r routedRequest) *cassiagateway.Refusal {
+	arrived, id := time.Now(), r.call.RequestID
+	if remaining := h.gate.quarantineRemaining(r.fingerprints); remaining > 0 {
+		h.refuseQuarantined(w, remaining)
+		h.gate.report.quarantined(id, r.route.Name, r.fingerprints, remaining)
+		return nil
+	}
+	answer, ok := h.gate.submit(ctx, r)
 	if !ok {
-		h.gate.report.callerGone(id, route, time.Since(arrived))
-		return
+		h.gate.report.callerGone(id, r.route, time.Since(arrived))
+		return nil
 	}
-	status := h.writeAnswer(w, answer, request)
-	h.gate.report.answered(id, request, route, answer, status)
+	status := h.writeAnswer(w, answer, r.fingerprints)
+	h.gate.report.answered(r, answer, status)
+	return answer.Refusal
 }
 
 // forwardedHeader returns the headers that are passed on to targets, without hop-by-hop headers and those that this VM sets
@@ -141,6 +148,8 @@
 	switch {
 	case answer.Reply != nil:
 		return h.writeReply(w, answer.Reply)
+	case answer.Forwarded != nil:
+		return h.writeForwarded(w, answer.Forwarded)
 	case answer.Merged != nil:
 		header := w.Header()
 		header.Set(h.headers.PartStamps, strings.Join(answer.Merged.Stamps, ", "))
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -37,9 +37,21 @@
 
 func (r *Report) attemptEnded(o cassiagateway.Outcome) { r.count("attempts", "outcome", string(o)) }
 
-func (r *Report) probeEnded(target cassiaid.TargetName, reached bool) {
+func (r *Report) probeEnded(target cassiaid.TargetName, reached, reset bool) {
 	r.count("probes", "reached", strconv.FormatBool(reached))
-	level.Info(r.logger).Log("event", "probed", "target", target, "reached", reached)
+	level.Info(r.logger).Log("event", "probed", "target", target, "reached", reached, "reset", reset)
+}
+
+// forwarded reports that a request is passed to another VM.
+func (r *Report) forwarded(id string, vm cassiaid.VMName) {
+	r.scope.Counter("forwards").Inc(1)
+	level.Info(r.logger).Log("event", "forwarded", "request", id, "to", vm)
+}
+
+// declined reports that a request of another VM is not served.
+func (r *Report) declined(id string, from cassiaid.VMName, reason string) {
+	r.count("forwards_declined", "reason", reason)
+	level.Info(r.logger).Log("event", "declined", "request", id, "from", from, "reason", reason)
 }
 
 func (r *Report) viewChanged(e cassiagateway.ViewChanged) {
@@ -83,10 +95,10 @@
 	level.Info(r.logger).Log("event", "callerGone", "request", id, "route", route.Name, "elapsed", elapsed)
 }
 
-func (r *Report) answered(id string, request fingerprints, route *cassiacatalog.Route, a cassiagateway.Answer, status int) {
+func (r *Report) answered(request routedRequest, a cassiagateway.Answer, status int) {
 	t := a.Trace
 	r.scope.Histogram("request_latency", latencyBuckets).RecordDuration(t.Elapsed)
-	line := []any{"event", "answered", "request", id, "route", route.Name, "status", status, "elapsed", t.Elapsed,
+	line := []any{"event", "answered", "request", request.call.RequestID, "route", request.route.Name, "status", status, "elapsed", t.Elapsed,
 		"shards", t.Shards, "answered", t.Answered, "attempts", t.Attempts, "otherZones", t.OtherZones, "hedges", t.Hedges, "retries", t.Retries}
 	if t.Skipped+t.Dropped > 0 {
 		line = append(line, "skipped", t.Skipped, "dropped", t.Dropped)
@@ -95,7 +107,13 @@
 		line = append(line, "unpaid", t.Unpaid, "denied", t.Denied)
 	}
 	if t.LastFailure != "" {
-		line = append(line, "lastFailure", t.LastFailure, "fingerprint", request.caller, "content", request.content)
+		line = append(line, "lastFailure", t.LastFailure, "fingerprint", request.fingerprints.caller, "content", request.fingerprints.content)
+	}
+	if t.Forwards > 0 {
+		line = append(line, "forwards", t.Forwards, "forwardedTo", t.ForwardedTo)
+	}
+	if request.from != "" {
+		line = append(line, "from", request.from)
 	}
 	if a.Refusal != nil {
 		r.count("refusals", "reason", string(a.Refusal.Reason))
--- a/io/cassiagate/send.go
+++ b/io/cassiagate/send.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancels[e.Attempt] = cancel
 	call.BeforeSend = func() bool {
-		g.update(cassiagateway.AttemptBegins{Attempt: e.Attempt})
+		g.Update(cassiagateway.AttemptBegins{Attempt: e.Attempt})
 		return ctx.Err() == nil
 	}
 	g.workers.Go(func() {
@@ -137,7 +137,7 @@
 	key := batchKey{vm: e.Aggregator, query: e.Query}
 	batch := batches[key]
 	if batch == nil {
-		batch = &cassiaaggregate.Batch{Query: e.Query, Call: q.call, Route: q.route, TopK: q.topK}
+		batch = &cassiaaggregate.Batch{Query: e.Query, Call: q.call, Route: q.route.Name, TopK: q.route.TopK}
 		batch.Call.Deadline = e.Deadline
 		batches[key] = batch
 	}
--- a/io/cassiagate/server.go
+++ b/io/cassiagate/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/io/cassiaforward"
 )
 
 const (
@@ -36,6 +38,8 @@
 	// ServeAfterStop is how long after the stop signal new requests are still served, so that the load balancer can
 	// notice it.
 	ServeAfterStop time.Duration
+	// Forwards, if set, serves requests of other VMs. It declines new ones from the stop signal on.
+	Forwards *cassiaforward.Server
 	// Grace is how long after the stop signal the server may run.
 	Grace time.Duration
 }
@@ -134,6 +138,9 @@
 	start := time.Now()
 	s.stopping.Store(true)
 	s.gate.report.event("stopping", "callersFor", s.config.ServeAfterStop, "grace", s.config.Grace)
+	if s.config.Forwards != nil {
+		s.config.Forwards.Stop()
+	}
 	timer := time.NewTimer(s.config.ServeAfterStop)
 	<-timer.C
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(s.config.Grace))
@@ -143,6 +150,11 @@
 			s.gate.report.event("stopCutOff", "error", err)
 		}
 	}
+	if s.config.Forwards != nil {
+		if err := s.config.Forwards.Drain(ctx); err != nil {
+			s.gate.report.event("stopCutOff", "error", err)
+		}
+	}
 	s.gate.report.event("stopped", "elapsed", time.Since(start))
 }
 
--- a/io/cassiapool/pool_test.go
+++ b/io/cassiapool/pool_test.go
@@ -250,7 +250,19 @@
 	pool := &Pool{Headers: testHeaders}
 	outcome := pool.Exchange(context.Background(), call(address, "1")).Outcome
 	c.Check(outcome, qt.Equals, cassiagateway.OutcomeUnsent)
-	c.Check(pool.Probe(address, "i"), qt.IsFalse)
+	reached, _ := pool.Probe(address, "i")
+	c.Check(reached, qt.IsFalse)
+}
+
+// TestProbeTellsAConnectionThatIsResetAtOnce guards against taking a middlebox that accepts connections and resets them for a target that
+// can be reached.
+func TestProbeTellsAConnectionThatIsResetAtOnce(t *testing.T) {
+	c := qt.New(t)
+	pool := &Pool{Headers: testHeaders}
+	reached, reset := pool.Probe(listen(t, func(net.Conn, *bufio.Reader) {}), "i")
+	c.Check(reached && reset, qt.IsTrue)
+	reached, reset = pool.Probe(listen(t, answerEach(completeReply)), "i")
+	c.Check(reached && !reset, qt.IsTrue)
 }
 
 // TestCallThatIsNotWantedSendsNothing: a call whose BeforeSend returns false is abandoned before the first byte.
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -45,6 +45,8 @@
 	version int
 	// shardConnections is the maximum number of connections that a target of a shard accepts; 26 if zero.
 	shardConnections int
+	// storeAddresses holds the address of the store for VMs that don't use the server's.
+	storeAddresses map[string]string
 	// transport sends the callers' requests.
 	transport    http.RoundTripper
 	requestCount atomic.Int64
@@ -161,7 +163,7 @@
 	vm := &frontVM{callerAddress: ports.ip + ":" + ports.callers, readinessAddress: ports.ip + ":" + ports.readiness}
 	lines := []string{"node_name=" + name, "zone=" + zone, "ip=" + ports.ip, "listen.front=" + vm.callerAddress,
 		"listen.ready_addr=" + vm.readinessAddress, "internal_ports=" + ports.peers + ",65535", "limits.memory_mb=284", "limits.cpu_share=0.4",
-		"platform.address=" + s.server.Listener.Addr().String(), "platform.min_ttl_ms=1000", "bounds.drain_ms=3000", "bounds.grace_s=6",
+		"platform.address=" + cmp.Or(s.storeAddresses[name], s.server.Listener.Addr().String()), "platform.min_ttl_ms=1000", "bounds.drain_ms=3000", "bounds.grace_s=6",
 		"bounds.retry_budget_ratio=0.2", "bounds.retry_budget_slack=54", "bounds.budget_window_s=10", "something.new=1"}
 	vm.settingsFile = filepath.Join(t.TempDir(), "boot.conf")
 	qt.Assert(t, os.WriteFile(vm.settingsFile, []byte(strings.Join(lines, "\n")), 0o600), qt.IsNil)
