Test that a reply that breaks off within its head is no answer

It can't happen here: each prefix of six heads (with a length, without one, chunked, without a body, a failure, a refusal) ends as broken or lost, also at the last byte. No change of code.

--- a/io/cassiapool/pool_test.go
+++ b/io/cassiapool/pool_test.go
@@ -118,6 +118,30 @@
 	}
 }
 
+// TestHeadThatBreaksOffIsNoAnswer guards against a reply that ends within its head and passes for a complete one with an empty or short
+// body.
+func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Stamp: s\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 204 None\r\nX-Id: 1\r\nX-Stamp: s\r\n\r\n",
+		"HTTP/1.1 500 Oops\r\nX-Id: 1\r\nX-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for end := range len(head) {
+			address := listen(t, func(conn net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err == nil {
+					conn.Write([]byte(head[:end])) //nolint:errcheck // the test fails without it
+				}
+			})
+			outcome := (&Pool{Headers: testHeaders}).Exchange(context.Background(), call(address, "1")).Outcome
+			qt.Check(t, outcome == cassiagateway.OutcomeBroken || outcome == cassiagateway.OutcomeLost, qt.IsTrue,
+				qt.Commentf("%s after %q", outcome, head[:end]))
+		}
+	}
+}
+
 // TestRateThatATargetNamesIsRead guards against a limit that goes unnoticed, or that is taken for lifted without the target's word.
 func TestRateThatATargetNamesIsRead(t *testing.T) {
 	const (
