--- a/test/front_test.go
+++ b/test/front_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -454,6 +456,44 @@
 }
 
 // TestFrontStopsWithoutCuttingOff requires that a planned stop fails no request of callers that keep their connections.
+// TestFrontFollowsAListWithOddEntries guards against VMs that end, or stop following the list of targets, because another writer left an entry
+// that can't be used, also under the name of a target.
+func TestFrontFollowsAListWithOddEntries(t *testing.T) {
+	s := newPlatformEnv(t)
+	odd := s.target("t-single").Entry(envZone, "ready", 1)
+	for i, change := range []func(entry map[string]any){
+		func(entry map[string]any) { entry["address"] = "127.0.0.1:70000" },
+		func(entry map[string]any) { entry["slots"] = 1e300 },
+		func(entry map[string]any) {
+			entry["more"] = json.RawMessage(strings.Repeat("[", 9000) + strings.Repeat("]", 9000))
+		},
+		// This one comes last, so that the target's own entry has a lower sequence.
+		func(entry map[string]any) { entry["sequence"] = 1e18 },
+	} {
+		entry := maps.Clone(odd)
+		change(entry)
+		s.store.Put(fmt.Sprintf("servers/odd-%d", i), entry)
+		s.store.Put("servers/t-single", entry)
+	}
+	s.configure(routeConfig("/one/", "idempotent", "single"))
+	vm := s.launchReady(t, "vm-1", envZone)
+	s.store.Put("servers/t-single", s.target("t-single").Entry(envZone, "ready", 2))
+	s.eventually(func() bool {
+		answer, _, err := s.do(vm, http.MethodGet, "/one/x", "")
+		return err == nil && answer.status == http.StatusOK
+	}, "the target is not used after its own entry")
+	s.store.Put("servers/t-single", s.target("t-single").Entry(envZone, "draining", 3))
+	s.eventually(func() bool {
+		answer, _, err := s.do(vm, http.MethodGet, "/one/x", "")
+		return err == nil && answer.status == http.StatusServiceUnavailable
+	}, "the VM does not follow the list any more")
+	select {
+	case <-vm.process.exited:
+		t.Fatal("the VM has ended: " + vm.process.endOf())
+	default:
+	}
+}
+
 func TestFrontStopsWithoutCuttingOff(t *testing.T) {
 	s := newPlatformEnv(t)
 	s.configure(routeConfig("/one/", "idempotent", "single"))
