Blame no watcher and no store for a watch that this VM cancelled

That counted as a failure of the watcher, which was avoided for 2 s and lost its connection, and then of the store, which was avoided for 5 s.

TestRefreshIsNoFailureOfAWatcher: red before on all six VMs, green after.

--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -363,7 +363,7 @@
 		return result, nil
 	}
 	events, next, err := f.source.Watch(ctx, after, f.watchers.WatchTimeout())
-	if err != nil && !errors.Is(err, ErrCompacted) {
+	if err != nil && !errors.Is(err, ErrCompacted) && ctx.Err() == nil {
 		f.lastWatchFailure = time.Now()
 	}
 	return WatchResult{Events: events, Next: next}, err
--- /dev/null
+++ b/io/cassiafollow/follower_test.go
@@ -0,0 +1,170 @@
+package cassiafollow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/core/cassiacatalog"
+	"cassiasaddle/core/cassiadirectory"
+	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/core/cassiaschema"
+)
+
+const followedZone = 6
+
+// followedWorld is a store and the VMs of one zone; it is the Source, and the Exchanger by which watchers are asked.
+type followedWorld struct {
+	mutex sync.Mutex
+	// storeDown has all calls of the store fail; watchersLost has watchers say that they may be behind it.
+	storeDown, watchersLost bool
+	events                  []Event
+	// maxEvents limits the events that a watch of the store returns.
+	maxEvents int
+	// asked counts the watches at watchers, storeWatches those at the store, dropped the connections closed.
+	asked, storeWatches, dropped int
+	// hold keeps watches from being answered while nothing has changed.
+	hold time.Duration
+}
+
+func (w *followedWorld) vms() []VM {
+	var vms []VM
+	for i := range followedZone {
+		vms = append(vms, VM{Name: cassiaid.VMName(fmt.Sprintf("vm-%d", i)), Zone: "a", PeerAddress: "127.0.0.1:1"})
+	}
+	return vms
+}
+
+func (w *followedWorld) set(change func()) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	change()
+}
+
+// List implements Source.
+func (w *followedWorld) List(context.Context, bool) ([]Event, Position, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.storeDown {
+		return nil, Position{}, errors.New("store down")
+	}
+	return w.events, Position{Revision: Revision(len(w.events) + 1)}, nil
+}
+
+// Watch implements Source.
+func (w *followedWorld) Watch(ctx context.Context, after Position, wait time.Duration) ([]Event, Position, error) {
+	w.set(func() { w.storeWatches++ })
+	events, next, err := w.since(after)
+	if err == nil && len(events) == 0 {
+		sleep(ctx, wait)
+	}
+	return events, next, errors.Join(err, ctx.Err())
+}
+
+// since returns the first maxEvents events after a position. The event of revision n is the one with index n-2.
+func (w *followedWorld) since(after Position) ([]Event, Position, error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.storeDown {
+		return nil, after, errors.New("store down")
+	}
+	events := w.events[after.Revision-1:]
+	if w.maxEvents > 0 && len(events) > w.maxEvents {
+		events = events[:w.maxEvents]
+	}
+	return events, Position{Revision: after.Revision + Revision(len(events))}, nil
+}
+
+// Decode implements Source.
+func (w *followedWorld) Decode(e Event) Change {
+	if e.Key != "config" {
+		return Change{}
+	}
+	return Change{Catalog: cassiacatalog.NewCatalog(cassiacatalog.Version(e.Revision), cassiacatalog.Limits{}, nil, nil)}
+}
+
+// Exchange implements Exchanger.
+func (w *followedWorld) Exchange(ctx context.Context, _ cassiaid.VMName, frame *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error) {
+	w.mutex.Lock()
+	w.asked++
+	lost, hold := w.watchersLost, w.hold
+	request := frame.GetStoreWatch()
+	reply := &cassiaschema.StoreWatchReply{Lost: lost, Revision: request.GetAfter()}
+	if !lost {
+		reply.Events = encodeEvents(w.events[request.GetAfter()-1:])
+		reply.Revision = uint64(len(w.events) + 1)
+	}
+	w.mutex.Unlock()
+	if len(reply.GetEvents()) == 0 && !lost {
+		sleep(ctx, max(hold, request.GetWait().AsDuration()))
+	}
+	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_StoreWatchReply{StoreWatchReply: reply}}, ctx.Err()
+}
+
+// DropSilent implements Exchanger.
+func (w *followedWorld) DropSilent(cassiaid.VMName, time.Time) { w.set(func() { w.dropped++ }) }
+
+// followerSink records when a configuration comes into force.
+type followerSink struct{ catalogs chan cassiacatalog.Version }
+
+func (s *followerSink) UpdateCatalog(c *cassiacatalog.Catalog)     { s.catalogs <- c.Version }
+func (s *followerSink) UpdateDirectory(...cassiadirectory.Message) {}
+func (s *followerSink) UpdateFleet([]VM)                           {}
+func (s *followerSink) ConfirmFleet()                              {}
+func (s *followerSink) UpdateQuarantines(QuarantinesChanged)       {}
+func ignoreLog(string, ...any)                                     {}
+func (w *followedWorld) watchersFor(vm VM) *Watchers {
+	watchers := NewWatchers(vm, ignoreLog)
+	watchers.SetExchanger(w)
+	watchers.UpdateFleet(w.vms())
+	return watchers
+}
+
+// startFollower follows from revision 1 on until the test ends.
+func (w *followedWorld) startFollower(t *testing.T, vm VM) (*Follower, *followerSink) {
+	sink := &followerSink{catalogs: make(chan cassiacatalog.Version, 64)}
+	f := NewFollower(w, sink, w.watchersFor(vm), &Journal{}, ignoreLog)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { f.watch(ctx, Position{Revision: 1}); return nil })
+	t.Cleanup(func() { cancel(); qt.Check(t, group.Wait(), qt.IsNil) })
+	return f, sink
+}
+
+// TestVMsThatTheStoreTurnsAwayCallItRarely guards against a storm of calls from a large fleet while the store is away.
+func TestVMsThatTheStoreTurnsAwayCallItRarely(t *testing.T) {
+	t.Parallel()
+	w := &followedWorld{storeDown: true, watchersLost: true}
+	for _, vm := range w.vms() {
+		if w.watchersFor(vm).WatchTimeout() == MaxWatchTimeout {
+			w.startFollower(t, vm)
+			break
+		}
+	}
+	sleep(t.Context(), 8*time.Second)
+	w.set(func() { qt.Check(t, w.storeWatches <= 12, qt.IsTrue, qt.Commentf("%d calls in 8 s", w.storeWatches)) })
+}
+
+// TestRefreshIsNoFailureOfAWatcher guards against a VM that avoids its watcher, or the store, because it cancelled its own watch.
+func TestRefreshIsNoFailureOfAWatcher(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := &followedWorld{}
+	for _, vm := range w.vms() {
+		sink := &followerSink{catalogs: make(chan cassiacatalog.Version, 64)}
+		watchers := w.watchersFor(vm)
+		f := NewFollower(w, sink, watchers, &Journal{}, ignoreLog)
+		f.Refresh()
+		_, refreshed, _ := f.watchOnce(t.Context(), Position{Revision: 1})
+		c.Check(refreshed, qt.IsTrue)
+		c.Check(f.lastWatchFailure.IsZero(), qt.IsTrue, qt.Commentf("%s avoids the store", vm.Name))
+		c.Check(watchers.avoided, qt.HasLen, 0, qt.Commentf("%s avoids a watcher", vm.Name))
+	}
+	c.Check(w.dropped, qt.Equals, 0)
+}
--- a/io/cassiafollow/watchers.go
+++ b/io/cassiafollow/watchers.go
@@ -112,6 +112,7 @@
 		return WatchResult{}, false
 	}
 	start := time.Now()
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, delegatedWatchTimeout+watcherReplyMargin)
 	defer cancel()
 	request := &cassiaschema.StoreWatch{After: uint64(after.Revision), Era: uint64(after.Era), Wait: durationpb.New(delegatedWatchTimeout),
@@ -122,6 +123,9 @@
 	if err == nil {
 		events, err = decodeEvents(reply)
 	}
+	if caller.Err() != nil {
+		return WatchResult{}, false
+	}
 	if err != nil {
 		// A silent connection may lead to an earlier process of that VM and would stay silent for long.
 		exchanger.DropSilent(watcher, start)
