Ask watchers while backing off from the store

The store turned a third of the VMs away until 11.5 s. A VM whose watchers were behind as well slept through a backoff of up to 3.75 s, in which it asked nobody, then met a watcher that it had avoided for 2 s or that did not reply for 1.4 s, and slept again. Class: waits that are each short enough add up past the time within which a configuration has to be in force.

A VM now goes on asking watchers during the backoff, and one that said that it may be behind is asked again after 0.7 s. Lists, which only the store can give, are retried after 1.2 s at most.

TestVMsThatTheStoreTurnsAwayCallItRarely holds before and after.

--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -159,6 +159,8 @@
 	unlisted atomic.Bool
 	// lastWatchFailure is the time of the last failed watch of the store; zero if none failed.
 	lastWatchFailure time.Time
+	// storeRetryAt is when the store may be called again after a call has failed.
+	storeRetryAt time.Time
 	// era is the store's era as of the last list; listed is true after the first one.
 	era      Era
 	listed   bool
@@ -199,7 +201,9 @@
 			continue
 		}
 		if err != nil {
-			f.callFailed(ctx, "list", err)
+			// Only the store gives a list, so this does not wait for as long as a watch.
+			f.callFailed(ctx, "list", err, maxBackoff)
+			sleep(ctx, time.Until(f.storeRetryAt))
 			continue
 		}
 		f.callSucceeded()
@@ -312,7 +316,7 @@
 			return true
 		}
 		if err != nil {
-			f.callFailed(ctx, "watch", err)
+			f.callFailed(ctx, "watch", err, f.watchers.maxBackoff())
 			continue
 		}
 		f.callSucceeded()
@@ -356,11 +360,19 @@
 }
 
 // waitForChanges asks a watcher of this VM's zone for changes if there is one to ask, else the store. For storeAvoidPeriod
-// after a failed watch of the store, this VM asks another watcher first even if it is a watcher itself.
+// after a failed watch of the store, this VM asks another watcher first even if it is a watcher itself. It goes on asking watchers while it
+// backs off from the store.
 func (f *Follower) waitForChanges(ctx context.Context, after Position) (WatchResult, error) {
-	avoidStore := !f.lastWatchFailure.IsZero() && time.Since(f.lastWatchFailure) < storeAvoidPeriod
-	if result, ok := f.watchers.Watch(ctx, after, avoidStore); ok {
-		return result, nil
+	for {
+		avoidStore := !f.lastWatchFailure.IsZero() && time.Since(f.lastWatchFailure) < storeAvoidPeriod
+		if result, ok := f.watchers.Watch(ctx, after, avoidStore); ok {
+			return result, nil
+		}
+		backoff := time.Until(f.storeRetryAt)
+		if backoff <= 0 || ctx.Err() != nil {
+			break
+		}
+		sleep(ctx, min(backoff, watcherRetryDelay))
 	}
 	events, next, err := f.source.Watch(ctx, after, f.watchers.WatchTimeout())
 	if err != nil && !errors.Is(err, ErrCompacted) && ctx.Err() == nil {
@@ -449,9 +461,9 @@
 	f.sink.UpdateFleet(vms)
 }
 
-// callFailed records a failed call of the source and waits for the backoff. Only the first failure in a row is logged and
+// callFailed records a failed call of the source and when the next one may follow. Only the first failure in a row is logged and
 // passed to the sink.
-func (f *Follower) callFailed(ctx context.Context, call string, err error) {
+func (f *Follower) callFailed(ctx context.Context, call string, err error, maxDelay time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -460,9 +472,8 @@
 		f.sink.UpdateDirectory(cassiadirectory.StoreLost{})
 	}
 	f.journal.SetStoreLost(true)
-	delay := retryBackoff(f.failures, f.watchers.maxBackoff())
+	f.storeRetryAt = time.Now().Add(retryBackoff(f.failures, maxDelay))
 	f.failures++
-	sleep(ctx, delay)
 }
 
 // retryBackoff returns the randomized delay before the next call after some failures in a row, at most 1.5 times maxDelay.
@@ -491,6 +502,7 @@
 		f.log("storeRegained", "failures", f.failures)
 		f.failures = 0
 	}
+	f.storeRetryAt = time.Time{}
 	f.journal.SetStoreLost(false)
 	f.sink.UpdateDirectory(cassiadirectory.StoreRegained{})
 }
--- a/io/cassiafollow/follower_test.go
+++ b/io/cassiafollow/follower_test.go
@@ -137,6 +137,32 @@
 	return f, sink
 }
 
+// TestVMsThatTheStoreTurnsAwayLearnFromWatchers guards against VMs that wait for the end of a long backoff of the store while the watchers of
+// their zone have the configuration.
+func TestVMsThatTheStoreTurnsAwayLearnFromWatchers(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := &followedWorld{storeDown: true, watchersLost: true}
+	var sinks []*followerSink
+	for _, vm := range w.vms() {
+		if w.watchersFor(vm).WatchTimeout() == MaxWatchTimeout {
+			_, sink := w.startFollower(t, vm)
+			sinks = append(sinks, sink)
+		}
+	}
+	// Long enough for the longest backoff.
+	sleep(t.Context(), 8*time.Second)
+	w.set(func() { w.watchersLost, w.events = false, []Event{{Key: "config", Revision: 2}} })
+	limit := time.After(configApplyLimit / 2)
+	for _, sink := range sinks {
+		select {
+		case <-sink.catalogs:
+		case <-limit:
+			c.Fatalf("a VM has no configuration %v after the watchers have it", configApplyLimit/2)
+		}
+	}
+}
+
 // TestVMsThatTheStoreTurnsAwayCallItRarely guards against a storm of calls from a large fleet while the store is away.
 func TestVMsThatTheStoreTurnsAwayCallItRarely(t *testing.T) {
 	t.Parallel()
--- a/io/cassiafollow/watchers.go
+++ b/io/cassiafollow/watchers.go
@@ -27,8 +27,12 @@
 	watcherReplyMargin = 400 * time.Millisecond
 	// nonWatcherMaxBackoff replaces maxBackoff for VMs that ask watchers.
 	nonWatcherMaxBackoff = 2500 * time.Millisecond
-	// watcherAvoidPeriod is how long a watcher is not asked after it failed.
-	watcherAvoidPeriod = 2 * time.Second
+	// watcherAvoidPeriod is how long a watcher is not asked after it failed, staleWatcherAvoidPeriod after it said that it may be behind
+	// the store. The latter is shorter, since such a watcher replies at once.
+	watcherAvoidPeriod      = 2 * time.Second
+	staleWatcherAvoidPeriod = 700 * time.Millisecond
+	// watcherRetryDelay is how often a VM that backs off from the store looks for a watcher to ask.
+	watcherRetryDelay = 300 * time.Millisecond
 )
 
 // Exchanger sends a request to another VM and returns its reply; *cassiapeer.Node implements it.
@@ -157,11 +161,15 @@
 	return "", nil
 }
 
-// avoid records that a watch after a position failed at a watcher, so that the watcher is not asked for watcherAvoidPeriod. The error
+// avoid records that a watch after a position failed at a watcher, so that the watcher is not asked for some time. The error
 // is nil if the watcher said that it may be behind the store.
 func (w *Watchers) avoid(name cassiaid.VMName, after Position, elapsed time.Duration, err error) {
 	w.log("watcherAvoided", "watcher", name, "after", after.Revision, "elapsed", elapsed, "error", err)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.avoided[name] = time.Now().Add(watcherAvoidPeriod)
+	period := watcherAvoidPeriod
+	if err == nil {
+		period = staleWatcherAvoidPeriod
+	}
+	w.avoided[name] = time.Now().Add(period)
 }
