Do not pause between the parts of what a VM has missed

After an outage or a reshard a VM was several parts behind and paused for 0.3 s after each, which is meant for collecting further changes.

TestFollowerCatchesUpWithoutPauses: red before (pauses with six parts), green after.

--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -29,6 +29,8 @@
 	// further changes are collected for the next one. The pause is short compared with the seconds within which a change has
 	// to be in force.
 	coalesceDelay = 300 * time.Millisecond
+	// storeWatchLimit is the number of changes that the store returns at most for a watch. When there are so many, it has more.
+	storeWatchLimit = 500
 	// initialBackoff is the delay after the first failed call. It doubles with each further failure and is randomized, so
 	// that VMs do not retry all at the same time.
 	initialBackoff = 50 * time.Millisecond
@@ -332,7 +334,7 @@
 		f.logChanges(after, result, changes, time.Since(start))
 		f.apply(changes)
 		f.sink.ConfirmFleet()
-		if result.fromStore() && len(result.Events) > 0 {
+		if result.fromStore() && len(result.Events) > 0 && len(result.Events) < storeWatchLimit {
 			sleep(ctx, coalesceDelay)
 		}
 	}
--- a/io/cassiafollow/follower_test.go
+++ b/io/cassiafollow/follower_test.go
@@ -194,3 +194,26 @@
 	}
 	c.Check(w.dropped, qt.Equals, 0)
 }
+
+// TestFollowerCatchesUpWithoutPauses guards against a pause after each part of what a VM has missed.
+func TestFollowerCatchesUpWithoutPauses(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := &followedWorld{maxEvents: storeWatchLimit}
+	for i := range 6 * storeWatchLimit {
+		w.events = append(w.events, Event{Key: fmt.Sprint(i), Revision: Revision(i + 2)})
+	}
+	w.events[len(w.events)-1].Key = "config"
+	watcher := w.vms()[0]
+	for _, vm := range w.vms() {
+		if w.watchersFor(vm).WatchTimeout() == delegatedWatchTimeout {
+			watcher = vm
+		}
+	}
+	_, sink := w.startFollower(t, watcher)
+	select {
+	case <-sink.catalogs:
+	case <-time.After(2 * coalesceDelay):
+		c.Fatal("the watcher pauses while it is behind")
+	}
+}
