Answer requests that come late in a planned stop

Callers saw connections that ended without an answer: a request that was taken within the first 3 s and outlasted the grace period was cut when the process ended, after it had been passed on, bookings among them. One that came after 3 s on a connection that was open was read and closed by the HTTP server's shutdown; it was not passed on.

After the 3 s new requests now get 503 (not run) while those before them are finished, and only then does the server shut down. What has no answer 0.2 s before the end gets 504, which promises nothing about its run.

--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -213,6 +213,8 @@
 	RefusalFailed RefusalReason = "failed"
 	// RefusalQuarantined means that the request crashes the targets that run it.
 	RefusalQuarantined RefusalReason = "quarantined"
+	// RefusalStopping means that this VM ended before the query had an answer.
+	RefusalStopping RefusalReason = "stopping"
 	// RefusalTimedOut means that the time of the query ran out.
 	RefusalTimedOut RefusalReason = "timedOut"
 )
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -73,6 +73,10 @@
 	aggregatorClient *cassiaaggregate.Client
 	forwardClient    *cassiaforward.Client
 
+	// ending is closed when a planned stop is about to end, so that queries have to end with what there is.
+	ending    chan struct{}
+	endingSet sync.Once
+
 	// heardAt is when a target last answered what this VM sent for another one, in nanoseconds since the Unix epoch.
 	heardAt atomic.Int64
 }
@@ -86,6 +90,7 @@
 		gateway: cassiagateway.NewGateway(clock, random, settings), directory: cassiadirectory.NewDirectory(clock),
 		// Ids start at a random number, since other VMs may still hold ids of this VM's previous process.
 		nextQuery: cassiagateway.QueryID(rand.Uint32()),
+		ending:    make(chan struct{}),
 		pending:   make(map[cassiagateway.QueryID]*pendingQuery), cancels: make(map[cassiaid.AttemptID]context.CancelFunc)}
 	g.gatewayTimer = time.AfterFunc(time.Hour, func() { g.Update(cassiagateway.Tick{}) })
 	g.gatewayTimer.Stop()
@@ -286,6 +291,9 @@
 	return g.targetsListed && g.gateway.CanServe()
 }
 
+// EndQueries ends all queries that have no answer yet with a refusal, and those that come later at once.
+func (g *Gate) EndQueries() { g.endingSet.Do(func() { close(g.ending) }) }
+
 // submit passes a request to the gateway and waits for its answer; it returns false if ctx ends first because the caller has
 // gone.
 func (g *Gate) submit(ctx context.Context, r routedRequest) (cassiagateway.Answer, bool) {
@@ -296,16 +304,19 @@
 	g.pending[id] = q
 	g.perform(g.gateway.Update(cassiagateway.Arrived{Query: id, Route: r.route, Deadline: r.call.Deadline, ForOther: r.from != ""}))
 	g.mutex.Unlock()
+	ended := false
 	select {
 	case answer := <-q.answer:
 		return answer, true
+	case <-g.ending:
+		ended = true
 	case <-ctx.Done():
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	delete(g.pending, id)
 	g.perform(g.gateway.Update(cassiagateway.CallerGone{Query: id}))
-	return cassiagateway.Answer{}, false
+	return cassiagateway.Answer{Refusal: &cassiagateway.Refusal{Reason: cassiagateway.RefusalStopping}}, ended
 }
 
 // quarantineRemaining returns how long a request is still refused because it crashes targets, or 0 if it is not.
--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// stoppingRetryAfter is the Retry-After of a VM that takes no more requests because it stops; other VMs serve them.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// startupRetryAfter is the Retry-After of a VM that has no configuration yet; it takes less than that to read one.
 	startupRetryAfter = 300 * time.Millisecond
 	// defaultDeadline bounds a request without a deadline header on a route without a timeout.
@@ -46,7 +48,7 @@
 	id := r.Header.Get(h.headers.RequestID)
 	catalog := h.gate.catalog.Load()
 	if catalog == nil {
-		h.unavailable(w, startupRetryAfter)
+		refuseWithRetry(w, startupRetryAfter)
 		h.gate.report.refused(id, "", "noConfiguration", http.StatusServiceUnavailable)
 		return
 	}
@@ -133,12 +135,12 @@
 // refuseQuarantined refuses a request that crashes targets; it has not run.
 func (h *handler) refuseQuarantined(w http.ResponseWriter, remaining time.Duration) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	h.unavailable(w, remaining)
+	refuseWithRetry(w, remaining)
 	io.WriteString(w, quarantinedText) //nolint:errcheck // the caller may have disconnected
 }
 
-// unavailable answers with status 503 and a Retry-After header in fractional seconds.
-func (h *handler) unavailable(w http.ResponseWriter, retryAfter time.Duration) {
+// refuseWithRetry answers with status 503 and a Retry-After header in fractional seconds.
+func refuseWithRetry(w http.ResponseWriter, retryAfter time.Duration) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -161,9 +163,9 @@
 		h.refuseQuarantined(w, h.gate.quarantineRemaining(request))
 		return http.StatusServiceUnavailable
 	case answer.Refusal.NotRun:
-		h.unavailable(w, answer.Refusal.RetryAfter)
+		refuseWithRetry(w, answer.Refusal.RetryAfter)
 		return http.StatusServiceUnavailable
-	case answer.Refusal.Reason == cassiagateway.RefusalTimedOut:
+	case answer.Refusal.Reason == cassiagateway.RefusalTimedOut, answer.Refusal.Reason == cassiagateway.RefusalStopping:
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return http.StatusGatewayTimeout
 	default:
--- a/io/cassiagate/server.go
+++ b/io/cassiagate/server.go
@@ -10,6 +10,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"cassiasaddle/core/cassiagateway"
+	"cassiasaddle/io/cassiadrain"
 	"cassiasaddle/io/cassiaforward"
 )
 
@@ -20,6 +22,8 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is above the size of the headers that callers send.
 	maxHeaderBytes = 64 << 10
+	// answerMargin is how long before the end of a planned stop requests without an answer are ended, so that their callers still get one.
+	answerMargin = 200 * time.Millisecond
 	// closeExpiredInterval is how often the pool closes idle connections that expired or that the targets closed.
 	closeExpiredInterval = time.Second
 )
@@ -49,6 +53,8 @@
 	config   ServerConfig
 	gate     *Gate
 	stopping atomic.Bool
+	// work counts the requests that are being served; it drains once the time after the stop signal is over in which new ones are served.
+	work cassiadrain.Work
 	// ready is the result of the last readiness check.
 	ready        atomic.Bool
 	callerServer *http.Server
@@ -118,6 +124,13 @@
 		if s.stopping.Load() || !s.ready.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		draining := s.work.Begin()
+		defer s.work.End()
+		if draining {
+			refuseWithRetry(w, stoppingRetryAfter)
+			s.gate.report.refused(r.Header.Get(s.config.Headers.RequestID), "", string(cassiagateway.RefusalStopping), http.StatusServiceUnavailable)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -133,7 +146,8 @@
 	}
 }
 
-// stop serves new requests for ServeAfterStop, then completes the requests in progress; all of it takes at most Grace.
+// stop serves new requests for ServeAfterStop, then refuses those that come and completes the requests in progress; all of it takes at
+// most Grace. Requests that have no answer shortly before that end are refused.
 func (s *Server) stop(servers []*http.Server) {
 	start := time.Now()
 	s.stopping.Store(true)
@@ -143,8 +157,14 @@
 	}
 	timer := time.NewTimer(s.config.ServeAfterStop)
 	<-timer.C
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(s.config.Grace))
+	end := start.Add(s.config.Grace)
+	defer time.AfterFunc(time.Until(end.Add(-answerMargin)), s.gate.EndQueries).Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	// Shutdown closes connections on which a request arrives, so it comes after those that were taken, and later ones get a refusal.
+	if err := s.work.Drain(ctx); err != nil {
+		s.gate.report.event("stopCutOff", "error", err)
+	}
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
 			s.gate.report.event("stopCutOff", "error", err)
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bufio"
 	"bytes"
 	"cmp"
 	"context"
@@ -533,6 +534,68 @@
 
 // TestFrontMergesWhereTargetsAre requires that a VM in a zone without targets answers through an aggregator in the targets'
 // zone, and sends the attempts itself after the aggregator is lost.
+// rawRequest is a request on a connection of its own.
+type rawRequest struct {
+	c    *qt.C
+	conn net.Conn
+}
+
+// connect opens a connection to a VM on which no request is sent yet.
+func (s *platformEnv) connect(vm *frontVM) *rawRequest {
+	conn, err := net.Dial("tcp", vm.callerAddress)
+	s.c.Assert(err, qt.IsNil)
+	return &rawRequest{c: s.c, conn: conn}
+}
+
+// send sends a booking with an id and waits for the status of its answer.
+func (r *rawRequest) send(id string) int {
+	defer r.conn.Close() //nolint:errcheck // it is not used any more
+	_, err := fmt.Fprintf(r.conn, "POST /booking/x HTTP/1.1\r\nHost: %s\r\nX-Cassiasaddle-Request-Id: %s\r\nX-Cassiasaddle-Deadline-Ms: 9000\r\n"+
+		"Content-Length: 0\r\n\r\n", envHost, id)
+	r.c.Check(err, qt.IsNil)
+	answer, err := http.ReadResponse(bufio.NewReader(r.conn), nil)
+	if !r.c.Check(err, qt.IsNil, qt.Commentf("request %s has no answer", id)) {
+		return 0
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	r.c.Check(err, qt.IsNil)
+	return answer.StatusCode
+}
+
+// TestFrontAnswersRequestsThatComeLateInAStop guards against requests that are taken during a planned stop and cut off without an answer at the
+// end of the grace period.
+func TestFrontAnswersRequestsThatComeLateInAStop(t *testing.T) {
+	t.Parallel()
+	s := newPlatformEnv(t)
+	booking := routeConfig("/booking/", "non_idempotent", "single")
+	booking["timeout_ms"] = 9000
+	s.configure(booking)
+	vm := s.launchReady(t, "vm-1", envZone)
+	target := s.target("t-single")
+	target.SetBehaviour(cassiastage.Behaviour{Work: 5 * time.Second})
+	vm.process.signal(syscall.SIGTERM)
+	stopped := time.Now()
+	var callers errgroup.Group
+	at := func(after time.Duration) { sleep(time.Until(stopped.Add(after))) }
+	long, late := s.connect(vm), &rawRequest{}
+	callers.Go(func() error {
+		at(2 * time.Second)
+		s.c.Check(long.send("long"), qt.Equals, http.StatusGatewayTimeout)
+		return nil
+	})
+	callers.Go(func() error {
+		at(2800 * time.Millisecond)
+		late = s.connect(vm)
+		at(4500 * time.Millisecond)
+		s.c.Check(late.send("late"), qt.Equals, http.StatusServiceUnavailable)
+		return nil
+	})
+	s.c.Assert(callers.Wait(), qt.IsNil)
+	s.c.Check(vm.process.wait(t, envTimeout), qt.Equals, 0)
+	s.c.Check(target.Runs()["late"], qt.Equals, 0, qt.Commentf("a request that was refused as not run"))
+	s.c.Check(target.Runs()["long"], qt.Equals, 1)
+}
+
 func TestFrontMergesWhereTargetsAre(t *testing.T) {
 	s := newPlatformEnv(t)
 	s.configure()
