Choose the relays' local ports when they connect

The relay binds the sender's address before it connects. A port chosen at that moment can't be used again anywhere until its connection has left TIME_WAIT: with 42,207 of them (a soak after another) relays could not reach their upstream, reset what they took, and VMs were not ready or did not serve all shards. A relay can also stop to listen once its upstream refuses a connection, so that the end of a process is seen through it.

--- a/standin/cassiarelay/relay.go
+++ b/standin/cassiarelay/relay.go
@@ -20,6 +20,8 @@
 	// Upstream is the address to which the relay forwards the traffic.
 	Upstream string
 	Seed     uint64
+	// StopWhenRefused makes a TCP relay stop to listen once Upstream refuses a connection, as the process there has ended then.
+	StopWhenRefused bool
 }
 
 // Relay forwards traffic from one address to another while Run runs.
--- a/standin/cassiarelay/stream.go
+++ b/standin/cassiarelay/stream.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
 )
 
 // openConns holds the open connections of a TCP relay, to senders and to upstream, with the IP address of the sender.
@@ -77,7 +79,9 @@
 				return eris.Wrap(err, "relay cannot accept a connection")
 			}
 			group.Go(func() error {
-				r.relayStream(ctx, conn.(*net.TCPConn), conns)
+				if refused := r.relayStream(ctx, conn.(*net.TCPConn), conns); refused && r.options.StopWhenRefused {
+					_ = listener.Close()
+				}
 				return nil
 			})
 		}
@@ -85,8 +89,19 @@
 	return group.Wait()
 }
 
-// relayStream relays one connection until both sides have closed it, one of them fails or the context is done.
-func (r *Relay) relayStream(ctx context.Context, client *net.TCPConn, conns *openConns) {
+// bindAddressOnly has the local port of a socket chosen when it connects. A port that is chosen when the socket is bound can't be used for
+// another connection until that one has left TIME_WAIT, also if it leads elsewhere.
+func bindAddressOnly(_, _ string, socket syscall.RawConn) error {
+	var setError error
+	err := socket.Control(func(fd uintptr) {
+		setError = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
+	})
+	return errors.Join(err, setError)
+}
+
+// relayStream relays one connection until both sides have closed it, one of them fails or the context is done. It returns whether upstream
+// refused the connection.
+func (r *Relay) relayStream(ctx context.Context, client *net.TCPConn, conns *openConns) (refused bool) {
 	sender := ipOf(client.RemoteAddr())
 	conns.add(client, sender)
 	defer conns.remove(client)
@@ -94,13 +109,13 @@
 	if r.state.faultsFor(sender).Cut {
 		r.state.updateCounters(func(c *Counters) { c.Refused++ })
 		reset(client)
-		return
+		return false
 	}
-	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: sender.AsSlice()}}
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: sender.AsSlice()}, Control: bindAddressOnly}
 	conn, err := dialer.DialContext(ctx, "tcp", r.options.Upstream)
 	if err != nil {
 		reset(client)
-		return
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	upstream := conn.(*net.TCPConn)
 	conns.add(upstream, sender)
@@ -119,6 +134,7 @@
 	_ = group.Wait()
 	_ = client.Close()
 	_ = upstream.Close()
+	return false
 }
 
 // relayDirection forwards the data of one direction of a connection until from is closed or either side fails. It calls
