Tell which targets leave along with forwarded requests

The answer now names the target that states so, and a forwarded request names the targets of its services that have told the sender.

--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -194,7 +194,7 @@
 		return err
 	}
 	handler.Client = cassiaaggregate.NewClient(node, p.gate.AttemptsEnded)
-	handler.ForwardClient = cassiaforward.NewClient(node, p.gate.Update)
+	handler.ForwardClient = cassiaforward.NewClient(node, p.gate.UpdateForward)
 	p.notifier.Node = node
 	node.Serve()
 	p.gate.SetPeerClients(handler.Client, handler.ForwardClient)
--- a/core/cassiagateway/availability.go
+++ b/core/cassiagateway/availability.go
@@ -46,6 +46,16 @@
 	g.dropRestricted(now, t.service)
 }
 
+// observeLeaving records that a target has stated to another VM that it leaves.
+func (g *Gateway) observeLeaving(now time.Time, p cassiaavailability.Process) {
+	statement := cassiaavailability.Statement{Leaving: true}
+	if t := g.targets[p.Target]; t != nil && t.process() == p {
+		g.observeStatement(now, t, statement)
+	} else if p.Target != "" {
+		g.availability.Observe(now, p, statement)
+	}
+}
+
 // endTrial ends the trial of a target that has run an attempt sent after its pause.
 func (t *target) endTrial(sentAt time.Time, outcome Outcome) {
 	if (outcome == OutcomeAnswered || outcome == OutcomeFailed) && !sentAt.Before(t.pausedUntil) {
--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaid"
 )
@@ -45,6 +46,8 @@
 	VM    cassiaid.VMName
 	// Deadline is when targets may stop working on the query.
 	Deadline time.Time
+	// Leaving holds the targets that could serve the query and have stated to this VM that they leave.
+	Leaving []cassiaavailability.Process
 }
 
 // CancelForward takes a query back from the VM that it was passed on to; its ForwardEnded must still follow.
--- a/core/cassiagateway/forward.go
+++ b/core/cassiagateway/forward.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiaid"
 )
 
@@ -121,10 +122,23 @@
 	q.forward = &forwarding{vm: vm, sentAt: now, refusal: refusal}
 	q.trace.Forwards++
 	q.trace.ForwardedTo = vm
-	g.emit(Forward{Query: q.id, VM: vm, Deadline: minTime(q.deadline, q.giveUpAt.Add(giveUpMargin))})
+	g.emit(Forward{Query: q.id, VM: vm, Deadline: minTime(q.deadline, q.giveUpAt.Add(giveUpMargin)), Leaving: q.leavingTargets()})
 	return true
 }
 
+// leavingTargets returns the targets of the query's services that have stated that they leave.
+func (q *query) leavingTargets() []cassiaavailability.Process {
+	var leaving []cassiaavailability.Process
+	for _, s := range q.shards {
+		for _, t := range s.service.targets {
+			if t.leaving {
+				leaving = append(leaving, t.process())
+			}
+		}
+	}
+	return leaving
+}
+
 // forwardUnsent passes a query to another VM if no target may have run it; it returns whether it did.
 func (g *Gateway) forwardUnsent(now time.Time, q *query) bool {
 	if q.finished || q.forward != nil || q.mayHaveRun || q.hasBegun() || !g.forward(now, q, RefusalUnreachable) {
@@ -160,6 +174,9 @@
 
 // forwardEnded passes on the answer of the VM that served the query, or goes on without that VM.
 func (g *Gateway) forwardEnded(now time.Time, m ForwardEnded) {
+	if m.Reply != nil {
+		g.observeLeaving(now, m.Reply.Leaving)
+	}
 	q := g.queries[m.Query]
 	if q == nil || q.forward == nil || q.forward.vm != m.VM {
 		return
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -160,6 +160,8 @@
 		g.probeEnded(now, m)
 	case TargetUnreached:
 		g.suspectIsolation(now, m.SentAt)
+	case TargetLeaving:
+		g.observeLeaving(now, m.Process)
 	case ForwardAccepted:
 		g.forwardAccepted(m)
 	case ForwardEnded:
--- a/core/cassiagateway/isolation_test.go
+++ b/core/cassiagateway/isolation_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiacatalog"
 )
 
@@ -196,3 +197,23 @@
 		c.Check(refusal.NotRun, qt.IsFalse)
 	}
 }
+
+// TestTargetThatLeavesByAForwardedAnswerGetsNoMoreRequests guards against a VM that passes on a target's statement that it leaves, in an answer
+// that another VM got, and sends to that target later.
+func TestTargetThatLeavesByAForwardedAnswerGetsNoMoreRequests(t *testing.T) {
+	c := qt.New(t)
+	sim, _, booking := newCutSimulation(3)
+	g := sim.vms[0].gateway
+	g.isolation.isolated = true
+	sent := effectsOf[Forward](g.Update(Arrived{Query: 1, Route: booking.route, Deadline: sim.now.Add(time.Second)}))
+	c.Assert(sent, qt.HasLen, 1)
+	leaving := g.targets[targetName(0, 0)]
+	g.Update(ForwardEnded{Query: 1, VM: sent[0].VM, Outcome: ForwardAnswered, Reply: &Reply{Status: 200, Leaving: leaving.process()}})
+	c.Check(leaving.leaving, qt.IsTrue)
+	c.Check(leaving.usable(), qt.IsFalse)
+	sent = effectsOf[Forward](g.Update(Arrived{Query: 2, Route: booking.route, Deadline: sim.now.Add(time.Second)}))
+	c.Check(sent[0].Leaving, qt.DeepEquals, []cassiaavailability.Process{leaving.process()}, qt.Commentf("the other VM is not told"))
+	other := sim.vms[1].gateway
+	other.Update(TargetLeaving{Process: leaving.process()})
+	c.Check(other.targets[leaving.Name].leaving, qt.IsTrue)
+}
--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -45,6 +45,9 @@
 // TargetUnreached reports that a target did not answer what this VM sent to it for another VM.
 type TargetUnreached struct{ SentAt time.Time }
 
+// TargetLeaving reports that a target has stated to another VM that it leaves.
+type TargetLeaving struct{ Process cassiaavailability.Process }
+
 // ForwardAccepted reports that a VM serves the query of a Forward.
 type ForwardAccepted struct {
 	Query QueryID
@@ -127,6 +130,7 @@
 func (ProbeEnded) isMessage()      {}
 func (AttemptsEnded) isMessage()   {}
 func (TargetUnreached) isMessage() {}
+func (TargetLeaving) isMessage()   {}
 func (ForwardAccepted) isMessage() {}
 func (ForwardEnded) isMessage()    {}
 func (TargetsChanged) isMessage()  {}
@@ -208,6 +212,8 @@
 	// Stamp is the target's proof that it answered this request.
 	Stamp string
 	Body  []byte
+	// Leaving is the process of the target if it states in this answer that it leaves; its Target is empty otherwise.
+	Leaving cassiaavailability.Process
 }
 
 // ParseOutcome returns the outcome with the given name, or OutcomeBroken if the name is unknown.
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -258,6 +258,9 @@
 	g.unneeded = without(g.unneeded, a)
 	g.observeAcceptance(now, a.target, m.Acceptance)
 	g.observeStatement(now, a.target, m.Statement)
+	if m.Reply != nil && m.Statement.Leaving {
+		m.Reply.Leaving = a.target.process()
+	}
 	g.recordOutcome(now, a, m)
 	if !m.Outcome.reachedTarget() {
 		if a.limited {
--- a/io/cassiaforward/forward_test.go
+++ b/io/cassiaforward/forward_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
@@ -71,12 +72,14 @@
 
 func request(timeout time.Duration) Request {
 	return Request{Method: http.MethodPost, URI: "/x/1?y", Host: "shop", Header: http.Header{"X-Own": {"1", "2"}}, RequestID: "id", Body: []byte("body"),
-		Deadline: time.Now().Add(timeout), Configuration: 7, Caller: 8, Content: 9}
+		Deadline: time.Now().Add(timeout), Configuration: 7, Caller: 8, Content: 9,
+		Leaving: []cassiaavailability.Process{{Target: "t", StartUnixMillis: 5}, {Target: "u"}}}
 }
 
 func TestForwardedRequestAndAnswerArriveUnchanged(t *testing.T) {
 	c := qt.New(t)
-	answer := &cassiagateway.Reply{Status: 503, Header: map[string][]string{"Retry-After": {"0.5"}}, Body: []byte("not now")}
+	answer := &cassiagateway.Reply{Status: 503, Header: map[string][]string{"Retry-After": {"0.5"}}, Body: []byte("not now"),
+		Leaving: cassiaavailability.Process{Target: "t", StartUnixMillis: 5}}
 	sent := request(time.Minute)
 	p := newPair(func(_ context.Context, from cassiaid.VMName, r Request) Result {
 		c.Check(from, qt.Equals, cassiaid.VMName("a"))
--- a/io/cassiaforward/request.go
+++ b/io/cassiaforward/request.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
@@ -26,6 +27,8 @@
 	Configuration cassiacatalog.Version
 	// Caller and Content identify the request with and without its caller's address.
 	Caller, Content cassiaid.Fingerprint
+	// Leaving holds the targets that could serve the request and have told the first VM that they leave.
+	Leaving []cassiaavailability.Process
 }
 
 // encode returns the frame that carries the request; now is the base of the remaining time.
@@ -33,13 +36,14 @@
 	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ForwardedRequest{ForwardedRequest: &cassiaschema.ForwardedRequest{
 		ForwardId: id, Method: r.Method, Uri: r.URI, Host: r.Host, Headers: encodeHeader(r.Header), RequestId: r.RequestID, Body: r.Body,
 		Remaining: durationpb.New(r.Deadline.Sub(now)), Configuration: uint64(r.Configuration), CallerFingerprint: uint64(r.Caller),
-		ContentFingerprint: uint64(r.Content)}}}
+		ContentFingerprint: uint64(r.Content), Leaving: encodeProcesses(r.Leaving)}}}
 }
 
 func decodeRequest(m *cassiaschema.ForwardedRequest, now time.Time) Request {
 	return Request{Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: decodeHeader(m.GetHeaders()), RequestID: m.GetRequestId(),
 		Body: m.GetBody(), Deadline: now.Add(m.GetRemaining().AsDuration()), Configuration: cassiacatalog.Version(m.GetConfiguration()),
-		Caller: cassiaid.Fingerprint(m.GetCallerFingerprint()), Content: cassiaid.Fingerprint(m.GetContentFingerprint())}
+		Caller: cassiaid.Fingerprint(m.GetCallerFingerprint()), Content: cassiaid.Fingerprint(m.GetContentFingerprint()),
+		Leaving: decodeProcesses(m.GetLeaving())}
 }
 
 // Result is how a VM served a request of another one.
@@ -60,6 +64,9 @@
 	case cassiagateway.ForwardAnswered:
 		m.State = cassiaschema.ForwardedReply_STATE_ANSWERED
 		m.Status, m.Headers, m.Body = uint32(r.Reply.Status), encodeHeader(r.Reply.Header), r.Reply.Body
+		if r.Reply.Leaving.Target != "" {
+			m.Leaving = encodeProcess(r.Reply.Leaving)
+		}
 	}
 	return replyFrame(m)
 }
@@ -77,7 +84,8 @@
 		return Result{Outcome: cassiagateway.ForwardUnreachable}
 	case cassiaschema.ForwardedReply_STATE_ANSWERED:
 		return Result{Outcome: cassiagateway.ForwardAnswered,
-			Reply: &cassiagateway.Reply{Status: int(m.GetStatus()), Header: decodeHeader(m.GetHeaders()), Body: m.GetBody()}}
+			Reply: &cassiagateway.Reply{Status: int(m.GetStatus()), Header: decodeHeader(m.GetHeaders()), Body: m.GetBody(),
+				Leaving: decodeProcess(m.GetLeaving())}}
 	default:
 		return Result{Outcome: cassiagateway.ForwardLost}
 	}
@@ -100,3 +108,27 @@
 	}
 	return header
 }
+
+func encodeProcess(p cassiaavailability.Process) *cassiaschema.TargetProcess {
+	return &cassiaschema.TargetProcess{Target: string(p.Target), StartUnixMillis: p.StartUnixMillis}
+}
+
+func decodeProcess(m *cassiaschema.TargetProcess) cassiaavailability.Process {
+	return cassiaavailability.Process{Target: cassiaid.TargetName(m.GetTarget()), StartUnixMillis: m.GetStartUnixMillis()}
+}
+
+func encodeProcesses(processes []cassiaavailability.Process) []*cassiaschema.TargetProcess {
+	var encoded []*cassiaschema.TargetProcess
+	for _, p := range processes {
+		encoded = append(encoded, encodeProcess(p))
+	}
+	return encoded
+}
+
+func decodeProcesses(encoded []*cassiaschema.TargetProcess) []cassiaavailability.Process {
+	var processes []cassiaavailability.Process
+	for _, m := range encoded {
+		processes = append(processes, decodeProcess(m))
+	}
+	return processes
+}
--- a/io/cassiagate/forward.go
+++ b/io/cassiagate/forward.go
@@ -22,7 +22,15 @@
 	g.report.forwarded(q.call.RequestID, e.VM)
 	g.forwardClient.Send(e.VM, e.Query, cassiaforward.Request{Method: q.call.Method, URI: q.call.URI, Host: q.call.Host, Header: q.call.Header,
 		RequestID: q.call.RequestID, Body: q.call.Body, Deadline: e.Deadline, Configuration: q.configuration,
-		Caller: q.fingerprints.caller, Content: q.fingerprints.content})
+		Caller: q.fingerprints.caller, Content: q.fingerprints.content, Leaving: e.Leaving})
+}
+
+// UpdateForward passes what becomes of a request that another VM serves to the gateway, and a target's statement in its answer to the pool.
+func (g *Gate) UpdateForward(m cassiagateway.Message) {
+	if ended, ok := m.(cassiagateway.ForwardEnded); ok && ended.Reply != nil {
+		g.pool.ObserveLeaving(ended.Reply.Leaving)
+	}
+	g.Update(m)
 }
 
 // ForwardServer returns a function that serves requests which other VMs pass to this one.
@@ -38,6 +46,10 @@
 		h.gate.report.declined(r.RequestID, from, "olderConfiguration")
 		return cassiaforward.Result{Outcome: cassiagateway.ForwardDeclined}
 	}
+	for _, process := range r.Leaving {
+		h.gate.pool.ObserveLeaving(process)
+		h.gate.Update(cassiagateway.TargetLeaving{Process: process})
+	}
 	path, _, _ := strings.Cut(r.URI, "?")
 	route := catalog.Match(r.Host, path)
 	if route == nil {
@@ -47,9 +59,9 @@
 	}
 	call := cassiapool.Call{Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, RequestID: r.RequestID, Body: r.Body, Deadline: r.Deadline}
 	w := &answerBuffer{header: make(http.Header)}
-	refusal := h.serveRouted(ctx, w, routedRequest{call: call, route: route, configuration: catalog.Version, from: from,
+	answer := h.serveRouted(ctx, w, routedRequest{call: call, route: route, configuration: catalog.Version, from: from,
 		fingerprints: fingerprints{caller: r.Caller, content: r.Content}})
-	switch {
+	switch refusal := answer.Refusal; {
 	case refusal == nil || !refusal.NotRun:
 	case refusal.Reason == cassiagateway.RefusalIsolated:
 		return cassiaforward.Result{Outcome: cassiagateway.ForwardDeclined}
@@ -60,7 +72,11 @@
 		// The request was taken back or its deadline has passed.
 		return cassiaforward.Result{Outcome: cassiagateway.ForwardLost}
 	}
-	return cassiaforward.Result{Outcome: cassiagateway.ForwardAnswered, Reply: w.reply()}
+	result := cassiaforward.Result{Outcome: cassiagateway.ForwardAnswered, Reply: w.reply()}
+	if answer.Reply != nil {
+		result.Reply.Leaving = answer.Reply.Leaving
+	}
+	return result
 }
 
 // writeForwarded sends the answer of the VM that served a request unchanged.
--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -69,22 +69,22 @@
 	h.serveRouted(r.Context(), w, routedRequest{call: call, fingerprints: fingerprintsOf(r, body), route: route, configuration: catalog.Version})
 }
 
-// serveRouted answers a request unless it is quarantined or its caller leaves. It returns the refusal if the gateway refused it.
-func (h *handler) serveRouted(ctx context.Context, w http.ResponseWriter, r routedRequest) *cassiagateway.Refusal {
+// serveRouted answers a request unless its caller leaves. It returns the gateway's answer, which is empty if the request is quarantined.
+func (h *handler) serveRouted(ctx context.Context, w http.ResponseWriter, r routedRequest) cassiagateway.Answer {
 	arrived, id := time.Now(), r.call.RequestID
 	if remaining := h.gate.quarantineRemaining(r.fingerprints); remaining > 0 {
 		h.refuseQuarantined(w, remaining)
 		h.gate.report.quarantined(id, r.route.Name, r.fingerprints, remaining)
-		return nil
+		return cassiagateway.Answer{}
 	}
 	answer, ok := h.gate.submit(ctx, r)
 	if !ok {
 		h.gate.report.callerGone(id, r.route, time.Since(arrived))
-		return nil
+		return cassiagateway.Answer{}
 	}
 	status := h.writeAnswer(w, answer, r.fingerprints)
 	h.gate.report.answered(r, answer, status)
-	return answer.Refusal
+	return answer
 }
 
 // forwardedHeader returns the headers that are passed on to targets, without hop-by-hop headers and those that this VM sets
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -131,6 +131,17 @@
 	return statement, statement != cassiaavailability.Statement{}
 }
 
+// ObserveLeaving records that the process of a target states that it leaves, in an answer that another VM got for this one. One without a
+// target is ignored.
+func (p *Pool) ObserveLeaving(process cassiaavailability.Process) {
+	if process.Target == "" {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.availability.Observe(p.now(), process, cassiaavailability.Statement{Leaving: true})
+}
+
 // Probe opens a connection to a target and reports whether that succeeded within connectTimeout, and whether the connection then ended at
 // once. It keeps the connection for the next request to the given instance.
 func (p *Pool) Probe(address, instance string) (reached, reset bool) {
