Cut VMs off from all targets in the soak

Each VM has relays of its own to each target that it learns of from the store; the fault targetLinks cuts all of one VM. What callers and targets saw is judged as for the other faults.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -5,7 +5,9 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -99,11 +101,12 @@
 	drains       []drain
 }
 
-// soakVM is a VM with the relays between it and the store, and between other VMs and it.
+// soakVM is a VM with the relays between it and the store, between other VMs and it, and between it and targets.
 type soakVM struct {
 	*frontVM
 	name, zone        string
 	store, peers      *cassiarelay.Relay
+	links             soakLinks
 	advertisedAddress string
 
 	mutex sync.Mutex
@@ -115,6 +118,44 @@
 	faultLock
 }
 
+// soakLinks are the relays between one VM and each target that it knows.
+type soakLinks struct {
+	host  string
+	start func(network, listen, upstream string) *cassiarelay.Relay
+
+	mutex sync.Mutex
+	// relays holds the relay for each address of a target.
+	relays map[string]*cassiarelay.Relay
+	faults cassiarelay.Faults
+}
+
+// relayFor returns the address of the relay for the address of a target.
+func (l *soakLinks) relayFor(address string) string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return address
+	}
+	r := l.relays[address]
+	if r == nil {
+		const firstPort = 7500
+		r = l.start("tcp", fmt.Sprintf("%s:%d", l.host, firstPort+len(l.relays)), address)
+		r.SetFaults(l.faults)
+		l.relays[address] = r
+	}
+	return r.ListenAddress()
+}
+
+// setFaults sets the faults of the links to all targets.
+func (l *soakLinks) setFaults(faults cassiarelay.Faults) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.faults = faults
+	for _, r := range l.relays {
+		r.SetFaults(faults)
+	}
+}
+
 // soakReplica is a target with the relay in front of it.
 type soakReplica struct {
 	*cassiastage.Target
@@ -154,6 +195,7 @@
 	hostOfStore
 	hostOfTarget
 	hostOfCaller
+	hostOfLink
 )
 
 const soakPort = ":7400"
@@ -174,7 +216,7 @@
 		relays.Wait() //nolint:errcheck // they return when the context is cancelled
 	})
 	relay := func(network, listen, upstream string) *cassiarelay.Relay {
-		r := cassiarelay.New(cassiarelay.Options{Network: network, Listen: listen, Upstream: upstream, Seed: seed})
+		r := cassiarelay.New(cassiarelay.Options{Network: network, Listen: listen, Upstream: upstream, Seed: seed, StopWhenRefused: true})
 		ready := make(chan struct{})
 		relays.Go(func() error { return r.Run(ctx, func() { close(ready) }) })
 		<-ready
@@ -197,7 +239,10 @@
 		vm.advertisedAddress = s.host(hostOfPeers, i+1) + soakPort
 		storeAddress := s.host(hostOfStore, i+1) + soakPort
 		vm.peers = relay("udp", vm.advertisedAddress, ip+":7402")
-		vm.store = relay("tcp", storeAddress, s.server.Listener.Addr().String())
+		vm.links = soakLinks{host: s.host(hostOfLink, i+1), start: relay, relays: make(map[string]*cassiarelay.Relay)}
+		store := httptest.NewServer(&linkedStore{store: s.store, relay: vm.links.relayFor})
+		t.Cleanup(store.Close)
+		vm.store = relay("tcp", storeAddress, store.Listener.Addr().String())
 		vm.frontVM = &frontVM{callerAddress: ip + soakPort, readinessAddress: ip + ":7401", settingsFile: filepath.Join(t.TempDir(), "boot.conf")}
 		lines := []string{"node_name=" + vm.name, "zone=" + vm.zone, "ip=" + ip, "listen.front=" + vm.callerAddress,
 			"listen.ready_addr=" + vm.readinessAddress, "internal_ports=7402,7410", "limits.memory_mb=284", "limits.cpu_share=0.4",
--- a/test/soakfault_test.go
+++ b/test/soakfault_test.go
@@ -89,6 +89,11 @@
 		r.relay.SetFaults(linkFaults(random, 50))
 		return r.Service, func() { r.relay.SetFaults(cassiarelay.Faults{}) }
 	}},
+	{"targetLinks", func(s *soak, random *rand.Rand) (string, func()) {
+		vm := s.anyVM(random)
+		vm.links.setFaults(cassiarelay.Faults{Cut: true})
+		return vm.name, func() { vm.links.setFaults(cassiarelay.Faults{}) }
+	}},
 	{"targetFails", failTarget},
 	{"targetFails", failTarget},
 	{"targetFails", failTarget},
--- a/test/stranded_test.go
+++ b/test/stranded_test.go
@@ -32,8 +32,8 @@
 // linkedStore is the store as one VM sees it: the addresses of targets are those of relays between the VM and the targets.
 type linkedStore struct {
 	store *cassiastage.Store
-	// relays holds the address of the relay for each address of a target.
-	relays map[string]string
+	// relay returns the address of the relay for the address of a target.
+	relay func(address string) string
 }
 
 // ServeHTTP implements http.Handler.
@@ -69,9 +69,7 @@
 	if json.Unmarshal([]byte(`"`+value+`"`), &encoded) != nil || json.Unmarshal(encoded, &registration) != nil {
 		return
 	}
-	if relay, ok := l.relays[fmt.Sprint(registration["address"])]; ok {
-		registration["address"] = relay
-	}
+	registration["address"] = l.relay(fmt.Sprint(registration["address"]))
 	item["value"], _ = json.Marshal(registration) // a []byte is encoded in base64
 }
 
@@ -105,14 +103,15 @@
 		relays.Wait() //nolint:errcheck // they end with the context
 	})
 	for i := range strandedVMs {
-		store := &linkedStore{store: e.store, relays: make(map[string]string)}
+		addresses := make(map[string]string)
+		store := &linkedStore{store: e.store, relay: func(address string) string { return addresses[address] }}
 		var links []*cassiarelay.Relay
 		for _, target := range e.targets {
 			relay := cassiarelay.New(cassiarelay.Options{Network: "tcp", Listen: freeAddress(t, "127.78.1.1"), Upstream: target.Address()})
 			ready := make(chan struct{})
 			relays.Go(func() error { return relay.Run(ctx, func() { close(ready) }) })
 			<-ready
-			store.relays[target.Address()] = relay.ListenAddress()
+			addresses[target.Address()] = relay.ListenAddress()
 			links = append(links, relay)
 		}
 		server := httptest.NewServer(store)
