Give the relays of the scenes without links fixed addresses

A relay that could not listen left the test waiting for it without end (seen once, with three runs at once; not traced why its port was taken).

--- a/test/stranded_test.go
+++ b/test/stranded_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -92,7 +93,10 @@
 	status int
 }
 
-func newStrandedEnv(t *testing.T) *strandedEnv {
+// newStrandedEnv returns an environment whose relays have addresses of their own for each number, with ports from which no program
+// connects.
+func newStrandedEnv(t *testing.T, number int) *strandedEnv {
+	const firstRelayPort = 7600
 	e := &strandedEnv{platformEnv: newPlatformEnv(t)}
 	e.storeAddresses = make(map[string]string)
 	e.configure(routeConfig("/one/", "idempotent", "single"), routeConfig("/booking/", "non_idempotent", "single"))
@@ -106,11 +110,16 @@
 		addresses := make(map[string]string)
 		store := &linkedStore{store: e.store, relay: func(address string) string { return addresses[address] }}
 		var links []*cassiarelay.Relay
-		for _, target := range e.targets {
-			relay := cassiarelay.New(cassiarelay.Options{Network: "tcp", Listen: freeAddress(t, "127.78.1.1"), Upstream: target.Address()})
-			ready := make(chan struct{})
-			relays.Go(func() error { return relay.Run(ctx, func() { close(ready) }) })
-			<-ready
+		for j, target := range e.targets {
+			relay := cassiarelay.New(cassiarelay.Options{Network: "tcp", Listen: fmt.Sprintf("127.79.%d.%d:%d", number, i+1, firstRelayPort+j),
+				Upstream: target.Address()})
+			ready := make(chan error, 2)
+			relays.Go(func() error {
+				err := relay.Run(ctx, func() { ready <- nil })
+				ready <- err
+				return err
+			})
+			e.c.Assert(<-ready, qt.IsNil)
 			addresses[target.Address()] = relay.ListenAddress()
 			links = append(links, relay)
 		}
@@ -193,11 +202,14 @@
 // TestCallersOfVMsWithoutTargetsAreServedByOtherVMs guards against VMs that lose their links to all targets and refuse, or hold, their
 // callers, who keep their connections, while other VMs could serve them.
 func TestCallersOfVMsWithoutTargetsAreServedByOtherVMs(t *testing.T) {
-	for name, cut := range map[string][]int{"a zone": {0, 2, 4}, "most VMs": {0, 1, 2}, "one VM": {3}} {
-		t.Run(name, func(t *testing.T) {
+	for i, scene := range []struct {
+		name string
+		cut  []int
+	}{{"a zone", []int{0, 2, 4}}, {"most VMs", []int{0, 1, 2}}, {"one VM", []int{3}}} {
+		t.Run(scene.name, func(t *testing.T) {
 			t.Parallel()
-			c := qt.New(t)
-			e := newStrandedEnv(t)
+			c, cut := qt.New(t), scene.cut
+			e := newStrandedEnv(t, i)
 			var callers errgroup.Group
 			e.call(&callers, time.Second+strandedCut+2*time.Second)
 			sleep(time.Second)
@@ -207,14 +219,7 @@
 			healed := time.Now()
 			e.setLinks(cassiarelay.Faults{}, cut...)
 			c.Assert(callers.Wait(), qt.IsNil)
-			isCut := func(vm int) bool {
-				for _, i := range cut {
-					if i == vm {
-						return true
-					}
-				}
-				return false
-			}
+			isCut := func(vm int) bool { return slices.Contains(cut, vm) }
 			atCut := e.served(begun.Add(strandedDetection), healed, isCut)
 			atOthers := e.served(begun.Add(strandedDetection), healed, func(vm int) bool { return !isCut(vm) })
 			t.Logf("served at VMs without targets %.3f, at others %.3f", atCut, atOthers)
