Share the coding of headers, and forget VMs that are no longer listed

Frames of two kinds carry HTTP headers; they are coded in one place. The gateway forgets how VMs served its queries once they leave the list, so that replaced VMs do not add up.

--- a/core/cassiagateway/forward.go
+++ b/core/cassiagateway/forward.go
@@ -1,6 +1,7 @@
 package cassiagateway
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -65,6 +66,15 @@
 	delete(f.avoidedUntil, vm)
 }
 
+// keep forgets all VMs but those of a list.
+func (f *forwarder) keep(vms []VM) {
+	unlisted := func(name cassiaid.VMName, _ time.Time) bool {
+		return !slices.ContainsFunc(vms, func(vm VM) bool { return vm.Name == name })
+	}
+	maps.DeleteFunc(f.avoidedUntil, unlisted)
+	maps.DeleteFunc(f.servedAt, unlisted)
+}
+
 // weight returns how likely a VM is chosen compared with others; 0 if it must not be.
 func (f *forwarder) weight(now time.Time, vm VM, zone cassiaid.Zone) float64 {
 	if now.Before(f.avoidedUntil[vm.Name]) {
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -197,6 +197,7 @@
 		names[i] = vm.Name
 	}
 	g.vms = vms
+	g.forwarder.keep(vms)
 	g.share.List(now, names)
 	g.aggregators.setVMs(vms)
 	g.fleetKnown = len(vms) > 0
--- a/io/cassiaaggregate/batch.go
+++ b/io/cassiaaggregate/batch.go
@@ -1,7 +1,6 @@
 package cassiaaggregate
 
 import (
-	"net/http"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -10,6 +9,7 @@
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiapeer"
 	"cassiasaddle/io/cassiapool"
 )
 
@@ -45,12 +45,7 @@
 func (b *Batch) encode(now time.Time) *cassiaschema.PeerFrame {
 	m := &cassiaschema.AggregateBatch{QueryId: uint64(b.Query), Method: b.Call.Method, Uri: b.Call.URI, Host: b.Call.Host,
 		RequestId: b.Call.RequestID, Body: b.Call.Body, Remaining: durationpb.New(b.Call.Deadline.Sub(now)), TopK: uint32(b.TopK),
-		Route: string(b.Route), Floor: b.Floor}
-	for name, values := range b.Call.Header {
-		for _, value := range values {
-			m.Headers = append(m.Headers, &cassiaschema.HeaderField{Name: name, Value: value})
-		}
-	}
+		Route: string(b.Route), Floor: b.Floor, Headers: cassiapeer.EncodeHeader(b.Call.Header)}
 	m.FirstAttemptId = uint64(b.Attempts[0].ID)
 	for _, a := range b.Attempts {
 		m.Attempts = append(m.Attempts, &cassiaschema.AggregateAttempt{Number: uint64(a.ID) - m.GetFirstAttemptId(),
@@ -61,11 +56,7 @@
 
 // decodeCall returns the request of a received batch, which its attempts share but for the target.
 func decodeCall(m *cassiaschema.AggregateBatch, now time.Time) cassiapool.Call {
-	header := make(http.Header, len(m.GetHeaders()))
-	for _, field := range m.GetHeaders() {
-		header[field.GetName()] = append(header[field.GetName()], field.GetValue())
-	}
 	return cassiapool.Call{Method: m.GetMethod(), URI: m.GetUri(),
-		Host: m.GetHost(), Header: header, RequestID: m.GetRequestId(), Body: m.GetBody(),
+		Host: m.GetHost(), Header: cassiapeer.DecodeHeader(m.GetHeaders()), RequestID: m.GetRequestId(), Body: m.GetBody(),
 		Deadline: now.Add(m.GetRemaining().AsDuration())}
 }
--- a/io/cassiaforward/request.go
+++ b/io/cassiaforward/request.go
@@ -11,6 +11,7 @@
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiapeer"
 )
 
 // Request is a caller's request that one VM passes to another.
@@ -34,13 +35,13 @@
 // encode returns the frame that carries the request; now is the base of the remaining time.
 func (r *Request) encode(id uint64, now time.Time) *cassiaschema.PeerFrame {
 	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ForwardedRequest{ForwardedRequest: &cassiaschema.ForwardedRequest{
-		ForwardId: id, Method: r.Method, Uri: r.URI, Host: r.Host, Headers: encodeHeader(r.Header), RequestId: r.RequestID, Body: r.Body,
+		ForwardId: id, Method: r.Method, Uri: r.URI, Host: r.Host, Headers: cassiapeer.EncodeHeader(r.Header), RequestId: r.RequestID, Body: r.Body,
 		Remaining: durationpb.New(r.Deadline.Sub(now)), Configuration: uint64(r.Configuration), CallerFingerprint: uint64(r.Caller),
 		ContentFingerprint: uint64(r.Content), Leaving: encodeProcesses(r.Leaving)}}}
 }
 
 func decodeRequest(m *cassiaschema.ForwardedRequest, now time.Time) Request {
-	return Request{Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: decodeHeader(m.GetHeaders()), RequestID: m.GetRequestId(),
+	return Request{Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: cassiapeer.DecodeHeader(m.GetHeaders()), RequestID: m.GetRequestId(),
 		Body: m.GetBody(), Deadline: now.Add(m.GetRemaining().AsDuration()), Configuration: cassiacatalog.Version(m.GetConfiguration()),
 		Caller: cassiaid.Fingerprint(m.GetCallerFingerprint()), Content: cassiaid.Fingerprint(m.GetContentFingerprint()),
 		Leaving: decodeProcesses(m.GetLeaving())}
@@ -63,7 +64,7 @@
 		m.State = cassiaschema.ForwardedReply_STATE_UNREACHABLE
 	case cassiagateway.ForwardAnswered:
 		m.State = cassiaschema.ForwardedReply_STATE_ANSWERED
-		m.Status, m.Headers, m.Body = uint32(r.Reply.Status), encodeHeader(r.Reply.Header), r.Reply.Body
+		m.Status, m.Headers, m.Body = uint32(r.Reply.Status), cassiapeer.EncodeHeader(r.Reply.Header), r.Reply.Body
 		if r.Reply.Leaving.Target != "" {
 			m.Leaving = encodeProcess(r.Reply.Leaving)
 		}
@@ -84,31 +85,13 @@
 		return Result{Outcome: cassiagateway.ForwardUnreachable}
 	case cassiaschema.ForwardedReply_STATE_ANSWERED:
 		return Result{Outcome: cassiagateway.ForwardAnswered,
-			Reply: &cassiagateway.Reply{Status: int(m.GetStatus()), Header: decodeHeader(m.GetHeaders()), Body: m.GetBody(),
+			Reply: &cassiagateway.Reply{Status: int(m.GetStatus()), Header: cassiapeer.DecodeHeader(m.GetHeaders()), Body: m.GetBody(),
 				Leaving: decodeProcess(m.GetLeaving())}}
 	default:
 		return Result{Outcome: cassiagateway.ForwardLost}
 	}
 }
 
-func encodeHeader(header http.Header) []*cassiaschema.HeaderField {
-	var fields []*cassiaschema.HeaderField
-	for name, values := range header {
-		for _, value := range values {
-			fields = append(fields, &cassiaschema.HeaderField{Name: name, Value: value})
-		}
-	}
-	return fields
-}
-
-func decodeHeader(fields []*cassiaschema.HeaderField) http.Header {
-	header := make(http.Header, len(fields))
-	for _, field := range fields {
-		header[field.GetName()] = append(header[field.GetName()], field.GetValue())
-	}
-	return header
-}
-
 func encodeProcess(p cassiaavailability.Process) *cassiaschema.TargetProcess {
 	return &cassiaschema.TargetProcess{Target: string(p.Target), StartUnixMillis: p.StartUnixMillis}
 }
