Exchange all statements of targets with forwarded requests

A forwarded request now carries what the sender knows of the targets of its services, and its answer what these have stated meanwhile.

--- a/core/cassiagateway/availability.go
+++ b/core/cassiagateway/availability.go
@@ -46,13 +46,12 @@
 	g.dropRestricted(now, t.service)
 }
 
-// observeLeaving records that a target has stated to another VM that it leaves.
-func (g *Gateway) observeLeaving(now time.Time, p cassiaavailability.Process) {
-	statement := cassiaavailability.Statement{Leaving: true}
-	if t := g.targets[p.Target]; t != nil && t.process() == p {
-		g.observeStatement(now, t, statement)
-	} else if p.Target != "" {
-		g.availability.Observe(now, p, statement)
+// observeStated records what a target has stated to another VM.
+func (g *Gateway) observeStated(now time.Time, s TargetStatement) {
+	if t := g.targets[s.Process.Target]; t != nil && t.process() == s.Process {
+		g.observeStatement(now, t, s.Statement)
+	} else {
+		g.availability.Observe(now, s.Process, s.Statement)
 	}
 }
 
--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaid"
 )
@@ -46,8 +45,8 @@
 	VM    cassiaid.VMName
 	// Deadline is when targets may stop working on the query.
 	Deadline time.Time
-	// Leaving holds the targets that could serve the query and have stated to this VM that they leave.
-	Leaving []cassiaavailability.Process
+	// Statements holds what targets that could serve the query have stated to this VM.
+	Statements []TargetStatement
 }
 
 // CancelForward takes a query back from the VM that it was passed on to; its ForwardEnded must still follow.
@@ -176,6 +175,8 @@
 	Forwarded *Reply
 	Merged    *Merged
 	Refusal   *Refusal
+	// Statements holds, for a query of another VM, what targets have stated in answers to it.
+	Statements []TargetStatement
 	// Trace describes how the answer came about.
 	Trace Trace
 }
--- a/core/cassiagateway/forward.go
+++ b/core/cassiagateway/forward.go
@@ -132,21 +132,22 @@
 	q.forward = &forwarding{vm: vm, sentAt: now, refusal: refusal}
 	q.trace.Forwards++
 	q.trace.ForwardedTo = vm
-	g.emit(Forward{Query: q.id, VM: vm, Deadline: minTime(q.deadline, q.giveUpAt.Add(giveUpMargin)), Leaving: q.leavingTargets()})
+	g.emit(Forward{Query: q.id, VM: vm, Deadline: minTime(q.deadline, q.giveUpAt.Add(giveUpMargin)), Statements: q.statedByTargets(now)})
 	return true
 }
 
-// leavingTargets returns the targets of the query's services that have stated that they leave.
-func (q *query) leavingTargets() []cassiaavailability.Process {
-	var leaving []cassiaavailability.Process
+// statedByTargets returns what targets of the query's services have stated that still holds.
+func (q *query) statedByTargets(now time.Time) []TargetStatement {
+	var stated []TargetStatement
 	for _, s := range q.shards {
 		for _, t := range s.service.targets {
-			if t.leaving {
-				leaving = append(leaving, t.process())
+			statement := cassiaavailability.Statement{Leaving: t.leaving, Pause: t.pause(now)}
+			if statement != (cassiaavailability.Statement{}) {
+				stated = append(stated, TargetStatement{Process: t.process(), Statement: statement})
 			}
 		}
 	}
-	return leaving
+	return stated
 }
 
 // forwardUnsent passes a query to another VM if no target may have run it; it returns whether it did.
@@ -184,8 +185,8 @@
 
 // forwardEnded passes on the answer of the VM that served the query, or goes on without that VM.
 func (g *Gateway) forwardEnded(now time.Time, m ForwardEnded) {
-	if m.Reply != nil {
-		g.observeLeaving(now, m.Reply.Leaving)
+	for _, s := range m.Statements {
+		g.observeStated(now, s)
 	}
 	q := g.queries[m.Query]
 	if q == nil || q.forward == nil || q.forward.vm != m.VM {
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -160,8 +160,8 @@
 		g.probeEnded(now, m)
 	case TargetUnreached:
 		g.suspectIsolation(now, m.SentAt)
-	case TargetLeaving:
-		g.observeLeaving(now, m.Process)
+	case TargetStated:
+		g.observeStated(now, m.TargetStatement)
 	case ForwardAccepted:
 		g.forwardAccepted(m)
 	case ForwardEnded:
--- a/core/cassiagateway/isolation_test.go
+++ b/core/cassiagateway/isolation_test.go
@@ -198,22 +198,40 @@
 	}
 }
 
-// TestTargetThatLeavesByAForwardedAnswerGetsNoMoreRequests guards against a VM that passes on a target's statement that it leaves, in an answer
-// that another VM got, and sends to that target later.
-func TestTargetThatLeavesByAForwardedAnswerGetsNoMoreRequests(t *testing.T) {
+// TestStatementsOfTargetsGoWithForwardedQueries guards against a VM that passes on a target's statement that it leaves or wants no requests, in
+// an answer that another VM got, and sends to that target later, or has another VM do so.
+func TestStatementsOfTargetsGoWithForwardedQueries(t *testing.T) {
 	c := qt.New(t)
 	sim, _, booking := newCutSimulation(3)
 	g := sim.vms[0].gateway
 	g.isolation.isolated = true
 	sent := effectsOf[Forward](g.Update(Arrived{Query: 1, Route: booking.route, Deadline: sim.now.Add(time.Second)}))
 	c.Assert(sent, qt.HasLen, 1)
-	leaving := g.targets[targetName(0, 0)]
-	g.Update(ForwardEnded{Query: 1, VM: sent[0].VM, Outcome: ForwardAnswered, Reply: &Reply{Status: 200, Leaving: leaving.process()}})
-	c.Check(leaving.leaving, qt.IsTrue)
+	leaving, paused := g.targets[targetName(0, 0)], g.targets[targetName(0, 1)]
+	stated := []TargetStatement{{Process: leaving.process(), Statement: cassiaavailability.Statement{Leaving: true}},
+		{Process: paused.process(), Statement: cassiaavailability.Statement{Pause: time.Second}}}
+	g.Update(ForwardEnded{Query: 1, VM: sent[0].VM, Outcome: ForwardAnswered, Reply: &Reply{Status: 200}, Statements: stated})
 	c.Check(leaving.usable(), qt.IsFalse)
+	c.Check(paused.pause(sim.now), qt.Equals, time.Second)
 	sent = effectsOf[Forward](g.Update(Arrived{Query: 2, Route: booking.route, Deadline: sim.now.Add(time.Second)}))
-	c.Check(sent[0].Leaving, qt.DeepEquals, []cassiaavailability.Process{leaving.process()}, qt.Commentf("the other VM is not told"))
+	c.Check(sent[0].Statements, qt.DeepEquals, stated, qt.Commentf("the other VM is not told"))
 	other := sim.vms[1].gateway
-	other.Update(TargetLeaving{Process: leaving.process()})
+	for _, s := range sent[0].Statements {
+		other.Update(TargetStated{s})
+	}
 	c.Check(other.targets[leaving.Name].leaving, qt.IsTrue)
+	c.Check(other.targets[paused.Name].pause(sim.now), qt.Equals, time.Second)
+}
+
+// TestStatementsAreReturnedWithTheAnswer guards against statements that only the VM that serves a forwarded query learns of.
+func TestStatementsAreReturnedWithTheAnswer(t *testing.T) {
+	c := qt.New(t)
+	sim, _, booking := newCutSimulation(3)
+	g := sim.vms[0].gateway
+	sent := effectsOf[Send](g.Update(Arrived{Query: 1, Route: booking.route, Deadline: sim.now.Add(time.Second), ForOther: true}))
+	c.Assert(sent, qt.HasLen, 1)
+	statement := cassiaavailability.Statement{Leaving: true}
+	finished := effectsOf[Finish](g.Update(AttemptEnded{Attempt: sent[0].Attempt, Outcome: OutcomeAnswered, Reply: &Reply{Status: 200}, Statement: statement}))
+	c.Assert(finished, qt.HasLen, 1)
+	c.Check(finished[0].Answer.Statements, qt.DeepEquals, []TargetStatement{{Process: g.targets[sent[0].Target].process(), Statement: statement}})
 }
--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -45,8 +45,14 @@
 // TargetUnreached reports that a target did not answer what this VM sent to it for another VM.
 type TargetUnreached struct{ SentAt time.Time }
 
-// TargetLeaving reports that a target has stated to another VM that it leaves.
-type TargetLeaving struct{ Process cassiaavailability.Process }
+// TargetStatement is what a process of a target has stated about further requests.
+type TargetStatement struct {
+	Process   cassiaavailability.Process
+	Statement cassiaavailability.Statement
+}
+
+// TargetStated reports what a target has stated to another VM.
+type TargetStated struct{ TargetStatement }
 
 // ForwardAccepted reports that a VM serves the query of a Forward.
 type ForwardAccepted struct {
@@ -61,6 +67,8 @@
 	Outcome ForwardOutcome
 	// Reply is the VM's answer for the caller if Outcome is ForwardAnswered.
 	Reply *Reply
+	// Statements holds what targets have stated to that VM in answers to the query.
+	Statements []TargetStatement
 }
 
 // ForwardOutcome is the way a Forward ended.
@@ -130,7 +138,7 @@
 func (ProbeEnded) isMessage()      {}
 func (AttemptsEnded) isMessage()   {}
 func (TargetUnreached) isMessage() {}
-func (TargetLeaving) isMessage()   {}
+func (TargetStated) isMessage()    {}
 func (ForwardAccepted) isMessage() {}
 func (ForwardEnded) isMessage()    {}
 func (TargetsChanged) isMessage()  {}
@@ -212,8 +220,6 @@
 	// Stamp is the target's proof that it answered this request.
 	Stamp string
 	Body  []byte
-	// Leaving is the process of the target if it states in this answer that it leaves; its Target is empty otherwise.
-	Leaving cassiaavailability.Process
 }
 
 // ParseOutcome returns the outcome with the given name, or OutcomeBroken if the name is unknown.
--- a/core/cassiagateway/query.go
+++ b/core/cassiagateway/query.go
@@ -37,8 +37,9 @@
 	// forward is set while another VM serves the query for this one; forwardTried holds the VMs that it was passed on to.
 	forward      *forwarding
 	forwardTried []cassiaid.VMName
-	// forOther is true if this VM serves the query for another one.
-	forOther bool
+	// forOther is true if this VM serves the query for another one; statements then holds what targets have stated in answers to it.
+	forOther   bool
+	statements []TargetStatement
 	// least is the result of the last computation of leastRecord, for so many answered shards.
 	least   []byte
 	leastOf int
--- a/core/cassiagateway/refuse.go
+++ b/core/cassiagateway/refuse.go
@@ -21,7 +21,7 @@
 		g.observeLateness(now, q)
 	}
 	q.trace.Answered = q.answered
-	answer := Answer{Trace: q.trace}
+	answer := Answer{Trace: q.trace, Statements: q.statements}
 	if !q.route.FansOut() && q.shards[0].failure != nil {
 		answer.Reply = q.shards[0].failure
 		g.emit(Finish{Query: q.id, Answer: answer})
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiaid"
 )
@@ -258,8 +259,8 @@
 	g.unneeded = without(g.unneeded, a)
 	g.observeAcceptance(now, a.target, m.Acceptance)
 	g.observeStatement(now, a.target, m.Statement)
-	if m.Reply != nil && m.Statement.Leaving {
-		m.Reply.Leaving = a.target.process()
+	if q.forOther && m.Statement != (cassiaavailability.Statement{}) {
+		q.statements = append(q.statements, TargetStatement{Process: a.target.process(), Statement: m.Statement})
 	}
 	g.recordOutcome(now, a, m)
 	if !m.Outcome.reachedTarget() {
@@ -504,7 +505,7 @@
 	g.release(now, q)
 	g.observeLateness(now, q)
 	q.trace.Answered = q.answered
-	answer := Answer{Trace: q.trace}
+	answer := Answer{Trace: q.trace, Statements: q.statements}
 	if q.route.FansOut() {
 		answer.Merged = q.merged()
 	} else {
--- a/io/cassiaforward/client.go
+++ b/io/cassiaforward/client.go
@@ -158,6 +158,6 @@
 	}
 	c.mutex.Unlock()
 	if f != nil {
-		c.update(cassiagateway.ForwardEnded{Query: f.query, VM: f.vm, Outcome: r.Outcome, Reply: r.Reply})
+		c.update(cassiagateway.ForwardEnded{Query: f.query, VM: f.vm, Outcome: r.Outcome, Reply: r.Reply, Statements: r.Statements})
 	}
 }
--- a/io/cassiaforward/forward_test.go
+++ b/io/cassiaforward/forward_test.go
@@ -72,24 +72,27 @@
 
 func request(timeout time.Duration) Request {
 	return Request{Method: http.MethodPost, URI: "/x/1?y", Host: "shop", Header: http.Header{"X-Own": {"1", "2"}}, RequestID: "id", Body: []byte("body"),
-		Deadline: time.Now().Add(timeout), Configuration: 7, Caller: 8, Content: 9,
-		Leaving: []cassiaavailability.Process{{Target: "t", StartUnixMillis: 5}, {Target: "u"}}}
+		Deadline: time.Now().Add(timeout), Configuration: 7, Caller: 8, Content: 9}
 }
 
 func TestForwardedRequestAndAnswerArriveUnchanged(t *testing.T) {
 	c := qt.New(t)
-	answer := &cassiagateway.Reply{Status: 503, Header: map[string][]string{"Retry-After": {"0.5"}}, Body: []byte("not now"),
-		Leaving: cassiaavailability.Process{Target: "t", StartUnixMillis: 5}}
+	answer := &cassiagateway.Reply{Status: 503, Header: map[string][]string{"Retry-After": {"0.5"}}, Body: []byte("not now")}
+	stated := []cassiagateway.TargetStatement{{Process: cassiaavailability.Process{Target: "t", StartUnixMillis: 5},
+		Statement: cassiaavailability.Statement{Leaving: true}}, {Process: cassiaavailability.Process{Target: "u"},
+		Statement: cassiaavailability.Statement{Pause: time.Second}}}
 	sent := request(time.Minute)
+	sent.Statements = stated
 	p := newPair(func(_ context.Context, from cassiaid.VMName, r Request) Result {
 		c.Check(from, qt.Equals, cassiaid.VMName("a"))
 		c.Check(r.Deadline.Sub(sent.Deadline) < time.Second, qt.IsTrue)
 		r.Deadline = sent.Deadline
 		c.Check(r, qt.DeepEquals, sent)
-		return Result{Outcome: cassiagateway.ForwardAnswered, Reply: answer}
+		return Result{Outcome: cassiagateway.ForwardAnswered, Reply: answer, Statements: stated}
 	})
 	p.client.Send("b", 3, sent)
-	c.Check(p.next(c), qt.DeepEquals, cassiagateway.Message(cassiagateway.ForwardEnded{Query: 3, VM: "b", Outcome: cassiagateway.ForwardAnswered, Reply: answer}))
+	c.Check(p.next(c), qt.DeepEquals, cassiagateway.Message(cassiagateway.ForwardEnded{Query: 3, VM: "b", Outcome: cassiagateway.ForwardAnswered, Reply: answer,
+		Statements: stated}))
 }
 
 // TestSlowForwardIsAccepted guards against a request being taken back from a VM that serves it.
@@ -101,7 +104,7 @@
 	})
 	p.client.Send("b", 3, request(time.Minute))
 	c.Check(p.next(c), qt.Equals, cassiagateway.Message(cassiagateway.ForwardAccepted{Query: 3, VM: "b"}))
-	c.Check(p.next(c), qt.Equals, cassiagateway.Message(cassiagateway.ForwardEnded{Query: 3, VM: "b", Outcome: cassiagateway.ForwardUnreachable}))
+	c.Check(p.next(c), qt.DeepEquals, cassiagateway.Message(cassiagateway.ForwardEnded{Query: 3, VM: "b", Outcome: cassiagateway.ForwardUnreachable}))
 }
 
 // TestCancelledForwardMayHaveRun guards against "not run" for a request that has left this VM, and against work for callers that have gone.
@@ -118,7 +121,7 @@
 	p.client.Send("b", 3, request(time.Minute))
 	<-begun
 	p.client.Cancel(3)
-	c.Check(p.next(c), qt.Equals, cassiagateway.Message(cassiagateway.ForwardEnded{Query: 3, VM: "b", Outcome: cassiagateway.ForwardLost}))
+	c.Check(p.next(c), qt.DeepEquals, cassiagateway.Message(cassiagateway.ForwardEnded{Query: 3, VM: "b", Outcome: cassiagateway.ForwardLost}))
 	<-cancelled
 }
 
@@ -129,7 +132,7 @@
 	p.unsent = cassiapeer.ErrNotSent
 	p.client.Send("b", 3, request(time.Minute))
 	p.client.Cancel(3)
-	c.Check(p.next(c), qt.Equals, cassiagateway.Message(cassiagateway.ForwardEnded{Query: 3, VM: "b", Outcome: cassiagateway.ForwardDeclined}))
+	c.Check(p.next(c), qt.DeepEquals, cassiagateway.Message(cassiagateway.ForwardEnded{Query: 3, VM: "b", Outcome: cassiagateway.ForwardDeclined}))
 }
 
 // TestLostVMEndsItsForwards guards against callers that wait until their deadline for a VM that is lost.
@@ -148,7 +151,7 @@
 		p.client.PeerLost("b")
 		time.Sleep(10 * time.Millisecond)
 	}
-	c.Check(p.next(c), qt.Equals, cassiagateway.Message(cassiagateway.ForwardEnded{Query: 3, VM: "b", Outcome: cassiagateway.ForwardLost}))
+	c.Check(p.next(c), qt.DeepEquals, cassiagateway.Message(cassiagateway.ForwardEnded{Query: 3, VM: "b", Outcome: cassiagateway.ForwardLost}))
 	p.server.PeerLost("a")
 	c.Check(p.server.Drain(t.Context()), qt.IsNil)
 }
--- a/io/cassiaforward/request.go
+++ b/io/cassiaforward/request.go
@@ -28,8 +28,8 @@
 	Configuration cassiacatalog.Version
 	// Caller and Content identify the request with and without its caller's address.
 	Caller, Content cassiaid.Fingerprint
-	// Leaving holds the targets that could serve the request and have told the first VM that they leave.
-	Leaving []cassiaavailability.Process
+	// Statements holds what targets that could serve the request have stated to the first VM.
+	Statements []cassiagateway.TargetStatement
 }
 
 // encode returns the frame that carries the request; now is the base of the remaining time.
@@ -37,14 +37,14 @@
 	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ForwardedRequest{ForwardedRequest: &cassiaschema.ForwardedRequest{
 		ForwardId: id, Method: r.Method, Uri: r.URI, Host: r.Host, Headers: cassiapeer.EncodeHeader(r.Header), RequestId: r.RequestID, Body: r.Body,
 		Remaining: durationpb.New(r.Deadline.Sub(now)), Configuration: uint64(r.Configuration), CallerFingerprint: uint64(r.Caller),
-		ContentFingerprint: uint64(r.Content), Leaving: encodeProcesses(r.Leaving)}}}
+		ContentFingerprint: uint64(r.Content), Statements: encodeStatements(r.Statements)}}}
 }
 
 func decodeRequest(m *cassiaschema.ForwardedRequest, now time.Time) Request {
 	return Request{Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: cassiapeer.DecodeHeader(m.GetHeaders()), RequestID: m.GetRequestId(),
 		Body: m.GetBody(), Deadline: now.Add(m.GetRemaining().AsDuration()), Configuration: cassiacatalog.Version(m.GetConfiguration()),
 		Caller: cassiaid.Fingerprint(m.GetCallerFingerprint()), Content: cassiaid.Fingerprint(m.GetContentFingerprint()),
-		Leaving: decodeProcesses(m.GetLeaving())}
+		Statements: decodeStatements(m.GetStatements())}
 }
 
 // Result is how a VM served a request of another one.
@@ -52,11 +52,13 @@
 	Outcome cassiagateway.ForwardOutcome
 	// Reply is the answer for the caller if Outcome is ForwardAnswered.
 	Reply *cassiagateway.Reply
+	// Statements holds what targets have stated in answers to the request.
+	Statements []cassiagateway.TargetStatement
 }
 
 // encode returns the frame that carries the result.
 func (r Result) encode(id uint64) *cassiaschema.PeerFrame {
-	m := &cassiaschema.ForwardedReply{ForwardId: id}
+	m := &cassiaschema.ForwardedReply{ForwardId: id, Statements: encodeStatements(r.Statements)}
 	switch r.Outcome {
 	case cassiagateway.ForwardDeclined:
 		m.State = cassiaschema.ForwardedReply_STATE_DECLINED
@@ -65,9 +67,6 @@
 	case cassiagateway.ForwardAnswered:
 		m.State = cassiaschema.ForwardedReply_STATE_ANSWERED
 		m.Status, m.Headers, m.Body = uint32(r.Reply.Status), cassiapeer.EncodeHeader(r.Reply.Header), r.Reply.Body
-		if r.Reply.Leaving.Target != "" {
-			m.Leaving = encodeProcess(r.Reply.Leaving)
-		}
 	}
 	return replyFrame(m)
 }
@@ -78,40 +77,34 @@
 
 // decodeResult returns the result that a reply carries. A state that this version does not know counts as lost.
 func decodeResult(m *cassiaschema.ForwardedReply) Result {
+	r := Result{Outcome: cassiagateway.ForwardLost, Statements: decodeStatements(m.GetStatements())}
 	switch m.GetState() {
 	case cassiaschema.ForwardedReply_STATE_DECLINED:
-		return Result{Outcome: cassiagateway.ForwardDeclined}
+		r.Outcome = cassiagateway.ForwardDeclined
 	case cassiaschema.ForwardedReply_STATE_UNREACHABLE:
-		return Result{Outcome: cassiagateway.ForwardUnreachable}
+		r.Outcome = cassiagateway.ForwardUnreachable
 	case cassiaschema.ForwardedReply_STATE_ANSWERED:
-		return Result{Outcome: cassiagateway.ForwardAnswered,
-			Reply: &cassiagateway.Reply{Status: int(m.GetStatus()), Header: cassiapeer.DecodeHeader(m.GetHeaders()), Body: m.GetBody(),
-				Leaving: decodeProcess(m.GetLeaving())}}
-	default:
-		return Result{Outcome: cassiagateway.ForwardLost}
+		r.Outcome = cassiagateway.ForwardAnswered
+		r.Reply = &cassiagateway.Reply{Status: int(m.GetStatus()), Header: cassiapeer.DecodeHeader(m.GetHeaders()), Body: m.GetBody()}
 	}
+	return r
 }
 
-func encodeProcess(p cassiaavailability.Process) *cassiaschema.TargetProcess {
-	return &cassiaschema.TargetProcess{Target: string(p.Target), StartUnixMillis: p.StartUnixMillis}
-}
-
-func decodeProcess(m *cassiaschema.TargetProcess) cassiaavailability.Process {
-	return cassiaavailability.Process{Target: cassiaid.TargetName(m.GetTarget()), StartUnixMillis: m.GetStartUnixMillis()}
-}
-
-func encodeProcesses(processes []cassiaavailability.Process) []*cassiaschema.TargetProcess {
-	var encoded []*cassiaschema.TargetProcess
-	for _, p := range processes {
-		encoded = append(encoded, encodeProcess(p))
+func encodeStatements(statements []cassiagateway.TargetStatement) []*cassiaschema.TargetStatement {
+	var encoded []*cassiaschema.TargetStatement
+	for _, s := range statements {
+		encoded = append(encoded, &cassiaschema.TargetStatement{Target: string(s.Process.Target), StartUnixMillis: s.Process.StartUnixMillis,
+			Availability: s.Statement.Message()})
 	}
 	return encoded
 }
 
-func decodeProcesses(encoded []*cassiaschema.TargetProcess) []cassiaavailability.Process {
-	var processes []cassiaavailability.Process
+func decodeStatements(encoded []*cassiaschema.TargetStatement) []cassiagateway.TargetStatement {
+	var statements []cassiagateway.TargetStatement
 	for _, m := range encoded {
-		processes = append(processes, decodeProcess(m))
+		statements = append(statements, cassiagateway.TargetStatement{
+			Process:   cassiaavailability.Process{Target: cassiaid.TargetName(m.GetTarget()), StartUnixMillis: m.GetStartUnixMillis()},
+			Statement: cassiaavailability.StatementFrom(m.GetAvailability())})
 	}
-	return processes
+	return statements
 }
--- a/io/cassiagate/forward.go
+++ b/io/cassiagate/forward.go
@@ -22,13 +22,13 @@
 	g.report.forwarded(q.call.RequestID, e.VM)
 	g.forwardClient.Send(e.VM, e.Query, cassiaforward.Request{Method: q.call.Method, URI: q.call.URI, Host: q.call.Host, Header: q.call.Header,
 		RequestID: q.call.RequestID, Body: q.call.Body, Deadline: e.Deadline, Configuration: q.configuration,
-		Caller: q.fingerprints.caller, Content: q.fingerprints.content, Leaving: e.Leaving})
+		Caller: q.fingerprints.caller, Content: q.fingerprints.content, Statements: e.Statements})
 }
 
-// UpdateForward passes what becomes of a request that another VM serves to the gateway, and a target's statement in its answer to the pool.
+// UpdateForward passes what becomes of a request that another VM serves to the gateway, and what targets have stated to that VM to the pool.
 func (g *Gate) UpdateForward(m cassiagateway.Message) {
-	if ended, ok := m.(cassiagateway.ForwardEnded); ok && ended.Reply != nil {
-		g.pool.ObserveLeaving(ended.Reply.Leaving)
+	if ended, ok := m.(cassiagateway.ForwardEnded); ok {
+		g.pool.ObserveStatements(ended.Statements)
 	}
 	g.Update(m)
 }
@@ -46,9 +46,9 @@
 		h.gate.report.declined(r.RequestID, from, "olderConfiguration")
 		return cassiaforward.Result{Outcome: cassiagateway.ForwardDeclined}
 	}
-	for _, process := range r.Leaving {
-		h.gate.pool.ObserveLeaving(process)
-		h.gate.Update(cassiagateway.TargetLeaving{Process: process})
+	h.gate.pool.ObserveStatements(r.Statements)
+	for _, s := range r.Statements {
+		h.gate.Update(cassiagateway.TargetStated{TargetStatement: s})
 	}
 	path, _, _ := strings.Cut(r.URI, "?")
 	route := catalog.Match(r.Host, path)
@@ -61,20 +61,17 @@
 	w := &answerBuffer{header: make(http.Header)}
 	answer := h.serveRouted(ctx, w, routedRequest{call: call, route: route, configuration: catalog.Version, from: from,
 		fingerprints: fingerprints{caller: r.Caller, content: r.Content}})
+	result := cassiaforward.Result{Statements: answer.Statements}
 	switch refusal := answer.Refusal; {
-	case refusal == nil || !refusal.NotRun:
-	case refusal.Reason == cassiagateway.RefusalIsolated:
-		return cassiaforward.Result{Outcome: cassiagateway.ForwardDeclined}
-	case refusal.Reason == cassiagateway.RefusalUnreachable:
-		return cassiaforward.Result{Outcome: cassiagateway.ForwardUnreachable}
-	}
-	if w.status == 0 {
+	case refusal != nil && refusal.NotRun && refusal.Reason == cassiagateway.RefusalIsolated:
+		result.Outcome = cassiagateway.ForwardDeclined
+	case refusal != nil && refusal.NotRun && refusal.Reason == cassiagateway.RefusalUnreachable:
+		result.Outcome = cassiagateway.ForwardUnreachable
+	case w.status == 0:
 		// The request was taken back or its deadline has passed.
-		return cassiaforward.Result{Outcome: cassiagateway.ForwardLost}
-	}
-	result := cassiaforward.Result{Outcome: cassiagateway.ForwardAnswered, Reply: w.reply()}
-	if answer.Reply != nil {
-		result.Reply.Leaving = answer.Reply.Leaving
+		result.Outcome = cassiagateway.ForwardLost
+	default:
+		result.Outcome, result.Reply = cassiagateway.ForwardAnswered, w.reply()
 	}
 	return result
 }
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -131,15 +131,13 @@
 	return statement, statement != cassiaavailability.Statement{}
 }
 
-// ObserveLeaving records that the process of a target states that it leaves, in an answer that another VM got for this one. One without a
-// target is ignored.
-func (p *Pool) ObserveLeaving(process cassiaavailability.Process) {
-	if process.Target == "" {
-		return
-	}
+// ObserveStatements records what targets have stated to another VM.
+func (p *Pool) ObserveStatements(statements []cassiagateway.TargetStatement) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.availability.Observe(p.now(), process, cassiaavailability.Statement{Leaving: true})
+	for _, s := range statements {
+		p.availability.Observe(p.now(), s.Process, s.Statement)
+	}
 }
 
 // Probe opens a connection to a target and reports whether that succeeded within connectTimeout, and whether the connection then ended at
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -33,6 +33,8 @@
 var soakFailed = []uint64{
 	// A VM kept its connection to an earlier process of another VM for 30 s.
 	1010,
+	// VMs that served requests for VMs without links kept to themselves that targets leave or want no requests.
+	72003, 72009, 72031, 72045,
 	// VMs that had restarted or were no longer listed sent more retries than their share of the retry budget.
 	3013,
 	// A VM sent a retry that the aggregator in another zone had denied, without charging it to the retry budget.
