Begin no attempt of a query that was passed to another VM

Found by reading the diff: an attempt that waits for its connection when its VM finds itself isolated is cancelled with the next tick. If the connection opened in between, the request was sent although another VM serves it, and one that is not idempotent could run twice.

TestForwardedQueryBeginsNoAttempt: red before, green after.

--- a/core/cassiagateway/isolation_test.go
+++ b/core/cassiagateway/isolation_test.go
@@ -235,3 +235,19 @@
 	c.Assert(finished, qt.HasLen, 1)
 	c.Check(finished[0].Answer.Statements, qt.DeepEquals, []TargetStatement{{Process: g.targets[sent[0].Target].process(), Statement: statement}})
 }
+
+// TestForwardedQueryBeginsNoAttempt guards against a second run of a query whose attempt gets its connection just after the query was passed on.
+func TestForwardedQueryBeginsNoAttempt(t *testing.T) {
+	c := qt.New(t)
+	sim, _, booking := newCutSimulation(3)
+	g := sim.vms[0].gateway
+	sent := effectsOf[Send](g.Update(Arrived{Query: 1, Route: booking.route, Deadline: sim.now.Add(time.Second)}))
+	c.Assert(sent, qt.HasLen, 1)
+	g.checkIsolation(sim.now)
+	var effects []Effect
+	for name := range g.isolation.pending {
+		effects = append(effects, g.Update(ProbeEnded{Target: name})...)
+	}
+	c.Assert(effectsOf[Forward](effects), qt.HasLen, 1)
+	c.Check(effectsOf[Cancel](g.Update(AttemptBegins{Attempt: sent[0].Attempt})), qt.HasLen, 1)
+}
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -222,7 +222,7 @@
 	if !ok {
 		return
 	}
-	if a.cancelled || a.shard.query.finished || a.shard.state != shardOpen {
+	if a.cancelled || !a.cancelAt.IsZero() || a.shard.query.finished || a.shard.state != shardOpen {
 		a.cancelled = true
 		g.emit(Cancel{Attempt: id})
 		return
