Keep the losses of a suspect that ran beside a blamed request on all its targets

Cause: a VM that did not know yet of the deadly request blamed a harmless one that ran on the same four targets. The VM of the deadly request learned that quarantine and dropped all losses that it explained, so that the deadly request was no suspect any more.

Fix: a suspect that ran on every target that the quarantined request lost keeps its losses, unless the quarantine is a repeated one.

Ruled out: a wait that ran out (the verdict was run, not alone).

--- a/core/cassiaquarantine/content_test.go
+++ b/core/cassiaquarantine/content_test.go
@@ -173,3 +173,37 @@
 	lose("t3", "vm-0", 10, 2, testContent)
 	c.Check(q.Remaining(testContent) > 0, qt.IsTrue)
 }
+
+// TestBlamedCompanionDoesNotFreeAFanOut guards against a deadly fan-out losing a second target of each shard at once because a VM
+// that did not know of it blamed a request that ran beside it on all lost targets.
+func TestBlamedCompanionDoesNotFreeAFanOut(t *testing.T) {
+	c := qt.New(t)
+	const shards, deadly, harmless = 4, 1, 5
+	q := NewQuarantine(clockwork.NewFakeClock())
+	run := func(attempt cassiaid.AttemptID, shard cassiaid.ShardIndex) Run {
+		return Run{Attempt: attempt, Fingerprint: deadly, Content: testContent, Shard: shard}
+	}
+	for shard := range cassiaid.ShardIndex(shards) {
+		q.Update(Started{Run: run(cassiaid.AttemptID(shard)+1, shard), Target: targetOf(int(shard), 0)})
+	}
+	for shard := range cassiaid.ShardIndex(shards) {
+		beside := Run{Attempt: cassiaid.AttemptID(shard) + 101, Fingerprint: harmless, Content: otherContent, Shard: shard}
+		q.Update(LossLearned{Loss: Loss{Target: targetOf(int(shard), 0), Reporter: "vm-2", Runs: []Run{beside}}})
+		for _, e := range q.Update(Ended{Attempt: cassiaid.AttemptID(shard) + 1, Ending: EndingLost}) {
+			if share, ok := e.(ShareLoss); ok {
+				q.Update(LossShared(share))
+			}
+		}
+	}
+	q.Update(QuarantineLearned{Fingerprint: harmless, Remaining: time.Minute})
+	admitted := 0
+	for shard := range cassiaid.ShardIndex(shards) {
+		next := run(cassiaid.AttemptID(shard)+11, shard)
+		if verdict := q.AdmitRun(next); verdict == VerdictRun || verdict == VerdictAlone {
+			next.Alone = verdict == VerdictAlone
+			q.Update(Started{Run: next, Target: targetOf(int(shard), 1)})
+			admitted++
+		}
+	}
+	c.Check(admitted, qt.Equals, 1)
+}
--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -168,8 +168,9 @@
 func (q *Quarantine) learnQuarantine(now time.Time, m QuarantineLearned) {
 	until := now.Add(min(m.Remaining, maxQuarantine))
 	if p := q.periods[m.Fingerprint]; until.After(p.until) {
+		repeated := q.quarantinedRecently(now, m.Fingerprint)
 		q.setPeriod(now, m.Fingerprint, quarantinePeriod{until: until, duration: max(p.duration, baseQuarantine)})
-		q.dropExplainedLosses(now, m.Fingerprint)
+		q.dropExplainedLosses(now, m.Fingerprint, repeated)
 	}
 }
 
@@ -428,9 +429,9 @@
 			if q.Remaining(f) > 0 || !q.isBlamed(now, f, ended) {
 				continue
 			}
-			duration := q.nextDuration(now, f)
+			duration, repeated := q.nextDuration(now, f), q.quarantinedRecently(now, f)
 			q.setPeriod(now, f, quarantinePeriod{until: now.Add(duration), duration: duration})
-			q.dropExplainedLosses(now, f)
+			q.dropExplainedLosses(now, f, repeated)
 			effects = append(effects, ShareQuarantine{Fingerprint: f, Remaining: duration})
 		}
 	}
@@ -438,15 +439,32 @@
 }
 
 // dropExplainedLosses removes the quarantined request f from the suspects, and drops the losses of other suspects on targets that
-// also ran f.
-func (q *Quarantine) dropExplainedLosses(now time.Time, f cassiaid.Fingerprint) {
+// also ran f. Unless the quarantine is a repeated one, a suspect that ran on all targets that f lost keeps its losses: the VM that
+// blamed f may not have known of it.
+func (q *Quarantine) dropExplainedLosses(now time.Time, f cassiaid.Fingerprint, repeated bool) {
 	delete(q.suspects, f)
+	lost := q.targetsLostBy(now, f)
 	for other, s := range q.suspects {
+		if !repeated && s.involvesAll(lost) {
+			continue
+		}
 		s.losses = slices.DeleteFunc(s.losses, func(l suspectLoss) bool { return slices.Contains(l.others, f) })
 		q.expireLosses(now, other, s)
 	}
 }
 
+// targetsLostBy returns the targets that were lost within Window while they ran a request.
+func (q *Quarantine) targetsLostBy(now time.Time, f cassiaid.Fingerprint) []cassiaid.TargetName {
+	var targets []cassiaid.TargetName
+	for _, l := range q.losses {
+		ran := slices.ContainsFunc(l.loss.Runs, func(r Run) bool { return r.has(f) })
+		if ran && now.Sub(l.at) <= Window && !slices.Contains(targets, l.loss.Target) {
+			targets = append(targets, l.loss.Target)
+		}
+	}
+	return targets
+}
+
 func (q *Quarantine) nextDuration(now time.Time, f cassiaid.Fingerprint) time.Duration {
 	if !q.quarantinedRecently(now, f) {
 		return baseQuarantine
--- a/core/cassiaquarantine/suspect.go
+++ b/core/cassiaquarantine/suspect.go
@@ -93,6 +93,11 @@
 	return s != nil && slices.ContainsFunc(s.losses, func(l suspectLoss) bool { return l.target == target })
 }
 
+// involvesAll reports whether each of the targets was lost while it ran the request.
+func (s *suspect) involvesAll(targets []cassiaid.TargetName) bool {
+	return !slices.ContainsFunc(targets, func(target cassiaid.TargetName) bool { return !s.involves(target) })
+}
+
 // hasLoss reports whether a recorded loss counts against the suspect. It is false for a nil suspect.
 func (s *suspect) hasLoss(recorded recordedLoss) bool {
 	return s != nil && slices.ContainsFunc(s.losses, func(l suspectLoss) bool { return l.number == recorded.number })
