Give the targets of a VM without links to other owners (cassiasaddle serve)

Cause: entries ask the owners of a slice, whatever these reach.

Fix: a VM whose health calls all fail, with no answer of any target meanwhile, tells by gossip that it takes no work until it reaches one again. What it found of targets out of reach is forgotten, so that it does not take a leaving target for a new process afterwards.

--- a/core/cassiamember/membership.go
+++ b/core/cassiamember/membership.go
@@ -41,8 +41,9 @@
 	// correction is an update about this VM for the sender of the packet being handled, nil when that sender has the
 	// right state of this VM.
 	correction *cassiaschema.MemberUpdate
-	stopped    bool
-	effects    []Effect
+	// stopping is true once a Leave has come, so that the end of an isolation does not make this VM alive again.
+	stopping, stopped bool
+	effects           []Effect
 }
 
 // New returns the view of a VM that knows no other member.
@@ -101,6 +102,8 @@
 		m.joiner.seeds = message.Seeds
 	case Leave:
 		m.leave()
+	case IsolationChanged:
+		m.setIsolated(message.Isolated)
 	case Stop:
 		m.stop()
 	case SettingsChanged:
--- a/core/cassiamember/membership_test.go
+++ b/core/cassiamember/membership_test.go
@@ -80,7 +80,7 @@
 func injectFault(t *rapid.T, n *network, zones, step int) {
 	running := n.running()
 	v := running[rapid.IntRange(0, len(running)-1).Draw(t, "vm")]
-	switch rapid.SampledFrom([]string{"nothing", "kill", "replace", "stop", "leave", "add"}).Draw(t, "disturbance") {
+	switch rapid.SampledFrom([]string{"nothing", "kill", "replace", "stop", "leave", "isolate", "add"}).Draw(t, "disturbance") {
 	case "kill":
 		if len(running) > 1 {
 			n.disconnect(v)
@@ -99,6 +99,10 @@
 		}
 	case "leave":
 		n.update(v, Leave{})
+	case "isolate":
+		n.update(v, IsolationChanged{Isolated: true})
+		n.run(time.Duration(rapid.IntRange(0, 5).Draw(t, "isolated")) * time.Second)
+		n.update(v, IsolationChanged{})
 	case "add":
 		n.add(fmt.Sprintf("added-%d", step), rapid.IntRange(0, zones-1).Draw(t, "zone"), n.seeds(3)...)
 	}
@@ -254,6 +258,28 @@
 
 // TestNewsReachesAll checks that quarantines, leaving targets and their return reach each VM exactly once, also with
 // packet loss.
+// TestIsolationSpreadsAndEnds checks that an isolated VM is known as leaving and then as alive again on all VMs within leavingTimeout.
+func TestIsolationSpreadsAndEnds(t *testing.T) {
+	n := newNetwork(7, Tuning{})
+	n.addAll(64, 4)
+	assertAgree(t, n, n.vms, "start")
+	for _, test := range []struct {
+		message Message
+		state   State
+	}{
+		{IsolationChanged{Isolated: true}, Leaving},
+		{IsolationChanged{}, Alive},
+		{IsolationChanged{Isolated: true}, Leaving},
+		{Leave{}, Leaving},
+		{IsolationChanged{}, Leaving},
+	} {
+		n.update(n.vms[5], test.message)
+		_, ok := n.runUntil(leavingTimeout, func() bool { return agree(n.vms) })
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, n.vms[9].members[n.vms[5].self.Name].State, qt.Equals, test.state, qt.Commentf("%+v", test.message))
+	}
+}
+
 func TestNewsReachesAll(t *testing.T) {
 	n := newNetwork(8, Tuning{})
 	n.addAll(32, 4)
--- a/core/cassiamember/message.go
+++ b/core/cassiamember/message.go
@@ -32,6 +32,9 @@
 // Leave announces that this VM stops soon and takes no new work.
 type Leave struct{}
 
+// IsolationChanged reports that this VM reaches no target any more and takes no new work, or that it reaches targets again.
+type IsolationChanged struct{ Isolated bool }
+
 // Stop announces that this VM stops now; messages after it are ignored.
 type Stop struct{}
 
@@ -51,11 +54,12 @@
 	Remaining time.Duration
 }
 
-func (Packet) isMessage()          {}
-func (Tick) isMessage()            {}
-func (SeedList) isMessage()        {}
-func (Leave) isMessage()           {}
-func (Stop) isMessage()            {}
-func (SettingsChanged) isMessage() {}
-func (QuarantineAdded) isMessage() {}
-func (TargetObserved) isMessage()  {}
+func (Packet) isMessage()           {}
+func (Tick) isMessage()             {}
+func (SeedList) isMessage()         {}
+func (Leave) isMessage()            {}
+func (IsolationChanged) isMessage() {}
+func (Stop) isMessage()             {}
+func (SettingsChanged) isMessage()  {}
+func (QuarantineAdded) isMessage()  {}
+func (TargetObserved) isMessage()   {}
--- a/core/cassiamember/self.go
+++ b/core/cassiamember/self.go
@@ -54,6 +54,11 @@
 
 // leave announces that this VM takes no new work, directly to each member of its own zone.
 func (m *Membership) leave() {
+	m.stopping = true
+	m.takeNoWork()
+}
+
+func (m *Membership) takeNoWork() {
 	if m.self.State == Leaving {
 		return
 	}
@@ -61,6 +66,18 @@
 	m.pushSelf()
 }
 
+// setIsolated announces this VM like a leaving one while it reaches no target. Its return needs a new incarnation, since at the same
+// one others keep the later state.
+func (m *Membership) setIsolated(isolated bool) {
+	switch {
+	case isolated:
+		m.takeNoWork()
+	case m.self.State == Leaving && !m.stopping:
+		m.setSelf(Alive, m.self.Incarnation+1)
+		m.pushSelf()
+	}
+}
+
 // stop announces that this VM is dead and makes Update ignore later messages.
 func (m *Membership) stop() {
 	m.setSelf(Dead, m.self.Incarnation)
--- a/core/cassiaroute/ejection.go
+++ b/core/cassiaroute/ejection.go
@@ -171,6 +171,19 @@
 	return []Effect{ShareLeaving{Target: state.name, Remaining: defaultLeavingDuration}}
 }
 
+// forgetUnreached puts the targets back into use that this VM avoids because they could not be reached. None of them counts as
+// restarted when it can be reached again.
+func (t *Table) forgetUnreached() {
+	for _, state := range t.targets {
+		if state.wasUnreachable {
+			state.wasUnreachable, state.avoidedForHealth = false, false
+		}
+		if state.lastEjectReason == EjectUnreachable {
+			state.ejectedUntil = time.Time{}
+		}
+	}
+}
+
 func (t *Table) markLeaving(now time.Time, m TargetLeaving) []Effect {
 	state := t.targets[m.Target]
 	if state == nil {
--- a/core/cassiaroute/message.go
+++ b/core/cassiaroute/message.go
@@ -55,6 +55,9 @@
 // OwnerReachable reports that something was received from a VM.
 type OwnerReachable struct{ Owner cassiaid.VMName }
 
+// IsolationBegan reports that this VM reaches no target, so that what it found of targets out of reach is void.
+type IsolationBegan struct{}
+
 // AttemptSent reports that this VM has sent an attempt.
 type AttemptSent struct {
 	Front  cassiaid.FrontKey
@@ -79,6 +82,7 @@
 func (PlatformLeaving) isMessage()  {}
 func (OwnerUnreachable) isMessage() {}
 func (OwnerReachable) isMessage()   {}
+func (IsolationBegan) isMessage()   {}
 func (AttemptSent) isMessage()      {}
 func (AttemptEnded) isMessage()     {}
 
--- a/core/cassiaroute/table.go
+++ b/core/cassiaroute/table.go
@@ -62,6 +62,8 @@
 		t.unreachableOwners.add(m.Owner, m.reportedAt(now))
 	case OwnerReachable:
 		delete(t.unreachableOwners, m.Owner)
+	case IsolationBegan:
+		t.forgetUnreached()
 	case AttemptSent:
 		t.recordSent(now, m)
 	case AttemptEnded:
@@ -126,12 +128,28 @@
 }
 
 // OwnedTargets returns the targets in its own zone that this VM owns.
-func (t *Table) OwnedTargets() []OwnedTarget {
+func (t *Table) OwnedTargets() []OwnedTarget { return t.ownedTargets(t.IsOwner) }
+
+// TargetsIfAlive returns the targets that this VM would own if it were not known as leaving.
+func (t *Table) TargetsIfAlive() []OwnedTarget {
+	members := slices.Clone(t.members[t.zone])
+	for i := range members {
+		members[i].Leaving = members[i].Leaving && members[i].Name != t.local
+	}
+	return t.ownedTargets(func(key cassiaid.FrontKey, index cassiaid.ShardIndex) bool {
+		f := t.fronts[key]
+		id := sliceID{front: key, zone: t.zone, slice: sliceOf(index, len(f.settings.GetShards()), f.slices)}
+		return slices.Contains(rankOwners(members, id.key(), f.share.Owners), t.local)
+	})
+}
+
+// ownedTargets returns the targets in its own zone of the shards for which owns returns true.
+func (t *Table) ownedTargets(owns func(cassiaid.FrontKey, cassiaid.ShardIndex) bool) []OwnedTarget {
 	var owned []OwnedTarget
 	for key, f := range t.fronts {
 		for i, s := range f.settings.GetShards() {
 			index := cassiaid.ShardIndex(i)
-			if !slices.Contains(t.Owners(key, index, t.zone), t.local) {
+			if !owns(key, index) {
 				continue
 			}
 			for _, target := range s.GetTargets() {
--- a/core/cassiaroute/table_test.go
+++ b/core/cassiaroute/table_test.go
@@ -101,6 +101,47 @@
 	c.Assert(f.usable("t0-0"), qt.IsTrue)
 }
 
+// TestTargetKeepsLeavingWhileAVMIsIsolated guards against a VM that lost its own links taking a leaving target for a new process.
+func TestTargetKeepsLeavingWhileAVMIsIsolated(t *testing.T) {
+	c := qt.New(t)
+	f := newTableFixture(4, 2)
+	f.reportResult(&cassiaschema.ShardResult{Target: "t0-0", Outcome: cassiaschema.ShardOutcome_draining})
+	health := func(target string, reachable bool) []Effect {
+		known := &cassiaschema.TargetKnowledge{Target: target, Reachable: reachable}
+		return f.Update(KnowledgeSeen{Targets: []*cassiaschema.TargetKnowledge{known}})
+	}
+	health("t0-0", false)
+	health("t1-0", false)
+	c.Assert(f.usable("t1-0"), qt.IsFalse)
+	f.Update(IsolationBegan{})
+	c.Check(f.usable("t1-0"), qt.IsTrue)
+	c.Check(health("t0-0", true), qt.HasLen, 0)
+	c.Check(f.usable("t0-0"), qt.IsFalse)
+}
+
+// TestIsolatedVMGivesItsTargetsToOthers checks that another VM owns each target of an isolated one, which still knows them.
+func TestIsolatedVMGivesItsTargetsToOthers(t *testing.T) {
+	c := qt.New(t)
+	f := newTableFixture(64, 2)
+	owned := f.OwnedTargets()
+	c.Assert(len(owned) > 0, qt.IsTrue)
+	members := testMembers(8, 4)
+	for i := range members {
+		members[i].Leaving = members[i].Name == "vm0"
+	}
+	f.Update(MembersChanged{Members: members})
+	c.Check(f.OwnedTargets(), qt.HasLen, 0)
+	c.Check(f.TargetsIfAlive(), qt.HasLen, len(owned))
+	for _, o := range owned {
+		c.Check(f.Owners(testKey, o.Shard, "z0"), qt.Not(qt.HasLen), 0)
+	}
+	for i := range members {
+		members[i].Leaving = true
+	}
+	f.Update(MembersChanged{Members: members})
+	c.Check(f.OwnedTargets(), qt.HasLen, len(owned))
+}
+
 func TestPlatformListReplacesItself(t *testing.T) {
 	c := qt.New(t)
 	f := newTableFixture(4, 2)
--- a/io/cassiabench/cluster.go
+++ b/io/cassiabench/cluster.go
@@ -17,6 +17,7 @@
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/core/cassiasettings"
 	"cassiasaddle/io/cassiaserver"
+	"cassiasaddle/io/cassiatarget"
 	"cassiasaddle/io/cassiatls"
 	"cassiasaddle/io/cassiatree"
 	"cassiasaddle/standin/cassiarelay"
@@ -66,9 +67,9 @@
 func (c *cluster) Close() error { return os.RemoveAll(c.certificateDir) }
 
 // start runs a VM in the group until the context ends or stop is called. faultsTo returns the faults of its datagrams
-// by destination.
+// by destination, dial opens its connections to targets.
 func (c *cluster) start(ctx context.Context, group *errgroup.Group, vm *cassiaschema.VmConfig,
-	faultsTo func(net.Addr) cassiarelay.Faults, seed uint64) {
+	faultsTo func(net.Addr) cassiarelay.Faults, dial cassiatarget.Dial, seed uint64) {
 	ctx, stop := context.WithCancel(ctx)
 	c.cancels[vm.GetName()] = stop
 	wrapper := cassiaserver.WithPacketConn(func(conn net.PacketConn) net.PacketConn {
@@ -76,7 +77,7 @@
 	})
 	group.Go(func() error {
 		defer stop()
-		return eris.Wrapf(cassiaserver.Run(ctx, vm, wrapper), "VM %s", vm.GetName())
+		return eris.Wrapf(cassiaserver.Run(ctx, vm, wrapper, cassiaserver.WithTargetDial(dial)), "VM %s", vm.GetName())
 	})
 }
 
--- a/io/cassiabench/environment.go
+++ b/io/cassiabench/environment.go
@@ -128,7 +128,7 @@
 		return err
 	}
 	for i, vm := range e.layout.VMs {
-		e.cluster.start(ctx, group, vm, e.datagramFaults(vm), seed+uint64(i))
+		e.cluster.start(ctx, group, vm, e.datagramFaults(vm), e.links.dialTarget(vm.GetName()), seed+uint64(i))
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
--- a/io/cassiabench/links.go
+++ b/io/cassiabench/links.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
+	"cassiasaddle/io/cassiatarget"
 	"cassiasaddle/standin/cassiarelay"
 )
 
@@ -26,17 +28,20 @@
 	Loss float64
 }
 
-// links simulates the links of a deployment during a run, including zones that are cut off.
+// links simulates the links of a deployment during a run, including zones that are cut off and VMs that are cut off from all
+// targets.
 type links struct {
 	linkProperties
 
 	mu     sync.Mutex
 	random *rand.Rand
 	cut    map[string]bool
+	// stranded holds a channel for each VM that is cut off from all targets, which is closed when it is reconnected.
+	stranded map[string]chan struct{}
 }
 
 func newLinks(d linkProperties, seed uint64) *links {
-	return &links{linkProperties: d, random: rand.New(rand.NewPCG(seed, 4)), cut: map[string]bool{}}
+	return &links{linkProperties: d, random: rand.New(rand.NewPCG(seed, 4)), cut: map[string]bool{}, stranded: map[string]chan struct{}{}}
 }
 
 // setCut cuts an availability zone off from the others, or reconnects it.
@@ -46,6 +51,83 @@
 	l.cut[zone] = cut
 }
 
+// setStranded cuts a VM off from all targets, or reconnects it.
+func (l *links) setStranded(vm string, stranded bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reconnected := l.stranded[vm]
+	switch {
+	case stranded && reconnected == nil:
+		l.stranded[vm] = make(chan struct{})
+	case !stranded && reconnected != nil:
+		close(reconnected)
+		delete(l.stranded, vm)
+	}
+}
+
+// waitForTargets waits until a VM is not cut off from the targets, or returns net.ErrClosed when given is closed.
+func (l *links) waitForTargets(vm string, given <-chan struct{}) error {
+	l.mu.Lock()
+	reconnected := l.stranded[vm]
+	l.mu.Unlock()
+	if reconnected == nil {
+		return nil
+	}
+	select {
+	case <-reconnected:
+		return nil
+	case <-given:
+		return net.ErrClosed
+	}
+}
+
+// dialTarget returns a function that opens a VM's connections to targets. While the VM is cut off they hang, new and old ones.
+func (l *links) dialTarget(vm string) cassiatarget.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if err := l.waitForTargets(vm, ctx.Done()); err != nil {
+			return nil, err
+		}
+		var dialer net.Dialer
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &targetConn{Conn: conn, links: l, vm: vm, closed: make(chan struct{})}, nil
+	}
+}
+
+// targetConn is a VM's connection to a target that hangs while the VM is cut off.
+type targetConn struct {
+	net.Conn
+	links  *links
+	vm     string
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Read returns what has arrived once the VM is connected.
+func (c *targetConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if cutErr := c.links.waitForTargets(c.vm, c.closed); cutErr != nil {
+		return 0, cutErr
+	}
+	return n, err
+}
+
+// Write sends once the VM is connected.
+func (c *targetConn) Write(b []byte) (int, error) {
+	if err := c.links.waitForTargets(c.vm, c.closed); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// Close closes the connection and ends calls that hang.
+func (c *targetConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // faults returns the faults of datagrams from one availability zone to another: none within a zone.
 func (l *links) faults(from, to string) cassiarelay.Faults {
 	if from == to {
--- a/io/cassiabench/manizales.go
+++ b/io/cassiabench/manizales.go
@@ -60,7 +60,12 @@
 	cold := manizales.scenario("cold-start", "One target in 10 restarts, refuses as cold for a second and is slow for two more.")
 	cold.Events = coldStartEvents
 
-	return append(manizales.commonScenarios(), lost, stop, down, nonIdempotent, cold)
+	stranded := manizales.scenario("stranded", "Two of the three VMs of each availability zone are cut off from all targets for 6 s.")
+	stranded.Events = strandedEvents(time.Second, 7*time.Second)
+	// VMs notice the cut by health calls, which are a second apart and time out after another.
+	stranded.Phases = []phase{{"noticed", 4 * time.Second, 7 * time.Second}, {"reconnected", 8500 * time.Millisecond, 10 * time.Second}}
+
+	return append(manizales.commonScenarios(), lost, stop, down, nonIdempotent, cold, stranded)
 }
 
 // standingOrderChanges returns a load of non-idempotent standing-order changes, a third of which are sent twice.
@@ -79,6 +84,21 @@
 	}
 }
 
+// strandedEvents returns events that cut all but the last VM of each availability zone off from all targets, for a time.
+func strandedEvents(from, to time.Duration) func(*environment) []event {
+	set := func(stranded bool) func(*environment) error {
+		return func(e *environment) error {
+			for i, vm := range e.layout.VMs[:len(e.layout.VMs)-1] {
+				if e.layout.VMs[i+1].GetAvailabilityZone() == vm.GetAvailabilityZone() {
+					e.links.setStranded(vm.GetName(), stranded)
+				}
+			}
+			return nil
+		}
+	}
+	return func(*environment) []event { return []event{{from, set(true)}, {to, set(false)}} }
+}
+
 // balancerLag is the time from the start of a VM's shutdown until the load balancer removes the VM.
 const balancerLag = 300 * time.Millisecond
 
--- a/io/cassiabench/run_test.go
+++ b/io/cassiabench/run_test.go
@@ -91,6 +91,26 @@
 	c.Assert(result.PeerMessagesPerQuery, qt.IsNotNil)
 }
 
+// TestTargetsOfVMsWithoutLinksAreServedByOtherVMs guards against VMs that have lost their links to all targets keeping other VMs from
+// their targets.
+func TestTargetsOfVMsWithoutLinksAreServedByOtherVMs(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s, err := FindScenario("manizales-stranded")
+	c.Assert(err, qt.IsNil)
+	for i := range s.Loads { // With the race detector, the process can serve only part of the load.
+		s.Loads[i].Rate /= 5
+	}
+	result, err := Run(context.Background(), s, PolicyTuned, 1)
+	c.Assert(err, qt.IsNil)
+	c.Check(result.Violations, qt.Equals, Violations{}, qt.Commentf("%v", result.Examples))
+	for _, phase := range result.Phases {
+		notServed := phase.Queries - phase.FullAnswers
+		c.Check(float64(notServed) <= float64(phase.Queries)/50, qt.IsTrue, qt.Commentf("%s: %d of %d not served in full: %v %v",
+			phase.Phase, notServed, phase.Queries, phase.Refusals, phase.Missing))
+	}
+}
+
 func TestCountersAreSummed(t *testing.T) {
 	c := qt.New(t)
 	before, after := vmCounters{}, vmCounters{}
--- a/io/cassiagossip/gossip.go
+++ b/io/cassiagossip/gossip.go
@@ -144,6 +144,11 @@
 // Leave announces that this VM takes no new work. It continues to gossip until Run ends.
 func (g *Gossip) Leave() { g.update(cassiamember.Leave{}) }
 
+// SetIsolated announces that this VM reaches no target and takes no new work, or that it reaches targets again.
+func (g *Gossip) SetIsolated(isolated bool) {
+	g.update(cassiamember.IsolationChanged{Isolated: isolated})
+}
+
 // Run gossips until the context ends, then announces that this VM has stopped and closes the socket.
 func (g *Gossip) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -15,9 +15,11 @@
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaplan"
 	"cassiasaddle/core/cassiaquarantine"
+	"cassiasaddle/core/cassiareach"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiadrain"
 	"cassiasaddle/io/cassiaguard"
+	"cassiasaddle/io/cassiatarget"
 )
 
 const (
@@ -46,6 +48,8 @@
 type Ownership interface {
 	// OwnedTargets lists the targets that this VM holds connections to, as primary or standby.
 	OwnedTargets() []OwnedTarget
+	// TargetsIfAlive lists the targets that this VM would own if it were not known as leaving.
+	TargetsIfAlive() []OwnedTarget
 	// Accepts returns the target, and true if this VM owns it by its own view of the members.
 	Accepts(front cassiaid.FrontKey, shard cassiaid.ShardIndex, target cassiaid.TargetName) (OwnedTarget, bool)
 	// Leaving reports whether the target is known to be leaving.
@@ -56,6 +60,8 @@
 type Observer interface {
 	// TargetSeen receives the state of a target after a call of its health endpoint.
 	TargetSeen(knowledge *cassiaschema.TargetKnowledge)
+	// IsolationChanged receives whether this VM reaches no target.
+	IsolationChanged(isolated bool)
 	// ResultSeen receives the result of an attempt that another VM asked for.
 	ResultSeen(front cassiaid.FrontKey, result *cassiaschema.ShardResult)
 }
@@ -67,8 +73,10 @@
 	Observer  Observer
 	Guard     *cassiaguard.Guard
 	Clock     cassiaplan.Clock
-	Logger    log.Logger
-	Scope     tally.Scope
+	// Dial opens connections to targets; net.Dialer does if it is nil.
+	Dial   cassiatarget.Dial
+	Logger log.Logger
+	Scope  tally.Scope
 }
 
 // Owner runs the attempts of shard batches on this VM's targets. It is safe for concurrent use.
@@ -87,6 +95,10 @@
 	// availability is what targets have stated in answers to this VM.
 	availability cassiaavailability.Registry
 
+	// reachMutex guards reach and the order of its changes. No other mutex of the owner is locked while it is held.
+	reachMutex sync.Mutex
+	reach      cassiareach.Reach
+
 	// batches counts the batches that still wait for results.
 	batches cassiadrain.Work
 }
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -9,6 +9,7 @@
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassialimit"
 	"cassiasaddle/core/cassiaquarantine"
+	"cassiasaddle/core/cassiareach"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassiatarget"
@@ -37,7 +38,7 @@
 func newTarget(o *Owner, owned OwnedTarget) *target {
 	t := &target{
 		owner: o, key: keyOf(owned), owned: owned,
-		client:    newClient(owned),
+		client:    o.newClient(owned),
 		limiter:   cassialimit.NewLimiter(o.config.Clock, boundsOf(owned)),
 		waiting:   make(map[cassiaid.AttemptID]*attempt),
 		running:   make(map[cassiaid.AttemptID]*attempt),
@@ -49,8 +50,8 @@
 	return t
 }
 
-func newClient(owned OwnedTarget) *cassiatarget.Client {
-	return cassiatarget.New(owned.Name, owned.Address, owned.Connections)
+func (o *Owner) newClient(owned OwnedTarget) *cassiatarget.Client {
+	return cassiatarget.New(owned.Name, owned.Address, owned.Connections, o.config.Dial)
 }
 
 // boundsOf returns the maximum number of attempts in flight. With two or more connections, one is kept free for
@@ -72,7 +73,7 @@
 		return
 	}
 	before := t.client
-	t.owned, t.client = owned, newClient(owned)
+	t.owned, t.client = owned, t.owner.newClient(owned)
 	refused := t.update(cassialimit.BoundsChanged{Bounds: boundsOf(owned)})
 	t.mutex.Unlock()
 	before.Close()
@@ -185,6 +186,9 @@
 	t.owner.removeAttempt(a)
 	t.updateKnowledge(result)
 	t.owner.observeStatement(result)
+	if result.Outcome == cassiaschema.ShardOutcome_answered {
+		t.owner.updateReach(cassiareach.Heard{})
+	}
 	if a.batch.remote {
 		t.owner.config.Observer.ResultSeen(t.key.front, result)
 	}
@@ -275,6 +279,11 @@
 		return
 	}
 	health, err := t.currentClient().Health(ctx)
+	if err == nil {
+		t.owner.updateReach(cassiareach.Heard{})
+	} else {
+		t.owner.updateReach(cassiareach.Missed{})
+	}
 	t.mutex.Lock()
 	t.knowledge.Reachable = err == nil
 	if err == nil {
--- a/io/cassiaowner/target_test.go
+++ b/io/cassiaowner/target_test.go
@@ -25,7 +25,8 @@
 	leaving atomic.Bool
 }
 
-func (f *fakeOwnership) OwnedTargets() []OwnedTarget { return []OwnedTarget{f.owned} }
+func (f *fakeOwnership) OwnedTargets() []OwnedTarget   { return []OwnedTarget{f.owned} }
+func (f *fakeOwnership) TargetsIfAlive() []OwnedTarget { return f.OwnedTargets() }
 func (f *fakeOwnership) Accepts(cassiaid.FrontKey, cassiaid.ShardIndex, cassiaid.TargetName) (OwnedTarget, bool) {
 	return f.owned, true
 }
@@ -34,6 +35,7 @@
 type fakeObserver struct{}
 
 func (fakeObserver) TargetSeen(*cassiaschema.TargetKnowledge)                {}
+func (fakeObserver) IsolationChanged(bool)                                   {}
 func (fakeObserver) ResultSeen(cassiaid.FrontKey, *cassiaschema.ShardResult) {}
 
 func newTestOwner(t *testing.T, ownership Ownership) *Owner {
--- a/io/cassiaserver/ownership.go
+++ b/io/cassiaserver/ownership.go
@@ -5,6 +5,7 @@
 	"cassiasaddle/core/cassiaroute"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiaentry"
+	"cassiasaddle/io/cassiagossip"
 	"cassiasaddle/io/cassiaowner"
 )
 
@@ -19,6 +20,17 @@
 func (o ownership) OwnedTargets() []cassiaowner.OwnedTarget {
 	var owned []cassiaroute.OwnedTarget
 	o.routes.With(func(t *cassiaroute.Table) { owned = t.OwnedTargets() })
+	return ownedTargets(owned)
+}
+
+// TargetsIfAlive returns the targets that this VM would keep connections to if it were not known as leaving.
+func (o ownership) TargetsIfAlive() []cassiaowner.OwnedTarget {
+	var owned []cassiaroute.OwnedTarget
+	o.routes.With(func(t *cassiaroute.Table) { owned = t.TargetsIfAlive() })
+	return ownedTargets(owned)
+}
+
+func ownedTargets(owned []cassiaroute.OwnedTarget) []cassiaowner.OwnedTarget {
 	targets := make([]cassiaowner.OwnedTarget, 0, len(owned))
 	for _, target := range owned {
 		targets = append(targets, ownedTarget(target))
@@ -47,9 +59,11 @@
 // Leaving reports whether a target is known to be about to stop.
 func (o ownership) Leaving(target cassiaid.TargetName) bool { return o.routes.Leaving(target) }
 
-// observer implements cassiaowner.Observer: it updates the routing table from the owner's observations of targets.
+// observer implements cassiaowner.Observer: it updates the routing table from the owner's observations of targets, and tells the other
+// VMs while this one reaches none.
 type observer struct {
 	routes *cassiaentry.Routes
+	gossip *cassiagossip.Gossip
 }
 
 var _ cassiaowner.Observer = observer{}
@@ -59,6 +73,14 @@
 	o.routes.Update(cassiaroute.KnowledgeSeen{Targets: []*cassiaschema.TargetKnowledge{knowledge}})
 }
 
+// IsolationChanged has the other VMs take over this VM's targets while it reaches none, and return them afterwards.
+func (o observer) IsolationChanged(isolated bool) {
+	if isolated {
+		o.routes.Update(cassiaroute.IsolationBegan{})
+	}
+	o.gossip.SetIsolated(isolated)
+}
+
 // ResultSeen records the outcome of an attempt that this VM ran for another VM.
 func (o observer) ResultSeen(front cassiaid.FrontKey, result *cassiaschema.ShardResult) {
 	o.routes.Update(cassiaroute.ResultSeen{Front: front, Result: result})
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -114,8 +114,8 @@
 	s.routes = cassiaentry.NewRoutes(cassiaroute.NewTable(s.self, s.zone, clock), s, s.logger, scope)
 	s.guard = cassiaguard.NewGuard(clock)
 	s.owner = cassiaowner.New(cassiaowner.Config{
-		Self: s.self, Ownership: ownership{s.routes}, Observer: observer{s.routes}, Guard: s.guard,
-		Clock: clock, Logger: s.logger, Scope: scope,
+		Self: s.self, Ownership: ownership{s.routes}, Observer: observer{s.routes, s.gossip}, Guard: s.guard,
+		Clock: clock, Dial: s.options.dialTarget, Logger: s.logger, Scope: scope,
 	})
 	s.claimer = cassiaclaimer.NewClaimer(cassiaclaimer.Options{
 		Store: cassiaclaimer.PlatformStore{Client: s.store}, Peers: claimPeers{s},
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -49,6 +49,9 @@
 	Body           []byte
 }
 
+// Dial opens a connection. Tests replace net.Dialer's to inject faults.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Client holds this VM's connections to one target. Its methods may be called concurrently.
 type Client struct {
 	name      cassiaid.TargetName
@@ -56,11 +59,18 @@
 	transport *http.Transport
 }
 
-// New returns a client that opens at most the given number of connections at a time; 0 means no limit.
-func New(name cassiaid.TargetName, address string, connections int) *Client {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+// New returns a client that opens at most the given number of connections at a time; 0 means no limit. Without dial it uses
+// net.Dialer.
+func New(name cassiaid.TargetName, address string, connections int, dial Dial) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	return &Client{name: name, address: address, transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+			defer cancel()
+			return dial(ctx, network, address)
+		},
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     idleConnectionTimeout,
--- a/io/cassiatarget/client_test.go
+++ b/io/cassiatarget/client_test.go
@@ -88,7 +88,7 @@
 			c := qt.New(t)
 			server := httptest.NewServer(http.HandlerFunc(test.reply))
 			defer server.Close()
-			client := New("t", server.Listener.Addr().String(), 2)
+			client := New("t", server.Listener.Addr().String(), 2, nil)
 			defer client.Close()
 			result := client.Run(context.Background(), callOf(1))
 			c.Check(result.Outcome, qt.Equals, test.outcome)
@@ -112,7 +112,7 @@
 		dropConnection(w, r)
 	}))
 	defer server.Close()
-	client := New("t", server.Listener.Addr().String(), 2)
+	client := New("t", server.Listener.Addr().String(), 2, nil)
 	result := client.Run(context.Background(), callOf(1))
 	c.Check(result.TargetLost, qt.IsTrue)
 	c.Check(result.Started, qt.IsTrue)
@@ -124,7 +124,7 @@
 	c.Assert(err, qt.IsNil)
 	address := listener.Addr().String()
 	c.Assert(listener.Close(), qt.IsNil)
-	result := New("t", address, 2).Run(context.Background(), callOf(1))
+	result := New("t", address, 2, nil).Run(context.Background(), callOf(1))
 	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_unreachable)
 	c.Check(result.Started, qt.IsFalse)
 }
@@ -142,7 +142,7 @@
 		dropConnection(w, r)
 	}))
 	defer server.Close()
-	client := New("t", server.Listener.Addr().String(), 1)
+	client := New("t", server.Listener.Addr().String(), 1, nil)
 	c.Assert(client.Run(context.Background(), callOf(1)).Outcome, qt.Equals, cassiaschema.ShardOutcome_answered)
 	c.Assert(client.Run(context.Background(), callOf(2)).Outcome, qt.Equals, cassiaschema.ShardOutcome_failed)
 	c.Assert(seen.Load(), qt.Equals, int64(2))
@@ -162,7 +162,7 @@
 		refusalOf(499, "")(w, r)
 	}))
 	defer server.Close()
-	client := New("t", server.Listener.Addr().String(), 2)
+	client := New("t", server.Listener.Addr().String(), 2, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error {
@@ -199,7 +199,7 @@
 		cancel()
 		return nil
 	})
-	result := New("t", server.Listener.Addr().String(), 2).Run(ctx, callOf(1))
+	result := New("t", server.Listener.Addr().String(), 2, nil).Run(ctx, callOf(1))
 	c.Assert(group.Wait(), qt.IsNil)
 	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_cancelled)
 	c.Check(result.TargetLost, qt.IsTrue)
@@ -209,7 +209,7 @@
 	c := qt.New(t)
 	call := callOf(1)
 	call.Deadline = time.Now()
-	result := New("t", "127.0.0.1:1", 1).Run(context.Background(), call)
+	result := New("t", "127.0.0.1:1", 1, nil).Run(context.Background(), call)
 	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_timedOut)
 	c.Check(result.Started, qt.IsFalse)
 }
