--- a/io/cassiatarget/client_test.go
+++ b/io/cassiatarget/client_test.go
@@ -51,6 +51,20 @@
 	}
 }
 
+// breakOff returns a reply that ends in the middle of what follows the common headers.
+func breakOff(rest string) replyFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		connection, buffer, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer connection.Close() //nolint:errcheck // breaking off is the purpose
+		buffer.WriteString("HTTP/1.1 200 OK\r\nAttempt-Id: " + r.Header.Get(headerAttempt) + "\r\nShard: " + r.Header.Get(headerShard) +
+			"\r\nSnapshot: 42\r\nShard-Map-Epoch: 7\r\nHeld-Snapshots: 41, 42\r\n" + rest) //nolint:errcheck // the client may have left
+		buffer.Flush() //nolint:errcheck // the same
+	}
+}
+
 func callOf(idempotencyKey uint64) Call {
 	return Call{Attempt: 5, ShardName: "s", Snapshot: 42, Epoch: 7, Deadline: time.Now().Add(testDeadline), Body: []byte(`{}`),
 		IdempotencyKey: strconv.FormatUint(idempotencyKey, 10)}
@@ -70,6 +84,10 @@
 		{"echoes another attempt", answerOf(func(h http.Header) { h.Set(headerAttempt, "6") }), cassiaschema.ShardOutcome_badReply, true, false},
 		{"echoes another shard", answerOf(func(h http.Header) { h.Set(headerShard, "other") }), cassiaschema.ShardOutcome_badReply, true, false},
 		{"truncated", answerOf(func(h http.Header) { h.Set("Content-Length", "100") }), cassiaschema.ShardOutcome_badReply, true, false},
+		{"chunks that break off", breakOff("Transfer-Encoding: chunked\r\n\r\n9\r\n{\"row\":1}\r\n"), cassiaschema.ShardOutcome_badReply, true, false},
+		{"trailer that breaks off", breakOff("Transfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n9\r\n{\"row\":1}\r\n0\r\nSu"), cassiaschema.ShardOutcome_badReply, true, false},
+		{"body that ends early with the connection", breakOff("Connection: close\r\n\r\n{\"row\":"), cassiaschema.ShardOutcome_badReply, true, false},
+		{"head that breaks off", breakOff("Content-Le"), cassiaschema.ShardOutcome_failed, true, false},
 		{"invalid JSON", func(w http.ResponseWriter, r *http.Request) {
 			answerOf(unchanged)(w, r)
 			w.Write([]byte("}")) //nolint:errcheck // the test checks what the client receives
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -14,6 +14,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -305,7 +306,7 @@
 		{"answered", cassiastage.Behaviour{}, http.StatusOK, 1},
 		{"shed", cassiastage.Behaviour{Shed: true}, http.StatusServiceUnavailable, 0},
 		{"answer lost", cassiastage.Behaviour{Drop: true}, http.StatusBadGateway, 1},
-		{"answer broken off", cassiastage.Behaviour{Truncate: true}, http.StatusBadGateway, 1},
+		{"answer broken off", cassiastage.Behaviour{Truncate: cassiastage.FramedByLength}, http.StatusBadGateway, 1},
 		{"failed by the target", cassiastage.Behaviour{Status: http.StatusInternalServerError}, http.StatusInternalServerError, 1},
 		{"unavailable without proof", cassiastage.Behaviour{Status: http.StatusServiceUnavailable}, http.StatusBadGateway, 1},
 		{"silent", cassiastage.Behaviour{Silent: true}, http.StatusGatewayTimeout, 1},
@@ -749,3 +750,68 @@
 	t.Logf("%d of %d requests were served", served.Load(), requests*callers)
 	e.c.Check(float64(served.Load()) >= crashMinServed*requests*callers, qt.IsTrue)
 }
+
+// TestFrontAnswersThatBreakOffReachNoCaller guards against an answer that a target breaks off halfway reaching the caller as a whole one, by
+// itself or as a part of a fan-out, sent by the caller's VM or by that of another availability zone.
+func TestFrontAnswersThatBreakOffReachNoCaller(t *testing.T) {
+	t.Parallel()
+	for _, framing := range []cassiastage.Framing{cassiastage.FramedByLength, cassiastage.FramedByChunks, cassiastage.FramedByClose} {
+		t.Run(string(framing), func(t *testing.T) {
+			t.Parallel()
+			e := newCrashEnv(t, 2)
+			for _, service := range e.services {
+				for i, target := range service.Running() {
+					target.SetBehaviour(cassiastage.Behaviour{Truncate: framing, TruncateEach: 2 + i%3})
+				}
+			}
+			e.checkWholeAnswers(60, 4)
+		})
+	}
+}
+
+// checkWholeAnswers has callers send requests to the VMs in turn and requires that each success is whole, and that there are some of
+// each kind.
+func (e *crashEnv) checkWholeAnswers(requests, callers int) {
+	var group errgroup.Group
+	var single, fanOut atomic.Int64
+	for caller := range callers {
+		group.Go(func() error {
+			for i := range requests {
+				path := []string{"/one/x", "/search/x"}[i%2]
+				answer, id, err := e.do(e.vm(caller+i/2), http.MethodGet, path, "")
+				switch {
+				case err != nil:
+					e.t.Errorf("request %s: %v", id, err)
+				case answer.status != http.StatusOK:
+				case path == "/one/x":
+					single.Add(1)
+					e.c.Check(answer.body, qt.Equals, "the whole answer")
+				default:
+					fanOut.Add(1)
+					e.c.Check(answer.body, qt.Equals, mergedParts(answer.header.Get("X-Cassiasaddle-Part-Stamps")))
+				}
+			}
+			return nil
+		})
+	}
+	e.c.Assert(group.Wait(), qt.IsNil)
+	e.t.Logf("%d single requests and %d fan-outs of %d each were served", single.Load(), fanOut.Load(), callers*requests/2)
+	e.c.Check(single.Load() > 0, qt.IsTrue)
+	e.c.Check(fanOut.Load() > 0, qt.IsTrue)
+}
+
+// mergedParts returns the greatest five records of the shards whose targets gave the stamps.
+func mergedParts(stamps string) string {
+	var records []string
+	for shard := range envShards {
+		if strings.Contains(stamps, shardName(shard)+"-") {
+			part := string(partOf(shard))
+			for at := 0; at < len(part); at += cassiarecord.RecordSize {
+				records = append(records, part[at:at+cassiarecord.RecordSize])
+			}
+		}
+	}
+	slices.Sort(records)
+	slices.Reverse(records)
+	return strings.Join(records[:min(len(records), 5)], "")
+}
--- a/test/soakfault_test.go
+++ b/test/soakfault_test.go
@@ -168,7 +168,7 @@
 // failTarget makes a target refuse requests, or answer wrongly, late or not at all.
 func failTarget(s *soak, random *rand.Rand) (string, func()) {
 	r := s.anyReplica(random)
-	failures := []cassiastage.Behaviour{{Drop: true}, {Silent: true}, {Truncate: true}, {Extra: true}, {Shed: true}, {Status: 500},
+	failures := []cassiastage.Behaviour{{Drop: true}, {Silent: true}, {Truncate: cassiastage.FramedByLength}, {Extra: true}, {Shed: true}, {Status: 500},
 		{Status: 503}, {Work: 150 * time.Millisecond},
 		{Endless: cassiastage.Head}, {Endless: cassiastage.Body}}
 	r.SetBehaviour(failures[random.IntN(len(failures))])
