Learn what changed during a pause of the VM before serving by it

Callers saw: requests that had waited for a VM that was paused for some seconds went by what it knew before the pause: 40 of 40 by a configuration that was 4 s out of date, 18 to 26 of 40 to targets that had left 3 to 4.5 s before.

Cause: after a pause the VM takes the requests that wait in its sockets before it has heard of any change; the watch that ran during the pause has timed out or was answered early in it.

Fix: a second without a beat shows a pause. The running watch is replaced with a new one, and requests, attempts before their first byte and what other VMs ask for wait until it is answered, 0.25 s at most; without an answer the VM goes on as in an outage.

--- a/cmd/cassiafront/program.go
+++ b/cmd/cassiafront/program.go
@@ -122,7 +122,7 @@
 	watchers, journal := cassiafollow.NewWatchers(p.self, p.logEvent), &cassiafollow.Journal{}
 	follower := cassiafollow.NewFollower(p.store, p.gate, watchers, journal, p.logEvent)
 	follower.Scope = p.metrics.Scope
-	p.gate.Refresh = follower.Refresh
+	p.gate.Refresh, p.gate.Ask = follower.Refresh, follower.Ask
 	var group errgroup.Group
 	group.Go(func() error { return follower.Run(servicesCtx) })
 	group.Go(func() error {
--- a/io/cassiaaggregate/aggregate_test.go
+++ b/io/cassiaaggregate/aggregate_test.go
@@ -61,6 +61,7 @@
 // namedRate is the rate that a target of fakeTargets names in its answers.
 const namedRate = 7
 
+func (fakeTargets) AwaitNews(context.Context)    {}
 func (fakeTargets) ObserveReach(bool, time.Time) {}
 
 func (f fakeTargets) Exchange(ctx context.Context, call cassiapool.Call) cassiapool.Result {
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -33,6 +33,8 @@
 	Target(name cassiaid.TargetName) (cassiadirectory.Target, bool)
 	// Zones returns the availability zones that have targets. The caller must not change the list.
 	Zones() []cassiaid.Zone
+	// AwaitNews waits a short time for what changed while this VM was paused, unless it was not.
+	AwaitNews(ctx context.Context)
 	// ObserveReach takes note of whether a target answered what was sent to it at a time.
 	ObserveReach(reached bool, sentAt time.Time)
 }
@@ -85,6 +87,7 @@
 func (a *Aggregator) exchange(ctx context.Context, call cassiapool.Call, route string,
 	attempt *cassiaschema.AggregateAttempt) cassiapool.Result {
 	call.Instance = attempt.GetTarget()
+	a.targets.AwaitNews(ctx)
 	target, ok := a.targets.Target(cassiaid.TargetName(call.Instance))
 	if !ok {
 		return cassiapool.Result{Outcome: cassiagateway.OutcomeTargetUnknown}
--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -137,8 +137,8 @@
 	UpdateCatalog(c *cassiacatalog.Catalog)
 	UpdateDirectory(messages ...cassiadirectory.Message)
 	UpdateFleet(vms []VM)
-	// ConfirmFleet reports that a watch succeeded and the list last passed to UpdateFleet is still current.
-	ConfirmFleet()
+	// Confirm reports that a watch that was begun at a time succeeded, so that what was passed on is still current.
+	Confirm(askedAt time.Time)
 	UpdateQuarantines(m QuarantinesChanged)
 }
 
@@ -167,6 +167,7 @@
 	era      Era
 	listed   bool
 	refresh  chan struct{}
+	ask      chan struct{}
 	restored chan struct{}
 }
 
@@ -174,7 +175,7 @@
 // to the journal, from which other VMs are answered.
 func NewFollower(source Source, sink Sink, watchers *Watchers, journal *Journal, log Log) *Follower {
 	return &Follower{source: source, sink: sink, log: log, journal: journal, watchers: watchers,
-		vms: make(map[cassiaid.VMName]VM), refresh: make(chan struct{}, 1), restored: make(chan struct{}, 1)}
+		vms: make(map[cassiaid.VMName]VM), refresh: make(chan struct{}, 1), ask: make(chan struct{}, 1), restored: make(chan struct{}, 1)}
 }
 
 // Restored returns a channel that receives after the store has come back from an older copy of itself.
@@ -192,6 +193,15 @@
 	}
 }
 
+// Ask requests that the running watch is replaced with a new one, since this VM was paused and the answer of the running one may have
+// been given before the end of the pause. It does not block.
+func (f *Follower) Ask() {
+	select {
+	case f.ask <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows the source until ctx is done and returns nil.
 func (f *Follower) Run(ctx context.Context) error {
 	fresh := false
@@ -313,6 +323,9 @@
 		if refreshed {
 			return true
 		}
+		if errors.Is(err, errAskedAnew) {
+			continue
+		}
 		if errors.Is(err, ErrCompacted) {
 			f.log("historyDropped", "revision", position.Revision)
 			return true
@@ -333,15 +346,29 @@
 		changes := f.decode(result.Events)
 		f.logChanges(after, result, changes, time.Since(start))
 		f.apply(changes)
-		f.sink.ConfirmFleet()
+		f.sink.Confirm(start)
 		if result.fromStore() && len(result.Events) > 0 && len(result.Events) < storeWatchLimit {
-			sleep(ctx, coalesceDelay)
+			f.coalesce(ctx)
 		}
 	}
 	return false
 }
 
-// watchOnce runs one watch and cancels it when a refresh is requested.
+// coalesce waits for coalesceDelay, unless a new watch is requested.
+func (f *Follower) coalesce(ctx context.Context) {
+	timer := time.NewTimer(coalesceDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.ask:
+	case <-ctx.Done():
+	}
+}
+
+// errAskedAnew is the error of a watch that was cancelled since another one is to follow at once.
+var errAskedAnew = errors.New("the watch was replaced with a new one")
+
+// watchOnce runs one watch and cancels it when a refresh or a new watch is requested.
 func (f *Follower) watchOnce(ctx context.Context, after Position) (result WatchResult, refreshed bool, err error) {
 	watchContext, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -355,6 +382,15 @@
 	case <-f.refresh:
 		refreshed = true
 		cancel()
+	case <-f.ask:
+		cancel()
+		_ = group.Wait()
+		if err != nil {
+			return result, false, errAskedAnew
+		}
+		// The changes count, but do not delay the new watch.
+		f.Ask()
+		return result, false, nil
 	case <-watchContext.Done():
 	}
 	_ = group.Wait()
--- a/io/cassiafollow/follower_test.go
+++ b/io/cassiafollow/follower_test.go
@@ -116,7 +116,7 @@
 func (s *followerSink) UpdateCatalog(c *cassiacatalog.Catalog)     { s.catalogs <- c.Version }
 func (s *followerSink) UpdateDirectory(...cassiadirectory.Message) {}
 func (s *followerSink) UpdateFleet([]VM)                           {}
-func (s *followerSink) ConfirmFleet()                              {}
+func (s *followerSink) Confirm(time.Time)                          {}
 func (s *followerSink) UpdateQuarantines(QuarantinesChanged)       {}
 func ignoreLog(string, ...any)                                     {}
 func (w *followedWorld) watchersFor(vm VM) *Watchers {
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -46,6 +46,8 @@
 type Gate struct {
 	// Refresh, if set, requests that the list of targets is read again; it must not block.
 	Refresh func()
+	// Ask, if set, requests that the store is asked for changes at once, since this VM was paused; it must not block.
+	Ask func()
 	// Announcer, if set, receives the quarantines that are in the store.
 	Announcer *cassiaguard.Announcer
 
@@ -73,6 +75,8 @@
 	aggregatorClient *cassiaaggregate.Client
 	forwardClient    *cassiaforward.Client
 
+	pauses *pauses
+
 	// ending is closed when a planned stop is about to end, so that queries have to end with what there is.
 	ending    chan struct{}
 	endingSet sync.Once
@@ -92,6 +96,7 @@
 		nextQuery: cassiagateway.QueryID(rand.Uint32()),
 		ending:    make(chan struct{}),
 		pending:   make(map[cassiagateway.QueryID]*pendingQuery), cancels: make(map[cassiaid.AttemptID]context.CancelFunc)}
+	g.pauses = newPauses(g.resumed)
 	g.gatewayTimer = time.AfterFunc(time.Hour, func() { g.Update(cassiagateway.Tick{}) })
 	g.gatewayTimer.Stop()
 	g.directoryTimer = time.AfterFunc(time.Hour, func() { g.UpdateDirectory(cassiadirectory.Tick{}) })
@@ -156,8 +161,22 @@
 	g.publishFleet()
 }
 
-// ConfirmFleet reports that the list last passed to UpdateFleet is still current.
-func (g *Gate) ConfirmFleet() { g.Update(cassiagateway.FleetConfirmed{}) }
+// Confirm reports that all changes are known that were made before a time, so that the list last passed to UpdateFleet is still current.
+func (g *Gate) Confirm(askedAt time.Time) {
+	g.Update(cassiagateway.FleetConfirmed{})
+	g.pauses.learned(askedAt)
+}
+
+// resumed has the store asked for what changed while this VM was paused.
+func (g *Gate) resumed(paused time.Duration) {
+	g.report.event("resumed", "paused", paused)
+	if g.Ask != nil {
+		g.Ask()
+	}
+}
+
+// AwaitNews returns at once unless this VM was paused; then it waits a short time for what changed meanwhile, or until ctx is done.
+func (g *Gate) AwaitNews(ctx context.Context) { g.pauses.wait(ctx) }
 
 // SetPeerClients sets the clients through which VMs of other zones send this VM's attempts to the targets there, and through which other
 // VMs serve requests of this one.
--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -46,6 +46,7 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	id := r.Header.Get(h.headers.RequestID)
+	h.gate.AwaitNews(r.Context())
 	catalog := h.gate.catalog.Load()
 	if catalog == nil {
 		refuseWithRetry(w, startupRetryAfter)
--- a/io/cassiagate/send.go
+++ b/io/cassiagate/send.go
@@ -84,6 +84,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancels[e.Attempt] = cancel
 	call.BeforeSend = func() bool {
+		if g.pauses.wait(ctx) && !g.lists(e.Target) {
+			return false
+		}
 		g.Update(cassiagateway.AttemptBegins{Attempt: e.Attempt})
 		return ctx.Err() == nil
 	}
@@ -93,6 +96,14 @@
 	})
 }
 
+// lists reports whether a target may be used.
+func (g *Gate) lists(name cassiaid.TargetName) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	_, ok := g.targets[name]
+	return ok
+}
+
 // exchange performs an attempt and reports how it ended. The gateway learns of the loss of a target after the other VMs, so
 // that whoever repeats the request finds them informed.
 func (g *Gate) exchange(ctx context.Context, call cassiapool.Call, id cassiaid.AttemptID) {
