Drop requests whose callers left while the VM was paused

After the wait for news, a request whose caller has gone and one that its VM has taken back are not begun. TestFrontPausedVMSendsNothingLate shows that what other VMs asked for before a pause is not sent after it; it passes on the code before as well, since silent VMs lose their connections.

--- a/io/cassiagate/forward.go
+++ b/io/cassiagate/forward.go
@@ -42,6 +42,9 @@
 // serveForwarded serves a request of another VM by a configuration that is not older than that VM's.
 func (h *handler) serveForwarded(ctx context.Context, from cassiaid.VMName, r cassiaforward.Request) cassiaforward.Result {
 	h.gate.AwaitNews(ctx)
+	if ctx.Err() != nil {
+		return cassiaforward.Result{Outcome: cassiagateway.ForwardDeclined}
+	}
 	catalog := h.gate.catalog.Load()
 	if catalog == nil || catalog.Version < r.Configuration {
 		h.gate.report.declined(r.RequestID, from, "olderConfiguration")
--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -47,6 +47,10 @@
 	arrived := time.Now()
 	id := r.Header.Get(h.headers.RequestID)
 	h.gate.AwaitNews(r.Context())
+	if r.Context().Err() != nil {
+		h.gate.report.callerGone(id, "", time.Since(arrived))
+		return
+	}
 	catalog := h.gate.catalog.Load()
 	if catalog == nil {
 		refuseWithRetry(w, startupRetryAfter)
@@ -80,7 +84,7 @@
 	}
 	answer, ok := h.gate.submit(ctx, r)
 	if !ok {
-		h.gate.report.callerGone(id, r.route, time.Since(arrived))
+		h.gate.report.callerGone(id, r.route.Name, time.Since(arrived))
 		return cassiagateway.Answer{}
 	}
 	status := h.writeAnswer(w, answer, r.fingerprints)
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -90,9 +90,9 @@
 	level.Info(r.logger).Log("event", "suspect", "fingerprint", run.Fingerprint, "content", run.Content, "target", target, "verdict", verdict)
 }
 
-func (r *Report) callerGone(id string, route *cassiacatalog.Route, elapsed time.Duration) {
+func (r *Report) callerGone(id string, route cassiacatalog.RouteName, elapsed time.Duration) {
 	r.count("refusals", "reason", "callerGone")
-	level.Info(r.logger).Log("event", "callerGone", "request", id, "route", route.Name, "elapsed", elapsed)
+	level.Info(r.logger).Log("event", "callerGone", "request", id, "route", route, "elapsed", elapsed)
 }
 
 func (r *Report) answered(request routedRequest, a cassiagateway.Answer, status int) {
--- a/test/pausedvm_test.go
+++ b/test/pausedvm_test.go
@@ -80,3 +80,42 @@
 	}
 	return targets[:len(targets)/2]
 }
+
+// TestFrontPausedVMSendsNothingLate guards against a VM that was paused sending what another VM asked it for before, although the callers
+// have left.
+func TestFrontPausedVMSendsNothingLate(t *testing.T) {
+	t.Parallel()
+	// Callers send requests for sendFor, and wait for deadline; the pause lasts longer than both.
+	const sendFor, deadline, pause = time.Second, 2 * time.Second, 3300 * time.Millisecond
+	e := newCrashEnv(t, 4)
+	for i := range 40 {
+		e.mustDo(e.vm(i), http.MethodGet, "/search/x", "")
+	}
+	// The VMs with odd numbers are those of one availability zone.
+	paused := []*frontVM{e.vm(1), e.vm(3)}
+	for _, vm := range paused {
+		vm.process.signal(syscall.SIGSTOP)
+	}
+	begun := time.Now()
+	sent := make(map[string]bool)
+	for time.Since(begun) < sendFor {
+		_, id, err := e.do(e.vm(0), http.MethodGet, "/search/x", "")
+		e.c.Check(err, qt.IsNil)
+		sent[id] = true
+		sleep(20 * time.Millisecond)
+	}
+	sleep(time.Until(begun.Add(pause)))
+	for _, vm := range paused {
+		vm.process.signal(syscall.SIGCONT)
+	}
+	sleep(time.Second)
+	for _, service := range e.services {
+		for _, target := range service.All() {
+			for _, a := range target.Arrivals() {
+				if sent[a.Request] && a.At.After(begun.Add(sendFor+deadline)) {
+					t.Errorf("request %s reached %s %v after the last one was sent", a.Request, target.Name, a.At.Sub(begun.Add(sendFor)))
+				}
+			}
+		}
+	}
+}
