Learn what changed during a pause before serving by it (cassiasaddle serve)

A VM that was paused asks three others for their generation of the settings and waits until it has the highest in force, then asks the platform for leaving targets; callers' requests and attempts wait for that, 0.25 s at most.

--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -21,6 +21,7 @@
 	"cassiasaddle/io/cassiaforward"
 	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassiapool"
+	"cassiasaddle/io/cassiaresume"
 	"cassiasaddle/io/cassiaworker"
 )
 
@@ -75,7 +76,7 @@
 	aggregatorClient *cassiaaggregate.Client
 	forwardClient    *cassiaforward.Client
 
-	pauses *pauses
+	pauses *cassiaresume.Waiter
 
 	// ending is closed when a planned stop is about to end, so that queries have to end with what there is.
 	ending    chan struct{}
@@ -96,7 +97,7 @@
 		nextQuery: cassiagateway.QueryID(rand.Uint32()),
 		ending:    make(chan struct{}),
 		pending:   make(map[cassiagateway.QueryID]*pendingQuery), cancels: make(map[cassiaid.AttemptID]context.CancelFunc)}
-	g.pauses = newPauses(g.resumed)
+	g.pauses = cassiaresume.NewWaiter(g.resumed)
 	g.gatewayTimer = time.AfterFunc(time.Hour, func() { g.Update(cassiagateway.Tick{}) })
 	g.gatewayTimer.Stop()
 	g.directoryTimer = time.AfterFunc(time.Hour, func() { g.UpdateDirectory(cassiadirectory.Tick{}) })
@@ -164,7 +165,7 @@
 // Confirm reports that all changes are known that were made before a time, so that the list last passed to UpdateFleet is still current.
 func (g *Gate) Confirm(askedAt time.Time) {
 	g.Update(cassiagateway.FleetConfirmed{})
-	g.pauses.learned(askedAt)
+	g.pauses.Learned(askedAt)
 }
 
 // resumed has the store asked for what changed while this VM was paused.
@@ -176,7 +177,7 @@
 }
 
 // AwaitNews returns at once unless this VM was paused; then it waits a short time for what changed meanwhile, or until ctx is done.
-func (g *Gate) AwaitNews(ctx context.Context) { g.pauses.wait(ctx) }
+func (g *Gate) AwaitNews(ctx context.Context) { g.pauses.Wait(ctx) }
 
 // SetPeerClients sets the clients through which VMs of other zones send this VM's attempts to the targets there, and through which other
 // VMs serve requests of this one.
--- a/io/cassiagate/send.go
+++ b/io/cassiagate/send.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancels[e.Attempt] = cancel
 	call.BeforeSend = func() bool {
-		if g.pauses.wait(ctx) && !g.lists(e.Target) {
+		if g.pauses.Wait(ctx) && !g.lists(e.Target) {
 			return false
 		}
 		g.Update(cassiagateway.AttemptBegins{Attempt: e.Attempt})
--- a/io/cassiagate/server.go
+++ b/io/cassiagate/server.go
@@ -103,7 +103,7 @@
 	}
 	stopClosing := make(chan struct{})
 	group.Go(func() error { s.closeExpired(stopClosing); return nil })
-	group.Go(func() error { s.gate.pauses.run(stopClosing); return nil })
+	group.Go(func() error { s.gate.pauses.Run(stopClosing); return nil })
 	<-ctx.Done()
 	s.stop(servers)
 	close(stopClosing)
--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -19,6 +19,7 @@
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiadrain"
 	"cassiasaddle/io/cassiaguard"
+	"cassiasaddle/io/cassiaresume"
 	"cassiasaddle/io/cassiatarget"
 )
 
@@ -72,7 +73,9 @@
 	Ownership Ownership
 	Observer  Observer
 	Guard     *cassiaguard.Guard
-	Clock     cassiaplan.Clock
+	// Pauses has attempts wait for news after a pause of this VM, unless it is nil.
+	Pauses *cassiaresume.Waiter
+	Clock  cassiaplan.Clock
 	// Dial opens connections to targets; net.Dialer does if it is nil.
 	Dial   cassiatarget.Dial
 	Logger log.Logger
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -205,9 +205,13 @@
 	a.batch.add(result)
 }
 
-// execute sends the attempt to the target, unless the quarantine refuses it by now or it is cancelled while it waits
-// for another attempt of its request.
+// execute sends the attempt to the target, unless the target turns out to have left during a pause of this VM, the quarantine
+// refuses the attempt by now, or it is cancelled while it waits for another attempt of its request.
 func (t *target) execute(ctx context.Context, a *attempt) *cassiaschema.ShardResult {
+	if t.owner.config.Pauses.Wait(ctx) && t.owner.config.Ownership.Leaving(t.key.name) {
+		t.owner.countRefusal(cassiaschema.ShardOutcome_draining)
+		return a.notStarted(cassiaschema.ShardOutcome_draining)
+	}
 	guard := t.owner.config.Guard
 	run := cassiaquarantine.Run{Attempt: a.id(), Fingerprint: a.fingerprint(), Shard: a.shard(), Alone: a.alone}
 	decision := guard.Begin(ctx, t.key.front, run, t.key.name, a.startWaitLimit())
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -28,6 +28,7 @@
 	"cassiasaddle/io/cassialog"
 	"cassiasaddle/io/cassiaowner"
 	"cassiasaddle/io/cassiapeer"
+	"cassiasaddle/io/cassiaresume"
 	"cassiasaddle/io/cassiastore"
 	"cassiasaddle/io/cassiatls"
 	"cassiasaddle/io/cassiatree"
@@ -70,6 +71,7 @@
 	owner          *cassiaowner.Owner
 	claimer        *cassiaclaimer.Claimer
 	entry          *cassiaentry.Entry
+	pauses         *cassiaresume.Waiter
 	callerServer   *http.Server
 	operatorServer *http.Server
 
@@ -113,9 +115,10 @@
 	s.members = newMembers(s.gossip)
 	s.routes = cassiaentry.NewRoutes(cassiaroute.NewTable(s.self, s.zone, clock), s, s.logger, scope)
 	s.guard = cassiaguard.NewGuard(clock)
+	s.pauses = cassiaresume.NewWaiter(s.resumed)
 	s.owner = cassiaowner.New(cassiaowner.Config{
 		Self: s.self, Ownership: ownership{s.routes}, Observer: observer{s.routes, s.gossip}, Guard: s.guard,
-		Clock: clock, Dial: s.options.dialTarget, Logger: s.logger, Scope: scope,
+		Pauses: s.pauses, Clock: clock, Dial: s.options.dialTarget, Logger: s.logger, Scope: scope,
 	})
 	s.claimer = cassiaclaimer.NewClaimer(cassiaclaimer.Options{
 		Store: cassiaclaimer.PlatformStore{Client: s.store}, Peers: claimPeers{s},
@@ -157,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	s.callerServer = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleCallerTimeout}
+	s.callerServer = &http.Server{Handler: s.awaitNews(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleCallerTimeout}
 	s.operatorServer = &http.Server{Handler: s.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleCallerTimeout}
 	return nil
 }
@@ -176,6 +179,7 @@
 	parts.Go(func() error { return s.followSettings(runCtx) })
 	parts.Go(func() error { return s.watchLeavingTargets(runCtx) })
 	parts.Go(func() error { return s.entry.WatchSilence(runCtx) })
+	parts.Go(func() error { s.pauses.Run(runCtx.Done()); return nil })
 	if err := s.listen(parts); err != nil {
 		cancel()
 		return errors.Join(err, s.close(), parts.Wait())
--- a/io/cassiatree/history.go
+++ b/io/cassiatree/history.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -150,11 +149,8 @@
 			continue
 		}
 		asks.Go(func() error {
-			// No VM has a higher generation, so the reply contains only the head.
-			request := &cassiaschema.SettingsRequest{HaveGeneration: math.MaxUint64}
-			state, err := s.requestState(ctx, m.Name, request)
-			if err == nil {
-				s.recordConfirmed(m.Name, cassiaid.Generation(state.GetHead().GetGeneration()))
+			if g, err := s.requestGeneration(ctx, m.Name); err == nil {
+				s.recordConfirmed(m.Name, g)
 			}
 			return nil
 		})
