Tell a VM that joins of all targets that leave, before it serves

Cause: gossip tells a VM that missed the news of one target with each packet, a new one too, and news of a target that came before the settings was dropped.

Fix: the answer to a join carries all such notices, a VM serves callers once it knows another one (or after 2 s, if it may be the only one), and notices are applied again when settings change.

TestVMThatStartsKnowsTheTargetsThatLeave fails without the notices in the answer.

--- a/core/cassiamember/dissemination.go
+++ b/core/cassiamember/dissemination.go
@@ -102,6 +102,19 @@
 	return size
 }
 
+// attachAll adds all notices to a packet that fit, and returns the bytes added.
+func (d *noticeDisseminator[K, U]) attachAll(m *Membership, p *cassiaschema.GossipPacket, freeBytes int) int {
+	added := 0
+	for _, n := range d.notices {
+		u := d.updateOf(m, n)
+		if size := embeddedSize(u); added+size <= freeBytes {
+			d.attach(p, u)
+			added += size
+		}
+	}
+	return added
+}
+
 // learnNotices stores the quarantines and targets of a packet.
 func (m *Membership) learnNotices(p *cassiaschema.GossipPacket) {
 	now := m.clock.Now()
--- a/core/cassiamember/membership.go
+++ b/core/cassiamember/membership.go
@@ -83,6 +83,17 @@
 	return members
 }
 
+// LeavingTargets returns what is known of targets that are leaving, with the time for which it is still valid.
+func (m *Membership) LeavingTargets() []TargetLearned {
+	var leaving []TargetLearned
+	for _, n := range m.targets.notices {
+		if remaining := n.expiry.Sub(m.clock.Now()); n.active && remaining > 0 {
+			leaving = append(leaving, TargetLearned{Target: n.key, Leaving: true, Remaining: remaining})
+		}
+	}
+	return leaving
+}
+
 // Alone reports whether no other live member is known.
 func (m *Membership) Alone() bool { return len(m.local.names)+len(m.remote.names) == 0 }
 
--- a/core/cassiamember/membership_test.go
+++ b/core/cassiamember/membership_test.go
@@ -280,6 +280,22 @@
 	}
 }
 
+// TestVMThatStartsKnowsTheTargetsThatLeave guards against a VM that starts anew sending to targets of which others know that they leave.
+func TestVMThatStartsKnowsTheTargetsThatLeave(t *testing.T) {
+	const targets = 8
+	n := newNetwork(11, Tuning{})
+	n.addAll(8, 2)
+	assertAgree(t, n, n.vms, "start")
+	for i := range targets {
+		n.update(n.vms[i%len(n.vms)], TargetObserved{Target: cassiaid.TargetName(fmt.Sprint("target-", i)), Leaving: true, Remaining: time.Minute})
+	}
+	n.run(10 * time.Second)
+	v := n.add("new", 0, n.seeds(3)...)
+	_, joined := n.runUntil(convergenceTimeout, func() bool { return !v.Alone() })
+	qt.Assert(t, joined, qt.IsTrue)
+	qt.Check(t, v.LeavingTargets(), qt.HasLen, targets)
+}
+
 func TestNewsReachesAll(t *testing.T) {
 	n := newNetwork(8, Tuning{})
 	n.addAll(32, 4)
--- a/core/cassiamember/sync.go
+++ b/core/cassiamember/sync.go
@@ -33,6 +33,11 @@
 	p := &cassiaschema.GossipPacket{Kind: kind, Sequence: request.GetSequence()}
 	differing := m.digest.differing(request.GetBucketDigests(), request.GetSequence())
 	freeBytes := m.syncCapacity(kind, p)
+	if kind == cassiaschema.GossipKind_joinReply {
+		// A VM that starts has to know them before it sends to targets; the members that do not fit any more follow.
+		freeBytes -= m.targets.attachAll(m, p, freeBytes/joinNoticeShare)
+		freeBytes -= m.quarantines.attachAll(m, p, freeBytes/joinNoticeShare)
+	}
 	if len(differing) > 0 {
 		start := m.config.Random.IntN(len(differing))
 		for i := range differing {
@@ -43,6 +48,9 @@
 	m.send(address, p, m.members[to])
 }
 
+// joinNoticeShare is the part of the free space of a joinReply that notices of each kind may take, as a divisor.
+const joinNoticeShare = 4
+
 // fieldReserveBytes is the number of bytes kept free in a packet for the fields that send sets.
 const fieldReserveBytes = 150
 
--- a/io/cassiaentry/entry.go
+++ b/io/cassiaentry/entry.go
@@ -51,7 +51,7 @@
 type Fronts interface {
 	// Front returns the settings of a front, or nil when the front does not exist.
 	Front(key cassiaid.FrontKey) *cassiaschema.Front
-	// Ready reports whether the VM has settings.
+	// Ready reports whether the VM serves callers: it has settings, and what other VMs know of leaving targets.
 	Ready() bool
 }
 
@@ -107,13 +107,13 @@
 	}
 }
 
-// Front returns the settings in force of a front, or a refusal when the VM has no settings yet or the front does not
+// Front returns the settings in force of a front, or a refusal when the VM does not serve callers yet or the front does not
 // exist.
 func (e *Entry) Front(key cassiaid.FrontKey) (*cassiaschema.Front, *cassiaplan.Refusal) {
 	if !e.config.Fronts.Ready() {
 		return nil, &cassiaplan.Refusal{
 			Kind: cassiaplan.RefusalNotReady, Ran: cassiaplan.RanNo, RetryAfter: retryAfterNotRun,
-			Message: "this VM has no settings yet; ask another VM or ask again",
+			Message: "this VM has no settings or no word of another VM yet; ask another VM or ask again",
 		}
 	}
 	front := e.front(key)
--- a/io/cassiagossip/gossip.go
+++ b/io/cassiagossip/gossip.go
@@ -141,6 +141,13 @@
 	g.update(cassiamember.TargetObserved{Target: target, Leaving: leaving, Remaining: remaining})
 }
 
+// LeavingTargets returns the targets that some VM saw leave, with the time for which that is still valid.
+func (g *Gossip) LeavingTargets() []cassiamember.TargetLearned {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.LeavingTargets()
+}
+
 // Leave announces that this VM takes no new work. It continues to gossip until Run ends.
 func (g *Gossip) Leave() { g.update(cassiamember.Leave{}) }
 
--- a/io/cassiaserver/operator.go
+++ b/io/cassiaserver/operator.go
@@ -53,6 +53,8 @@
 		writeText(w, http.StatusServiceUnavailable, "stopping\n")
 	case !s.settings.Ready():
 		writeText(w, http.StatusServiceUnavailable, "no settings yet; apply settings or wait for the platform or a peer\n")
+	case !s.ready():
+		writeText(w, http.StatusServiceUnavailable, "no word of another VM yet\n")
 	default:
 		writeText(w, http.StatusOK, "ready\n")
 	}
@@ -70,7 +72,7 @@
 
 func (s *server) status() Status {
 	status := Status{
-		VM: s.self, Zone: s.zone, Ready: s.settings.Ready() && !s.leaving.Load(),
+		VM: s.self, Zone: s.zone, Ready: s.ready() && !s.leaving.Load(),
 		SettingsGeneration: s.settings.Generation(),
 	}
 	for _, m := range s.gossip.Members() {
--- a/io/cassiaserver/server.go
+++ b/io/cassiaserver/server.go
@@ -77,6 +77,7 @@
 
 	// frameHandlers runs the handlers of frames that wait for a target or a claim.
 	frameHandlers errgroup.Group
+	startedAt     time.Time
 	// leaving is true once a planned stop has begun or a part has failed.
 	leaving atomic.Bool
 }
@@ -87,7 +88,7 @@
 	s := &server{
 		config: config, options: newOptions(opts),
 		self: cassiaid.VMName(config.Name), zone: cassiaid.Zone(config.AvailabilityZone),
-		metrics: cassialog.NewMetrics(),
+		metrics: cassialog.NewMetrics(), startedAt: time.Now(),
 	}
 	s.logger = s.options.logger
 	defer s.metrics.Close() //nolint:errcheck // no reader remains for the last report
@@ -139,7 +140,7 @@
 		Logger: s.logger, Scope: scope,
 	})
 	s.entry = cassiaentry.New(cassiaentry.Config{
-		Self: s.self, Routes: s.routes, Peers: s.node, Owner: s.owner, Fronts: fronts{s.settings}, Quarantine: s.guard,
+		Self: s.self, Routes: s.routes, Peers: s.node, Owner: s.owner, Fronts: fronts{s}, Quarantine: s.guard,
 		Claims: s.claimer, Inquirer: s, Clock: clock, Logger: s.logger, Scope: scope,
 	})
 	return s.buildHTTP()
@@ -245,6 +246,10 @@
 		if tree := s.settings.Current(); tree != nil {
 			s.gossip.SetSettingsGeneration(tree.Generation())
 			s.routes.Update(cassiaroute.SettingsChanged{Fronts: tree.Fronts()})
+			// A notice may have come before the settings that list its target.
+			for _, t := range s.gossip.LeavingTargets() {
+				s.handleTargetNotice(t.Target, t.Leaving, t.Remaining)
+			}
 			s.claimer.SetRetention(ctx, tree.Root().GetClaimRetention().AsDuration())
 		}
 		select {
@@ -298,12 +303,20 @@
 	return err
 }
 
+// joinWait is how long a VM waits for an answer of another one before it serves callers without it, since it may be the only one.
+const joinWait = 2 * time.Second
+
+// ready reports whether the VM has settings and, from the other VMs, what they know of leaving targets.
+func (s *server) ready() bool {
+	return s.settings.Ready() && (len(s.gossip.Members()) > 1 || time.Since(s.startedAt) >= joinWait)
+}
+
 // fronts provides the settings in force to the entry.
-type fronts struct{ settings *cassiatree.Service }
+type fronts struct{ server *server }
 
 // Front returns the settings of a front, or nil if there is no such front.
 func (f fronts) Front(key cassiaid.FrontKey) *cassiaschema.Front {
-	tree := f.settings.Current()
+	tree := f.server.settings.Current()
 	if tree == nil {
 		return nil
 	}
@@ -311,5 +324,5 @@
 	return front
 }
 
-// Ready reports whether the VM has settings.
-func (f fronts) Ready() bool { return f.settings.Ready() }
+// Ready reports whether the VM serves callers.
+func (f fronts) Ready() bool { return f.server.ready() }
