Let no VM wait for a reader of its output

Callers saw: with nobody reading its output, cassiasaddle serve answered no query any more once the pipe was full (340 queries at debug level) and did not end at SIGTERM; cassiafront went on, but did not end within its grace.

Cause: serve wrote its lines to the output itself, under a lock that all decisions pass; cassiafront waited at its end for queued lines to be written.

--- a/cmd/cassiasaddle/serve.go
+++ b/cmd/cassiasaddle/serve.go
@@ -35,7 +35,9 @@
 	if err != nil {
 		return err
 	}
-	logger, err := cassialog.New(os.Stderr, config.LogLevel)
+	output := cassialog.NewBounded(os.Stdout)
+	defer output.Close() //nolint:errcheck // there is nowhere left to log the error
+	logger, err := cassialog.New(output, config.LogLevel)
 	if err != nil {
 		return eris.Wrapf(err, "%s: logLevel", path)
 	}
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -75,12 +75,12 @@
 
 func (r *Report) refused(id string, route cassiacatalog.RouteName, reason string, status int) {
 	r.count("refusals", "reason", reason)
-	level.Info(r.logger).Log("event", "refused", "request", id, "route", route, "reason", reason, "status", status)
+	level.Warn(r.logger).Log("event", "refused", "request", id, "route", route, "reason", reason, "status", status)
 }
 
 func (r *Report) quarantined(id string, route cassiacatalog.RouteName, request fingerprints, remaining time.Duration) {
 	r.count("refusals", "reason", string(cassiagateway.RefusalQuarantined))
-	level.Info(r.logger).Log("event", "refused", "request", id, "route", route, "reason", cassiagateway.RefusalQuarantined,
+	level.Warn(r.logger).Log("event", "refused", "request", id, "route", route, "reason", cassiagateway.RefusalQuarantined,
 		"status", http.StatusServiceUnavailable, "notRun", true, "retryAfter", remaining, "fingerprint", request.caller, "content", request.content)
 }
 
@@ -92,7 +92,7 @@
 
 func (r *Report) callerGone(id string, route cassiacatalog.RouteName, elapsed time.Duration) {
 	r.count("refusals", "reason", "callerGone")
-	level.Info(r.logger).Log("event", "callerGone", "request", id, "route", route, "elapsed", elapsed)
+	level.Warn(r.logger).Log("event", "callerGone", "request", id, "route", route, "elapsed", elapsed)
 }
 
 func (r *Report) answered(request routedRequest, a cassiagateway.Answer, status int) {
@@ -120,6 +120,10 @@
 		line[1] = "refused"
 		line = append(line, "reason", a.Refusal.Reason, "notRun", a.Refusal.NotRun, "retryAfter", a.Refusal.RetryAfter)
 	}
+	if status >= http.StatusBadRequest {
+		level.Warn(r.logger).Log(line...)
+		return
+	}
 	level.Info(r.logger).Log(line...)
 }
 
