Call the store sooner while no watcher replies

Callers of such VMs would be served by an old configuration: after an outage of the store in which both watchers of a zone leave watches without a reply, 7 of 18 scenes had a configuration in force later than 3 s after the store had it, the shortest time that a deployment wants.

Cause: the waits add up. A VM that asks watchers backs off from the store for up to 3.75 s, relying on watchers that do not reply, and each watch that hangs takes 1.4 s before the store is called.

Fix: a VM none of whose watchers replied last time backs off like a watcher (up to 1.2 s), and asks a silent watcher to reply at once, which takes 0.4 s at most.

--- a/io/cassiafollow/follower_test.go
+++ b/io/cassiafollow/follower_test.go
@@ -24,7 +24,9 @@
 	mutex sync.Mutex
 	// storeDown has all calls of the store fail; watchersLost has watchers say that they may be behind it.
 	storeDown, watchersLost bool
-	events                  []Event
+	// watchersHang has watchers leave watches without a reply.
+	watchersHang bool
+	events       []Event
 	// maxEvents limits the events that a watch of the store returns.
 	maxEvents int
 	// asked counts the watches at watchers, storeWatches those at the store, dropped the connections closed.
@@ -93,7 +95,7 @@
 func (w *followedWorld) Exchange(ctx context.Context, _ cassiaid.VMName, frame *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error) {
 	w.mutex.Lock()
 	w.asked++
-	lost, hold := w.watchersLost, w.hold
+	lost, hold, hang := w.watchersLost, w.hold, w.watchersHang
 	request := frame.GetStoreWatch()
 	reply := &cassiaschema.StoreWatchReply{Lost: lost, Revision: request.GetAfter()}
 	if !lost {
@@ -101,6 +103,10 @@
 		reply.Revision = uint64(len(w.events) + 1)
 	}
 	w.mutex.Unlock()
+	if hang {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if len(reply.GetEvents()) == 0 && !lost {
 		sleep(ctx, max(hold, request.GetWait().AsDuration()))
 	}
@@ -163,6 +169,36 @@
 	}
 }
 
+// TestConfigurationIsInForceInTimeAfterAllWaits adds up the waits on the way of a change: the store comes back after an outage at a random moment of
+// each VM's backoff, in which it waits for watchers that do not reply.
+func TestConfigurationIsInForceInTimeAfterAllWaits(t *testing.T) {
+	t.Parallel()
+	for seed := range 6 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := &followedWorld{storeDown: true, watchersHang: true}
+			var sinks []*followerSink
+			for _, vm := range w.vms() {
+				_, sink := w.startFollower(t, vm)
+				sinks = append(sinks, sink)
+			}
+			sleep(t.Context(), 8*time.Second+time.Duration(seed)*700*time.Millisecond)
+			w.set(func() { w.storeDown, w.events = false, []Event{{Key: "config", Revision: 2}} })
+			acknowledged := time.Now()
+			var longest time.Duration
+			for _, sink := range sinks {
+				select {
+				case <-sink.catalogs:
+					longest = max(longest, time.Since(acknowledged))
+				case <-time.After(time.Until(acknowledged.Add(configApplyLimit))):
+					t.Fatalf("a VM has no configuration %v after the store has it", configApplyLimit)
+				}
+			}
+			t.Logf("in force on all VMs after %v", longest)
+		})
+	}
+}
+
 // TestVMsThatTheStoreTurnsAwayCallItRarely guards against a storm of calls from a large fleet while the store is away.
 func TestVMsThatTheStoreTurnsAwayCallItRarely(t *testing.T) {
 	t.Parallel()
--- a/io/cassiafollow/watchers.go
+++ b/io/cassiafollow/watchers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -53,11 +54,13 @@
 	// delegated is true when only the watchers watch the store and the other VMs of the zone ask them.
 	delegated bool
 	avoided   map[cassiaid.VMName]time.Time
+	// silent holds the VMs that left the last watch without a reply.
+	silent map[cassiaid.VMName]bool
 }
 
 // NewWatchers returns the watchers of a VM's zone; there are none before SetExchanger and UpdateFleet are called.
 func NewWatchers(self VM, log Log) *Watchers {
-	return &Watchers{self: self, log: log, avoided: make(map[cassiaid.VMName]time.Time)}
+	return &Watchers{self: self, log: log, avoided: make(map[cassiaid.VMName]time.Time), silent: make(map[cassiaid.VMName]bool)}
 }
 
 // SetExchanger sets the exchanger through which watchers are asked.
@@ -84,14 +87,16 @@
 	if w.delegated {
 		w.watchers = zone[:watchersPerZone]
 	}
+	maps.DeleteFunc(w.silent, func(name cassiaid.VMName, _ bool) bool { return !slices.Contains(w.watchers, name) })
 }
 
 // maxBackoff returns the longest backoff between calls to a store that fails. Watchers retry more often than the VMs that
-// ask them, since those get the changes from the watchers.
+// ask them, since those get the changes from the watchers, unless none of these replies.
 func (w *Watchers) maxBackoff() time.Duration {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.delegated && !slices.Contains(w.watchers, w.self.Name) {
+	replies := slices.ContainsFunc(w.watchers, func(name cassiaid.VMName) bool { return !w.silent[name] })
+	if w.delegated && replies && !slices.Contains(w.watchers, w.self.Name) {
 		return nonWatcherMaxBackoff
 	}
 	return maxBackoff
@@ -109,7 +114,7 @@
 
 // Watch waits for changes at a watcher. ok is false when this VM has to watch the store itself: it is a watcher, there
 // is no watcher to ask, or the one that was asked failed or is behind the store. With avoidStore, a VM that is itself a
-// watcher asks another watcher instead of the store.
+// watcher asks another watcher instead of the store. A watcher that left the last watch without a reply is asked to reply at once.
 func (w *Watchers) Watch(ctx context.Context, after Position, avoidStore bool) (result WatchResult, ok bool) {
 	watcher, exchanger := w.pick(avoidStore)
 	if watcher == "" {
@@ -117,9 +122,13 @@
 	}
 	start := time.Now()
 	caller := ctx
-	ctx, cancel := context.WithTimeout(ctx, delegatedWatchTimeout+watcherReplyMargin)
+	wait := delegatedWatchTimeout
+	if w.isSilent(watcher) {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watcherReplyMargin)
 	defer cancel()
-	request := &cassiaschema.StoreWatch{After: uint64(after.Revision), Era: uint64(after.Era), Wait: durationpb.New(delegatedWatchTimeout),
+	request := &cassiaschema.StoreWatch{After: uint64(after.Revision), Era: uint64(after.Era), Wait: durationpb.New(wait),
 		Paged: true}
 	frame, err := exchanger.Exchange(ctx, watcher, &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_StoreWatch{StoreWatch: request}})
 	reply := frame.GetStoreWatchReply()
@@ -130,6 +139,7 @@
 	if caller.Err() != nil {
 		return WatchResult{}, false
 	}
+	w.setSilent(watcher, err != nil)
 	if err != nil {
 		// A silent connection may lead to an earlier process of that VM and would stay silent for long.
 		exchanger.DropSilent(watcher, start)
@@ -161,6 +171,18 @@
 	return "", nil
 }
 
+func (w *Watchers) setSilent(name cassiaid.VMName, silent bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.silent[name] = silent
+}
+
+func (w *Watchers) isSilent(name cassiaid.VMName) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.silent[name]
+}
+
 // avoid records that a watch after a position failed at a watcher, so that the watcher is not asked for some time. The error
 // is nil if the watcher said that it may be behind the store.
 func (w *Watchers) avoid(name cassiaid.VMName, after Position, elapsed time.Duration, err error) {
