Collect what logs tell of one request: cassiasaddle explain

The lines with the request's id over the logs of any number of VMs, the losses of targets that count against it, what the VMs that decided learned from 10 s before on, and what is missing: VMs without a line, dropped lines, malformed ones.

--- a/cmd/cassiasaddle/main.go
+++ b/cmd/cassiasaddle/main.go
@@ -50,7 +50,7 @@
 		Version:        version,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			serveCommand(), settingsCommand(), statusCommand(), queryCommand(), keysCommand(), benchCommand(), demoCommand(), versionCommand(),
+			serveCommand(), settingsCommand(), statusCommand(), queryCommand(), explainCommand(), keysCommand(), benchCommand(), demoCommand(), versionCommand(),
 		},
 	}
 }
