--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -245,5 +245,8 @@
 	ForwardedTo cassiaid.VMName
 	// LastFailure is the last failed attempt, formatted as outcome@target.
 	LastFailure string
-	Elapsed     time.Duration
+	// Unanswered is the number of attempts without an outcome when the query was refused, UnansweredTarget the target of one of them.
+	Unanswered       int
+	UnansweredTarget cassiaid.TargetName
+	Elapsed          time.Duration
 }
--- a/core/cassiagateway/refuse.go
+++ b/core/cassiagateway/refuse.go
@@ -16,6 +16,12 @@
 // the caller if there is one.
 func (g *Gateway) refuse(now time.Time, q *query, reason RefusalReason) {
 	begun := q.hasBegun()
+	for _, s := range q.shards {
+		for _, a := range s.running {
+			q.trace.Unanswered++
+			q.trace.UnansweredTarget = a.target.Name
+		}
+	}
 	g.release(now, q)
 	if q.trace.Attempts > 0 {
 		g.observeLateness(now, q)
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -109,6 +109,9 @@
 	if t.LastFailure != "" {
 		line = append(line, "lastFailure", t.LastFailure, "fingerprint", request.fingerprints.caller, "content", request.fingerprints.content)
 	}
+	if t.Unanswered > 0 {
+		line = append(line, "unanswered", t.Unanswered, "unansweredTarget", t.UnansweredTarget)
+	}
 	if t.Forwards > 0 {
 		line = append(line, "forwards", t.Forwards, "forwardedTo", t.ForwardedTo)
 	}
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -320,6 +320,8 @@
 			s.c.Check(answer.header.Get("Retry-After"), qt.Not(qt.Equals), "", qt.Commentf(test.name))
 		}
 	}
+	// The log names the target that held the request.
+	s.c.Check(strings.Contains(vm.process.output.String(), "unanswered=1 unansweredTarget=t-single"), qt.IsTrue)
 }
 
 // TestFrontWithoutConfiguration requires that a VM without a configuration is not ready, and refuses requests as not run
