Log why a request was refused at its arrival

An overloaded refusal tells how many shards would have been late, how many coverage could spare, and the longest expected wait with its service; shards without a reachable target are counted. Two of three requests picked at random could not be explained further than 'overloaded' before.

--- a/core/cassiagateway/admit.go
+++ b/core/cassiagateway/admit.go
@@ -13,6 +13,12 @@
 func (g *Gateway) admit(now time.Time, q *query) (RefusalReason, bool) {
 	var late []*shard
 	correction := g.routeState(q.route.Name, now).waitCorrection.factor(now)
+	addLate := func(s *shard, wait time.Duration) {
+		late = append(late, s)
+		if wait > q.trace.LongestWait {
+			q.trace.LongestWait, q.trace.LongestWaitService = wait, s.service.name
+		}
+	}
 	for _, s := range q.shards {
 		in := g.placementInput(now, s)
 		in.ahead = s.service.waiting.ahead(q.route.Priority)
@@ -27,11 +33,12 @@
 			}
 		case best.sendIn > 0 && now.Add(best.wait).After(q.closeAt):
 			q.limited = true
-			late = append(late, s)
+			addLate(s, best.wait)
 		case in.ahead > 0 && now.Add(time.Duration(correction*float64(best.wait))).After(q.closeAt):
-			late = append(late, s)
+			addLate(s, best.wait)
 		}
 	}
+	q.trace.Unreachable = q.givenUp
 	if q.coverageImpossible() {
 		return RefusalUnreachable, false
 	}
@@ -39,6 +46,7 @@
 		return "", true
 	}
 	spare := len(q.shards) - q.givenUp - q.required()
+	q.trace.Late, q.trace.Spare = len(late), spare
 	if len(late) > spare {
 		q.overloaded = true
 		if q.limited {
--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cassiasaddle/core/cassiabudget"
+	"cassiasaddle/core/cassiacatalog"
 	"cassiasaddle/core/cassiaid"
 )
 
@@ -240,6 +241,14 @@
 	// waiting too long.
 	Skipped int
 	Dropped int
+	// Late counts the shards that would have been answered too late when the query arrived, Spare how many of them coverage could
+	// do without. LongestWait is the longest estimated wait among them, for a target of LongestWaitService.
+	Late               int
+	Spare              int
+	LongestWait        time.Duration
+	LongestWaitService cassiacatalog.ServiceName
+	// Unreachable counts the shards without a reachable target.
+	Unreachable int
 	// Forwards counts the VMs that the query was passed on to, ForwardedTo is the last of them.
 	Forwards    int
 	ForwardedTo cassiaid.VMName
--- a/io/cassiagate/report.go
+++ b/io/cassiagate/report.go
@@ -103,6 +103,10 @@
 	if t.Skipped+t.Dropped > 0 {
 		line = append(line, "skipped", t.Skipped, "dropped", t.Dropped)
 	}
+	if t.Late+t.Unreachable > 0 {
+		line = append(line, "late", t.Late, "spare", t.Spare, "longestWait", t.LongestWait, "longestWaitService", t.LongestWaitService,
+			"unreachable", t.Unreachable)
+	}
 	if t.Unpaid+t.Denied > 0 {
 		line = append(line, "unpaid", t.Unpaid, "denied", t.Denied)
 	}
