Void what an isolated VM finds of targets at both ends of its isolation

A health call that was under way when the isolation began ended after the losses were forgotten, so that the target stayed avoided, and counted as a new process afterwards. Found by reading; TestTargetKeepsLeavingWhileAVMIsIsolated has that call now.

--- a/core/cassiaroute/message.go
+++ b/core/cassiaroute/message.go
@@ -55,8 +55,9 @@
 // OwnerReachable reports that something was received from a VM.
 type OwnerReachable struct{ Owner cassiaid.VMName }
 
-// IsolationBegan reports that this VM reaches no target, so that what it found of targets out of reach is void.
-type IsolationBegan struct{}
+// IsolationChanged reports that this VM reaches no target any more, or reaches targets again. What it found of targets out of reach
+// is void.
+type IsolationChanged struct{}
 
 // AttemptSent reports that this VM has sent an attempt.
 type AttemptSent struct {
@@ -82,7 +83,7 @@
 func (PlatformLeaving) isMessage()  {}
 func (OwnerUnreachable) isMessage() {}
 func (OwnerReachable) isMessage()   {}
-func (IsolationBegan) isMessage()   {}
+func (IsolationChanged) isMessage() {}
 func (AttemptSent) isMessage()      {}
 func (AttemptEnded) isMessage()     {}
 
--- a/core/cassiaroute/table.go
+++ b/core/cassiaroute/table.go
@@ -62,7 +62,7 @@
 		t.unreachableOwners.add(m.Owner, m.reportedAt(now))
 	case OwnerReachable:
 		delete(t.unreachableOwners, m.Owner)
-	case IsolationBegan:
+	case IsolationChanged:
 		t.forgetUnreached()
 	case AttemptSent:
 		t.recordSent(now, m)
--- a/core/cassiaroute/table_test.go
+++ b/core/cassiaroute/table_test.go
@@ -113,8 +113,11 @@
 	health("t0-0", false)
 	health("t1-0", false)
 	c.Assert(f.usable("t1-0"), qt.IsFalse)
-	f.Update(IsolationBegan{})
+	f.Update(IsolationChanged{})
 	c.Check(f.usable("t1-0"), qt.IsTrue)
+	// A check that was under way ends late.
+	health("t0-0", false)
+	f.Update(IsolationChanged{})
 	c.Check(health("t0-0", true), qt.HasLen, 0)
 	c.Check(f.usable("t0-0"), qt.IsFalse)
 }
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -300,6 +300,10 @@
 	}
 	known := t.copyKnowledge()
 	t.mutex.Unlock()
+	if err != nil && t.owner.isolated() {
+		// It says nothing about the target.
+		return
+	}
 	t.owner.config.Observer.TargetSeen(known)
 }
 
--- a/io/cassiaserver/ownership.go
+++ b/io/cassiaserver/ownership.go
@@ -75,9 +75,7 @@
 
 // IsolationChanged has the other VMs take over this VM's targets while it reaches none, and return them afterwards.
 func (o observer) IsolationChanged(isolated bool) {
-	if isolated {
-		o.routes.Update(cassiaroute.IsolationBegan{})
-	}
+	o.routes.Update(cassiaroute.IsolationChanged{})
 	o.gossip.SetIsolated(isolated)
 }
 
