--- a/core/cassiagateway/isolation.go
+++ b/core/cassiagateway/isolation.go
@@ -130,10 +130,10 @@
 
 // observeReach records what the outcome of an attempt that this VM sent itself tells about its links.
 func (g *Gateway) observeReach(now, sentAt time.Time, outcome Outcome) {
-	switch outcome {
-	case OutcomeAnswered, OutcomeFailed, OutcomeRejected, OutcomeWrongTarget:
+	switch answered, unanswered := outcome.Reached(); {
+	case answered:
 		g.targetHeard(now)
-	case OutcomeUnsent, OutcomeSilent:
+	case unanswered:
 		g.suspectIsolation(now, sentAt)
 	}
 }
--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -201,6 +201,18 @@
 	}
 }
 
+// Reached tells what the outcome shows of the link to the target: answered if something came back, unanswered if nothing did and the
+// link may be the reason. Neither is set for other outcomes.
+func (o Outcome) Reached() (answered, unanswered bool) {
+	switch o {
+	case OutcomeAnswered, OutcomeFailed, OutcomeRejected, OutcomeWrongTarget:
+		return true, false
+	case OutcomeUnsent, OutcomeSilent:
+		return false, true
+	}
+	return false, false
+}
+
 // reachedTarget returns false if certainly no target received the request.
 func (o Outcome) reachedTarget() bool {
 	switch o {
--- a/io/cassiaaggregate/aggregator.go
+++ b/io/cassiaaggregate/aggregator.go
@@ -99,23 +99,15 @@
 	call.Address, call.StartUnixMillis = target.Address, target.StartUnixMillis
 	sentAt := time.Now()
 	result := a.exchanger.Exchange(ctx, call)
-	a.observeReach(result.Outcome, sentAt)
+	if answered, unanswered := result.Outcome.Reached(); answered || unanswered {
+		a.targets.ObserveReach(answered, sentAt)
+	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.fitness.End(time.Now(), running, fitnessResult(result))
 	return result
 }
 
-// observeReach passes on what the outcome of an exchange tells about the links of this VM.
-func (a *Aggregator) observeReach(outcome cassiagateway.Outcome, sentAt time.Time) {
-	switch outcome {
-	case cassiagateway.OutcomeAnswered, cassiagateway.OutcomeFailed, cassiagateway.OutcomeRejected, cassiagateway.OutcomeWrongTarget:
-		a.targets.ObserveReach(true, sentAt)
-	case cassiagateway.OutcomeUnsent, cassiagateway.OutcomeSilent:
-		a.targets.ObserveReach(false, sentAt)
-	}
-}
-
 // admit records the start of an attempt. If the target is unfit or the retry budget of the service is used up, it
 // returns nil and the outcome to report instead.
 func (a *Aggregator) admit(target cassiadirectory.Target, route string,
