--- a/io/cassiadrain/work.go
+++ b/io/cassiadrain/work.go
@@ -10,11 +10,11 @@
 type Work struct {
 	mutex   sync.Mutex
 	running int
-	// idle is created by the first call of Drain and closed as soon as nothing is running.
+	// idle is created by the first call of BeginDrain and closed as soon as nothing is running.
 	idle chan struct{}
 }
 
-// Begin counts the start of a piece of work and reports whether Drain was called before. The caller has to call End in
+// Begin counts the start of a piece of work and reports whether BeginDrain was called before. The caller has to call End in
 // either case.
 func (w *Work) Begin() (draining bool) {
 	w.mutex.Lock()
@@ -31,22 +31,26 @@
 	w.signalIdle()
 }
 
-// Draining reports whether Drain was called.
+// Draining reports whether BeginDrain was called.
 func (w *Work) Draining() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	return w.idle != nil
 }
 
-// Drain makes later calls of Begin return true and waits until nothing is running. It returns the error of ctx if ctx
-// ends first.
-func (w *Work) Drain(ctx context.Context) error {
+// BeginDrain makes later calls of Begin return true, without waiting.
+func (w *Work) BeginDrain() {
 	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	if w.idle == nil {
 		w.idle = make(chan struct{})
 	}
 	w.signalIdle()
-	w.mutex.Unlock()
+}
+
+// Drain is like BeginDrain, and waits until nothing is running. It returns the error of ctx if ctx ends first.
+func (w *Work) Drain(ctx context.Context) error {
+	w.BeginDrain()
 	select {
 	case <-w.idle:
 		return nil
@@ -55,7 +59,7 @@
 	}
 }
 
-// signalIdle closes idle if Drain was called and nothing is running. The caller holds the mutex.
+// signalIdle closes idle if BeginDrain was called and nothing is running. The caller holds the mutex.
 func (w *Work) signalIdle() {
 	if w.idle == nil || w.running > 0 {
 		return
--- a/io/cassiaforward/server.go
+++ b/io/cassiaforward/server.go
@@ -45,11 +45,7 @@
 func (s *Server) Drain(ctx context.Context) error { return s.work.Drain(ctx) }
 
 // Stop declines further requests; those that are running go on.
-func (s *Server) Stop() {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = s.work.Drain(ctx) // it only begins to drain
-}
+func (s *Server) Stop() { s.work.BeginDrain() }
 
 // Serve serves a request without blocking; its result goes to reply.
 func (s *Server) Serve(from cassiaid.VMName, m *cassiaschema.ForwardedRequest, reply cassiapeer.Replier) {
