--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -168,9 +168,8 @@
 func (q *Quarantine) learnQuarantine(now time.Time, m QuarantineLearned) {
 	until := now.Add(min(m.Remaining, maxQuarantine))
 	if p := q.periods[m.Fingerprint]; until.After(p.until) {
-		repeated := q.quarantinedRecently(now, m.Fingerprint)
+		q.dropExplainedLosses(now, m.Fingerprint)
 		q.setPeriod(now, m.Fingerprint, quarantinePeriod{until: until, duration: max(p.duration, baseQuarantine)})
-		q.dropExplainedLosses(now, m.Fingerprint, repeated)
 	}
 }
 
@@ -429,21 +428,21 @@
 			if q.Remaining(f) > 0 || !q.isBlamed(now, f, ended) {
 				continue
 			}
-			duration, repeated := q.nextDuration(now, f), q.quarantinedRecently(now, f)
+			duration := q.nextDuration(now, f)
+			q.dropExplainedLosses(now, f)
 			q.setPeriod(now, f, quarantinePeriod{until: now.Add(duration), duration: duration})
-			q.dropExplainedLosses(now, f, repeated)
 			effects = append(effects, ShareQuarantine{Fingerprint: f, Remaining: duration})
 		}
 	}
 	return effects
 }
 
-// dropExplainedLosses removes the quarantined request f from the suspects, and drops the losses of other suspects on targets that
-// also ran f. Unless the quarantine is a repeated one, a suspect that ran on all targets that f lost keeps its losses: the VM that
-// blamed f may not have known of it.
-func (q *Quarantine) dropExplainedLosses(now time.Time, f cassiaid.Fingerprint, repeated bool) {
+// dropExplainedLosses removes the request f, which is about to be quarantined, from the suspects, and drops the losses of other suspects
+// on targets that also ran f. Unless f was quarantined before, a suspect that ran on all targets that f lost keeps its losses: the VM
+// that blamed f may not have known of it.
+func (q *Quarantine) dropExplainedLosses(now time.Time, f cassiaid.Fingerprint) {
 	delete(q.suspects, f)
-	lost := q.targetsLostBy(now, f)
+	lost, repeated := q.targetsLostBy(now, f), q.quarantinedRecently(now, f)
 	for other, s := range q.suspects {
 		if !repeated && s.involvesAll(lost) {
 			continue
