--- a/core/cassiaroute/slice.go
+++ b/core/cassiaroute/slice.go
@@ -103,6 +103,11 @@
 	return int(shard) * count / shards
 }
 
+// sliceID returns the slice of a shard's targets in a zone; key is the front's own.
+func (f *front) sliceID(key cassiaid.FrontKey, index cassiaid.ShardIndex, zone cassiaid.Zone) sliceID {
+	return sliceID{front: key, zone: zone, slice: sliceOf(index, len(f.settings.GetShards()), f.slices)}
+}
+
 // sliceID identifies the targets of one zone in one slice of a front.
 type sliceID struct {
 	front cassiaid.FrontKey
--- a/core/cassiaroute/sliceowners.go
+++ b/core/cassiaroute/sliceowners.go
@@ -44,12 +44,11 @@
 	}
 	var all []SliceOwners
 	seen := make(map[sliceID]bool)
-	shards := f.settings.GetShards()
-	for i, s := range shards {
+	for i, s := range f.settings.GetShards() {
 		index := cassiaid.ShardIndex(i)
 		for _, replica := range s.GetTargets() {
 			zone := cassiaid.Zone(replica.GetAvailabilityZone())
-			id := sliceID{front: key, zone: zone, slice: sliceOf(index, len(shards), f.slices)}
+			id := f.sliceID(key, index, zone)
 			if seen[id] {
 				continue
 			}
--- a/core/cassiaroute/table.go
+++ b/core/cassiaroute/table.go
@@ -107,7 +107,7 @@
 	if f == nil {
 		return nil
 	}
-	id := sliceID{front: key, zone: zone, slice: sliceOf(index, len(f.settings.GetShards()), f.slices)}
+	id := f.sliceID(key, index, zone)
 	owners, ok := t.owners[id]
 	if !ok {
 		owners = rankOwners(t.members[zone], id.key(), f.share.Owners)
@@ -138,8 +138,7 @@
 	}
 	return t.ownedTargets(func(key cassiaid.FrontKey, index cassiaid.ShardIndex) bool {
 		f := t.fronts[key]
-		id := sliceID{front: key, zone: t.zone, slice: sliceOf(index, len(f.settings.GetShards()), f.slices)}
-		return slices.Contains(rankOwners(members, id.key(), f.share.Owners), t.local)
+		return slices.Contains(rankOwners(members, f.sliceID(key, index, t.zone).key(), f.share.Owners), t.local)
 	})
 }
 
