--- a/io/cassiatree/catchup.go
+++ b/io/cassiatree/catchup.go
@@ -4,7 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"sync/atomic"
+	"slices"
 
 	"golang.org/x/sync/errgroup"
 
@@ -19,30 +19,26 @@
 // CatchUp asks some other VMs which generation they have in force and returns when this VM has the highest of them in force, or when ctx
 // is done.
 func (s *Service) CatchUp(ctx context.Context) {
-	members := s.memberGenerations()
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	var highest atomic.Uint64
+	others := slices.DeleteFunc(s.memberGenerations(), func(m MemberGeneration) bool { return m.Name == s.config.Self })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), catchUpPeers)]
+	inForce := make([]cassiaid.Generation, len(others)+1)
 	var asks errgroup.Group
-	asked := 0
-	for _, m := range members {
-		if m.Name == s.config.Self || asked == catchUpPeers {
-			continue
-		}
-		asked++
+	for i, m := range others {
 		asks.Go(func() error {
 			g, err := s.requestGeneration(ctx, m.Name)
 			if err != nil {
 				return nil //nolint:nilerr // the others are asked as well
 			}
-			for known := highest.Load(); uint64(g) > known && !highest.CompareAndSwap(known, uint64(g)); known = highest.Load() {
-			}
+			inForce[i] = g
 			return s.deliver(ctx, cassiasettings.DigestReceived{From: m.Name, Generation: g})
 		})
 	}
 	_ = asks.Wait()
+	highest := slices.Max(inForce)
 	changes, end := s.Subscribe()
 	defer end()
-	for s.Generation() < cassiaid.Generation(highest.Load()) {
+	for s.Generation() < highest {
 		select {
 		case <-changes:
 		case <-ctx.Done():
