Name why a watch was cancelled in place of an error and a second request

A watch that was replaced returned an error of its own, or asked once more so that the pause after it was skipped. The three notices that do not block share one function.

--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -186,18 +186,16 @@
 
 // Refresh requests a fresh list of all keys; it is for callers that find targets to be newer than their known registrations.
 // It does not block.
-func (f *Follower) Refresh() {
-	select {
-	case f.refresh <- struct{}{}:
-	default:
-	}
-}
+func (f *Follower) Refresh() { notify(f.refresh) }
 
 // Ask requests that the running watch is replaced with a new one, since this VM was paused and the answer of the running one may have
 // been given before the end of the pause. It does not block.
-func (f *Follower) Ask() {
+func (f *Follower) Ask() { notify(f.ask) }
+
+// notify sends to a channel unless a notice waits there already.
+func notify(notices chan<- struct{}) {
 	select {
-	case f.ask <- struct{}{}:
+	case notices <- struct{}{}:
 	default:
 	}
 }
@@ -284,10 +282,7 @@
 	}
 	f.log("storeRestored", "era", era, "previousEra", previous)
 	f.sink.UpdateDirectory(cassiadirectory.StoreLost{}, cassiadirectory.StoreRegained{})
-	select {
-	case f.restored <- struct{}{}:
-	default:
-	}
+	notify(f.restored)
 }
 
 // latestByKey returns the last event of each key, without removed keys, ordered by key.
@@ -319,11 +314,11 @@
 func (f *Follower) watch(ctx context.Context, position Position) (fresh bool) {
 	for ctx.Err() == nil {
 		start := time.Now()
-		result, refreshed, err := f.watchOnce(ctx, position)
-		if refreshed {
+		result, cause, err := f.watchOnce(ctx, position)
+		switch {
+		case cause == cancelledToRefresh:
 			return true
-		}
-		if errors.Is(err, errAskedAnew) {
+		case cause == cancelledToAsk && err != nil:
 			continue
 		}
 		if errors.Is(err, ErrCompacted) {
@@ -347,7 +342,7 @@
 		f.logChanges(after, result, changes, time.Since(start))
 		f.apply(changes)
 		f.sink.Confirm(start)
-		if result.fromStore() && len(result.Events) > 0 && len(result.Events) < storeWatchLimit {
+		if cause == notCancelled && result.fromStore() && len(result.Events) > 0 && len(result.Events) < storeWatchLimit {
 			f.coalesce(ctx)
 		}
 	}
@@ -365,11 +360,18 @@
 	}
 }
 
-// errAskedAnew is the error of a watch that was cancelled since another one is to follow at once.
-var errAskedAnew = errors.New("the watch was replaced with a new one")
+// cancelCause is the reason why a watch was cancelled.
+type cancelCause int
+
+const (
+	notCancelled cancelCause = iota
+	cancelledToRefresh
+	// cancelledToAsk means that another watch is to follow at once. The cancelled one may still have had a result.
+	cancelledToAsk
+)
 
 // watchOnce runs one watch and cancels it when a refresh or a new watch is requested.
-func (f *Follower) watchOnce(ctx context.Context, after Position) (result WatchResult, refreshed bool, err error) {
+func (f *Follower) watchOnce(ctx context.Context, after Position) (result WatchResult, cause cancelCause, err error) {
 	watchContext, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group errgroup.Group
@@ -380,21 +382,15 @@
 	})
 	select {
 	case <-f.refresh:
-		refreshed = true
+		cause = cancelledToRefresh
 		cancel()
 	case <-f.ask:
+		cause = cancelledToAsk
 		cancel()
-		_ = group.Wait()
-		if err != nil {
-			return result, false, errAskedAnew
-		}
-		// The changes count, but do not delay the new watch.
-		f.Ask()
-		return result, false, nil
 	case <-watchContext.Done():
 	}
 	_ = group.Wait()
-	return result, refreshed, err
+	return result, cause, err
 }
 
 // waitForChanges asks a watcher of this VM's zone for changes if there is one to ask, else the store. For storeAvoidPeriod
--- a/io/cassiafollow/follower_test.go
+++ b/io/cassiafollow/follower_test.go
@@ -223,8 +223,8 @@
 		watchers := w.watchersFor(vm)
 		f := NewFollower(w, sink, watchers, &Journal{}, ignoreLog)
 		f.Refresh()
-		_, refreshed, _ := f.watchOnce(t.Context(), Position{Revision: 1})
-		c.Check(refreshed, qt.IsTrue)
+		_, cause, _ := f.watchOnce(t.Context(), Position{Revision: 1})
+		c.Check(cause, qt.Equals, cancelledToRefresh)
 		c.Check(f.lastWatchFailure.IsZero(), qt.IsTrue, qt.Commentf("%s avoids the store", vm.Name))
 		c.Check(watchers.avoided, qt.HasLen, 0, qt.Commentf("%s avoids a watcher", vm.Name))
 	}
--- a/io/cassiatree/catchup.go
+++ b/io/cassiatree/catchup.go
@@ -22,6 +22,7 @@
 	others := slices.DeleteFunc(s.memberGenerations(), func(m MemberGeneration) bool { return m.Name == s.config.Self })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	others = others[:min(len(others), catchUpPeers)]
+	// The last one stays 0, for a VM that knows no other.
 	inForce := make([]cassiaid.Generation, len(others)+1)
 	var asks errgroup.Group
 	for i, m := range others {
