--- a/io/cassiaforward/client.go
+++ b/io/cassiaforward/client.go
@@ -57,7 +57,7 @@
 
 // Send passes a request to a VM without blocking. A ForwardEnded follows.
 func (c *Client) Send(vm cassiaid.VMName, query cassiagateway.QueryID, r Request) {
-	ctx, stop := context.WithDeadline(context.Background(), r.Deadline)
+	ctx, stop := context.WithDeadline(context.Background(), r.Call.Deadline)
 	c.mutex.Lock()
 	c.lastID++
 	id := c.lastID
@@ -72,7 +72,7 @@
 		case err != nil:
 			c.end(id, Result{Outcome: cassiagateway.ForwardLost})
 		case c.markSent(id):
-			time.AfterFunc(time.Until(r.Deadline)+replyGrace, func() { c.end(id, Result{Outcome: cassiagateway.ForwardLost}) })
+			time.AfterFunc(time.Until(r.Call.Deadline)+replyGrace, func() { c.end(id, Result{Outcome: cassiagateway.ForwardLost}) })
 		default:
 			c.sendCancel(vm, id)
 		}
--- a/io/cassiaforward/forward_test.go
+++ b/io/cassiaforward/forward_test.go
@@ -14,6 +14,7 @@
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiapeer"
+	"cassiasaddle/io/cassiapool"
 )
 
 // pair connects a client on VM a with a server on VM b without a network.
@@ -71,8 +72,8 @@
 }
 
 func request(timeout time.Duration) Request {
-	return Request{Method: http.MethodPost, URI: "/x/1?y", Host: "shop", Header: http.Header{"X-Own": {"1", "2"}}, RequestID: "id", Body: []byte("body"),
-		Deadline: time.Now().Add(timeout), Configuration: 7, Caller: 8, Content: 9}
+	return Request{Call: cassiapool.Call{Method: http.MethodPost, URI: "/x/1?y", Host: "shop", Header: http.Header{"X-Own": {"1", "2"}}, RequestID: "id",
+		Body: []byte("body"), Deadline: time.Now().Add(timeout)}, Configuration: 7, Caller: 8, Content: 9}
 }
 
 func TestForwardedRequestAndAnswerArriveUnchanged(t *testing.T) {
@@ -85,8 +86,8 @@
 	sent.Statements = stated
 	p := newPair(func(_ context.Context, from cassiaid.VMName, r Request) Result {
 		c.Check(from, qt.Equals, cassiaid.VMName("a"))
-		c.Check(r.Deadline.Sub(sent.Deadline) < time.Second, qt.IsTrue)
-		r.Deadline = sent.Deadline
+		c.Check(r.Call.Deadline.Sub(sent.Call.Deadline) < time.Second, qt.IsTrue)
+		r.Call.Deadline = sent.Call.Deadline
 		c.Check(r, qt.DeepEquals, sent)
 		return Result{Outcome: cassiagateway.ForwardAnswered, Reply: answer, Statements: stated}
 	})
--- a/io/cassiaforward/request.go
+++ b/io/cassiaforward/request.go
@@ -1,7 +1,6 @@
 package cassiaforward
 
 import (
-	"net/http"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -12,18 +11,13 @@
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassiapeer"
+	"cassiasaddle/io/cassiapool"
 )
 
 // Request is a caller's request that one VM passes to another.
 type Request struct {
-	Method string
-	// URI is the path and query string as the caller sent them.
-	URI       string
-	Host      string
-	Header    http.Header
-	RequestID string
-	Body      []byte
-	Deadline  time.Time
+	// Call is what the caller sent, without a target.
+	Call cassiapool.Call
 	// Configuration is the version by which the first VM would serve the request.
 	Configuration cassiacatalog.Version
 	// Caller and Content identify the request with and without its caller's address.
@@ -35,15 +29,16 @@
 // encode returns the frame that carries the request; now is the base of the remaining time.
 func (r *Request) encode(id uint64, now time.Time) *cassiaschema.PeerFrame {
 	return &cassiaschema.PeerFrame{Body: &cassiaschema.PeerFrame_ForwardedRequest{ForwardedRequest: &cassiaschema.ForwardedRequest{
-		ForwardId: id, Method: r.Method, Uri: r.URI, Host: r.Host, Headers: cassiapeer.EncodeHeader(r.Header), RequestId: r.RequestID, Body: r.Body,
-		Remaining: durationpb.New(r.Deadline.Sub(now)), Configuration: uint64(r.Configuration), CallerFingerprint: uint64(r.Caller),
+		ForwardId: id, Method: r.Call.Method, Uri: r.Call.URI, Host: r.Call.Host, Headers: cassiapeer.EncodeHeader(r.Call.Header),
+		RequestId: r.Call.RequestID, Body: r.Call.Body, Remaining: durationpb.New(r.Call.Deadline.Sub(now)),
+		Configuration: uint64(r.Configuration), CallerFingerprint: uint64(r.Caller),
 		ContentFingerprint: uint64(r.Content), Statements: encodeStatements(r.Statements)}}}
 }
 
 func decodeRequest(m *cassiaschema.ForwardedRequest, now time.Time) Request {
-	return Request{Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: cassiapeer.DecodeHeader(m.GetHeaders()), RequestID: m.GetRequestId(),
-		Body: m.GetBody(), Deadline: now.Add(m.GetRemaining().AsDuration()), Configuration: cassiacatalog.Version(m.GetConfiguration()),
-		Caller: cassiaid.Fingerprint(m.GetCallerFingerprint()), Content: cassiaid.Fingerprint(m.GetContentFingerprint()),
+	call := cassiapool.Call{Method: m.GetMethod(), URI: m.GetUri(), Host: m.GetHost(), Header: cassiapeer.DecodeHeader(m.GetHeaders()),
+		RequestID: m.GetRequestId(), Body: m.GetBody(), Deadline: now.Add(m.GetRemaining().AsDuration())}
+	return Request{Call: call, Configuration: cassiacatalog.Version(m.GetConfiguration()), Caller: cassiaid.Fingerprint(m.GetCallerFingerprint()), Content: cassiaid.Fingerprint(m.GetContentFingerprint()),
 		Statements: decodeStatements(m.GetStatements())}
 }
 
--- a/io/cassiaforward/server.go
+++ b/io/cassiaforward/server.go
@@ -57,7 +57,7 @@
 		return
 	}
 	r := decodeRequest(m, time.Now())
-	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), r.Call.Deadline)
 	s.mutex.Lock()
 	s.running[key] = cancel
 	s.mutex.Unlock()
--- a/io/cassiagate/forward.go
+++ b/io/cassiagate/forward.go
@@ -9,7 +9,6 @@
 	"cassiasaddle/core/cassiagateway"
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/io/cassiaforward"
-	"cassiasaddle/io/cassiapool"
 )
 
 // forward passes a pending request to another VM; the caller holds the mutex.
@@ -20,8 +19,9 @@
 		return
 	}
 	g.report.forwarded(q.call.RequestID, e.VM)
-	g.forwardClient.Send(e.VM, e.Query, cassiaforward.Request{Method: q.call.Method, URI: q.call.URI, Host: q.call.Host, Header: q.call.Header,
-		RequestID: q.call.RequestID, Body: q.call.Body, Deadline: e.Deadline, Configuration: q.configuration,
+	call := q.call
+	call.Deadline = e.Deadline
+	g.forwardClient.Send(e.VM, e.Query, cassiaforward.Request{Call: call, Configuration: q.configuration,
 		Caller: q.fingerprints.caller, Content: q.fingerprints.content, Statements: e.Statements})
 }
 
@@ -47,23 +47,22 @@
 	}
 	catalog := h.gate.catalog.Load()
 	if catalog == nil || catalog.Version < r.Configuration {
-		h.gate.report.declined(r.RequestID, from, "olderConfiguration")
+		h.gate.report.declined(r.Call.RequestID, from, "olderConfiguration")
 		return cassiaforward.Result{Outcome: cassiagateway.ForwardDeclined}
 	}
 	h.gate.pool.ObserveStatements(r.Statements)
 	for _, s := range r.Statements {
 		h.gate.Update(cassiagateway.TargetStated{TargetStatement: s})
 	}
-	path, _, _ := strings.Cut(r.URI, "?")
-	route := catalog.Match(r.Host, path)
+	path, _, _ := strings.Cut(r.Call.URI, "?")
+	route := catalog.Match(r.Call.Host, path)
 	if route == nil {
 		// The configuration here is newer and does not have the route any more.
-		h.gate.report.refused(r.RequestID, "", "noRoute", http.StatusNotFound)
+		h.gate.report.refused(r.Call.RequestID, "", "noRoute", http.StatusNotFound)
 		return cassiaforward.Result{Outcome: cassiagateway.ForwardAnswered, Reply: &cassiagateway.Reply{Status: http.StatusNotFound}}
 	}
-	call := cassiapool.Call{Method: r.Method, URI: r.URI, Host: r.Host, Header: r.Header, RequestID: r.RequestID, Body: r.Body, Deadline: r.Deadline}
 	w := &answerBuffer{header: make(http.Header)}
-	answer := h.serveRouted(ctx, w, routedRequest{call: call, route: route, configuration: catalog.Version, from: from,
+	answer := h.serveRouted(ctx, w, routedRequest{call: r.Call, route: route, configuration: catalog.Version, from: from,
 		fingerprints: fingerprints{caller: r.Caller, content: r.Content}})
 	result := cassiaforward.Result{Statements: answer.Statements}
 	switch refusal := answer.Refusal; {
