--- a/test/logreader_test.go
+++ b/test/logreader_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -14,35 +12,16 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// startUnread starts a program whose output nobody reads, and returns a function that stops it and reports whether it ended in time.
-func startUnread(t *testing.T, program string, arguments ...string) (stop func(grace time.Duration) bool) {
+// startUnread starts a program whose output nobody reads.
+func startUnread(t *testing.T, program string, arguments ...string) *process {
 	t.Helper()
-	c := qt.New(t)
 	unread, output, err := os.Pipe()
-	c.Assert(err, qt.IsNil)
-	command := exec.Command(filepath.Join(binaryDir, program), arguments...)
-	command.Stdout, command.Stderr = output, output
-	c.Assert(command.Start(), qt.IsNil)
-	c.Assert(output.Close(), qt.IsNil)
-	exited := make(chan struct{})
-	go func() { //nolint:revive // it ends with the process
-		defer close(exited)
-		command.Wait() //nolint:errcheck // the caller asks whether it ended
-	}()
-	t.Cleanup(func() {
-		command.Process.Kill() //nolint:errcheck // it may have ended
-		<-exited
-		unread.Close() //nolint:errcheck // nothing was read
-	})
-	return func(grace time.Duration) bool {
-		command.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it may have ended
-		select {
-		case <-exited:
-			return true
-		case <-time.After(grace):
-			return false
-		}
-	}
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { unread.Close() }) //nolint:errcheck // nothing was read
+	p := &process{}
+	p.run(t, output, program, arguments...)
+	qt.Assert(t, output.Close(), qt.IsNil)
+	return p
 }
 
 // TestFrontServesAndStopsWhileNobodyReadsItsLogs guards against a VM that waits for a reader of its output.
@@ -53,7 +32,7 @@
 	// The same VM again, with nobody reading.
 	vm.process.signal(syscall.SIGKILL)
 	<-vm.process.exited
-	stop := startUnread(t, "cassiafront", "--settings", vm.settingsFile)
+	again := startUnread(t, "cassiafront", "--settings", vm.settingsFile)
 	e.eventually(vm.isReady, "the VM is not ready")
 	begun := time.Now()
 	var callers errgroup.Group
@@ -68,8 +47,9 @@
 		})
 	}
 	e.c.Check(callers.Wait(), qt.IsNil)
+	again.signal(syscall.SIGTERM)
 	const grace = 6 * time.Second
-	e.c.Check(stop(grace), qt.IsTrue, qt.Commentf("the VM does not end within its grace"))
+	e.c.Check(again.wait(t, grace), qt.Equals, 0)
 }
 
 // TestServeAnswersAndStopsWhileNobodyReadsItsLogs guards against the same in cassiasaddle serve.
@@ -79,7 +59,7 @@
 	v := cl.vms[0]
 	v.process.signal(syscall.SIGKILL)
 	<-v.process.exited
-	stop := startUnread(t, "cassiasaddle", "serve", "--config", v.config)
+	again := startUnread(t, "cassiasaddle", "serve", "--config", v.config)
 	eventually(t, waitTimeout, "the VM is ready", func() bool { return cl.status(v).Ready })
 	begun := time.Now()
 	var callers errgroup.Group
@@ -94,5 +74,6 @@
 		})
 	}
 	c.Check(callers.Wait(), qt.IsNil)
-	c.Check(stop(waitTimeout), qt.IsTrue, qt.Commentf("the VM does not end"))
+	again.signal(syscall.SIGTERM)
+	c.Check(again.wait(t, waitTimeout), qt.Equals, 0)
 }
--- a/test/pausedvm_test.go
+++ b/test/pausedvm_test.go
@@ -57,14 +57,7 @@
 			resumed := time.Now()
 			vm.process.signal(syscall.SIGCONT)
 			e.c.Assert(callers.Wait(), qt.IsNil)
-			late := 0
-			for _, target := range forbidden {
-				for _, a := range target.Arrivals() {
-					if a.At.After(resumed) {
-						late++
-					}
-				}
-			}
+			late := arrivalsAfter(forbidden, resumed)
 			t.Logf("%d of %d requests were served, %d reached targets that get none", served.Load(), requests, late)
 			e.c.Check(late, qt.Equals, 0)
 			e.c.Check(served.Load() >= requests*9/10, qt.IsTrue)
@@ -72,6 +65,19 @@
 	}
 }
 
+// arrivalsAfter returns how many requests reached some targets after a time.
+func arrivalsAfter(targets []*cassiastage.Target, at time.Time) int {
+	count := 0
+	for _, target := range targets {
+		for _, a := range target.Arrivals() {
+			if a.At.After(at) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // drainHalf has half of the targets of the first service announce that they drain, and returns them.
 func (e *crashEnv) drainHalf() []*cassiastage.Target {
 	targets := e.services[0].Running()
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -65,8 +65,16 @@
 // start starts a program of this repository. It is killed at the end of the test if it still runs.
 func start(t testing.TB, program string, arguments ...string) *process {
 	t.Helper()
-	p := &process{command: exec.Command(filepath.Join(binaryDir, program), arguments...), exited: make(chan struct{})}
-	p.command.Stdout, p.command.Stderr = &p.output, &p.output
+	p := &process{}
+	p.run(t, &p.output, program, arguments...)
+	return p
+}
+
+// run starts a program whose output goes to a writer.
+func (p *process) run(t testing.TB, output io.Writer, program string, arguments ...string) {
+	t.Helper()
+	p.command, p.exited = exec.Command(filepath.Join(binaryDir, program), arguments...), make(chan struct{})
+	p.command.Stdout, p.command.Stderr = output, output
 	qt.Assert(t, p.command.Start(), qt.IsNil)
 	p.waiter.Go(func() error {
 		defer close(p.exited)
@@ -81,7 +89,6 @@
 			t.Logf("output of %s %s, which %s:\n%s", program, strings.Join(arguments, " "), ended, tail(p.output.String()))
 		}
 	})
-	return p
 }
 
 // endOf describes how the process has ended.
--- a/test/restart_test.go
+++ b/test/restart_test.go
@@ -28,7 +28,7 @@
 			left := e.drainHalf()
 			sleep(3 * time.Second)
 			e.store.SetFaults(cassiastage.Faults{Busy: away > 0})
-			leftAt := time.Now()
+			restarted := time.Now()
 			e.startVM(0)
 			sleep(away)
 			e.store.SetFaults(cassiastage.Faults{})
@@ -40,14 +40,7 @@
 				}
 				sleep(10 * time.Millisecond)
 			}
-			late := 0
-			for _, target := range left {
-				for _, a := range target.Arrivals() {
-					if a.At.After(leftAt) {
-						late++
-					}
-				}
-			}
+			late := arrivalsAfter(left, restarted)
 			t.Logf("%d of 100 requests were served, %d reached targets that had left", served, late)
 			e.c.Check(late, qt.Equals, 0)
 			e.c.Check(served > 95, qt.IsTrue)
