--- a/io/cassiafollow/page.go
+++ b/io/cassiafollow/page.go
@@ -1,15 +1,14 @@
 package cassiafollow
 
 import (
-	"bytes"
 	"compress/gzip"
-	"io"
 	"sync"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiapeer"
 )
 
 const (
@@ -74,18 +73,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode changes of the store")
 	}
-	var compressed bytes.Buffer
-	w, err := gzip.NewWriterLevel(&compressed, gzip.BestSpeed)
-	if err != nil {
-		return nil, eris.Wrap(err, "compress changes of the store")
-	}
-	if _, err := w.Write(encoded); err != nil {
-		return nil, eris.Wrap(err, "compress changes of the store")
-	}
-	if err := w.Close(); err != nil {
-		return nil, eris.Wrap(err, "compress changes of the store")
-	}
-	return compressed.Bytes(), nil
+	return cassiapeer.Compress(encoded, gzip.BestSpeed)
 }
 
 func encodeEvents(events []Event) []*cassiaschema.StoreEvent {
@@ -100,13 +88,9 @@
 func decodeEvents(reply *cassiaschema.StoreWatchReply) ([]Event, error) {
 	encoded := reply.GetEvents()
 	if len(reply.GetCompressedEvents()) > 0 {
-		r, err := gzip.NewReader(bytes.NewReader(reply.GetCompressedEvents()))
-		if err != nil {
-			return nil, eris.Wrap(err, "decompress changes of the store; check that both VMs run the same version")
-		}
-		content, err := io.ReadAll(io.LimitReader(r, maxDecompressedBytes))
+		content, err := cassiapeer.Decompress(reply.GetCompressedEvents(), maxDecompressedBytes)
 		if err != nil {
-			return nil, eris.Wrap(err, "decompress changes of the store; check that both VMs run the same version")
+			return nil, err
 		}
 		var list cassiaschema.StoreEvents
 		if err := proto.Unmarshal(content, &list); err != nil {
--- a/io/cassiatree/compress.go
+++ b/io/cassiatree/compress.go
@@ -1,14 +1,13 @@
 package cassiatree
 
 import (
-	"bytes"
 	"compress/gzip"
-	"io"
 
 	"github.com/rotisserie/eris"
 
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/core/cassiasettings"
+	"cassiasaddle/io/cassiapeer"
 )
 
 // compressState returns a copy of state in which the YAML texts are compressed with gzip. A text that would not get
@@ -16,16 +15,11 @@
 func compressState(state *cassiaschema.SettingsState) *cassiaschema.SettingsState {
 	compressed := &cassiaschema.SettingsState{Head: state.GetHead()}
 	for _, edit := range state.GetEdits() {
-		var content bytes.Buffer
-		w := gzip.NewWriter(&content)
-		_, err := w.Write(edit.GetYaml())
-		if err == nil {
-			err = w.Close()
-		}
-		if err == nil && content.Len() < len(edit.GetYaml()) {
+		content, err := cassiapeer.Compress(edit.GetYaml(), gzip.DefaultCompression)
+		if err == nil && len(content) < len(edit.GetYaml()) {
 			edit = &cassiaschema.SettingsEdit{Subtree: edit.GetSubtree(), Revision: edit.GetRevision(),
 				EditId: edit.GetEditId(), PreviousEditId: edit.GetPreviousEditId(), Author: edit.GetAuthor(),
-				UnixMillis: edit.GetUnixMillis(), YamlGzip: content.Bytes()}
+				UnixMillis: edit.GetUnixMillis(), YamlGzip: content}
 		}
 		compressed.Edits = append(compressed.Edits, edit)
 	}
@@ -38,23 +32,11 @@
 		if len(edit.GetYamlGzip()) == 0 {
 			continue
 		}
-		text, err := decompressText(edit.GetYamlGzip())
+		text, err := cassiapeer.Decompress(edit.GetYamlGzip(), cassiasettings.MaxSubtreeBytes)
 		if err != nil {
-			return eris.Wrapf(err, "decompress edit %s; check that both VMs run the same version", edit.GetEditId())
+			return eris.Wrapf(err, "edit %s", edit.GetEditId())
 		}
 		edit.Yaml, edit.YamlGzip = text, nil
 	}
 	return nil
 }
-
-func decompressText(compressed []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(compressed))
-	if err != nil {
-		return nil, err
-	}
-	text, err := io.ReadAll(io.LimitReader(r, cassiasettings.MaxSubtreeBytes+1))
-	if err == nil && len(text) > cassiasettings.MaxSubtreeBytes {
-		err = eris.New("the decompressed text is over the limit for a subtree")
-	}
-	return text, err
-}
