--- a/io/cassiaserver/pause.go
+++ b/io/cassiaserver/pause.go
@@ -29,7 +29,10 @@
 		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 		defer cancel()
 		askedAt := time.Now()
-		s.settings.CatchUp(ctx)
+		if !s.settings.CatchUp(ctx) {
+			level.Info(s.logger).Log("msg", "the settings of other VMs are not known or not in force after a pause")
+			return nil
+		}
 		targets, err := s.store.LeavingTargets(ctx)
 		if err != nil {
 			level.Info(s.logger).Log("msg", "asking for leaving targets after a pause failed", "err", err)
--- a/io/cassiatree/fleet_test.go
+++ b/io/cassiatree/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,10 @@
 	stop     context.CancelFunc
 	faults   *storeFaults
 	scope    tally.TestScope
+	// lost holds the VMs with which the next exchange is lost.
+	lost sync.Map
+	// peersCut has all exchanges with other VMs lost.
+	peersCut atomic.Bool
 }
 
 // storeFaults is the HTTP transport of one VM to the store. before can fail a call before it is sent, after can drop the
@@ -233,6 +238,9 @@
 
 // Exchange implements Peers.
 func (v *fleetVM) Exchange(_ context.Context, to cassiaid.VMName, frame *cassiaschema.PeerFrame) (*cassiaschema.PeerFrame, error) {
+	if _, lost := v.lost.LoadAndDelete(to); lost || v.peersCut.Load() {
+		return nil, errConnectionLost
+	}
 	o, err := v.lookUpPeer(to)
 	if err != nil {
 		return nil, err
