--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -41,8 +41,8 @@
 }
 
 type vm struct {
-	name, address, ready string
-	process              *exec.Cmd
+	name, address, ready, settings string
+	process                        *exec.Cmd
 }
 
 func newDeployment(recordPath string) (*deployment, error) {
@@ -137,25 +137,38 @@
 	if err := os.WriteFile(settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		panic(err)
 	}
-	output, err := os.Create(filepath.Join(d.directory, name+".log"))
+	v.settings = settings
+	d.run(v)
+	d.vms = append(d.vms, v)
+	d.record("vmReady", "vm", name, "zone", zone)
+	return v
+}
+
+// run starts the process of a VM and waits until it is ready.
+func (d *deployment) run(v *vm) {
+	output, err := os.OpenFile(filepath.Join(d.directory, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		panic(err)
 	}
 	v.process = exec.Command("./"+program, "--metrics-port", d.freePort())
-	v.process.Env = append(os.Environ(), "CASSIASADDLE_BOOT="+settings)
+	v.process.Env = append(os.Environ(), "CASSIASADDLE_BOOT="+v.settings)
 	v.process.Stdout, v.process.Stderr = output, output
 	v.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := v.process.Start(); err != nil {
 		panic(err)
 	}
-	d.vms = append(d.vms, v)
 	for deadline := time.Now().Add(15 * time.Second); !v.isReady(); time.Sleep(100 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			panic(name + " is not ready")
+			panic(v.name + " is not ready")
 		}
 	}
-	d.record("vmReady", "vm", name, "zone", zone)
-	return v
+}
+
+// restartVM starts a VM again whose process was killed.
+func (d *deployment) restartVM(v *vm) {
+	v.process.Wait() //nolint:errcheck // it was killed
+	d.run(v)
+	d.record("vmReady", "vm", v.name)
 }
 
 func (v *vm) isReady() bool {
