--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -o target/review-standin ./review/_standin
+go build -buildvcs=false -o target/review-standin ./review/_standin
