Fail reads of connections on which a write was told of a reset

Callers saw a 200 with half of the body when a target broke off an answer without a length by a reset while a long request was still being written; fan-outs counted half of a part as covered. The kernel reports a reset once. If the blocked write asks first, it gets ECONNRESET and the read returns the end of the stream, which ends a body without a length.

Connections to targets are wrapped in both tiers: a read at the end of the stream ends a blocked write, and fails with the write's error if that shows an abort. EPIPE does not, since it follows the end of the stream.

--- a/io/cassiapool/connection.go
+++ b/io/cassiapool/connection.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cassiasaddle/io/cassialiveness"
+	"cassiasaddle/io/cassiasocket"
 )
 
 const (
@@ -22,7 +23,7 @@
 
 // connection is one connection to a target; it carries one request at a time.
 type connection struct {
-	net.Conn
+	*cassiasocket.Conn
 	// bounded limits what reader may read for the current reply.
 	bounded *boundedReader
 	reader  *bufio.Reader
@@ -31,7 +32,8 @@
 	expires  time.Time
 }
 
-func newConnection(c net.Conn, instance string, expires time.Time) *connection {
+func newConnection(raw net.Conn, instance string, expires time.Time) *connection {
+	c := &cassiasocket.Conn{Conn: raw}
 	bounded := &boundedReader{source: c}
 	return &connection{Conn: c, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes), instance: instance, expires: expires}
 }
--- a/io/cassiapool/pool_test.go
+++ b/io/cassiapool/pool_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiagateway"
+	"cassiasaddle/standin/cassialistener"
 )
 
 var testHeaders = Headers{RequestID: "X-Id", Deadline: "X-Deadline", Stamp: "X-Stamp", ExpectInstance: "X-Expect",
@@ -31,6 +33,11 @@
 func listen(t *testing.T, scripts ...script) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
+	return listenAt(t, listener, scripts...)
+}
+
+// listenAt is like listen, for connections of the given listener, which it closes.
+func listenAt(t *testing.T, listener net.Listener, scripts ...script) string {
 	var group errgroup.Group
 	var mutex sync.Mutex
 	var open []net.Conn
@@ -122,6 +129,30 @@
 	}
 }
 
+// TestResetDuringALongRequestIsNoAnswer guards against a reply without a length that the target breaks off by a reset, and that passes for
+// a complete one since the reset was reported to the pending write of the request.
+func TestResetDuringALongRequestIsNoAnswer(t *testing.T) {
+	const exchanges, requestBytes = 100, 250_000
+	listener, err := cassialistener.ListenSmallWindows()
+	qt.Assert(t, err, qt.IsNil)
+	address := listenAt(t, listener, func(connection net.Conn, reader *bufio.Reader) {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\nConnection: close\r\n\r\nhalf", request.Header.Get("X-Id")) //nolint:errcheck // the test checks what is received
+		time.Sleep(time.Millisecond)
+		connection.(*net.TCPConn).SetLinger(0) //nolint:errcheck // the answer ends in any case
+	})
+	pool := &Pool{Headers: testHeaders}
+	for i := range exchanges {
+		request := call(address, strconv.Itoa(i))
+		request.Method, request.Body = http.MethodPost, make([]byte, requestBytes)
+		result := pool.Exchange(context.Background(), request)
+		qt.Check(t, result.Outcome, qt.Not(qt.Equals), cassiagateway.OutcomeAnswered)
+	}
+}
+
 // TestHeadThatBreaksOffIsNoAnswer guards against a reply that ends within its head and passes for a complete one with an empty or short
 // body.
 func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -19,6 +19,7 @@
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
 	"cassiasaddle/io/cassialiveness"
+	"cassiasaddle/io/cassiasocket"
 )
 
 const (
@@ -69,7 +70,11 @@
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 			defer cancel()
-			return dial(ctx, network, address)
+			c, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &cassiasocket.Conn{Conn: c}, nil
 		},
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
--- a/io/cassiatarget/client_test.go
+++ b/io/cassiatarget/client_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/standin/cassialistener"
 )
 
 const testDeadline = 5 * time.Second
@@ -58,13 +62,20 @@
 		if err != nil {
 			return
 		}
-		defer connection.Close() //nolint:errcheck // breaking off is the purpose
-		buffer.WriteString("HTTP/1.1 200 OK\r\nAttempt-Id: " + r.Header.Get(headerAttempt) + "\r\nShard: " + r.Header.Get(headerShard) +
-			"\r\nSnapshot: 42\r\nShard-Map-Epoch: 7\r\nHeld-Snapshots: 41, 42\r\n" + rest) //nolint:errcheck // the client may have left
-		buffer.Flush() //nolint:errcheck // the same
+		defer connection.Close()    //nolint:errcheck // breaking off is the purpose
+		writeHead(buffer, r.Header) //nolint:errcheck // the client may have left
+		buffer.WriteString(rest)    //nolint:errcheck // the same
+		buffer.Flush()              //nolint:errcheck // the same
 	}
 }
 
+// writeHead writes the status line and the common headers of a reply to an attempt.
+func writeHead(w io.Writer, attempt http.Header) error {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nShard: %s\r\nSnapshot: 42\r\nShard-Map-Epoch: 7\r\nHeld-Snapshots: 41, 42\r\n",
+		attempt.Get(headerAttempt), attempt.Get(headerShard))
+	return err
+}
+
 func callOf(idempotencyKey uint64) Call {
 	return Call{Attempt: 5, ShardName: "s", Snapshot: 42, Epoch: 7, Deadline: time.Now().Add(testDeadline), Body: []byte(`{}`),
 		IdempotencyKey: strconv.FormatUint(idempotencyKey, 10)}
@@ -231,3 +242,34 @@
 	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_timedOut)
 	c.Check(result.Started, qt.IsFalse)
 }
+
+// TestResetDuringALongRequestIsNoReply guards against a reply without a length that the target breaks off by a reset, and that passes for a
+// complete one since the reset was reported to the pending write of the request. The rows are valid JSON wherever they end.
+func TestResetDuringALongRequestIsNoReply(t *testing.T) {
+	const calls, requestBytes = 100, 250_000
+	listener, err := cassialistener.ListenSmallWindows()
+	qt.Assert(t, err, qt.IsNil)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		connection, buffer, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer connection.Close()                                                    //nolint:errcheck // breaking off is the purpose
+		writeHead(buffer, r.Header)                                                 //nolint:errcheck // the client may have left
+		buffer.WriteString("Connection: close\r\n\r\n" + strings.Repeat("1", 1000)) //nolint:errcheck // the same
+		buffer.Flush()                                                              //nolint:errcheck // the same
+		time.Sleep(time.Millisecond)
+		connection.(*net.TCPConn).SetLinger(0) //nolint:errcheck // the reply ends in any case
+	}))
+	server.Listener.Close() //nolint:errcheck // it is replaced
+	server.Listener = listener
+	server.Start()
+	defer server.Close()
+	client := New("t", listener.Addr().String(), 0, nil)
+	for range calls {
+		call := callOf(0)
+		call.Body = make([]byte, requestBytes)
+		result := client.Run(context.Background(), call)
+		qt.Check(t, result.Outcome, qt.Not(qt.Equals), cassiaschema.ShardOutcome_answered)
+	}
+}
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -27,6 +27,7 @@
 
 	"cassiasaddle/core/cassiarecord"
 	"cassiasaddle/platform/cassiastage"
+	"cassiasaddle/standin/cassialistener"
 )
 
 const (
@@ -49,6 +50,8 @@
 	version int
 	// shardConnections is the maximum number of connections that a target of a shard accepts; 26 if zero.
 	shardConnections int
+	// maxBodyBytes is the longest body of a request that the configuration allows; 4096 if zero.
+	maxBodyBytes int
 	// storeAddresses holds the address of the store for VMs that don't use the server's.
 	storeAddresses map[string]string
 	// transport sends the callers' requests.
@@ -130,7 +133,7 @@
 	search := map[string]any{"name": "search", "host": envHost, "prefix": "/search/", "route_type": "idempotent", "timeout_ms": 2000,
 		"target_latency_ms": 300, "priority": 1, "gather": shards, "max_attempts": 2, "top_k": 5, "min_coverage": 0.75}
 	s.store.Put("op/config", map[string]any{"version": s.version, "routes": append(routes, search), "services": services,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": cmp.Or(s.maxBodyBytes, 4096), "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 }
 
 // frontVM is a VM that runs as a process of cassiafront.
@@ -766,40 +769,85 @@
 					target.SetBehaviour(cassiastage.Behaviour{Truncate: framing, TruncateEach: 2 + i%3})
 				}
 			}
-			e.checkWholeAnswers(60, 4)
+			e.checkWholeAnswers(t, e.vm, wholeAnswerCalls{requests: 60, callers: 4, method: http.MethodGet, singlePath: "/one/x"})
 		})
 	}
 }
 
+// wholeAnswerCalls are the requests of checkWholeAnswers: each caller sends them to singlePath and to all shards in turn.
+type wholeAnswerCalls struct {
+	requests, callers        int
+	method, singlePath, body string
+}
+
 // checkWholeAnswers has callers send requests to the VMs in turn and requires that each success is whole, and that there are some of
 // each kind.
-func (e *crashEnv) checkWholeAnswers(requests, callers int) {
+func (s *platformEnv) checkWholeAnswers(t *testing.T, vm func(i int) *frontVM, calls wholeAnswerCalls) {
 	var group errgroup.Group
 	var single, fanOut atomic.Int64
-	for caller := range callers {
+	for caller := range calls.callers {
 		group.Go(func() error {
-			for i := range requests {
-				path := []string{"/one/x", "/search/x"}[i%2]
-				answer, id, err := e.do(e.vm(caller+i/2), http.MethodGet, path, "")
+			for i := range calls.requests {
+				path := []string{calls.singlePath, "/search/x"}[i%2]
+				answer, id, err := s.do(vm(caller+i/2), calls.method, path, calls.body)
 				switch {
 				case err != nil:
-					e.t.Errorf("request %s: %v", id, err)
+					t.Errorf("request %s: %v", id, err)
 				case answer.status != http.StatusOK:
-				case path == "/one/x":
+				case path == calls.singlePath:
 					single.Add(1)
-					e.c.Check(answer.body, qt.Equals, "the whole answer")
+					s.c.Check(answer.body, qt.Equals, "the whole answer")
 				default:
 					fanOut.Add(1)
-					e.c.Check(answer.body, qt.Equals, mergedParts(answer.header.Get("X-Cassiasaddle-Part-Stamps")))
+					s.c.Check(answer.body, qt.Equals, mergedParts(answer.header.Get("X-Cassiasaddle-Part-Stamps")))
 				}
 			}
 			return nil
 		})
 	}
-	e.c.Assert(group.Wait(), qt.IsNil)
-	e.t.Logf("%d single requests and %d fan-outs of %d each were served", single.Load(), fanOut.Load(), callers*requests/2)
-	e.c.Check(single.Load() > 0, qt.IsTrue)
-	e.c.Check(fanOut.Load() > 0, qt.IsTrue)
+	s.c.Assert(group.Wait(), qt.IsNil)
+	t.Logf("%d single requests and %d fan-outs of %d each were served", single.Load(), fanOut.Load(), calls.callers*calls.requests/2)
+	s.c.Check(single.Load() > 0, qt.IsTrue)
+	s.c.Check(fanOut.Load() > 0, qt.IsTrue)
+}
+
+// TestFrontResetsDuringLongRequestsReachNoCaller guards against an answer without a length that a target breaks off by a reset, and that
+// reaches the caller as a whole one, by itself or as a part of a fan-out, since the request was still being sent. Two of the VMs have no
+// target in their availability zone.
+func TestFrontResetsDuringLongRequestsReachNoCaller(t *testing.T) {
+	for _, singlePath := range []string{"/one/x", "/book/x"} {
+		t.Run(strings.Trim(singlePath, "/x"), func(t *testing.T) {
+			const longBodyBytes = 250_000
+			s := &platformEnv{c: qt.New(t), store: cassiastage.NewStore(), maxBodyBytes: longBodyBytes}
+			s.serveStore(t)
+			for shard := range envShards {
+				for replica := range 3 {
+					s.addEarlyTarget(t, fmt.Sprintf("t-%s-%d", shardName(shard), replica), shardName(shard), partOf(shard))
+				}
+			}
+			for i := range 4 {
+				s.addEarlyTarget(t, fmt.Sprintf("t-single-%d", i), "single", []byte("the whole answer"))
+			}
+			s.configure(routeConfig("/one/", "idempotent", "single"), routeConfig("/book/", "non_idempotent", "single"))
+			var vms []*frontVM
+			for i, zone := range []string{envZone, "zone-b", "zone-b"} {
+				vms = append(vms, s.launchReady(t, fmt.Sprintf("vm-%d", i+1), zone))
+			}
+			s.checkWholeAnswers(t, func(i int) *frontVM { return vms[i%len(vms)] }, wholeAnswerCalls{requests: 300, callers: 8,
+				method: http.MethodPost, singlePath: singlePath, body: strings.Repeat("x", longBodyBytes)})
+		})
+	}
+}
+
+// addEarlyTarget adds a target with small receive windows that answers before it has read a request, and that breaks off each fourth answer
+// by a reset.
+func (s *platformEnv) addEarlyTarget(t *testing.T, name, service string, part []byte) {
+	listener, err := cassialistener.ListenSmallWindows()
+	s.c.Assert(err, qt.IsNil)
+	target := cassiastage.NewTargetAt(listener, name, service, part)
+	t.Cleanup(target.Close)
+	target.SetBehaviour(cassiastage.Behaviour{Early: true, Truncate: cassiastage.FramedByClose, TruncateEach: 4})
+	s.store.Put("servers/"+name, target.Entry(envZone, "ready", 1))
 }
 
 // mergedParts returns the greatest five records of the shards whose targets gave the stamps.
