Limit the memory for all rows that targets of serve send together

A target that sends rows without end cost serve 8 MiB for each attempt, without a limit on the sum: 658 MB with 24 callers of 40 such targets, 284 MB allowed. cassiafront's limit for all long bodies (io/cassiapool) moves to io/cassiabody and serves both tiers.

TestHealthReplyWithoutEndIsAnError passes on both.

--- a/io/cassiaowner/owner.go
+++ b/io/cassiaowner/owner.go
@@ -17,6 +17,7 @@
 	"cassiasaddle/core/cassiaquarantine"
 	"cassiasaddle/core/cassiareach"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiabody"
 	"cassiasaddle/io/cassiadrain"
 	"cassiasaddle/io/cassiaguard"
 	"cassiasaddle/io/cassiaresume"
@@ -88,6 +89,8 @@
 	group   errgroup.Group
 	context context.Context
 	cancel  context.CancelFunc
+	// bodies limits the memory for rows that targets send.
+	bodies cassiabody.Receiver
 
 	mutex      sync.Mutex
 	targets    map[targetKey]*target
--- a/io/cassiaowner/target.go
+++ b/io/cassiaowner/target.go
@@ -51,7 +51,7 @@
 }
 
 func (o *Owner) newClient(owned OwnedTarget) *cassiatarget.Client {
-	return cassiatarget.New(owned.Name, owned.Address, owned.Connections, o.config.Dial)
+	return cassiatarget.New(owned.Name, owned.Address, owned.Connections, o.config.Dial, &o.bodies)
 }
 
 // boundsOf returns the maximum number of attempts in flight. With two or more connections, one is kept free for
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,6 +16,7 @@
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiaclock"
 	"cassiasaddle/core/cassiagateway"
+	"cassiasaddle/io/cassiabody"
 	"cassiasaddle/io/cassialiveness"
 )
 
@@ -43,8 +43,7 @@
 	// OnConnectionOpened, if not nil, is called for each connection that was opened.
 	OnConnectionOpened func()
 
-	// buffered is the memory reserved for long bodies that are being received, in bytes.
-	buffered atomic.Int64
+	bodies cassiabody.Receiver
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
@@ -286,13 +285,13 @@
 		if err != nil {
 			return Result{Outcome: classifyReadError(err)}, false
 		}
-		if response.ContentLength > maxReplyBytes {
+		if response.ContentLength > cassiabody.MaxBytes {
 			return Result{Outcome: cassiagateway.OutcomeBroken}, false
 		}
 		c.bounded.left = maxBodyWireBytes
 		echoed := response.Header.Get(p.Headers.RequestID)
 		mismatched := echoed != "" && echoed != call.RequestID
-		body, err := p.readBody(response.Body, response.ContentLength)
+		body, err := p.bodies.Receive(response.Body, response.ContentLength)
 		if err != nil {
 			result := Result{Outcome: classifyReadError(err)}
 			if !mismatched {
--- a/io/cassiapool/pool_test.go
+++ b/io/cassiapool/pool_test.go
@@ -20,6 +20,7 @@
 	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiabudget"
 	"cassiasaddle/core/cassiagateway"
+	"cassiasaddle/io/cassiabody"
 	"cassiasaddle/standin/cassialistener"
 )
 
@@ -411,8 +412,8 @@
 		{name: "header", head: head + "X-Long: ", rest: junk, maxTaken: maxHeadBytes + socketBuffers},
 		{name: "headers", head: head, rest: "X-More: " + junk + "\r\n", maxTaken: maxHeadBytes + socketBuffers},
 		{name: "informational replies", rest: "HTTP/1.1 100 Continue\r\n\r\n", maxTaken: maxHeadBytes + socketBuffers},
-		{name: "body without a length", head: head + "\r\n", rest: junk, maxTaken: maxReplyBytes + socketBuffers},
-		{name: "chunks", head: head + "Transfer-Encoding: chunked\r\n\r\n", rest: "1000\r\n" + junk + "\r\n", maxTaken: maxReplyBytes + socketBuffers},
+		{name: "body without a length", head: head + "\r\n", rest: junk, maxTaken: cassiabody.MaxBytes + socketBuffers},
+		{name: "chunks", head: head + "Transfer-Encoding: chunked\r\n\r\n", rest: "1000\r\n" + junk + "\r\n", maxTaken: cassiabody.MaxBytes + socketBuffers},
 		{name: "trailers", head: head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", rest: "X-More: " + junk + "\r\n", maxTaken: maxBodyWireBytes + socketBuffers},
 		{name: "announced length", head: head + "Content-Length: 1000000000000\r\n\r\n", rest: junk, maxTaken: socketBuffers},
 		{name: "trickling status line", rest: "x", pause: 10 * time.Millisecond, maxTaken: socketBuffers},
@@ -431,7 +432,7 @@
 			const tolerance = 300 * time.Millisecond
 			c.Check(time.Since(endless.Deadline) < replyGrace+tolerance, qt.IsTrue)
 			c.Check(taken.Load() <= test.maxTaken, qt.IsTrue, qt.Commentf("%d bytes", taken.Load()))
-			c.Check(pool.buffered.Load(), qt.Equals, int64(0))
+			c.Check(pool.bodies.Reserved(), qt.Equals, int64(0))
 		})
 	}
 }
@@ -448,12 +449,12 @@
 	}
 	most := int64(0)
 	for end := time.Now().Add(300 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		most = max(most, pool.buffered.Load())
+		most = max(most, pool.bodies.Reserved())
 	}
 	c.Assert(group.Wait(), qt.IsNil)
 	c.Check(most > 0, qt.IsTrue)
-	c.Check(most <= maxBufferedBytes, qt.IsTrue)
-	c.Check(pool.buffered.Load(), qt.Equals, int64(0))
+	c.Check(most <= cassiabody.MaxReservedBytes, qt.IsTrue)
+	c.Check(pool.bodies.Reserved(), qt.Equals, int64(0))
 }
 
 // TestCancelDoesNotHideTheEndOfATarget guards against a target that ends being taken for silent because the attempt is cancelled
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -18,6 +18,7 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiabody"
 	"cassiasaddle/io/cassialiveness"
 	"cassiasaddle/io/cassiasocket"
 )
@@ -32,8 +33,6 @@
 	healthTimeout = time.Second
 	// maxHeadBytes limits the status line and headers of a reply.
 	maxHeadBytes = 64 << 10
-	// maxRowsBytes limits the rows of one shard.
-	maxRowsBytes = 8 << 20
 	// maxHealthBytes limits a health reply, and the rest of a body that is read before a connection is reused.
 	maxHealthBytes = 64 << 10
 )
@@ -58,15 +57,16 @@
 	name      cassiaid.TargetName
 	address   string
 	transport *http.Transport
+	bodies    *cassiabody.Receiver
 }
 
 // New returns a client that opens at most the given number of connections at a time; 0 means no limit. Without dial it uses
-// net.Dialer.
-func New(name cassiaid.TargetName, address string, connections int, dial Dial) *Client {
+// net.Dialer. The receiver limits the memory for rows, of this client together with the others that share it.
+func New(name cassiaid.TargetName, address string, connections int, dial Dial, bodies *cassiabody.Receiver) *Client {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &Client{name: name, address: address, transport: &http.Transport{
+	return &Client{name: name, address: address, bodies: bodies, transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 			defer cancel()
@@ -225,13 +225,13 @@
 		return
 	}
 	result.Started = true
-	rows, err := io.ReadAll(io.LimitReader(reply.Body, maxRowsBytes+1))
+	rows, err := c.bodies.Receive(reply.Body, reply.ContentLength)
 	switch {
 	case errors.Is(err, io.ErrUnexpectedEOF) || err != nil && ctx.Err() == nil:
 		result.Outcome = cassiaschema.ShardOutcome_badReply
 	case err != nil:
 		result.Outcome = cassiaschema.ShardOutcome_cancelled
-	case len(rows) > maxRowsBytes, !matchesCall(call, reply.Header), !json.Valid(rows):
+	case !matchesCall(call, reply.Header), !json.Valid(rows):
 		result.Outcome = cassiaschema.ShardOutcome_badReply
 	default:
 		result.Outcome = cassiaschema.ShardOutcome_answered
--- a/io/cassiatarget/client_test.go
+++ b/io/cassiatarget/client_test.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cassiasaddle/core/cassiaschema"
+	"cassiasaddle/io/cassiabody"
 	"cassiasaddle/standin/cassialistener"
 )
 
@@ -117,7 +118,7 @@
 			c := qt.New(t)
 			server := httptest.NewServer(http.HandlerFunc(test.reply))
 			defer server.Close()
-			client := New("t", server.Listener.Addr().String(), 2, nil)
+			client := New("t", server.Listener.Addr().String(), 2, nil, new(cassiabody.Receiver))
 			defer client.Close()
 			result := client.Run(context.Background(), callOf(1))
 			c.Check(result.Outcome, qt.Equals, test.outcome)
@@ -141,7 +142,7 @@
 		dropConnection(w, r)
 	}))
 	defer server.Close()
-	client := New("t", server.Listener.Addr().String(), 2, nil)
+	client := New("t", server.Listener.Addr().String(), 2, nil, new(cassiabody.Receiver))
 	result := client.Run(context.Background(), callOf(1))
 	c.Check(result.TargetLost, qt.IsTrue)
 	c.Check(result.Started, qt.IsTrue)
@@ -153,7 +154,7 @@
 	c.Assert(err, qt.IsNil)
 	address := listener.Addr().String()
 	c.Assert(listener.Close(), qt.IsNil)
-	result := New("t", address, 2, nil).Run(context.Background(), callOf(1))
+	result := New("t", address, 2, nil, new(cassiabody.Receiver)).Run(context.Background(), callOf(1))
 	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_unreachable)
 	c.Check(result.Started, qt.IsFalse)
 }
@@ -171,7 +172,7 @@
 		dropConnection(w, r)
 	}))
 	defer server.Close()
-	client := New("t", server.Listener.Addr().String(), 1, nil)
+	client := New("t", server.Listener.Addr().String(), 1, nil, new(cassiabody.Receiver))
 	c.Assert(client.Run(context.Background(), callOf(1)).Outcome, qt.Equals, cassiaschema.ShardOutcome_answered)
 	c.Assert(client.Run(context.Background(), callOf(2)).Outcome, qt.Equals, cassiaschema.ShardOutcome_failed)
 	c.Assert(seen.Load(), qt.Equals, int64(2))
@@ -191,7 +192,7 @@
 		refusalOf(499, "")(w, r)
 	}))
 	defer server.Close()
-	client := New("t", server.Listener.Addr().String(), 2, nil)
+	client := New("t", server.Listener.Addr().String(), 2, nil, new(cassiabody.Receiver))
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error {
@@ -228,7 +229,7 @@
 		cancel()
 		return nil
 	})
-	result := New("t", server.Listener.Addr().String(), 2, nil).Run(ctx, callOf(1))
+	result := New("t", server.Listener.Addr().String(), 2, nil, new(cassiabody.Receiver)).Run(ctx, callOf(1))
 	c.Assert(group.Wait(), qt.IsNil)
 	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_cancelled)
 	c.Check(result.TargetLost, qt.IsTrue)
@@ -238,7 +239,7 @@
 	c := qt.New(t)
 	call := callOf(1)
 	call.Deadline = time.Now()
-	result := New("t", "127.0.0.1:1", 1, nil).Run(context.Background(), call)
+	result := New("t", "127.0.0.1:1", 1, nil, new(cassiabody.Receiver)).Run(context.Background(), call)
 	c.Check(result.Outcome, qt.Equals, cassiaschema.ShardOutcome_timedOut)
 	c.Check(result.Started, qt.IsFalse)
 }
@@ -265,7 +266,7 @@
 	server.Listener = listener
 	server.Start()
 	defer server.Close()
-	client := New("t", listener.Addr().String(), 0, nil)
+	client := New("t", listener.Addr().String(), 0, nil, new(cassiabody.Receiver))
 	for range calls {
 		call := callOf(0)
 		call.Body = make([]byte, requestBytes)
@@ -273,3 +274,19 @@
 		qt.Check(t, result.Outcome, qt.Not(qt.Equals), cassiaschema.ShardOutcome_answered)
 	}
 }
+
+// TestHealthReplyWithoutEndIsAnError guards against a target whose health reply does not end holding the VM that asks.
+func TestHealthReplyWithoutEndIsAnError(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for text := `{"state":"`; ; text = strings.Repeat("x", 64<<10) {
+			if _, err := io.WriteString(w, text); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	begun := time.Now()
+	_, err := New("t", server.Listener.Addr().String(), 1, nil, new(cassiabody.Receiver)).Health(context.Background())
+	qt.Check(t, err, qt.IsNotNil)
+	qt.Check(t, time.Since(begun) < healthTimeout, qt.IsTrue)
+}
--- a/standin/cassiashard/behaviour.go
+++ b/standin/cassiashard/behaviour.go
@@ -80,6 +80,9 @@
 	Late           float64 `json:"late"`
 	LateMs         float64 `json:"lateMs"`
 	CutBeforeReply float64 `json:"cutBeforeReply"`
+	// EndlessHead and EndlessBody make a reply go on until the connection is closed, in its headers or in its rows.
+	EndlessHead float64 `json:"endlessHead"`
+	EndlessBody float64 `json:"endlessBody"`
 }
 
 // DefaultBehaviour returns the behaviour of a typical target without faults: 2 slots, 25 connections, 6 ms per new
--- a/standin/cassiashard/reply.go
+++ b/standin/cassiashard/reply.go
@@ -93,6 +93,7 @@
 	}
 	duplicate, truncate, wrongAttempt := draw(faults.Duplicate), draw(faults.Truncate), draw(faults.WrongAttempt)
 	wrongSnapshot, late, cut := draw(faults.WrongSnapshot), draw(faults.Late), draw(faults.CutBeforeReply)
+	endlessHead, endlessBody := draw(faults.EndlessHead), draw(faults.EndlessBody)
 	previous := t.lastAnswered
 	t.lastAnswered = a
 	t.mu.Unlock()
@@ -117,6 +118,10 @@
 		panic(http.ErrAbortHandler)
 	case duplicate:
 		writeDuplicate(w, r)
+	case endlessHead:
+		writeWithoutEnd(w, "More: more\r\n")
+	case endlessBody:
+		writeWithoutEnd(w, "\r\n"+strings.Repeat("x", endlessPartBytes))
 	default:
 		writeReply(w, r, truncate)
 	}
@@ -167,6 +172,24 @@
 	_ = buffer.Flush()
 }
 
+// endlessPartBytes is the size of the parts of a body without end.
+const endlessPartBytes = 64 << 10
+
+// writeWithoutEnd sends the status line, the headers and then a text again and again, until the connection is closed.
+func writeWithoutEnd(w http.ResponseWriter, text string) {
+	header := w.Header().Clone()
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = header.Write(buffer)
+	for err == nil {
+		_, err = buffer.WriteString(text)
+	}
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
