End the connection of a caller that left before its answer

A caller that closes only its sending side got an empty 200 without a stamp: net/http cancels the request's context at the end of the caller's stream, the handler returned without writing, and net/http completes that as an empty success. Such handlers abort the connection now.

--- a/io/cassiagate/forward.go
+++ b/io/cassiagate/forward.go
@@ -62,7 +62,7 @@
 		return cassiaforward.Result{Outcome: cassiagateway.ForwardAnswered, Reply: &cassiagateway.Reply{Status: http.StatusNotFound}}
 	}
 	w := &answerBuffer{header: make(http.Header)}
-	answer := h.serveRouted(ctx, w, routedRequest{call: r.Call, route: route, configuration: catalog.Version, from: from,
+	answer, answered := h.serveRouted(ctx, w, routedRequest{call: r.Call, route: route, configuration: catalog.Version, from: from,
 		fingerprints: fingerprints{caller: r.Caller, content: r.Content}})
 	result := cassiaforward.Result{Statements: answer.Statements}
 	switch refusal := answer.Refusal; {
@@ -70,7 +70,7 @@
 		result.Outcome = cassiagateway.ForwardDeclined
 	case refusal != nil && refusal.NotRun && refusal.Reason == cassiagateway.RefusalUnreachable:
 		result.Outcome = cassiagateway.ForwardUnreachable
-	case w.status == 0:
+	case !answered:
 		// The request was taken back or its deadline has passed.
 		result.Outcome = cassiagateway.ForwardLost
 	default:
--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -49,7 +49,7 @@
 	h.gate.AwaitNews(r.Context())
 	if r.Context().Err() != nil {
 		h.gate.report.callerGone(id, "", time.Since(arrived))
-		return
+		abortWithoutAnswer()
 	}
 	catalog := h.gate.catalog.Load()
 	if catalog == nil {
@@ -71,25 +71,33 @@
 	}
 	call := cassiapool.Call{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h.forwardedHeader(r.Header),
 		RequestID: id, Body: body, Deadline: arrived.Add(h.timeout(r, route))}
-	h.serveRouted(r.Context(), w, routedRequest{call: call, fingerprints: fingerprintsOf(r, body), route: route, configuration: catalog.Version})
+	_, answered := h.serveRouted(r.Context(), w,
+		routedRequest{call: call, fingerprints: fingerprintsOf(r, body), route: route, configuration: catalog.Version})
+	if !answered {
+		abortWithoutAnswer()
+	}
 }
 
-// serveRouted answers a request unless its caller leaves. It returns the gateway's answer, which is empty if the request is quarantined.
-func (h *handler) serveRouted(ctx context.Context, w http.ResponseWriter, r routedRequest) cassiagateway.Answer {
+// abortWithoutAnswer ends the handler and the connection of a caller that has left. If it returned instead, net/http would send an empty
+// success, which a caller that has closed only its sending side would take for the answer.
+func abortWithoutAnswer() { panic(http.ErrAbortHandler) }
+
+// serveRouted answers a request; it returns false if the caller leaves before. The gateway's answer is empty if the request is quarantined.
+func (h *handler) serveRouted(ctx context.Context, w http.ResponseWriter, r routedRequest) (cassiagateway.Answer, bool) {
 	arrived, id := time.Now(), r.call.RequestID
 	if remaining := h.gate.quarantineRemaining(r.fingerprints); remaining > 0 {
 		h.refuseQuarantined(w, remaining)
 		h.gate.report.quarantined(id, r.route.Name, r.fingerprints, remaining)
-		return cassiagateway.Answer{}
+		return cassiagateway.Answer{}, true
 	}
 	answer, ok := h.gate.submit(ctx, r)
 	if !ok {
 		h.gate.report.callerGone(id, r.route.Name, time.Since(arrived))
-		return cassiagateway.Answer{}
+		return cassiagateway.Answer{}, false
 	}
 	status := h.writeAnswer(w, answer, r.fingerprints)
 	h.gate.report.answered(r, answer, status)
-	return answer
+	return answer, true
 }
 
 // forwardedHeader returns the headers that are passed on to targets, without hop-by-hop headers and those that this VM sets
--- a/test/endless_test.go
+++ b/test/endless_test.go
@@ -40,6 +40,7 @@
 			}
 			for time.Now().Before(until) {
 				checkComplete(c, cl.query(v, "search", `{}`), 8)
+				sleep(10 * time.Millisecond)
 			}
 			c.Check(group.Wait(), qt.IsNil)
 			peak := v.process.peakMemory(t)
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -719,6 +720,32 @@
 
 func shardName(shard int) string { return fmt.Sprintf("shard-%d", shard) }
 
+// TestFrontCallersThatCloseTheirSendingSideGetNoEmptySuccess guards against a request that is cancelled because its caller has closed the
+// sending side of its connection being answered with an empty success.
+func TestFrontCallersThatCloseTheirSendingSideGetNoEmptySuccess(t *testing.T) {
+	s := newPlatformEnv(t)
+	s.configure(routeConfig("/one/", "idempotent", "single"), routeConfig("/book/", "non_idempotent", "single"))
+	vm := s.launchReady(t, "vm-1", envZone)
+	for _, target := range s.targets {
+		target.SetBehaviour(cassiastage.Behaviour{Work: 300 * time.Millisecond})
+	}
+	for _, request := range []string{"GET /one/x", "POST /book/x", "GET /search/x"} {
+		for _, patience := range []time.Duration{0, 50 * time.Millisecond} {
+			conn, err := net.Dial("tcp", vm.callerAddress)
+			s.c.Assert(err, qt.IsNil)
+			fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: %s\r\nX-Cassiasaddle-Request-Id: %016x\r\nX-Cassiasaddle-Deadline-Ms: 1000\r\nContent-Length: 0\r\n\r\n", //nolint:errcheck // the read fails then
+				request, envHost, s.requestCount.Add(1))
+			sleep(patience)
+			s.c.Assert(conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+			s.c.Assert(conn.SetReadDeadline(time.Now().Add(2*time.Second)), qt.IsNil)
+			answer, err := io.ReadAll(conn)
+			s.c.Check(err == nil || errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%s: %v", request, err))
+			s.c.Check(string(answer), qt.Equals, "", qt.Commentf("%s after %v", request, patience))
+			s.c.Check(conn.Close(), qt.IsNil)
+		}
+	}
+}
+
 // TestFrontCopiesOfAnswersReachNoOtherCaller guards against an answer that a target sends once more, late, on a connection that is in use
 // again, being taken for the answer to the next request.
 func TestFrontCopiesOfAnswersReachNoOtherCaller(t *testing.T) {
