--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -43,6 +43,7 @@
 	// OnConnectionOpened, if not nil, is called for each connection that was opened.
 	OnConnectionOpened func()
 
+	// bodies limits the memory for bodies that are being received.
 	bodies cassiabody.Receiver
 
 	mutex sync.Mutex
