End the endless watch of a VM that missed more than a reply may hold

Callers of a VM that had been cut off from the store while large configurations followed each other were served by an old configuration until the store dropped its history: the VM read the first 4 MiB of the reply to its watch, took them for all of it, could not decode them, and asked the same again.

A body over its limit is an error now, in every reader that ended in silence (io/cassiabody.ReadAll). A reply to a read that can't be used is an error of its own kind, after which the follower logs, lists all keys in pages and backs off if that does not help.

--- a/cmd/cassiasaddle/status.go
+++ b/cmd/cassiasaddle/status.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"cassiasaddle/io/cassiabody"
 	"cassiasaddle/io/cassiaserver"
 )
 
@@ -64,7 +65,7 @@
 		return nil, eris.Wrapf(err, "call VM at %s; check --address or try another VM", address)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return io.ReadAll(io.LimitReader(response.Body, maxStatusBytes))
+	return cassiabody.ReadAll(response.Body, maxStatusBytes)
 }
 
 func printStatus(out io.Writer, s cassiaserver.Status) error {
--- a/io/cassiabody/receiver.go
+++ b/io/cassiabody/receiver.go
@@ -18,8 +18,8 @@
 	firstPartBytes = 4 << 10
 )
 
-// ErrTooLong means that a reply exceeds a limit.
-var ErrTooLong = errors.New("the reply is too long")
+// ErrTooLong means that a body exceeds a limit.
+var ErrTooLong = errors.New("the body is over the limit")
 
 // Receiver limits the memory for long bodies that are received at the same time. Its zero value is ready for use, and its methods may
 // be called concurrently.
--- a/io/cassiafollow/follow.go
+++ b/io/cassiafollow/follow.go
@@ -43,6 +43,10 @@
 // ErrCompacted is returned by Source.Watch when the store no longer has the changes after the given revision.
 var ErrCompacted = errors.New("the store has dropped the changes after this revision; list all keys again")
 
+// ErrUnreadable is returned by Source.Watch when a reply came but can't be used, so that the same watch is likely to get the same
+// reply.
+var ErrUnreadable = errors.New("the changes after this revision can't be read; list all keys again")
+
 // Revision counts the changes of the store: each change of a key gets the next one.
 type Revision uint64
 
@@ -126,7 +130,7 @@
 	// fresh is set, the result may be some seconds old.
 	List(ctx context.Context, fresh bool) ([]Event, Position, error)
 	// Watch waits up to a timeout for changes after a position. It returns them and the position from which to watch next,
-	// or ErrCompacted, also if the store is in another era by now.
+	// or ErrCompacted, also if the store is in another era by now, or ErrUnreadable.
 	Watch(ctx context.Context, after Position, wait time.Duration) ([]Event, Position, error)
 	// Decode decodes an event; the zero Change stands for a key or value that is not used.
 	Decode(e Event) Change
@@ -161,6 +165,8 @@
 	unlisted atomic.Bool
 	// lastWatchFailure is the time of the last failed watch of the store; zero if none failed.
 	lastWatchFailure time.Time
+	// unreadable is the number of watches of the store in a row whose replies could not be read.
+	unreadable int
 	// storeRetryAt is when the store may be called again after a call has failed.
 	storeRetryAt time.Time
 	// era is the store's era as of the last list; listed is true after the first one.
@@ -206,7 +212,8 @@
 	for ctx.Err() == nil {
 		start := time.Now()
 		events, position, err := f.list(ctx, fresh)
-		if errors.Is(err, ErrCompacted) {
+		if errors.Is(err, ErrCompacted) || errors.Is(err, ErrUnreadable) {
+			// A fresh list needs no watch.
 			fresh = true
 			continue
 		}
@@ -325,11 +332,16 @@
 			f.log("historyDropped", "revision", position.Revision)
 			return true
 		}
+		if errors.Is(err, ErrUnreadable) {
+			f.watchUnreadable(ctx, position, err)
+			return true
+		}
 		if err != nil {
 			f.callFailed(ctx, "watch", err, f.watchers.maxBackoff())
 			continue
 		}
 		f.callSucceeded()
+		f.unreadable = 0
 		if result.AllKeys {
 			position = result.Next
 			f.install(result, time.Since(start))
@@ -530,6 +542,19 @@
 	}
 }
 
+// watchUnreadable records a watch of the store whose reply can't be read, and waits before the list that takes its place if those before it
+// were no better.
+func (f *Follower) watchUnreadable(ctx context.Context, after Position, err error) {
+	f.log("watchUnreadable", "after", after.Revision, "inARow", f.unreadable+1, "error", err)
+	if f.Scope != nil {
+		f.Scope.Counter("watches_unreadable").Inc(1)
+	}
+	if f.unreadable > 0 {
+		sleep(ctx, retryBackoff(f.unreadable-1, maxBackoff))
+	}
+	f.unreadable++
+}
+
 // callSucceeded resets the failure count and reports that the source can be reached.
 func (f *Follower) callSucceeded() {
 	if f.failures > 0 {
--- a/io/cassiafollow/follower_test.go
+++ b/io/cassiafollow/follower_test.go
@@ -24,6 +24,8 @@
 	mutex sync.Mutex
 	// storeDown has all calls of the store fail; watchersLost has watchers say that they may be behind it.
 	storeDown, watchersLost bool
+	// unreadable has watches of the store return ErrUnreadable if there are changes.
+	unreadable bool
 	// watchersHang has watchers leave watches without a reply.
 	watchersHang bool
 	events       []Event
@@ -31,6 +33,8 @@
 	maxEvents int
 	// asked counts the watches at watchers, storeWatches those at the store, dropped the connections closed.
 	asked, storeWatches, dropped int
+	// lists counts the lists.
+	lists int
 	// hold keeps watches from being answered while nothing has changed.
 	hold time.Duration
 }
@@ -53,6 +57,7 @@
 func (w *followedWorld) List(context.Context, bool) ([]Event, Position, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.lists++
 	if w.storeDown {
 		return nil, Position{}, errors.New("store down")
 	}
@@ -77,6 +82,9 @@
 		return nil, after, errors.New("store down")
 	}
 	events := w.events[after.Revision-1:]
+	if w.unreadable && len(events) > 0 {
+		return nil, after, ErrUnreadable
+	}
 	if w.maxEvents > 0 && len(events) > w.maxEvents {
 		events = events[:w.maxEvents]
 	}
@@ -213,6 +221,47 @@
 	w.set(func() { qt.Check(t, w.storeWatches <= 12, qt.IsTrue, qt.Commentf("%d calls in 8 s", w.storeWatches)) })
 }
 
+// TestChangesThatCannotBeReadAreListed guards against a VM that asks for the same changes again and again though it can't read the reply, and
+// against lists without a pause where no watch can be read.
+func TestChangesThatCannotBeReadAreListed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := &followedWorld{watchersLost: true, unreadable: true}
+	for _, vm := range w.vms() {
+		if w.watchersFor(vm).WatchTimeout() != MaxWatchTimeout {
+			continue
+		}
+		sink := &followerSink{catalogs: make(chan cassiacatalog.Version, 64)}
+		f := NewFollower(w, sink, w.watchersFor(vm), &Journal{}, ignoreLog)
+		ctx, cancel := context.WithCancel(context.Background())
+		var group errgroup.Group
+		group.Go(func() error { return f.Run(ctx) })
+		t.Cleanup(func() { cancel(); qt.Check(t, group.Wait(), qt.IsNil) })
+		sleep(ctx, 100*time.Millisecond)
+		w.set(func() { w.events = []Event{{Key: "config", Revision: 2}} })
+		select {
+		case <-sink.catalogs:
+		case <-time.After(configApplyLimit):
+			c.Fatalf("the VM has no configuration %v after the store has it", configApplyLimit)
+		}
+		// From now on there is a change in each watch.
+		var changes errgroup.Group
+		changes.Go(func() error {
+			for ctx.Err() == nil {
+				w.set(func() { w.events = append(w.events, Event{Key: "other", Revision: Revision(len(w.events) + 2)}) })
+				sleep(ctx, time.Millisecond)
+			}
+			return nil
+		})
+		sleep(ctx, 6*time.Second)
+		cancel()
+		c.Assert(changes.Wait(), qt.IsNil)
+		w.set(func() { c.Check(w.lists <= 16, qt.IsTrue, qt.Commentf("%d lists in 6 s", w.lists)) })
+		return
+	}
+	c.Fatal("no VM asks the store")
+}
+
 // TestRefreshIsNoFailureOfAWatcher guards against a VM that avoids its watcher, or the store, because it cancelled its own watch.
 func TestRefreshIsNoFailureOfAWatcher(t *testing.T) {
 	t.Parallel()
--- a/io/cassiapeer/compress.go
+++ b/io/cassiapeer/compress.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"io"
 
 	"github.com/rotisserie/eris"
+
+	"cassiasaddle/io/cassiabody"
 )
 
 // Compress returns content compressed for a frame, at a level of compress/gzip.
@@ -27,9 +28,6 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "decompress the content of a frame; check that both VMs run the same version")
 	}
-	content, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(content)) > limit {
-		err = eris.Errorf("it is over the limit of %d bytes", limit)
-	}
-	return content, eris.Wrap(err, "decompress the content of a frame; check that both VMs run the same version")
+	content, err := cassiabody.ReadAll(r, limit)
+	return content, eris.Wrapf(err, "decompress the content of a frame, at most %d bytes; check that both VMs run the same version", limit)
 }
--- a/io/cassiastore/client.go
+++ b/io/cassiastore/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -17,12 +16,14 @@
 	"github.com/uber-go/tally/v4"
 
 	"cassiasaddle/core/cassiaid"
+	"cassiasaddle/io/cassiabody"
 )
 
 const (
 	// defaultCallTimeout bounds a call, in addition to the time for which a watch waits.
 	defaultCallTimeout = 2 * time.Second
-	maxReplyBytes      = 4 << 20
+	// maxReplyBytes limits the body of a reply. A reply to a watch may be longer, since the store does not limit it.
+	maxReplyBytes = 4 << 20
 	// maxHeadBytes limits the status line and headers of a reply.
 	maxHeadBytes       = 64 << 10
 	maxIdleConnections = 8
@@ -263,7 +264,10 @@
 	if r.OnHeader != nil {
 		r.OnHeader(response.Header)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	body, err := cassiabody.ReadAll(response.Body, maxReplyBytes)
+	if errors.Is(err, cassiabody.ErrTooLong) {
+		return 0, nil, unreadableReply(r, eris.Wrapf(err, "read at most %d bytes", maxReplyBytes))
+	}
 	if err != nil {
 		return 0, nil, transportError(r, err)
 	}
@@ -307,12 +311,22 @@
 	case reply == nil:
 		return nil
 	}
+	return DecodeReply(r, body, reply)
+}
+
+// DecodeReply decodes the JSON body of a reply; the error is an *Error.
+func DecodeReply(r Request, body []byte, reply any) error {
 	if err := json.Unmarshal(body, reply); err != nil {
-		kind := Unavailable
-		if r.Write {
-			kind = OutcomeUnknown
-		}
-		return &Error{Kind: kind, Call: r.Call, Cause: eris.Wrap(err, "decode reply")}
+		return unreadableReply(r, eris.Wrap(err, "decode reply"))
 	}
 	return nil
 }
+
+// unreadableReply returns the error of a call whose reply came but can't be used.
+func unreadableReply(r Request, cause error) error {
+	kind := Unreadable
+	if r.Write {
+		kind = OutcomeUnknown
+	}
+	return &Error{Kind: kind, Call: r.Call, Cause: cause}
+}
--- a/io/cassiastore/client_test.go
+++ b/io/cassiastore/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -38,6 +39,33 @@
 	return platform, client, scope
 }
 
+// TestRepliesThatCannotBeUsed guards against the start of a long reply being taken for all of it, and against such a reply being taken for a
+// store that is not there, of which the same call is made again.
+func TestRepliesThatCannotBeUsed(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		reply string
+	}{
+		{"over the limit", `{"key":"k","revision":1,"value":"` + strings.Repeat("A", maxReplyBytes) + `"}`},
+		{"over the limit, its start is valid", `{"key":"k","revision":1}` + strings.Repeat(" ", maxReplyBytes)},
+		{"no JSON", "{"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, test.reply) }))
+			defer server.Close()
+			scope := tally.NewTestScope("", nil)
+			client := NewClient(server.Listener.Addr().String(), "", scope)
+			defer client.Close()
+			_, err := client.Get(t.Context(), "k")
+			c.Check(kindOf(err), qt.Equals, Unreadable)
+			_, err = client.Put(t.Context(), "k", nil, 0)
+			c.Check(kindOf(err), qt.Equals, OutcomeUnknown)
+			c.Check(scope.Snapshot().Counters()["store_failures_unreadable+call=get"].Value(), qt.Equals, int64(1))
+		})
+	}
+}
+
 func TestCallsAndFailures(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
--- a/io/cassiastore/error.go
+++ b/io/cassiastore/error.go
@@ -11,6 +11,9 @@
 	Conflict Kind = "conflict"
 	// Unavailable means that the platform could not be reached or failed, and that the call had no effect.
 	Unavailable Kind = "unavailable"
+	// Unreadable means that the reply to a read is longer than the client accepts or can't be decoded; the same read is likely to
+	// get the same reply.
+	Unreadable Kind = "unreadable"
 	// OutcomeUnknown means that a write may or may not have taken effect.
 	OutcomeUnknown Kind = "outcomeUnknown"
 	// TooLarge means that the value is over the store's limit; nothing was written.
@@ -47,6 +50,8 @@
 		return "read the key back to learn whether the write took effect"
 	case TooLarge:
 		return "write a smaller value"
+	case Unreadable:
+		return "read in another way, such as in pages"
 	case LeaseLapsed:
 		return "take a new lease"
 	case Refused:
--- a/io/cassiatarget/client.go
+++ b/io/cassiatarget/client.go
@@ -253,7 +253,11 @@
 		return nil, err
 	}
 	defer discard(reply)
-	return readHealth(io.LimitReader(reply.Body, maxHealthBytes))
+	content, err := cassiabody.ReadAll(reply.Body, maxHealthBytes)
+	if err != nil {
+		return nil, err
+	}
+	return readHealth(content)
 }
 
 // discard reads the rest of a reply, up to maxHealthBytes, so that its connection can be reused.
--- a/io/cassiatarget/client_test.go
+++ b/io/cassiatarget/client_test.go
@@ -287,6 +287,6 @@
 	defer server.Close()
 	begun := time.Now()
 	_, err := New("t", server.Listener.Addr().String(), 1, nil, new(cassiabody.Receiver)).Health(context.Background())
-	qt.Check(t, err, qt.IsNotNil)
+	qt.Check(t, err, qt.ErrorIs, cassiabody.ErrTooLong)
 	qt.Check(t, time.Since(begun) < healthTimeout, qt.IsTrue)
 }
--- a/io/cassiatarget/reply.go
+++ b/io/cassiatarget/reply.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,9 +40,9 @@
 // Draining reports whether the target is draining.
 func (h *Health) Draining() bool { return h.State == "draining" }
 
-func readHealth(r io.Reader) (*Health, error) {
+func readHealth(content []byte) (*Health, error) {
 	h := &Health{}
-	if err := json.NewDecoder(r).Decode(h); err != nil {
+	if err := json.Unmarshal(content, h); err != nil {
 		return nil, err
 	}
 	return h, nil
--- a/io/cassiatree/operatorclient.go
+++ b/io/cassiatree/operatorclient.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,6 +12,7 @@
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiasettings"
+	"cassiasaddle/io/cassiabody"
 )
 
 // OperatorClient calls the settings API on a VM's operator port. Address is required. If the VM refuses a call or
@@ -99,7 +99,7 @@
 		return reply, eris.Wrapf(err, "call VM at %s; check --address or try another VM", c.Address)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err = io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	content, err = cassiabody.ReadAll(response.Body, maxMessageBytes)
 	if err != nil {
 		return reply, eris.Wrapf(err, "read the reply of the VM at %s", c.Address)
 	}
--- a/standin/cassiashard/attempt.go
+++ b/standin/cassiashard/attempt.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cassiasaddle/io/cassiabody"
 )
 
 // Headers of requests and replies.
@@ -67,7 +68,7 @@
 
 // parseAttempt reads an attempt from its request. Its deadline counts from arrived.
 func parseAttempt(r *http.Request, arrived time.Time) (*attempt, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	body, err := cassiabody.ReadAll(r.Body, maxBodyBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/cassiashard/control.go
+++ b/standin/cassiashard/control.go
@@ -1,8 +1,9 @@
 package cassiashard
 
 import (
-	"io"
 	"net/http"
+
+	"cassiasaddle/io/cassiabody"
 )
 
 // LogReply is the body of GET /standin/log.
@@ -41,7 +42,7 @@
 
 // patchBehaviour applies the JSON object of a request's body to the behaviour of the targets, up to the first error.
 func patchBehaviour(w http.ResponseWriter, r *http.Request, targets ...*Target) {
-	patch, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	patch, err := cassiabody.ReadAll(r.Body, maxBodyBytes)
 	for _, t := range targets {
 		if err == nil {
 			err = t.Patch(patch)
