Keep a VM whose spare connection ends idle from counting as lost

What callers see: all that runs at the VM counts as lost.

Cause: of several connections between two VMs, each VM sends on the one that it added last. Two VMs that dial each other add them in different orders, so that each sends on the connection that the other one keeps as a spare. When one of them becomes idle, it is the chosen one of a VM, and its end was taken for a loss. Now the end of an idle connection is no loss while another one is open; the next frame dials again.

Test: the same with both VMs dialing, four pairs.

--- a/io/cassiapeer/connection_test.go
+++ b/io/cassiapeer/connection_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"cassiasaddle/core/cassiaid"
 	"cassiasaddle/core/cassiaschema"
@@ -65,20 +67,42 @@
 // to it ends because only the other one is used. Two VMs that dial each other at the same time open two.
 func TestIdleConnectionBesideOneInUse(t *testing.T) {
 	t.Parallel()
-	c := qt.New(t)
-	directory, nodeAddresses := cassiatls.Directory(c.TempDir()), addresses{"a": "127.9.251.1:24902", "b": "127.9.251.2:24902"}
-	c.Assert(directory.Issue(time.Now(), time.Hour, "a", "b"), qt.IsNil)
-	handler := selectiveReplier{lost: make(chan cassiaid.VMName, 4)}
-	a := startNode(c, "a", directory, nodeAddresses, handler, nil)
-	startNode(c, "b", directory, nodeAddresses, handler, nil)
-	for range 2 {
-		a.DialAgain("b")
+	// The VMs disagree on which connection is the later one, depending on the moments at which they dial.
+	bothDial := func(a, b *cassiapeer.Node) {
+		var dials errgroup.Group
+		dials.Go(func() error { a.DialAgain("b"); return nil })
+		dials.Go(func() error { b.DialAgain("a"); return nil })
+		_ = dials.Wait()
 	}
-	for end := time.Now().Add(cassiapeer.IdleTimeout + 2*time.Second); time.Now().Before(end); time.Sleep(cassiapeer.IdleTimeout / 10) {
-		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-		_, err := a.Exchange(ctx, "b", inquiry())
-		cancel()
-		c.Assert(err, qt.IsNil)
+	for i, test := range []struct {
+		name string
+		dial func(a, b *cassiapeer.Node)
+	}{
+		{"one VM dials twice", func(a, _ *cassiapeer.Node) {
+			a.DialAgain("b")
+			a.DialAgain("b")
+		}},
+		{"both VMs dial, 1", bothDial},
+		{"both VMs dial, 2", bothDial},
+		{"both VMs dial, 3", bothDial},
+		{"both VMs dial, 4", bothDial},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			port := fmt.Sprint(":", 24902+i)
+			directory, nodeAddresses := cassiatls.Directory(c.TempDir()), addresses{"a": "127.9.251.1" + port, "b": "127.9.251.2" + port}
+			c.Assert(directory.Issue(time.Now(), time.Hour, "a", "b"), qt.IsNil)
+			handler := selectiveReplier{lost: make(chan cassiaid.VMName, 4)}
+			a := startNode(c, "a", directory, nodeAddresses, handler, nil)
+			test.dial(a, startNode(c, "b", directory, nodeAddresses, handler, nil))
+			for end := time.Now().Add(cassiapeer.IdleTimeout + 2*time.Second); time.Now().Before(end); time.Sleep(cassiapeer.IdleTimeout / 10) {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				_, err := a.Exchange(ctx, "b", inquiry())
+				cancel()
+				c.Assert(err, qt.IsNil)
+			}
+			c.Check(handler.lost, qt.HasLen, 0)
+		})
 	}
-	c.Check(handler.lost, qt.HasLen, 0)
 }
--- a/io/cassiapeer/node.go
+++ b/io/cassiapeer/node.go
@@ -91,8 +91,10 @@
 	cancel         context.CancelFunc
 	lastExchangeID atomic.Uint64
 
-	mutex          sync.Mutex
+	mutex sync.Mutex
+	// peers holds the connection to each VM on which frames are sent, open the number of connections to it.
 	peers          map[cassiaid.VMName]*peerConnection
+	open           map[cassiaid.VMName]int
 	dials          map[cassiaid.VMName]*dial
 	pendingReplies map[uint64]chan *cassiaschema.PeerFrame
 
@@ -120,6 +122,7 @@
 	n := &Node{
 		config: config, transport: &quic.Transport{Conn: config.wrap(socket)}, group: group, context: ctx, cancel: cancel,
 		peers:          make(map[cassiaid.VMName]*peerConnection),
+		open:           make(map[cassiaid.VMName]int),
 		dials:          make(map[cassiaid.VMName]*dial),
 		pendingReplies: make(map[uint64]chan *cassiaschema.PeerFrame),
 
@@ -191,6 +194,7 @@
 	p := newPeerConnection(n, name, connection)
 	n.mutex.Lock()
 	n.peers[name] = p
+	n.open[name]++
 	n.mutex.Unlock()
 	n.group.Go(func() error { p.serve(); return nil })
 	n.group.Go(func() error { n.waitForClose(p); return nil })
@@ -198,17 +202,22 @@
 }
 
 // waitForClose waits for the end of a connection, removes it, and calls PeerLost unless the node is closing or the connection only
-// became idle because another one to the same VM is used.
+// became idle because another one to the same VM is used. Which one that is, is for the other VM to choose as well: two VMs that dial
+// each other at the same time may send on different ones.
 func (n *Node) waitForClose(p *peerConnection) {
 	<-p.connection.Context().Done()
 	n.mutex.Lock()
-	replaced := n.peers[p.name] != nil && n.peers[p.name] != p
-	if !replaced {
+	if n.peers[p.name] == p {
 		delete(n.peers, p.name)
 	}
+	n.open[p.name]--
+	others := n.open[p.name] > 0
+	if !others {
+		delete(n.open, p.name)
+	}
 	n.mutex.Unlock()
 	var idle *quic.IdleTimeoutError
-	if n.context.Err() != nil || replaced && errors.As(context.Cause(p.connection.Context()), &idle) {
+	if n.context.Err() != nil || others && errors.As(context.Cause(p.connection.Context()), &idle) {
 		return
 	}
 	n.lostPeers.Inc(1)
