Let VMs that start under load measure how long requests take

The limit of a link doubles with each failure that no answer has followed, and the first measured answers raise the assumed latency at once.

--- a/core/cassiagateway/link.go
+++ b/core/cassiagateway/link.go
@@ -17,6 +17,9 @@
 	// minSilentTargets is how many targets must have left attempts unanswered for that long before the link is
 	// considered down, since a single target may be down itself.
 	minSilentTargets = 3
+	// maxPatienceDoublings bounds the growth of the limit. Attempts hardly run longer than that allows, since their requests have
+	// deadlines.
+	maxPatienceDoublings = 6
 )
 
 // linkKey identifies a link: the zone of the targets, and the VM in that zone that sends the attempts; aggregator is
@@ -33,6 +36,9 @@
 	// lastAnswer is when the last answer arrived, or when failLink was last called for the link.
 	lastAnswer time.Time
 	running    []*attempt
+	// failures is how often failLink was called for the link since the last answer. Targets that take longer than they typically did
+	// are told from a link that is down by the answers that come when attempts may take longer; the limit doubles with each failure.
+	failures int
 	// silent holds the targets with an attempt that ended without an answer since lastAnswer.
 	silent map[cassiaid.TargetName]bool
 	// silentFrom is the result of the last computation of silentAt; it holds until an attempt starts or ends.
@@ -62,13 +68,18 @@
 	l.silentKnown = false
 	switch outcome {
 	case OutcomeAnswered, OutcomeFailed, OutcomeRejected, OutcomeWrongTarget, OutcomeUnfit:
-		l.lastAnswer = now
+		l.lastAnswer, l.failures = now, 0
 		clear(l.silent)
 	case OutcomeUnsent, OutcomeSilent:
 		l.silent[a.target.Name] = true
 	}
 }
 
+// patience returns how long an attempt may go without an answer before its target counts as silent.
+func (l *link) patience(a *attempt) time.Duration {
+	return max(silenceTimeout, silenceLatencyFactor*a.typical) << min(l.failures, maxPatienceDoublings)
+}
+
 // silentAt returns when the link counts as silent unless an answer arrives first, or the zero time if too few targets
 // are waiting for one.
 func (l *link) silentAt() time.Time {
@@ -88,7 +99,7 @@
 		if a.sentAt.Before(l.lastAnswer) || l.silent[a.target.Name] {
 			continue
 		}
-		at := a.sentAt.Add(max(silenceTimeout, silenceLatencyFactor*a.typical))
+		at := a.sentAt.Add(l.patience(a))
 		if first, ok := silentFrom[a.target.Name]; !ok || at.Before(first) {
 			silentFrom[a.target.Name] = at
 		}
@@ -149,5 +160,6 @@
 	}
 	// Attempts that are still running must not count as silent again.
 	l.lastAnswer = now
+	l.failures++
 	l.silentKnown = false
 }
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -130,13 +130,14 @@
 	return r.Split[best].Service
 }
 
-// typicalLatency returns the median latency of a route's attempts, or an assumed one until minSamples were measured.
+// typicalLatency returns the median latency of a route's attempts. Until minSamples were measured it is at least an assumed one.
 func (g *Gateway) typicalLatency(now time.Time, r *cassiacatalog.Route) time.Duration {
 	state := g.routeState(r.Name, now)
+	median := state.latency.Quantile(0.5)
 	if state.latency.Samples() < minSamples {
-		return time.Duration(initialLatencyShare * float64(r.DesiredLatency))
+		return max(median, time.Duration(initialLatencyShare*float64(r.DesiredLatency)))
 	}
-	return state.latency.Quantile(0.5)
+	return median
 }
 
 // sendFirst starts the first attempt of a shard. If all its targets are busy, the shard waits; if none is reachable, it
