Tell a VM that is cut off on silent connections from one that reaches targets

While something on the way accepted a VM's connections to targets and dropped what it sent, callers of that VM got 503 and 504 for more than half of their first tries: an accepted connection counted as a target that was reached, so the VM did not have others serve its callers.

The sample of targets by which a VM tells that it is isolated is asked for its status, and so are the targets of a zone that fell silent; any answer counts. Services without a status check keep the check by connections.

--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -61,6 +61,8 @@
 type Probe struct {
 	Target  cassiaid.TargetName
 	Address string
+	// StatusPath is the path of a status check that the target has to answer, in whichever way; none is sent if it is empty.
+	StatusPath string
 }
 
 // Refresh asks for the list of targets to be read again, since a target's process is newer than the list.
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -279,7 +279,7 @@
 func (g *Gateway) setServices(now time.Time, services map[cassiacatalog.ServiceName]cassiacatalog.Service) {
 	for name, configured := range services {
 		s := g.service(name)
-		s.maxConnections = configured.MaxConnections
+		s.maxConnections, s.statusPath = configured.MaxConnections, configured.HealthPath
 		s.retryBudget.Earn(now, g.allowance(now, s), 0)
 	}
 }
--- a/core/cassiagateway/isolation.go
+++ b/core/cassiagateway/isolation.go
@@ -17,11 +17,11 @@
 )
 
 // isolation tells whether this VM reaches any target at all. A target that leaves an attempt unanswered may be at fault itself. So when
-// no other target has answered since, some more are probed; if none of these accepts a connection either, the VM is isolated until
-// one does.
+// no other target has answered since, the status of some more is checked; if none of these answers either, the VM is isolated until
+// one does. Connections may be accepted on the way, so an accepted one counts only where targets have no status check.
 type isolation struct {
 	isolated bool
-	// heardAt is when a target last answered this VM or accepted a connection of it.
+	// heardAt is when a target last answered this VM, or accepted a connection where that is conclusive.
 	heardAt time.Time
 	// checkedAt is when the last check began; pending holds the targets whose probes are still running.
 	checkedAt time.Time
@@ -57,38 +57,51 @@
 	}
 }
 
-// checkIsolation probes a sample of targets of different services.
+// checkIsolation checks the status of a sample of targets, of different services as far as there are as many.
 func (g *Gateway) checkIsolation(now time.Time) {
 	i := &g.isolation
 	i.checkedAt, i.unreached, i.pending = now, 0, make(map[cassiaid.TargetName]bool)
 	var sampled []*service
-	for range isolationSample * isolationSample {
+	for try := range 2 * isolationSample * isolationSample {
 		if len(i.pending) >= isolationSample || len(g.orderedTargets) == 0 {
 			break
 		}
 		t := g.orderedTargets[int(g.random.Float64()*float64(len(g.orderedTargets)))]
-		if t.leaving || t.replaced || t.Unregistered || t.probing || slices.Contains(sampled, t.service) {
+		anyService := try >= isolationSample*isolationSample
+		if t.leaving || t.replaced || t.Unregistered || t.probing || !anyService && slices.Contains(sampled, t.service) {
 			continue
 		}
 		sampled = append(sampled, t.service)
 		i.pending[t.Name] = true
-		g.probe(now, t)
+		g.probe(now, t, true)
 	}
 }
 
-// isolationProbed records the result of a probe that was sent at a time. One that belongs to no check gives rise to one if it fails, unless
-// its target is known to be out of reach.
-func (g *Gateway) isolationProbed(now time.Time, m ProbeEnded, sentAt time.Time, wasEjected bool) {
+// probeKind is what a probe can tell about the links of this VM.
+type probeKind struct {
+	sentAt time.Time
+	// ejected is true if its target was known to be out of reach.
+	ejected bool
+	// conclusive is true if only the target itself can have brought it to an end.
+	conclusive bool
+}
+
+// isolationProbed records the result of a probe. One that belongs to no check gives rise to one if it fails, unless its target is known to be
+// out of reach.
+func (g *Gateway) isolationProbed(now time.Time, m ProbeEnded, kind probeKind) {
 	i := &g.isolation
 	if m.Reached && !m.Reset {
+		if !kind.conclusive {
+			return
+		}
 		clear(i.pending)
 		g.targetHeard(now)
 		g.endIsolation(now)
 		return
 	}
 	if !i.pending[m.Target] {
-		if !wasEjected {
-			g.suspectIsolation(now, sentAt)
+		if !kind.ejected {
+			g.suspectIsolation(now, kind.sentAt)
 		}
 		return
 	}
--- a/core/cassiagateway/isolation_test.go
+++ b/core/cassiagateway/isolation_test.go
@@ -67,7 +67,7 @@
 		"one VM":   func(i int, _ *simulatedVM) bool { return i == 4 },
 	}
 	for name, isCut := range cuts {
-		for _, way := range []targetCut{cutRefused, cutSilent} {
+		for _, way := range []targetCut{cutRefused, cutSilent, cutAccepted} {
 			t.Run(fmt.Sprintf("%s, %s", name, way), func(t *testing.T) {
 				c := qt.New(t)
 				sim, search, booking := newCutSimulation(10)
@@ -99,6 +99,29 @@
 	}
 }
 
+// TestVMsCutOffFromAZoneServeByTheOthers guards against VMs that send to targets again and again because connections to them are accepted,
+// and against VMs that take themselves out of use though they reach half of the targets.
+func TestVMsCutOffFromAZoneServeByTheOthers(t *testing.T) {
+	for _, way := range []targetCut{cutRefused, cutSilent, cutAccepted} {
+		t.Run(string(way), func(t *testing.T) {
+			c := qt.New(t)
+			sim, search, booking := newCutSimulation(10)
+			sim.loadEach(3*time.Second, search, booking)
+			for i, v := range sim.vms {
+				if i%5 < 2 {
+					v.cut, v.cutFrom = way, "a"
+				}
+			}
+			sim.loadEach(cutDetectionLimit-2*time.Second, search, booking)
+			atCut, atOthers := sim.loadEach(5*time.Second, search, booking)
+			t.Logf("served at VMs without the targets of a zone %.3f, at others %.3f", atCut, atOthers)
+			c.Check(atCut >= 0.95*atOthers, qt.IsTrue, qt.Commentf("%.3f of the requests at VMs without the targets of a zone, %.3f at others", atCut, atOthers))
+			c.Check(sim.forwards(), qt.Equals, 0)
+			sim.checkSingleRuns(c, booking)
+		})
+	}
+}
+
 // forwards returns how many queries VMs have passed on.
 func (sim *simulation) forwards() int {
 	n := 0
--- a/core/cassiagateway/link.go
+++ b/core/cassiagateway/link.go
@@ -137,7 +137,7 @@
 }
 
 // failLink cancels all attempts on a link. For a link through an aggregator it backs off from the aggregator; for a
-// direct one it ejects all targets of the zone until probes reach them.
+// direct one it ejects all targets of the zone until status checks are answered.
 func (g *Gateway) failLink(now time.Time, l *link) {
 	if l.key.aggregator != "" {
 		g.backOffAggregator(now, l.key, OutcomeSilent)
@@ -147,6 +147,7 @@
 		for _, t := range g.orderedTargets {
 			if t.Zone == l.key.zone && !t.ejected() {
 				t.eject(now)
+				t.silent = true
 				g.watch(t)
 			}
 		}
--- a/core/cassiagateway/reach.go
+++ b/core/cassiagateway/reach.go
@@ -39,28 +39,33 @@
 		}
 		due := t.wantsProbe || t.ejections > 0 && !now.Before(t.ejectedUntil)
 		if due && !t.replaced && !t.probing && g.runningProbes < maxConcurrentProbes {
-			g.probe(now, t)
+			g.probe(now, t, t.silent)
 		}
 	}
 }
 
-func (g *Gateway) probe(now time.Time, t *target) {
-	t.probing, t.wantsProbe, t.probedAt = true, false, now
+// probe opens a connection to a target, and checks its status if that is wanted and the target has a status check.
+func (g *Gateway) probe(now time.Time, t *target, checkStatus bool) {
+	e := Probe{Target: t.Name, Address: t.Address}
+	if checkStatus {
+		e.StatusPath = t.service.statusPath
+	}
+	t.probing, t.wantsProbe, t.probedAt, t.checked = true, false, now, e.StatusPath != ""
 	g.runningProbes++
-	g.emit(Probe{Target: t.Name, Address: t.Address})
+	g.emit(e)
 }
 
 func (g *Gateway) probeEnded(now time.Time, m ProbeEnded) {
 	g.runningProbes--
 	t, ok := g.targets[m.Target]
 	if !ok || !t.probing {
-		g.isolationProbed(now, m, now, true)
+		g.isolationProbed(now, m, probeKind{sentAt: now, ejected: true, conclusive: true})
 		return
 	}
 	wasEjected := t.ejected()
 	t.probed(now, m.Reached)
 	g.watch(t)
-	g.isolationProbed(now, m, t.probedAt, wasEjected)
+	g.isolationProbed(now, m, probeKind{sentAt: t.probedAt, ejected: wasEjected, conclusive: t.checked || t.service.statusPath == ""})
 	if m.Reached && wasEjected {
 		g.emit(ViewChanged{Event: EventReached, Target: t.Name, Zone: t.Zone})
 		g.probeZone(now, t)
@@ -70,10 +75,14 @@
 }
 
 // probeZone makes probes to the other ejected targets of a zone due at once, since the whole zone may be reachable
-// again.
+// again. After an answer, a connection is enough to tell that.
 func (g *Gateway) probeZone(now time.Time, reached *target) {
 	for _, t := range g.watched {
-		if t.Zone == reached.Zone && t.ejected() && now.Before(t.ejectedUntil) {
+		if t.Zone != reached.Zone || !t.ejected() {
+			continue
+		}
+		t.silent = t.silent && !reached.checked
+		if now.Before(t.ejectedUntil) {
 			t.ejectedUntil = now
 		}
 	}
--- a/core/cassiagateway/service.go
+++ b/core/cassiagateway/service.go
@@ -22,9 +22,11 @@
 type service struct {
 	name           cassiacatalog.ServiceName
 	maxConnections int
-	targets        []*target
-	retryBudget    cassiabudget.Metered
-	waiting        waitQueue
+	// statusPath is the path of the status check of its targets; empty if they have none.
+	statusPath  string
+	targets     []*target
+	retryBudget cassiabudget.Metered
+	waiting     waitQueue
 	// nextReturn is when the next caller may come back that was refused because of the rate that the targets accept.
 	nextReturn time.Time
 }
--- a/core/cassiagateway/simulation_test.go
+++ b/core/cassiagateway/simulation_test.go
@@ -171,7 +171,9 @@
 		}
 		t.running++
 		t.started++
-		t.sim.runs[k.request]++
+		if k.request.vm != "" {
+			t.sim.runs[k.request]++
+		}
 		t.sim.after(time.Duration(t.slowness*float64(k.duration)), func() {
 			t.running--
 			if !k.cancelled {
@@ -195,8 +197,9 @@
 	sim  *simulation
 	name cassiaid.VMName
 	zone cassiaid.Zone
-	// cut is how the VM is cut off from all targets, if it is.
+	// cut is how the VM is cut off from targets, if it is: from those of zone cutFrom, or from all if that is empty.
 	cut       targetCut
+	cutFrom   cassiaid.Zone
 	requests  map[QueryID]callerRequest
 	forwards  map[QueryID]*simulatedForward
 	gateway   *Gateway
@@ -215,10 +218,15 @@
 	cutRefused targetCut = "refused"
 	// cutSilent has nothing answered: connections that are opened hang, and so do those that are open.
 	cutSilent targetCut = "silent"
+	// cutAccepted is like cutSilent, but connections are accepted on the way.
+	cutAccepted targetCut = "accepted"
 )
 
-// simulatedConnectTimeout is how long a VM waits for a connection.
-const simulatedConnectTimeout = 300 * time.Millisecond
+// simulatedConnectTimeout is how long a VM waits for a connection, simulatedStatusTimeout how long for the answer to a status check.
+const (
+	simulatedConnectTimeout = 300 * time.Millisecond
+	simulatedStatusTimeout  = 500 * time.Millisecond
+)
 
 // simulatedForward is a query that another VM serves.
 type simulatedForward struct {
@@ -282,13 +290,7 @@
 			delete(v.callbacks, e.Query)
 			answer(e.Answer)
 		case Probe:
-			t := v.sim.targets[e.Target]
-			reached := !t.unresponsive && v.sim.connected(v.zone, t.zone) && v.cut == ""
-			delay := 2 * crossZoneDelay
-			if v.cut == cutSilent {
-				delay = simulatedConnectTimeout
-			}
-			v.sim.after(delay, func() { v.update(ProbeEnded{Target: e.Target, Reached: reached}) })
+			v.probe(e)
 		case WakeAt:
 			v.wakeID++
 			id := v.wakeID
@@ -301,6 +303,43 @@
 	}
 }
 
+func (v *simulatedVM) isCutFrom(t *simulatedTarget) bool {
+	return v.cut != "" && (v.cutFrom == "" || v.cutFrom == t.zone)
+}
+
+// probe connects to a target. A status check waits for a slot like any other request, unless it is refused.
+func (v *simulatedVM) probe(e Probe) {
+	t := v.sim.targets[e.Target]
+	cut := v.cut
+	if !v.isCutFrom(t) {
+		cut = ""
+	}
+	ended := false
+	end := func(after time.Duration, reached bool) {
+		v.sim.after(after, func() {
+			if !ended {
+				ended = true
+				v.update(ProbeEnded{Target: e.Target, Reached: reached})
+			}
+		})
+	}
+	switch {
+	case cut == cutSilent:
+		end(simulatedConnectTimeout, false)
+	case cut == cutAccepted && e.StatusPath == "":
+		end(2*crossZoneDelay, true)
+	case cut == cutAccepted:
+		end(simulatedStatusTimeout, false)
+	case cut == cutRefused || t.unresponsive || !v.sim.connected(v.zone, t.zone):
+		end(2*crossZoneDelay, false)
+	case e.StatusPath == "":
+		end(2*crossZoneDelay, true)
+	default:
+		end(simulatedStatusTimeout, false)
+		t.accept(&work{duration: time.Millisecond, ended: func(Outcome) { end(2*crossZoneDelay, true) }})
+	}
+}
+
 func (v *simulatedVM) end(id cassiaid.AttemptID, o Outcome) {
 	if _, ok := v.running[id]; !ok {
 		return
@@ -328,7 +367,7 @@
 	if e.Aggregator != "" {
 		sender = v.sim.vm(e.Aggregator)
 	}
-	if sender.cut != "" {
+	if sender.isCutFrom(t) {
 		v.running[e.Attempt] = k
 		v.sendCut(e, sender)
 		return
@@ -355,7 +394,7 @@
 	switch {
 	case sender != v && sender.gateway.isolation.isolated:
 		v.sim.after(2*crossZoneDelay, func() { v.end(e.Attempt, OutcomeTargetUnknown) })
-	case sender.cut == cutSilent && v.sim.random.Float64() < 0.5:
+	case sender.cut == cutAccepted, sender.cut == cutSilent && v.sim.random.Float64() < 0.5:
 		v.update(AttemptBegins{Attempt: e.Attempt})
 	default:
 		delay := 2 * crossZoneDelay
@@ -418,7 +457,7 @@
 	services := make(map[cassiacatalog.ServiceName]cassiacatalog.Service)
 	for s := range shards {
 		service := serviceName(s)
-		services[service] = cassiacatalog.Service{Name: service, MaxConnections: 26}
+		services[service] = cassiacatalog.Service{Name: service, MaxConnections: 26, HealthPath: "/health"}
 		for r := range 2 {
 			name := targetName(s, r)
 			sim.targets[name] = &simulatedTarget{sim: sim, zone: zones[r], slots: 2, slowness: 1}
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -61,6 +61,11 @@
 	ejectedUntil time.Time
 	unfitUntil   time.Time
 	probing      bool
+	// checked is true if the last probe was a status check.
+	checked bool
+	// silent is true from a failure of the link to its zone until a target of the zone has answered. That connections are accepted tells
+	// nothing then.
+	silent bool
 	// probedAt is when the last probe began.
 	probedAt time.Time
 	// wantsProbe is true if a connection should be opened before a request needs it; warmed is true once that was
@@ -125,7 +130,7 @@
 	t.relativeLatency += latencyWeight * (relative - t.relativeLatency)
 	t.zone.observe(relative)
 	t.failureRate -= failureWeight * t.failureRate
-	t.ejections, t.unanswered, t.ejectedUntil = 0, 0, time.Time{}
+	t.ejections, t.unanswered, t.ejectedUntil, t.silent = 0, 0, time.Time{}, false
 	t.decayedAt = now
 }
 
@@ -166,7 +171,7 @@
 		t.eject(now)
 		return
 	}
-	t.ejections, t.ejectedUntil = 0, time.Time{}
+	t.ejections, t.ejectedUntil, t.silent = 0, time.Time{}, false
 	t.unanswered = min(t.unanswered, unansweredToEject-1)
 }
 
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -25,6 +25,8 @@
 	connectTimeout = 300 * time.Millisecond
 	// resetDelay is the time within which a connection is reset that was accepted in place of a target that can't be reached.
 	resetDelay = 10 * time.Millisecond
+	// statusTimeout limits a status check, which waits for a free slot of the target like any other request.
+	statusTimeout = 500 * time.Millisecond
 	// replyGrace is how long after the deadline a reply is still awaited.
 	replyGrace = 100 * time.Millisecond
 	// maxMismatchedReplies is the number of replies to other requests that are skipped before the connection counts as
@@ -140,23 +142,6 @@
 	}
 }
 
-// Probe opens a connection to a target and reports whether that succeeded within connectTimeout, and whether the connection then ended at
-// once. It keeps the connection for the next request to the given instance.
-func (p *Pool) Probe(address, instance string) (reached, reset bool) {
-	raw, err := net.DialTimeout("tcp", address, connectTimeout)
-	if err != nil {
-		return false, false
-	}
-	p.reportOpened()
-	time.Sleep(resetDelay)
-	if !cassialiveness.IsQuiet(raw) {
-		raw.Close() //nolint:errcheck // it has ended
-		return true, true
-	}
-	p.putIdle(address, newConnection(raw, instance, p.now().Add(maxIdleTime)))
-	return true, false
-}
-
 // hasEnded reports whether the target of a call has ended. The connection that shows the opposite is kept for the next
 // request.
 func (p *Pool) hasEnded(call Call) bool {
--- /dev/null
+++ b/io/cassiapool/probe.go
@@ -0,0 +1,66 @@
+package cassiapool
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"cassiasaddle/core/cassiagateway"
+	"cassiasaddle/io/cassialiveness"
+)
+
+// Probe is a check whether a target can be reached.
+type Probe struct {
+	Address string
+	// Instance identifies the target's process, for which the connection is kept.
+	Instance string
+	// StatusPath is the path of a status check; without one, an accepted connection is enough.
+	StatusPath string
+}
+
+// Probe opens a connection to a target and reports whether that succeeded within connectTimeout, and the target answered the status check,
+// if one is asked for, within statusTimeout. Any answer will do, also one by which the target refuses the check or says that it is not well.
+// reset is true if the connection ended instead. One that can be used is kept for the next request.
+func (p *Pool) Probe(probe Probe) (reached, reset bool) {
+	raw, err := net.DialTimeout("tcp", probe.Address, connectTimeout)
+	if err != nil {
+		return false, false
+	}
+	p.reportOpened()
+	time.Sleep(resetDelay)
+	if !cassialiveness.IsQuiet(raw) {
+		raw.Close() //nolint:errcheck // it has ended
+		return true, true
+	}
+	c := newConnection(raw, probe.Instance, p.now().Add(maxIdleTime))
+	if probe.StatusPath == "" {
+		p.putIdle(probe.Address, c)
+		return true, false
+	}
+	outcome, reusable := p.checkStatus(probe, c)
+	if reusable {
+		p.putIdle(probe.Address, c)
+	} else {
+		c.Close() //nolint:errcheck // it is not used any more
+	}
+	return outcome != cassiagateway.OutcomeSilent, outcome == cassiagateway.OutcomeLost
+}
+
+// checkStatus asks for a target's status and reports whether the connection can be used again. The outcome is OutcomeAnswered for any answer.
+func (p *Pool) checkStatus(probe Probe, c *connection) (outcome cassiagateway.Outcome, reusable bool) {
+	c.SetDeadline(p.now().Add(statusTimeout)) //nolint:errcheck // a closed connection fails at the write
+	if _, err := io.WriteString(c, "GET "+probe.StatusPath+" HTTP/1.1\r\nHost: "+probe.Address+"\r\n\r\n"); err != nil {
+		return cassiagateway.OutcomeLost, false
+	}
+	response, err := p.readHead(Call{Method: http.MethodGet}, c)
+	if err != nil {
+		return classifyReadError(err), false
+	}
+	c.bounded.left = maxBodyWireBytes
+	if _, err := p.bodies.Receive(response.Body, response.ContentLength); err != nil {
+		// The head was an answer.
+		return cassiagateway.OutcomeAnswered, false
+	}
+	return cassiagateway.OutcomeAnswered, c.updateExpiry(response, p.now())
+}
--- /dev/null
+++ b/io/cassiapool/probe_test.go
@@ -0,0 +1,55 @@
+package cassiapool
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestStatusCheckTellsATargetFromAConnection guards against a connection that is accepted on the way to a target, and stays silent, being
+// taken for a target that can be reached.
+func TestStatusCheckTellsATargetFromAConnection(t *testing.T) {
+	answer := func(text string) func(net.Conn, *bufio.Reader) {
+		return func(c net.Conn, r *bufio.Reader) {
+			for {
+				request, err := http.ReadRequest(r)
+				if err != nil || request.URL.Path != "/health" {
+					return
+				}
+				if _, err := c.Write([]byte(text)); err != nil {
+					return
+				}
+			}
+		}
+	}
+	for _, test := range []struct {
+		name           string
+		target         func(net.Conn, *bufio.Reader)
+		reached, reset bool
+		kept           int
+	}{
+		{"answers", answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), true, false, 1},
+		{"is not well", answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull"), true, false, 1},
+		{"closes after its answer", answer("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"), true, false, 0},
+		{"answers without a length", func(c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+		}, true, false, 0},
+		{"sends bytes that are no answer", answer("what\r\n\r\n"), true, false, 0},
+		{"ends the connection", func(_ net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) }, true, true, 0},
+		{"stays silent", func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte(); time.Sleep(2 * statusTimeout) }, false, false, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			pool, address := &Pool{Headers: testHeaders}, listen(t, test.target)
+			reached, reset := pool.Probe(Probe{Address: address, Instance: "i", StatusPath: "/health"})
+			qt.Check(t, reached, qt.Equals, test.reached)
+			qt.Check(t, reset, qt.Equals, test.reset)
+			qt.Check(t, pool.idle[address], qt.HasLen, test.kept)
+		})
+	}
+}
--- a/test/stranded_test.go
+++ b/test/stranded_test.go
@@ -202,10 +202,20 @@
 // TestCallersOfVMsWithoutTargetsAreServedByOtherVMs guards against VMs that lose their links to all targets and refuse, or hold, their
 // callers, who keep their connections, while other VMs could serve them.
 func TestCallersOfVMsWithoutTargetsAreServedByOtherVMs(t *testing.T) {
+	reset, silent := cassiarelay.Faults{Cut: true}, cassiarelay.Faults{HalfOpen: true}
 	for i, scene := range []struct {
-		name string
-		cut  []int
-	}{{"a zone", []int{0, 2, 4}}, {"most VMs", []int{0, 1, 2}}, {"one VM", []int{3}}} {
+		name   string
+		faults cassiarelay.Faults
+		cut    []int
+	}{
+		{"a zone", reset, []int{0, 2, 4}},
+		{"most VMs", reset, []int{0, 1, 2}},
+		{"one VM", reset, []int{3}},
+		// Connections are accepted on the way, and stay silent.
+		{"a zone, silent connections", silent, []int{0, 2, 4}},
+		{"most VMs, silent connections", silent, []int{0, 1, 2}},
+		{"one VM, silent connections", silent, []int{3}},
+	} {
 		t.Run(scene.name, func(t *testing.T) {
 			t.Parallel()
 			c, cut := qt.New(t), scene.cut
@@ -214,7 +224,7 @@
 			e.call(&callers, time.Second+strandedCut+2*time.Second)
 			sleep(time.Second)
 			begun := time.Now()
-			e.setLinks(cassiarelay.Faults{Cut: true}, cut...)
+			e.setLinks(scene.faults, cut...)
 			sleep(strandedCut)
 			healed := time.Now()
 			e.setLinks(cassiarelay.Faults{}, cut...)
