Answer HEAD requests

Callers got 502 for every HEAD that a target answered: the pool waited for a body of the length that the answer names, which the answer to a HEAD does not have. It is passed on with that length now.

Test: TestFrontAnswersHeadRequests (502 before).

--- a/io/cassiagate/handler.go
+++ b/io/cassiagate/handler.go
@@ -95,7 +95,7 @@
 		h.gate.report.callerGone(id, r.route.Name, time.Since(arrived))
 		return cassiagateway.Answer{}, false
 	}
-	status := h.writeAnswer(w, answer, r.fingerprints)
+	status := h.writeAnswer(w, r, answer)
 	h.gate.report.answered(r, answer, status)
 	return answer, true
 }
@@ -159,10 +159,10 @@
 }
 
 // writeAnswer sends the answer to the caller and returns its HTTP status.
-func (h *handler) writeAnswer(w http.ResponseWriter, answer cassiagateway.Answer, request fingerprints) int {
+func (h *handler) writeAnswer(w http.ResponseWriter, r routedRequest, answer cassiagateway.Answer) int {
 	switch {
 	case answer.Reply != nil:
-		return h.writeReply(w, answer.Reply)
+		return h.writeReply(w, r.call.Method, answer.Reply)
 	case answer.Forwarded != nil:
 		return h.writeForwarded(w, answer.Forwarded)
 	case answer.Merged != nil:
@@ -173,7 +173,7 @@
 		h.writeBody(w, http.StatusOK, answer.Merged.Body)
 		return http.StatusOK
 	case answer.Refusal.NotRun && answer.Refusal.Reason == cassiagateway.RefusalQuarantined:
-		h.refuseQuarantined(w, h.gate.quarantineRemaining(request))
+		h.refuseQuarantined(w, h.gate.quarantineRemaining(r.fingerprints))
 		return http.StatusServiceUnavailable
 	case answer.Refusal.NotRun:
 		refuseWithRetry(w, answer.Refusal.RetryAfter)
@@ -192,8 +192,8 @@
 	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
 
 // writeReply sends a target's reply unchanged. A status that promises that the request was not run is replaced with 502,
-// because the request may have been run.
-func (h *handler) writeReply(w http.ResponseWriter, reply *cassiagateway.Reply) int {
+// because the request may have been run. The answer to a HEAD has the length that the target names, and no body.
+func (h *handler) writeReply(w http.ResponseWriter, method string, reply *cassiagateway.Reply) int {
 	if notRunStatuses[reply.Status] {
 		w.WriteHeader(http.StatusBadGateway)
 		return http.StatusBadGateway
@@ -205,12 +205,18 @@
 	if len(header.Values("Content-Type")) == 0 {
 		header["Content-Type"] = nil
 	}
+	if length := http.Header(reply.Header).Get("Content-Length"); method == http.MethodHead && length != "" {
+		header.Set("Content-Length", length)
+	}
 	h.writeBody(w, reply.Status, reply.Body)
 	return reply.Status
 }
 
+// writeBody sends a body with its length. The answer to a HEAD, which has no body, may have another length already.
 func (h *handler) writeBody(w http.ResponseWriter, status int, body []byte) {
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if header := w.Header(); len(body) > 0 || header.Get("Content-Length") == "" {
+		header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	w.WriteHeader(status)
 	w.Write(body) //nolint:errcheck // the caller may have disconnected
 }
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -271,13 +271,18 @@
 		if err != nil {
 			return Result{Outcome: classifyReadError(err)}, false
 		}
-		if response.ContentLength > cassiabody.MaxBytes {
+		length := response.ContentLength
+		if call.Method == http.MethodHead {
+			// It is the length of the body that the answer to a GET has.
+			length = 0
+		}
+		if length > cassiabody.MaxBytes {
 			return Result{Outcome: cassiagateway.OutcomeBroken}, false
 		}
 		c.bounded.left = maxBodyWireBytes
 		echoed := response.Header.Get(p.Headers.RequestID)
 		mismatched := echoed != "" && echoed != call.RequestID
-		body, err := p.bodies.Receive(response.Body, response.ContentLength)
+		body, err := p.bodies.Receive(response.Body, length)
 		if err != nil {
 			result := Result{Outcome: classifyReadError(err)}
 			if !mismatched {
--- a/test/front_test.go
+++ b/test/front_test.go
@@ -294,6 +294,27 @@
 	s.c.Check(answer.status, qt.Equals, http.StatusRequestEntityTooLarge)
 }
 
+// TestFrontAnswersHeadRequests guards against a VM that waits for the body that the answer to a HEAD does not have.
+func TestFrontAnswersHeadRequests(t *testing.T) {
+	s := newPlatformEnv(t)
+	s.configure(routeConfig("/one/", "idempotent", "single"), routeConfig("/book/", "non_idempotent", "single"))
+	vm := s.launchReady(t, "vm-1", envZone)
+	for _, path := range []string{"/one/", "/book/", "/search/"} {
+		for i := range 3 {
+			answer, id := s.mustDo(vm, http.MethodHead, fmt.Sprint(path, i), "")
+			s.c.Check(answer.status, qt.Equals, http.StatusOK, qt.Commentf(path))
+			s.c.Check(answer.body, qt.Equals, "")
+			if path == "/search/" {
+				continue
+			}
+			s.c.Check(answer.header.Get("Content-Length"), qt.Equals, fmt.Sprint(len("the whole answer")))
+			s.c.Check(answer.header.Get("X-Cassiasaddle-Server-Stamp"), qt.Equals, s.target("t-single").Stamp(id))
+			answer, _ = s.mustDo(vm, http.MethodGet, fmt.Sprint(path, i), "")
+			s.c.Check(answer.body, qt.Equals, "the whole answer")
+		}
+	}
+}
+
 // TestFrontTellsNotRunTruly requires that a request that may have run is never refused as not run, and that a request that is
 // not idempotent runs at most once.
 func TestFrontTellsNotRunTruly(t *testing.T) {
