Keep targets that were gone before an outage of the store out of use

After one failed call of the store, targets whose registration had been removed up to a minute before were used again, as a last choice, until two seconds after the next call: the time to register again after an outage was given to all of them. Those that counted as gone before the outage stay gone.

Test: TestTargetThatWasGoneBeforeAnOutageStaysGone (red before, while the store is away and after its return).

--- a/core/cassiadirectory/directory.go
+++ b/core/cassiadirectory/directory.go
@@ -107,6 +107,8 @@
 	registration Registration
 	coldUntil    time.Time
 	removedAt    time.Time
+	// gone is true if the target counted as gone before the store was lost, so that its return is no reason to wait for the target.
+	gone bool
 }
 
 // NewDirectory returns a directory without targets.
@@ -130,6 +132,9 @@
 	case Listed:
 		return d.list(now, m.Registrations)
 	case StoreLost:
+		for _, e := range d.entries {
+			e.gone = d.graceExpired(now, e)
+		}
 		d.storeLost = true
 	case StoreRegained:
 		if d.storeLost {
@@ -181,7 +186,7 @@
 		e = &entry{}
 		d.entries[r.Target] = e
 	}
-	e.registration, e.removedAt = r, time.Time{}
+	e.registration, e.removedAt, e.gone = r, time.Time{}, false
 	e.coldUntil = now.Add(r.ColdLeft)
 	return true
 }
@@ -221,7 +226,7 @@
 
 // graceExpired reports whether the entry of a target was removed and the target's time to register again is over.
 func (d *Directory) graceExpired(now time.Time, e *entry) bool {
-	return !e.removedAt.IsZero() && !d.storeLost && !now.Before(d.graceEnd(e))
+	return e.gone || !e.removedAt.IsZero() && !d.storeLost && !now.Before(d.graceEnd(e))
 }
 
 // graceEnd returns when a removed target counts as gone. After an outage of the store, it is at least storeReturnGrace
--- a/core/cassiadirectory/directory_test.go
+++ b/core/cassiadirectory/directory_test.go
@@ -69,6 +69,29 @@
 	c.Check(d.Targets(), qt.HasLen, 0, qt.Commentf("a target that has not registered again within storeReturnGrace is gone"))
 }
 
+// TestTargetThatWasGoneBeforeAnOutageStaysGone guards against targets that were removed long ago being used again after one failed call of
+// the store.
+func TestTargetThatWasGoneBeforeAnOutageStaysGone(t *testing.T) {
+	c := qt.New(t)
+	clock := clockwork.NewFakeClock()
+	d := NewDirectory(clock)
+	d.Update(Registered{registration(1, 1, StateReady)})
+	d.Update(Removed{"t"})
+	clock.Advance(removedGrace)
+	c.Assert(d.Targets(), qt.HasLen, 0)
+	for range 2 {
+		d.Update(StoreLost{})
+		c.Check(d.Targets(), qt.HasLen, 0, qt.Commentf("while the store is away"))
+		d.Update(StoreLost{})
+		d.Update(StoreRegained{})
+		c.Check(d.Targets(), qt.HasLen, 0, qt.Commentf("after its return"))
+		d.Update(Listed{})
+		c.Check(d.Targets(), qt.HasLen, 0)
+	}
+	d.Update(Registered{registration(2, 1, StateReady)})
+	c.Check(d.Targets(), qt.HasLen, 1)
+}
+
 func TestWithdrawnTargetGetsNothing(t *testing.T) {
 	c := qt.New(t)
 	d := NewDirectory(clockwork.NewFakeClock())
