Go on when the reader of the output has gone

Both programs ended with SIGPIPE at the next log line once the reader of their output had closed it, and with them all requests that they ran.

--- a/cmd/cassiafront/main.go
+++ b/cmd/cassiafront/main.go
@@ -72,6 +72,7 @@
 	if err != nil || c.Bool("check") {
 		return err
 	}
+	cassialog.IgnoreLostReader()
 	output := cassialog.NewBounded(os.Stdout)
 	defer output.Close() //nolint:errcheck // there is nowhere left to log the error
 	logger, err := cassialog.New(output, c.String("log-level"))
--- a/cmd/cassiasaddle/serve.go
+++ b/cmd/cassiasaddle/serve.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	cassialog.IgnoreLostReader()
 	output := cassialog.NewBounded(os.Stdout)
 	defer output.Close() //nolint:errcheck // there is nowhere left to log the error
 	logger, err := cassialog.New(output, config.LogLevel)
--- a/io/cassialog/bounded.go
+++ b/io/cassialog/bounded.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -33,6 +35,9 @@
 	group               errgroup.Group
 }
 
+// IgnoreLostReader has writes to a standard stream whose reader has gone fail, instead of ending the process.
+func IgnoreLostReader() { signal.Ignore(syscall.SIGPIPE) }
+
 // NewBounded returns a writer that copies lines to out on a goroutine of its own; Close ends it.
 func NewBounded(out io.Writer) *Bounded {
 	b := &Bounded{out: out, ordinary: rate.NewLimiter(maxLinesPerSecond, maxBurstLines),
