Play silent connections and callers that close one side in the soak

Fresh seeds also cut VMs off from targets by connections that are accepted and stay silent, and have callers that close their sending side before the answer, which has to be whole or missing. Kept seeds play what they played when they failed.

--- a/test/frontcrash_test.go
+++ b/test/frontcrash_test.go
@@ -150,26 +150,8 @@
 
 // addRelay starts the relay in front of the peer address of a VM.
 func (e *crashEnv) addRelay(vm int) {
-	relay := cassiarelay.New(cassiarelay.Options{Network: "udp", Listen: e.host(crashHostOfRelay, vm) + soakPort,
-		Upstream: e.host(crashHostOfVM, vm) + ":7402", Seed: 1})
-	ctx, stop := context.WithCancel(context.Background())
-	var group errgroup.Group
-	ready, failed := make(chan struct{}), make(chan error, 1)
-	group.Go(func() error {
-		err := relay.Run(ctx, func() { close(ready) })
-		failed <- err
-		return err
-	})
-	e.t.Cleanup(func() {
-		stop()
-		group.Wait() //nolint:errcheck // it returns when the context is cancelled
-	})
-	select {
-	case <-ready:
-	case err := <-failed:
-		e.t.Fatalf("the relay does not start: %v", err)
-	}
-	e.relays = append(e.relays, relay)
+	e.relays = append(e.relays, startRelay(e.t, cassiarelay.Options{Network: "udp", Listen: e.host(crashHostOfRelay, vm) + soakPort,
+		Upstream: e.host(crashHostOfVM, vm) + ":7402", Seed: 1}))
 }
 
 func (e *crashEnv) startVM(i int) {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -29,7 +30,8 @@
 	soakFor   = flag.Duration("soak.for", 5*time.Second, "how long faults are injected for each seed")
 )
 
-// soakFailed lists seeds that have failed, each with the cause. TestSoak always runs them.
+// soakFailed lists seeds that have failed, each with the cause. TestSoak always runs them, as they were then, without soakSilentFaults and
+// callers that close their sending side.
 var soakFailed = []uint64{
 	// A VM kept its connection to an earlier process of another VM for 30 s.
 	1010,
@@ -208,6 +210,12 @@
 // soakPressureStream is the random stream that selects pressure faults. Callers use streams from 1, other faults use 0.
 const soakPressureStream = 1 << 32
 
+// soakSilentStream is the random stream that selects soakSilentFaults, soakHalfClosingStream that of callers that close their sending side.
+const (
+	soakSilentStream      = 1<<32 + 1
+	soakHalfClosingStream = 1<<32 + 2
+)
+
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{platformEnv: &platformEnv{c: qt.New(t), store: cassiastage.NewStore()}, t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), start: time.Now()}
 	s.serveStore(t)
@@ -343,6 +351,11 @@
 	s.startLimitedCallers(stop)
 	s.startStatingCallers(stop)
 	var injectors errgroup.Group
+	if !slices.Contains(soakFailed, s.seed) {
+		s.startHalfClosingCallers(stop)
+		random := rand.New(rand.NewPCG(s.seed, soakSilentStream))
+		injectors.Go(func() error { s.injectFaults(random, soakSilentFaults, soakMaxSilentPause); return nil })
+	}
 	injectors.Go(func() error { s.injectFaults(s.random, soakFaults, soakMaxPause); return nil })
 	if s.retryPressure {
 		random := rand.New(rand.NewPCG(s.seed, soakPressureStream))
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -26,6 +26,8 @@
 	from, to time.Duration
 	answer   httpAnswer
 	err      error
+	// halfClosed is true if the caller closed its sending side, so that it may get no answer.
+	halfClosed bool
 }
 
 // soakFailurePause is how long a caller waits after a failed request.
@@ -78,6 +80,7 @@
 // callThrough is like callOnce, but sends the request through the given transport.
 func (s *soak) callThrough(transport http.RoundTripper, vm *soakVM, lifetime int, method, path, body string) soakRequest {
 	r := soakRequest{path: path, body: body, vm: vm, lifetime: lifetime, from: time.Since(s.start)}
+	_, r.halfClosed = transport.(halfClosingTransport)
 	r.answer, r.id, r.err = s.doThrough(transport, vm.frontVM, method, path, body)
 	r.to = time.Since(s.start)
 	_, _, stopping := vm.state()
@@ -211,7 +214,7 @@
 	if strings.HasPrefix(r.path, "/search/") {
 		service = ""
 	}
-	if r.err != nil && runs > 0 && s.undisturbed(r.vm.name, r.from, r.to, "kill pause") && s.undisturbed(service, r.from, r.to, connectionFaults) {
+	if r.err != nil && !r.halfClosed && runs > 0 && s.undisturbed(r.vm.name, r.from, r.to, "kill pause") && s.undisturbed(service, r.from, r.to, connectionFaults) {
 		s.t.Errorf("a request that ran got no answer: %v", r)
 	}
 }
--- a/test/soakfault_test.go
+++ b/test/soakfault_test.go
@@ -147,6 +147,15 @@
 	}},
 }
 
+// soakSilentFaults have connections accepted on the way to targets, which stay silent.
+var soakSilentFaults = []soakFault{
+	{"targetLinks", func(s *soak, random *rand.Rand) (string, func()) {
+		vm := s.anyVM(random)
+		vm.links.setFaults(cassiarelay.Faults{HalfOpen: true})
+		return vm.name, func() { vm.links.setFaults(cassiarelay.Faults{}) }
+	}},
+}
+
 // failService makes all targets of a service fail in the same way.
 func failService(s *soak, random *rand.Rand) (string, func()) {
 	service := s.anyReplica(random).Service
@@ -217,6 +226,7 @@
 const (
 	soakMaxPause         = 400 * time.Millisecond
 	soakMaxPressurePause = 1500 * time.Millisecond
+	soakMaxSilentPause   = 4 * time.Second
 	soakMaxFaultDuration = 2500 * time.Millisecond
 )
 
--- /dev/null
+++ b/test/soakhalfclosed_test.go
@@ -0,0 +1,69 @@
+package test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+)
+
+// halfClosingTransport closes the sending side of its connection some time after it has sent a request.
+type halfClosingTransport struct{ patience time.Duration }
+
+// RoundTrip implements http.RoundTripper. The answer, if any, has to be read before the next one.
+func (h halfClosingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	conn, err := net.Dial("tcp", r.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	deadline, _ := r.Context().Deadline()
+	conn.SetDeadline(deadline) //nolint:errcheck // the next call fails then
+	if err := r.Write(conn); err != nil {
+		conn.Close() //nolint:errcheck // the request was not sent
+		return nil, err
+	}
+	sleep(h.patience)
+	conn.(*net.TCPConn).CloseWrite() //nolint:errcheck // the read fails then
+	response, err := http.ReadResponse(bufio.NewReader(conn), r)
+	if err != nil {
+		conn.Close() //nolint:errcheck // there is no answer
+		return nil, err
+	}
+	response.Body = connectionBody{response.Body, conn}
+	return response, nil
+}
+
+// connectionBody is a body that closes the connection, too.
+type connectionBody struct {
+	io.ReadCloser
+	connection net.Conn
+}
+
+// Close implements io.Closer.
+func (b connectionBody) Close() error { return errors.Join(b.ReadCloser.Close(), b.connection.Close()) }
+
+// startHalfClosingCallers starts callers that close the sending side of their connections before they have an answer, which then has to be whole or
+// missing.
+func (s *soak) startHalfClosingCallers(stop <-chan struct{}) {
+	const interval, maxPatience = 100 * time.Millisecond, 30 * time.Millisecond
+	random := rand.New(rand.NewPCG(s.seed, soakHalfClosingStream))
+	s.callers.Go(func() error {
+		for {
+			select {
+			case <-stop:
+				return nil
+			default:
+			}
+			vm := s.anyVM(random)
+			transport := halfClosingTransport{time.Duration(random.Float64() * float64(maxPatience))}
+			path := []string{"/one/x", "/book/x", "/search/x"}[random.IntN(3)]
+			if lifetime, up, _ := vm.state(); up {
+				s.callThrough(transport, vm, lifetime, http.MethodPost, path, "x")
+			}
+			sleep(interval)
+		}
+	})
+}
--- a/test/soaklimit_test.go
+++ b/test/soaklimit_test.go
@@ -111,7 +111,14 @@
 		rates = append(rates, fmt.Sprint(l.rate))
 		over, at := envLimits.worstExcess(l.rate, counted, l.named, time.Now())
 		if over > 0 {
-			s.t.Errorf("%s got %.1f requests over what it bears at %v a second, in the window from %v on", l.target.Name, over, l.rate, at.Sub(s.start))
+			var seen []string
+			for _, a := range counted {
+				if !a.At.Before(at) && a.At.Before(at.Add(envLimits.borneWindow)) {
+					seen = append(seen, fmt.Sprintf("%.3f s of %s", a.At.Sub(s.start).Seconds(), requests[a.Request].vm.name))
+				}
+			}
+			s.t.Errorf("%s got %.1f requests over what it bears at %v a second, in the window from %v on: %s", l.target.Name, over, l.rate, at.Sub(s.start),
+				strings.Join(seen, ", "))
 		}
 	}
 	s.t.Logf("%d requests were sent to targets that name the rates %s; %d were refused", len(requests), cmp.Or(strings.Join(rates, ", "), "none"), refused)
--- a/test/storereply_test.go
+++ b/test/storereply_test.go
@@ -1,14 +1,12 @@
 package test
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"golang.org/x/sync/errgroup"
 
 	"cassiasaddle/standin/cassiarelay"
 )
@@ -30,7 +28,7 @@
 		filler = append(filler, routeConfig(fmt.Sprintf("/filler-%d/", i), "idempotent", "single"))
 	}
 	s.configure(append(filler, routeConfig("/moved/", "idempotent", "single"))...)
-	relay := startStoreRelay(t, s.server.Listener.Addr().String())
+	relay := startRelay(t, cassiarelay.Options{Network: "tcp", Listen: envIP + ":" + freePort(t), Upstream: s.server.Listener.Addr().String(), Seed: 1})
 	s.storeAddresses = map[string]string{"vm-1": relay.ListenAddress()}
 	vm := s.launchReady(t, "vm-1", envZone)
 	single := s.target("t-single")
@@ -59,26 +57,3 @@
 	}
 	s.c.Check(late, qt.Equals, 0, qt.Commentf("requests that were run as a configuration of before the cut says"))
 }
-
-// startStoreRelay starts a relay in front of the store's address, which runs until the test ends.
-func startStoreRelay(t *testing.T, store string) *cassiarelay.Relay {
-	relay := cassiarelay.New(cassiarelay.Options{Network: "tcp", Listen: envIP + ":" + freePort(t), Upstream: store, Seed: 1})
-	ctx, stop := context.WithCancel(context.Background())
-	var group errgroup.Group
-	ready, failed := make(chan struct{}), make(chan error, 1)
-	group.Go(func() error {
-		err := relay.Run(ctx, func() { close(ready) })
-		failed <- err
-		return err
-	})
-	t.Cleanup(func() {
-		stop()
-		group.Wait() //nolint:errcheck // it returns when the context is cancelled
-	})
-	select {
-	case <-ready:
-	case err := <-failed:
-		t.Fatalf("the relay does not start: %v", err)
-	}
-	return relay
-}
