Let status checks take as long as targets need for them

How long a check may take follows the time that earlier ones took; once some were not answered, one at a time may take eight seconds. Until a route's latency is measured, that of status checks stands in for it, if it is longer than the assumed one.

--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -63,6 +63,8 @@
 	Address string
 	// StatusPath is the path of a status check that the target has to answer, in whichever way; none is sent if it is empty.
 	StatusPath string
+	// StatusTimeout is how long the answer may take.
+	StatusTimeout time.Duration
 }
 
 // Refresh asks for the list of targets to be read again, since a target's process is newer than the list.
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -74,6 +74,7 @@
 	links   map[linkKey]*link
 	// isolation tells whether this VM reaches any target itself; forwarder chooses the VMs that serve queries for it.
 	isolation   isolation
+	checks      checks
 	forwarder   forwarder
 	vms         []VM
 	aggregators aggregators
--- a/core/cassiagateway/isolation.go
+++ b/core/cassiagateway/isolation.go
@@ -72,8 +72,10 @@
 			continue
 		}
 		sampled = append(sampled, t.service)
-		i.pending[t.Name] = true
 		g.probe(now, t, true)
+		if g.checks.patient != t.Name {
+			i.pending[t.Name] = true
+		}
 	}
 }
 
--- a/core/cassiagateway/link_test.go
+++ b/core/cassiagateway/link_test.go
@@ -19,9 +19,12 @@
 		recovery        = 12 * time.Second
 		length          = 10 * time.Second
 		minShare        = 0.8
+		// maxCheckDuration is three times what a check may take at first.
+		maxCheckDuration = 3 * minCheckTimeout
 	)
-	served := func(duration time.Duration, utilization float64, quietFor time.Duration) *routeResults {
+	served := func(duration, checkDuration time.Duration, utilization float64, quietFor time.Duration) *routeResults {
 		sim := newSimulation(3, services)
+		sim.checkDuration = checkDuration
 		route := simulatedRoute{&cassiacatalog.Route{Name: "booking", Idempotent: true, Timeout: 4 * time.Second, DesiredLatency: 400 * time.Millisecond,
 			MaxAttempts: 2}, duration}
 		for s := range services {
@@ -45,12 +48,15 @@
 	}
 	for _, duration := range []time.Duration{300 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
 		for _, utilization := range []float64{0.1, 0.3, 0.5, 0.7} {
-			t.Run(fmt.Sprintf("%v, %.1f of the slots", duration, utilization), func(t *testing.T) {
-				got, reference := served(duration, utilization, 0), served(duration, utilization, time.Minute)
-				seen := fmt.Sprintf("%v; after a quiet minute: %v", got, reference)
-				t.Log(seen)
-				qt.Check(t, got.onTime+got.late >= int(minShare*float64(reference.onTime+reference.late)), qt.IsTrue, qt.Commentf("%s", seen))
-			})
+			// Status checks take no time, or about as long as requests.
+			for _, checkDuration := range []time.Duration{0, min(duration, maxCheckDuration)} {
+				t.Run(fmt.Sprintf("%v, checks %v, %.1f of the slots", duration, checkDuration, utilization), func(t *testing.T) {
+					got, reference := served(duration, checkDuration, utilization, 0), served(duration, checkDuration, utilization, time.Minute)
+					seen := fmt.Sprintf("%v; after a quiet minute: %v", got, reference)
+					t.Log(seen)
+					qt.Check(t, got.onTime+got.late >= int(minShare*float64(reference.onTime+reference.late)), qt.IsTrue, qt.Commentf("%s", seen))
+				})
+			}
 		}
 	}
 }
--- a/core/cassiagateway/reach.go
+++ b/core/cassiagateway/reach.go
@@ -47,8 +47,8 @@
 // probe opens a connection to a target, and checks its status if that is wanted and the target has a status check.
 func (g *Gateway) probe(now time.Time, t *target, checkStatus bool) {
 	e := Probe{Target: t.Name, Address: t.Address}
-	if checkStatus {
-		e.StatusPath = t.service.statusPath
+	if checkStatus && t.service.statusPath != "" {
+		e.StatusPath, e.StatusTimeout = t.service.statusPath, g.checks.begin(t.Name)
 	}
 	t.probing, t.wantsProbe, t.probedAt, t.checked = true, false, now, e.StatusPath != ""
 	g.runningProbes++
@@ -57,11 +57,15 @@
 
 func (g *Gateway) probeEnded(now time.Time, m ProbeEnded) {
 	g.runningProbes--
+	g.checks.end(m.Target)
 	t, ok := g.targets[m.Target]
 	if !ok || !t.probing {
 		g.isolationProbed(now, m, probeKind{sentAt: now, ejected: true, conclusive: true})
 		return
 	}
+	if t.checked {
+		g.checks.observe(now.Sub(t.probedAt), m.Reached && !m.Reset)
+	}
 	wasEjected := t.ejected()
 	t.probed(now, m.Reached)
 	g.watch(t)
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -130,12 +130,13 @@
 	return r.Split[best].Service
 }
 
-// typicalLatency returns the median latency of a route's attempts. Until minSamples were measured it is at least an assumed one.
+// typicalLatency returns the median latency of a route's attempts. Until minSamples were measured it is at least an assumed one, and at least
+// that of status checks.
 func (g *Gateway) typicalLatency(now time.Time, r *cassiacatalog.Route) time.Duration {
 	state := g.routeState(r.Name, now)
 	median := state.latency.Quantile(0.5)
 	if state.latency.Samples() < minSamples {
-		return max(median, time.Duration(initialLatencyShare*float64(r.DesiredLatency)))
+		return max(median, time.Duration(initialLatencyShare*float64(r.DesiredLatency)), g.checks.latency)
 	}
 	return median
 }
--- a/core/cassiagateway/simulation_test.go
+++ b/core/cassiagateway/simulation_test.go
@@ -64,6 +64,8 @@
 	extraShare float64
 	// isolatedZone is the zone that is cut off from the others; empty if none is.
 	isolatedZone cassiaid.Zone
+	// checkDuration is how long targets work on a status check; a millisecond if zero.
+	checkDuration time.Duration
 	// runs counts how often targets began to work on the request of a caller.
 	runs map[callerRequest]int
 }
@@ -222,11 +224,8 @@
 	cutAccepted targetCut = "accepted"
 )
 
-// simulatedConnectTimeout is how long a VM waits for a connection, simulatedStatusTimeout how long for the answer to a status check.
-const (
-	simulatedConnectTimeout = 300 * time.Millisecond
-	simulatedStatusTimeout  = 500 * time.Millisecond
-)
+// simulatedConnectTimeout is how long a VM waits for a connection.
+const simulatedConnectTimeout = 300 * time.Millisecond
 
 // simulatedForward is a query that another VM serves.
 type simulatedForward struct {
@@ -329,14 +328,14 @@
 	case cut == cutAccepted && e.StatusPath == "":
 		end(2*crossZoneDelay, true)
 	case cut == cutAccepted:
-		end(simulatedStatusTimeout, false)
+		end(e.StatusTimeout, false)
 	case cut == cutRefused || t.unresponsive || !v.sim.connected(v.zone, t.zone):
 		end(2*crossZoneDelay, false)
 	case e.StatusPath == "":
 		end(2*crossZoneDelay, true)
 	default:
-		end(simulatedStatusTimeout, false)
-		t.accept(&work{duration: time.Millisecond, ended: func(Outcome) { end(2*crossZoneDelay, true) }})
+		end(e.StatusTimeout, false)
+		t.accept(&work{duration: max(time.Millisecond, v.sim.checkDuration), ended: func(Outcome) { end(2*crossZoneDelay, true) }})
 	}
 }
 
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -416,7 +416,7 @@
 // probe opens a connection to a target, checks its status if asked to, and reports whether that succeeded.
 func (g *Gate) probe(e cassiagateway.Probe) {
 	g.group.Go(func() error {
-		reached, reset := g.pool.Probe(cassiapool.Probe{Address: e.Address, Instance: string(e.Target), StatusPath: e.StatusPath})
+		reached, reset := g.pool.Probe(cassiapool.Probe{Address: e.Address, Instance: string(e.Target), StatusPath: e.StatusPath, StatusTimeout: e.StatusTimeout})
 		g.report.probeEnded(e.Target, reached, reset)
 		g.Update(cassiagateway.ProbeEnded{Target: e.Target, Reached: reached, Reset: reset})
 		return nil
--- a/io/cassiapool/pool.go
+++ b/io/cassiapool/pool.go
@@ -25,8 +25,6 @@
 	connectTimeout = 300 * time.Millisecond
 	// resetDelay is the time within which a connection is reset that was accepted in place of a target that can't be reached.
 	resetDelay = 10 * time.Millisecond
-	// statusTimeout limits a status check, which waits for a free slot of the target like any other request.
-	statusTimeout = 500 * time.Millisecond
 	// replyGrace is how long after the deadline a reply is still awaited.
 	replyGrace = 100 * time.Millisecond
 	// maxMismatchedReplies is the number of replies to other requests that are skipped before the connection counts as
--- a/io/cassiapool/probe.go
+++ b/io/cassiapool/probe.go
@@ -17,10 +17,12 @@
 	Instance string
 	// StatusPath is the path of a status check; without one, an accepted connection is enough.
 	StatusPath string
+	// StatusTimeout is how long the answer to the status check may take.
+	StatusTimeout time.Duration
 }
 
 // Probe opens a connection to a target and reports whether that succeeded within connectTimeout, and the target answered the status check,
-// if one is asked for, within statusTimeout. Any answer will do, also one by which the target refuses the check or says that it is not well.
+// if one is asked for, within its time. Any answer will do, also one by which the target refuses the check or says that it is not well.
 // reset is true if the connection ended instead. One that can be used is kept for the next request.
 func (p *Pool) Probe(probe Probe) (reached, reset bool) {
 	raw, err := net.DialTimeout("tcp", probe.Address, connectTimeout)
@@ -49,7 +51,7 @@
 
 // checkStatus asks for a target's status and reports whether the connection can be used again. The outcome is OutcomeAnswered for any answer.
 func (p *Pool) checkStatus(probe Probe, c *connection) (outcome cassiagateway.Outcome, reusable bool) {
-	c.SetDeadline(p.now().Add(statusTimeout)) //nolint:errcheck // a closed connection fails at the write
+	c.SetDeadline(p.now().Add(probe.StatusTimeout)) //nolint:errcheck // a closed connection fails at the write
 	if _, err := io.WriteString(c, "GET "+probe.StatusPath+" HTTP/1.1\r\nHost: "+probe.Address+"\r\n\r\n"); err != nil {
 		return cassiagateway.OutcomeLost, false
 	}
--- a/io/cassiapool/probe_test.go
+++ b/io/cassiapool/probe_test.go
@@ -13,6 +13,7 @@
 // TestStatusCheckTellsATargetFromAConnection guards against a connection that is accepted on the way to a target, and stays silent, being
 // taken for a target that can be reached.
 func TestStatusCheckTellsATargetFromAConnection(t *testing.T) {
+	const timeout = 200 * time.Millisecond
 	answer := func(text string) func(net.Conn, *bufio.Reader) {
 		return func(c net.Conn, r *bufio.Reader) {
 			for {
@@ -41,12 +42,12 @@
 		}, true, false, 0},
 		{"sends bytes that are no answer", answer("what\r\n\r\n"), true, false, 0},
 		{"ends the connection", func(_ net.Conn, r *bufio.Reader) { _, _ = http.ReadRequest(r) }, true, true, 0},
-		{"stays silent", func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte(); time.Sleep(2 * statusTimeout) }, false, false, 0},
+		{"stays silent", func(_ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte(); time.Sleep(2 * timeout) }, false, false, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			pool, address := &Pool{Headers: testHeaders}, listen(t, test.target)
-			reached, reset := pool.Probe(Probe{Address: address, Instance: "i", StatusPath: "/health"})
+			reached, reset := pool.Probe(Probe{Address: address, Instance: "i", StatusPath: "/health", StatusTimeout: timeout})
 			qt.Check(t, reached, qt.Equals, test.reached)
 			qt.Check(t, reset, qt.Equals, test.reset)
 			qt.Check(t, pool.idle[address], qt.HasLen, test.kept)
