Choose test ports that no other choice can occupy

The system offers a port again as soon as the probing listener is closed; the next choice then listens on it for a moment, also when it was returned to another test before, and other test processes choose from the same range. Ports are now counted up below the system's own range, from a start that differs by process, and none is tried twice.

--- a/test/front_test.go
+++ b/test/front_test.go
@@ -146,8 +146,7 @@
 	settingsFile string
 }
 
-// envIP is a loopback address that no program connects from, so that no connection has a port that freePort returned as its source
-// port.
+// envIP is a loopback address that no program connects from.
 const envIP = "127.78.0.1"
 
 // freePort returns a port of envIP that no process uses and no other call has returned.
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -188,28 +189,36 @@
 	}
 }
 
-// assignedAddresses is the set of addresses that freeAddress has returned.
-var assignedAddresses sync.Map
+const (
+	// firstTestPort and testPorts are the range of freeAddress, below the ports that the system assigns to connections.
+	firstTestPort, testPorts = 10_000, 20_000
+	// testPortStride is the distance between the first ports of processes that were started one after the other.
+	testPortStride = 997
+)
+
+// assignedPorts counts the ports that freeAddress has tried.
+var assignedPorts atomic.Int64
 
-// freeAddress returns a loopback address whose port was free for TCP and UDP a moment ago.
+// freeAddress returns a loopback address whose port was free for TCP and UDP a moment ago. No port is tried twice, so that looking for one
+// never occupies another one that was returned before and that no process listens on yet.
 func freeAddress(t testing.TB, host string) string {
 	t.Helper()
-	for range 100 {
-		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-		qt.Assert(t, err, qt.IsNil)
-		address := listener.Addr().String()
+	for range testPorts {
+		port := firstTestPort + (int64(os.Getpid())*testPortStride+assignedPorts.Add(1))%testPorts
+		address := net.JoinHostPort(host, fmt.Sprint(port))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
 		socket, err := net.ListenPacket("udp", address)
 		qt.Assert(t, listener.Close(), qt.IsNil)
 		if err != nil {
 			continue
 		}
 		qt.Assert(t, socket.Close(), qt.IsNil)
-		// The system may offer a port again that was assigned but that no process listens on yet.
-		if _, taken := assignedAddresses.LoadOrStore(address, true); !taken {
-			return address
-		}
+		return address
 	}
-	t.Fatal("found no port that is free for both TCP and UDP in 100 attempts")
+	t.Fatal("found no port that is free for both TCP and UDP")
 	return ""
 }
 
