Call health checks what they are called elsewhere

A rename only, in code, tests and pages: the new code said status check, a word of the users' pages, where configuration and glossary say health check. The field that holds their time limits has a comment.

--- a/core/cassiagateway/check.go
+++ b/core/cassiagateway/check.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// minCheckTimeout is the least time that the answer to a status check may take; checks wait for a slot of the target like requests.
+	// minCheckTimeout is the least time that the answer to a health check may take; checks wait for a slot of the target like requests.
 	minCheckTimeout = 500 * time.Millisecond
 	// checkLatencyFactor is how many times as long as the last ones a check may take.
 	checkLatencyFactor = 2
@@ -15,7 +15,7 @@
 	patientCheckTimeout = 8 * time.Second
 )
 
-// checks decides how long status checks may take. Once some were not answered, one at a time may take much longer, so that the time that
+// checks decides how long health checks may take. Once some were not answered, one at a time may take much longer, so that the time that
 // checks take is measured however long it is. The zero value is ready for use.
 type checks struct {
 	// latency follows the time that answered checks took.
--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -61,10 +61,10 @@
 type Probe struct {
 	Target  cassiaid.TargetName
 	Address string
-	// StatusPath is the path of a status check that the target has to answer, in whichever way; none is sent if it is empty.
-	StatusPath string
-	// StatusTimeout is how long the answer may take.
-	StatusTimeout time.Duration
+	// HealthPath is the path of a health check that the target has to answer, in whichever way; none is sent if it is empty.
+	HealthPath string
+	// HealthTimeout is how long the answer may take.
+	HealthTimeout time.Duration
 }
 
 // Refresh asks for the list of targets to be read again, since a target's process is newer than the list.
--- a/core/cassiagateway/gateway.go
+++ b/core/cassiagateway/gateway.go
@@ -73,7 +73,8 @@
 	watched []*target
 	links   map[linkKey]*link
 	// isolation tells whether this VM reaches any target itself; forwarder chooses the VMs that serve queries for it.
-	isolation   isolation
+	isolation isolation
+	// checks decides how long health checks may take.
 	checks      checks
 	forwarder   forwarder
 	vms         []VM
@@ -280,7 +281,7 @@
 func (g *Gateway) setServices(now time.Time, services map[cassiacatalog.ServiceName]cassiacatalog.Service) {
 	for name, configured := range services {
 		s := g.service(name)
-		s.maxConnections, s.statusPath = configured.MaxConnections, configured.HealthPath
+		s.maxConnections, s.healthPath = configured.MaxConnections, configured.HealthPath
 		s.retryBudget.Earn(now, g.allowance(now, s), 0)
 	}
 }
--- a/core/cassiagateway/isolation.go
+++ b/core/cassiagateway/isolation.go
@@ -17,8 +17,8 @@
 )
 
 // isolation tells whether this VM reaches any target at all. A target that leaves an attempt unanswered may be at fault itself. So when
-// no other target has answered since, the status of some more is checked; if none of these answers either, the VM is isolated until
-// one does. Connections may be accepted on the way, so an accepted one counts only where targets have no status check.
+// no other target has answered since, the health of some more is checked; if none of these answers either, the VM is isolated until
+// one does. Connections may be accepted on the way, so an accepted one counts only where targets have no health check.
 type isolation struct {
 	isolated bool
 	// heardAt is when a target last answered this VM, or accepted a connection where that is conclusive.
@@ -57,7 +57,7 @@
 	}
 }
 
-// checkIsolation checks the status of a sample of targets, of different services as far as there are as many.
+// checkIsolation checks the health of a sample of targets, of different services as far as there are as many.
 func (g *Gateway) checkIsolation(now time.Time) {
 	i := &g.isolation
 	i.checkedAt, i.unreached, i.pending = now, 0, make(map[cassiaid.TargetName]bool)
--- a/core/cassiagateway/link.go
+++ b/core/cassiagateway/link.go
@@ -137,7 +137,7 @@
 }
 
 // failLink cancels all attempts on a link. For a link through an aggregator it backs off from the aggregator; for a
-// direct one it ejects all targets of the zone until status checks are answered.
+// direct one it ejects all targets of the zone until health checks are answered.
 func (g *Gateway) failLink(now time.Time, l *link) {
 	if l.key.aggregator != "" {
 		g.backOffAggregator(now, l.key, OutcomeSilent)
--- a/core/cassiagateway/link_test.go
+++ b/core/cassiagateway/link_test.go
@@ -48,7 +48,7 @@
 	}
 	for _, duration := range []time.Duration{300 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
 		for _, utilization := range []float64{0.1, 0.3, 0.5, 0.7} {
-			// Status checks take no time, or about as long as requests.
+			// Health checks take no time, or about as long as requests.
 			for _, checkDuration := range []time.Duration{0, min(duration, maxCheckDuration)} {
 				t.Run(fmt.Sprintf("%v, checks %v, %.1f of the slots", duration, checkDuration, utilization), func(t *testing.T) {
 					got, reference := served(duration, checkDuration, utilization, 0), served(duration, checkDuration, utilization, time.Minute)
--- a/core/cassiagateway/message.go
+++ b/core/cassiagateway/message.go
@@ -34,7 +34,7 @@
 // a Cancel if the attempt is no longer needed.
 type AttemptBegins struct{ Attempt cassiaid.AttemptID }
 
-// ProbeEnded reports whether the target of a Probe accepted a connection and answered the status check, if one was asked for.
+// ProbeEnded reports whether the target of a Probe accepted a connection and answered the health check, if one was asked for.
 type ProbeEnded struct {
 	Target  cassiaid.TargetName
 	Reached bool
--- a/core/cassiagateway/reach.go
+++ b/core/cassiagateway/reach.go
@@ -44,13 +44,13 @@
 	}
 }
 
-// probe opens a connection to a target, and checks its status if that is wanted and the target has a status check.
-func (g *Gateway) probe(now time.Time, t *target, checkStatus bool) {
+// probe opens a connection to a target, and checks its health if that is wanted and the target has a health check.
+func (g *Gateway) probe(now time.Time, t *target, checkHealth bool) {
 	e := Probe{Target: t.Name, Address: t.Address}
-	if checkStatus && t.service.statusPath != "" {
-		e.StatusPath, e.StatusTimeout = t.service.statusPath, g.checks.begin(t.Name)
+	if checkHealth && t.service.healthPath != "" {
+		e.HealthPath, e.HealthTimeout = t.service.healthPath, g.checks.begin(t.Name)
 	}
-	t.probing, t.wantsProbe, t.probedAt, t.checked = true, false, now, e.StatusPath != ""
+	t.probing, t.wantsProbe, t.probedAt, t.checked = true, false, now, e.HealthPath != ""
 	g.runningProbes++
 	g.emit(e)
 }
@@ -69,7 +69,7 @@
 	wasEjected := t.ejected()
 	t.probed(now, m.Reached)
 	g.watch(t)
-	g.isolationProbed(now, m, probeKind{sentAt: t.probedAt, ejected: wasEjected, conclusive: t.checked || t.service.statusPath == ""})
+	g.isolationProbed(now, m, probeKind{sentAt: t.probedAt, ejected: wasEjected, conclusive: t.checked || t.service.healthPath == ""})
 	if m.Reached && wasEjected {
 		g.emit(ViewChanged{Event: EventReached, Target: t.Name, Zone: t.Zone})
 		g.probeZone(now, t)
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -131,7 +131,7 @@
 }
 
 // typicalLatency returns the median latency of a route's attempts. Until minSamples were measured it is at least an assumed one, and at least
-// that of status checks.
+// that of health checks.
 func (g *Gateway) typicalLatency(now time.Time, r *cassiacatalog.Route) time.Duration {
 	state := g.routeState(r.Name, now)
 	median := state.latency.Quantile(0.5)
--- a/core/cassiagateway/service.go
+++ b/core/cassiagateway/service.go
@@ -22,8 +22,8 @@
 type service struct {
 	name           cassiacatalog.ServiceName
 	maxConnections int
-	// statusPath is the path of the status check of its targets; empty if they have none.
-	statusPath  string
+	// healthPath is the path of the health check of its targets; empty if they have none.
+	healthPath  string
 	targets     []*target
 	retryBudget cassiabudget.Metered
 	waiting     waitQueue
--- a/core/cassiagateway/simulation_test.go
+++ b/core/cassiagateway/simulation_test.go
@@ -64,7 +64,7 @@
 	extraShare float64
 	// isolatedZone is the zone that is cut off from the others; empty if none is.
 	isolatedZone cassiaid.Zone
-	// checkDuration is how long targets work on a status check; a millisecond if zero.
+	// checkDuration is how long targets work on a health check; a millisecond if zero.
 	checkDuration time.Duration
 	// runs counts how often targets began to work on the request of a caller.
 	runs map[callerRequest]int
@@ -306,7 +306,7 @@
 	return v.cut != "" && (v.cutFrom == "" || v.cutFrom == t.zone)
 }
 
-// probe connects to a target. A status check waits for a slot like any other request, unless it is refused.
+// probe connects to a target. A health check waits for a slot like any other request, unless it is refused.
 func (v *simulatedVM) probe(e Probe) {
 	t := v.sim.targets[e.Target]
 	cut := v.cut
@@ -325,16 +325,16 @@
 	switch {
 	case cut == cutSilent:
 		end(simulatedConnectTimeout, false)
-	case cut == cutAccepted && e.StatusPath == "":
+	case cut == cutAccepted && e.HealthPath == "":
 		end(2*crossZoneDelay, true)
 	case cut == cutAccepted:
-		end(e.StatusTimeout, false)
+		end(e.HealthTimeout, false)
 	case cut == cutRefused || t.unresponsive || !v.sim.connected(v.zone, t.zone):
 		end(2*crossZoneDelay, false)
-	case e.StatusPath == "":
+	case e.HealthPath == "":
 		end(2*crossZoneDelay, true)
 	default:
-		end(e.StatusTimeout, false)
+		end(e.HealthTimeout, false)
 		t.accept(&work{duration: max(time.Millisecond, v.sim.checkDuration), ended: func(Outcome) { end(2*crossZoneDelay, true) }})
 	}
 }
--- a/core/cassiagateway/target.go
+++ b/core/cassiagateway/target.go
@@ -61,7 +61,7 @@
 	ejectedUntil time.Time
 	unfitUntil   time.Time
 	probing      bool
-	// checked is true if the last probe was a status check.
+	// checked is true if the last probe was a health check.
 	checked bool
 	// silent is true from a failure of the link to its zone until a target of the zone has answered. That connections are accepted tells
 	// nothing then.
--- a/io/cassiapool/probe.go
+++ b/io/cassiapool/probe.go
@@ -15,13 +15,13 @@
 	Address string
 	// Instance identifies the target's process, for which the connection is kept.
 	Instance string
-	// StatusPath is the path of a status check; without one, an accepted connection is enough.
-	StatusPath string
-	// StatusTimeout is how long the answer to the status check may take.
-	StatusTimeout time.Duration
+	// HealthPath is the path of a health check; without one, an accepted connection is enough.
+	HealthPath string
+	// HealthTimeout is how long the answer to the health check may take.
+	HealthTimeout time.Duration
 }
 
-// Probe opens a connection to a target and reports whether that succeeded within connectTimeout, and the target answered the status check,
+// Probe opens a connection to a target and reports whether that succeeded within connectTimeout, and the target answered the health check,
 // if one is asked for, within its time. Any answer will do, also one by which the target refuses the check or says that it is not well.
 // reset is true if the connection ended instead. One that can be used is kept for the next request.
 func (p *Pool) Probe(probe Probe) (reached, reset bool) {
@@ -36,11 +36,11 @@
 		return true, true
 	}
 	c := newConnection(raw, probe.Instance, p.now().Add(maxIdleTime))
-	if probe.StatusPath == "" {
+	if probe.HealthPath == "" {
 		p.putIdle(probe.Address, c)
 		return true, false
 	}
-	outcome, reusable := p.checkStatus(probe, c)
+	outcome, reusable := p.checkHealth(probe, c)
 	if reusable {
 		p.putIdle(probe.Address, c)
 	} else {
@@ -49,10 +49,10 @@
 	return outcome != cassiagateway.OutcomeSilent, outcome == cassiagateway.OutcomeLost
 }
 
-// checkStatus asks for a target's status and reports whether the connection can be used again. The outcome is OutcomeAnswered for any answer.
-func (p *Pool) checkStatus(probe Probe, c *connection) (outcome cassiagateway.Outcome, reusable bool) {
-	c.SetDeadline(p.now().Add(probe.StatusTimeout)) //nolint:errcheck // a closed connection fails at the write
-	if _, err := io.WriteString(c, "GET "+probe.StatusPath+" HTTP/1.1\r\nHost: "+probe.Address+"\r\n\r\n"); err != nil {
+// checkHealth asks for the health of a target and reports whether the connection can be used again. The outcome is OutcomeAnswered for any answer.
+func (p *Pool) checkHealth(probe Probe, c *connection) (outcome cassiagateway.Outcome, reusable bool) {
+	c.SetDeadline(p.now().Add(probe.HealthTimeout)) //nolint:errcheck // a closed connection fails at the write
+	if _, err := io.WriteString(c, "GET "+probe.HealthPath+" HTTP/1.1\r\nHost: "+probe.Address+"\r\n\r\n"); err != nil {
 		return cassiagateway.OutcomeLost, false
 	}
 	response, err := p.readHead(Call{Method: http.MethodGet}, c)
--- a/io/cassiapool/probe_test.go
+++ b/io/cassiapool/probe_test.go
@@ -10,9 +10,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestStatusCheckTellsATargetFromAConnection guards against a connection that is accepted on the way to a target, and stays silent, being
+// TestHealthCheckTellsATargetFromAConnection guards against a connection that is accepted on the way to a target, and stays silent, being
 // taken for a target that can be reached.
-func TestStatusCheckTellsATargetFromAConnection(t *testing.T) {
+func TestHealthCheckTellsATargetFromAConnection(t *testing.T) {
 	const timeout = 200 * time.Millisecond
 	answer := func(text string) func(net.Conn, *bufio.Reader) {
 		return func(c net.Conn, r *bufio.Reader) {
@@ -47,7 +47,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			pool, address := &Pool{Headers: testHeaders}, listen(t, test.target)
-			reached, reset := pool.Probe(Probe{Address: address, Instance: "i", StatusPath: "/health", StatusTimeout: timeout})
+			reached, reset := pool.Probe(Probe{Address: address, Instance: "i", HealthPath: "/health", HealthTimeout: timeout})
 			qt.Check(t, reached, qt.Equals, test.reached)
 			qt.Check(t, reset, qt.Equals, test.reset)
 			qt.Check(t, pool.idle[address], qt.HasLen, test.kept)
