--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -68,7 +68,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			newSoak(t, seed).run()
+			newSoak(t, seed, *soakProduction).run()
 		})
 	}
 }
@@ -86,6 +86,8 @@
 	plannedOnly bool
 	// retryPressure is true if faults are injected that call for more retries than the retry budget allows.
 	retryPressure bool
+	// earlierProgram is what VMs run before they are replaced, or empty if they are not.
+	earlierProgram string
 	// requestInterval is how long each caller waits between requests.
 	requestInterval time.Duration
 	vms             []*soakVM
@@ -114,6 +116,8 @@
 	advertisedAddress string
 
 	mutex sync.Mutex
+	// program is what the next start of the VM runs.
+	program string
 	// lifetimes counts the starts of its process. stopping is when SIGTERM was sent to the current process, or zero.
 	lifetimes int
 	up        bool
@@ -216,8 +220,14 @@
 	soakHalfClosingStream = 1<<32 + 2
 )
 
-func newSoak(t *testing.T, seed uint64) *soak {
+// newSoak starts the VMs of a run, with the version of the production commit unless it is empty.
+func newSoak(t *testing.T, seed uint64, production string) *soak {
 	s := &soak{platformEnv: &platformEnv{c: qt.New(t), store: cassiastage.NewStore()}, t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 0)), start: time.Now()}
+	program := frontProgram
+	if production != "" {
+		s.earlierProgram = earlierFront(t, production)
+		program = s.earlierProgram
+	}
 	s.serveStore(t)
 	ctx, stop := context.WithCancel(context.Background())
 	var relays errgroup.Group
@@ -244,7 +254,7 @@
 	s.putNextVersion()
 	perZone := []int{2, 4}[s.random.IntN(2)]
 	for i := range 2 * perZone {
-		vm := &soakVM{name: fmt.Sprintf("vm-%d", i), zone: []string{"zone-a", "zone-b"}[i%2]}
+		vm := &soakVM{name: fmt.Sprintf("vm-%d", i), zone: []string{"zone-a", "zone-b"}[i%2], program: program}
 		ip := s.host(hostOfVM, i+1)
 		vm.advertisedAddress = s.host(hostOfPeers, i+1) + soakPort
 		storeAddress := s.host(hostOfStore, i+1) + soakPort
@@ -296,7 +306,7 @@
 func (s *soak) startVM(vm *soakVM) {
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
-	vm.process = start(s.t, "cassiafront", "--settings", vm.settingsFile, "--announce", vm.advertisedAddress)
+	vm.process = start(s.t, vm.program, "--settings", vm.settingsFile, "--announce", vm.advertisedAddress)
 	vm.lifetimes++
 	vm.up, vm.stopping = true, time.Time{}
 }
@@ -351,7 +361,8 @@
 	s.startLimitedCallers(stop)
 	s.startStatingCallers(stop)
 	var injectors errgroup.Group
-	if !slices.Contains(soakFailed, s.seed) {
+	// Versions before these disturbances were added have known faults under them.
+	if !slices.Contains(soakFailed, s.seed) && s.earlierProgram == "" {
 		s.startHalfClosingCaller(stop)
 		random := rand.New(rand.NewPCG(s.seed, soakSilentStream))
 		injectors.Go(func() error { s.injectFaults(random, soakSilentFaults, soakMaxSilentPause); return nil })
@@ -361,6 +372,9 @@
 		random := rand.New(rand.NewPCG(s.seed, soakPressureStream))
 		injectors.Go(func() error { s.injectFaults(random, soakPressureFaults, soakMaxPressurePause); return nil })
 	}
+	if s.earlierProgram != "" {
+		injectors.Go(func() error { s.upgrade(s.earlierProgram); return nil })
+	}
 	s.c.Assert(injectors.Wait(), qt.IsNil)
 	s.heal()
 	s.checkRecovered()
--- a/test/soakfault_test.go
+++ b/test/soakfault_test.go
@@ -247,9 +247,7 @@
 		s.faults.Go(func() error {
 			sleep(duration)
 			endFault()
-			s.mutex.Lock()
-			defer s.mutex.Unlock()
-			s.disturbances[number].to = time.Since(s.start)
+			s.endDisturbance(number)
 			return nil
 		})
 	}
@@ -262,6 +260,13 @@
 	return len(s.disturbances) - 1
 }
 
+// endDisturbance records that a disturbance has ended.
+func (s *soak) endDisturbance(number int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.disturbances[number].to = time.Since(s.start)
+}
+
 // undisturbed reports whether no disturbance of the given kinds affected a VM or a service within a time span. An empty name
 // matches any.
 func (s *soak) undisturbed(name string, from, to time.Duration, kinds string) bool {
