Do not take targets that deadly requests lost for an outage

Cause: losses that no quarantine and no answer explains count as an outage for 10 s, in which one more loss is needed; a deadly request that is not sent again after its first loss leaves such a loss behind.

A loss counts for an outage no longer if only one request ran on the target and nobody has answered it for 500 ms. The losses of an outage come at the same time, and harmless requests are answered when they are sent again. TestLossesUnderOtherDeadlyRequestsAreNoOutage: 3 targets before, 2 after; TestOutageOfTargetsThatRunOneRequestEach keeps the rule for outages.

--- a/core/cassiaquarantine/quarantine.go
+++ b/core/cassiaquarantine/quarantine.go
@@ -27,6 +27,8 @@
 	// more loss is needed.
 	outageWindow = 10 * time.Second
 	outageLosses = 2
+	// repetitionTime is the time in which a harmless request is sent again after its target was lost, and answered.
+	repetitionTime = 500 * time.Millisecond
 	// sameCrashWindow is the time within which all VMs notice that a target has ended. Losses of one target that are reported
 	// within it are one crash.
 	sameCrashWindow = 250 * time.Millisecond
@@ -530,7 +532,8 @@
 	return needed
 }
 
-// unrelatedLosses returns the number of targets lost within outageWindow that ran neither the request nor any quarantined request.
+// unrelatedLosses returns the number of targets lost within outageWindow that ran neither the request nor any quarantined request, nor
+// only a suspect that has not been answered since.
 // It counts targets, not losses: a loss may be reported by each owner of the target, and again for later attempts.
 func (q *Quarantine) unrelatedLosses(now time.Time, f cassiaid.Fingerprint) int {
 	targets := make(map[cassiaid.TargetName]struct{})
@@ -541,13 +544,23 @@
 		explained := slices.ContainsFunc(l.loss.Runs, func(r Run) bool {
 			return r.has(f) || q.Remaining(r.Fingerprint) > 0 || q.Remaining(r.Content) > 0
 		})
-		if !explained && !q.suspects[f].involves(l.loss.Target) {
+		if !explained && !q.suspects[f].involves(l.loss.Target) && !q.explainedBySuspect(now, l) {
 			targets[l.loss.Target] = struct{}{}
 		}
 	}
 	return len(targets)
 }
 
+// explainedBySuspect reports whether a loss is probably due to the only request that ran on the target: no target has answered it for
+// repetitionTime.
+func (q *Quarantine) explainedBySuspect(now time.Time, recorded recordedLoss) bool {
+	if now.Sub(recorded.at) < repetitionTime || len(recorded.loss.Runs) == 0 {
+		return false
+	}
+	s := q.suspects[recorded.loss.Runs[0].Fingerprint]
+	return s != nil && slices.ContainsFunc(s.losses, func(l suspectLoss) bool { return l.number == recorded.number && len(l.others) == 0 })
+}
+
 // isBlamedAcrossShards reports whether the losses of all shards together suffice to quarantine the request: no target has answered
 // it, it has lost enough targets, and no other request ran on every one of them. In addition, either its runs alone prove it, or
 // this VM has observed enough of the losses itself and runs no other attempt of it.
--- a/core/cassiaquarantine/quarantine_test.go
+++ b/core/cassiaquarantine/quarantine_test.go
@@ -223,6 +223,43 @@
 	c.Assert(k.quarantined, qt.DeepEquals, map[cassiaid.Fingerprint]bool{1: true})
 }
 
+// TestLossesUnderOtherDeadlyRequestsAreNoOutage: two deadly requests have each lost one target and were not sent again. A third one is
+// quarantined after two losses all the same.
+func TestLossesUnderOtherDeadlyRequestsAreNoOutage(t *testing.T) {
+	c := qt.New(t)
+	const third = 3
+	k := newCluster(3, 1, 2, third)
+	k.run(0, 1, 0)
+	k.run(1, 2, 1)
+	k.clock.Advance(repetitionTime)
+	for i := range 6 {
+		k.run(i%len(k.owners), third, 2)
+	}
+	c.Assert(k.crashes[third], qt.Equals, lossesToQuarantine)
+}
+
+// TestOutageOfTargetsThatRunOneRequestEach: an outage takes down targets that run one request each. As long as these have not been sent
+// again, or once they have been answered, a request that lost two of the targets is not quarantined.
+func TestOutageOfTargetsThatRunOneRequestEach(t *testing.T) {
+	c := qt.New(t)
+	for _, answered := range []bool{false, true} {
+		k := newCluster(3)
+		const request, first, second = 1, 2, 3
+		for shard, f := range []cassiaid.Fingerprint{first, second} {
+			k.update(0, Ended{Attempt: k.start(0, f, cassiaid.ShardIndex(shard)), Ending: EndingLost})
+		}
+		if answered {
+			c.Assert(k.run(1, first, 0), qt.IsTrue)
+			c.Assert(k.run(1, second, 1), qt.IsTrue)
+			k.clock.Advance(repetitionTime)
+		}
+		for owner := range 2 {
+			k.update(owner, Ended{Attempt: k.start(owner, request, 5), Ending: EndingLost})
+		}
+		c.Assert(k.quarantined, qt.HasLen, 0)
+	}
+}
+
 // TestFanOutThatNobodyAnswersIsQuarantined sends one request to ten shards at once; all its targets are lost. The request is
 // quarantined after the last loss and not before, because a target that still runs it may answer.
 func TestFanOutThatNobodyAnswersIsQuarantined(t *testing.T) {
