Pass resets on in the relay of the soak

It resets both sides now. The kernel reports a reset once, and a blocked write may be told of it; a read that returns the end of the stream then asks for the state of the connection.

--- a/standin/cassiarelay/relay_test.go
+++ b/standin/cassiarelay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
+
+	"cassiasaddle/standin/cassialistener"
 )
 
 // testTimeout is the longest time that a test waits for an expected event.
@@ -69,8 +72,13 @@
 
 // startRelay runs a relay to an echo server and returns the relay and a connection to the server through it.
 func startRelay(t *testing.T, network string) (*Relay, net.Conn) {
+	r := startRelayTo(t, network, startEcho(t, network))
+	return r, dial(t, network, r.ListenAddress())
+}
+
+// startRelayTo runs a relay to a server.
+func startRelayTo(t *testing.T, network, upstream string) *Relay {
 	c := qt.New(t)
-	upstream := startEcho(t, network)
 	r := New(Options{Network: network, Listen: freeAddress(c, network), Upstream: upstream, Seed: 1})
 	ctx, stop := context.WithCancel(context.Background())
 	ready := make(chan struct{})
@@ -81,7 +89,7 @@
 		c.Assert(group.Wait(), qt.IsNil)
 	})
 	<-ready
-	return r, dial(t, network, r.ListenAddress())
+	return r
 }
 
 func dial(t *testing.T, network, address string) net.Conn {
@@ -152,6 +160,45 @@
 	c.Assert(err, qt.ErrorMatches, ".*reset.*|EOF")
 }
 
+// TestResetDuringALongWriteIsPassedOn: upstream resets a connection while the relay is still writing to it. Its sender must not see an
+// orderly end.
+func TestResetDuringALongWriteIsPassedOn(t *testing.T) {
+	c := qt.New(t)
+	listener, err := cassialistener.ListenSmallWindows()
+	c.Assert(err, qt.IsNil)
+	defer listener.Close() //nolint:errcheck // the test is over
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return nil
+			}
+			_, writeErr := conn.Write([]byte("part"))
+			time.Sleep(5 * time.Millisecond)
+			conn.(*net.TCPConn).SetLinger(0) //nolint:errcheck // the close fails then
+			if err := errors.Join(writeErr, conn.Close()); err != nil {
+				return err
+			}
+		}
+	})
+	r := startRelayTo(t, "tcp", listener.Addr().String())
+	long := make([]byte, 1<<20)
+	for range 50 {
+		conn, err := net.Dial("tcp", r.ListenAddress())
+		c.Assert(err, qt.IsNil)
+		group.Go(func() error {
+			conn.Write(long) //nolint:errcheck // the connection is reset
+			return nil
+		})
+		_, err = io.ReadAll(conn)
+		c.Check(err, qt.ErrorMatches, ".*reset.*")
+		c.Check(conn.Close(), qt.IsNil)
+	}
+	c.Assert(listener.Close(), qt.IsNil)
+	c.Assert(group.Wait(), qt.IsNil)
+}
+
 func TestDatagramFaults(t *testing.T) {
 	c := qt.New(t)
 	r, conn := startRelay(t, "udp")
--- a/standin/cassiarelay/stream.go
+++ b/standin/cassiarelay/stream.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -99,8 +100,8 @@
 	return errors.Join(err, setError)
 }
 
-// relayStream relays one connection until both sides have closed it, one of them fails or the context is done. It returns whether upstream
-// refused the connection.
+// relayStream relays one connection until both sides have closed it, one of them fails or the context is done. If a side fails, both are
+// reset, since the other one must not take what it got for all that was sent. It returns whether upstream refused the connection.
 func (r *Relay) relayStream(ctx context.Context, client *net.TCPConn, conns *openConns) (refused bool) {
 	sender := ipOf(client.RemoteAddr())
 	conns.add(client, sender)
@@ -122,6 +123,11 @@
 	defer conns.remove(upstream)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	fail := func() {
+		reset(client)
+		reset(upstream)
+		stop()
+	}
 	cancelClose := context.AfterFunc(ctx, func() {
 		_ = client.Close()
 		_ = upstream.Close()
@@ -129,24 +135,52 @@
 	defer cancelClose()
 
 	var group errgroup.Group
-	group.Go(func() error { r.relayDirection(ctx, stop, client, upstream, sender, false); return nil })
-	group.Go(func() error { r.relayDirection(ctx, stop, upstream, client, sender, true); return nil })
+	left, right := &streamSide{TCPConn: client}, &streamSide{TCPConn: upstream}
+	group.Go(func() error { r.relayDirection(ctx, fail, left, right, sender, false); return nil })
+	group.Go(func() error { r.relayDirection(ctx, fail, right, left, sender, true); return nil })
 	_ = group.Wait()
 	_ = client.Close()
 	_ = upstream.Close()
 	return false
 }
 
+// streamSide is the relay's connection with one side.
+type streamSide struct {
+	*net.TCPConn
+	writeClosed atomic.Bool
+}
+
+// CloseWrite ends the stream to the side.
+func (s *streamSide) CloseWrite() error {
+	s.writeClosed.Store(true)
+	return s.TCPConn.CloseWrite()
+}
+
+// endedByReset reports whether a connection whose read returned io.EOF was reset. The kernel reports a reset once, and a write may have
+// been told of it; the state of the connection tells unless the stream to the side had ended before.
+func (s *streamSide) endedByReset() bool {
+	socket, err := s.SyscallConn()
+	if s.writeClosed.Load() || err != nil {
+		return false
+	}
+	closed := false
+	err = socket.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return err == nil && closed
+}
+
 // relayDirection forwards the data of one direction of a connection until from is closed or either side fails. It calls
-// stop if a side fails.
-func (r *Relay) relayDirection(ctx context.Context, stop func(), from, to *net.TCPConn, sender netip.Addr, reply bool) {
+// fail if a side fails.
+func (r *Relay) relayDirection(ctx context.Context, fail func(), from, to *streamSide, sender netip.Addr, reply bool) {
 	queue := newDelayQueue(true)
 	var group errgroup.Group
 	group.Go(func() error {
 		queue.run(ctx, func(content []byte) error {
 			_, err := to.Write(content)
 			if err != nil {
-				stop()
+				fail()
 			}
 			return err
 		})
@@ -162,8 +196,8 @@
 			}
 		}
 		if err != nil {
-			if !errors.Is(err, net.ErrClosed) && !errors.Is(err, io.EOF) {
-				stop()
+			if !errors.Is(err, net.ErrClosed) && (err != io.EOF || from.endedByReset()) {
+				fail()
 			}
 			break
 		}
