--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -246,6 +246,9 @@
 	s.addFragileService()
 	s.addLimitedService()
 	s.addStatingService()
+	if s.playsLong() {
+		s.addLongService()
+	}
 	s.maxConnections = []int{26, 3}[s.random.IntN(2)]
 	s.plannedOnly = seed%3 == 0
 	if s.retryPressure = seed%2 == 1; s.retryPressure {
@@ -340,9 +343,13 @@
 	number := len(s.versions) + 1
 	s.mutex.Unlock()
 	s.shardConnections = s.maxConnections
-	s.configure(routeConfig("/one/", "idempotent", "single"), routeConfig("/book/", "non_idempotent", "single"),
+	routes := []map[string]any{routeConfig("/one/", "idempotent", "single"), routeConfig("/book/", "non_idempotent", "single"),
 		routeConfig(versionPath(number), "idempotent", "single"), s.fragileRoute(),
-		routeConfig(soakLimitedRoute, "idempotent", soakLimitedService), routeConfig(soakStatingRoute, "idempotent", soakStatingService))
+		routeConfig(soakLimitedRoute, "idempotent", soakLimitedService), routeConfig(soakStatingRoute, "idempotent", soakStatingService)}
+	if s.playsLong() {
+		routes = append(routes, routeConfig(soakLongRoute, "idempotent", soakLongService))
+	}
+	s.configure(routes...)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.versions = append(s.versions, soakVersion{number: number, accepted: time.Now()})
@@ -367,6 +374,11 @@
 		random := rand.New(rand.NewPCG(s.seed, soakSilentStream))
 		injectors.Go(func() error { s.injectFaults(random, soakSilentFaults, soakMaxSilentPause); return nil })
 	}
+	if s.playsLong() {
+		s.startLongCallers(stop)
+		random := rand.New(rand.NewPCG(s.seed, soakLongReplyStream))
+		injectors.Go(func() error { s.injectFaults(random, soakLongReplyFaults, soakMaxLongReplyPause); return nil })
+	}
 	injectors.Go(func() error { s.injectFaults(s.random, soakFaults, soakMaxPause); return nil })
 	if s.retryPressure {
 		random := rand.New(rand.NewPCG(s.seed, soakPressureStream))
--- a/test/soakcheck_test.go
+++ b/test/soakcheck_test.go
@@ -305,6 +305,8 @@
 			sent[soakFragileService] = append(sent[soakFragileService], at)
 		case strings.HasPrefix(r.path, soakLimitedRoute):
 			sent[soakLimitedService] = append(sent[soakLimitedService], at)
+		case strings.HasPrefix(r.path, soakLongRoute):
+			sent[soakLongService] = append(sent[soakLongService], at)
 		case strings.HasPrefix(r.path, soakStatingRoute):
 			sent[soakStatingService] = append(sent[soakStatingService], at)
 		case r.err != nil || r.answer.status != http.StatusNotFound:
