--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -96,8 +96,10 @@
 	limits          []soakLimit
 	stating         *cassiastage.Supervisor
 	statements      []soakStatement
-	callers         errgroup.Group
-	faults          errgroup.Group
+	// longAddresses holds the addresses of the targets of the long service.
+	longAddresses []string
+	callers       errgroup.Group
+	faults        errgroup.Group
 
 	mutex        sync.Mutex
 	replicas     []*soakReplica
@@ -130,6 +132,8 @@
 type soakLinks struct {
 	host  string
 	start func(network, listen, upstream string) *cassiarelay.Relay
+	// direct holds the addresses that have no relay.
+	direct []string
 
 	mutex sync.Mutex
 	// relays holds the relay for each address of a target.
@@ -141,7 +145,7 @@
 func (l *soakLinks) relayFor(address string) string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if _, _, err := net.SplitHostPort(address); err != nil {
+	if _, _, err := net.SplitHostPort(address); err != nil || slices.Contains(l.direct, address) {
 		return address
 	}
 	r := l.relays[address]
@@ -262,7 +266,7 @@
 		vm.advertisedAddress = s.host(hostOfPeers, i+1) + soakPort
 		storeAddress := s.host(hostOfStore, i+1) + soakPort
 		vm.peers = relay("udp", vm.advertisedAddress, ip+":7402")
-		vm.links = soakLinks{host: s.host(hostOfLink, i+1), start: relay, relays: make(map[string]*cassiarelay.Relay)}
+		vm.links = soakLinks{host: s.host(hostOfLink, i+1), start: relay, direct: s.longAddresses, relays: make(map[string]*cassiarelay.Relay)}
 		store := httptest.NewServer(&linkedStore{store: s.store, relay: vm.links.relayFor})
 		t.Cleanup(store.Close)
 		vm.store = relay("tcp", storeAddress, store.Listener.Addr().String())
--- a/test/soaklong_test.go
+++ b/test/soaklong_test.go
@@ -56,7 +56,7 @@
 	return s.earlierProgram == "" && !slices.Contains(soakFailed, s.seed) && !slices.Contains(soakBeforeLong, s.seed)
 }
 
-// addLongService adds the targets of the long service.
+// addLongService adds the targets of the long service. Relays on the way to them would take in whole requests.
 func (s *soak) addLongService() {
 	s.maxBodyBytes = soakLongBodyBytes
 	for i := range soakLongTargets {
@@ -65,6 +65,7 @@
 		target := cassiastage.NewTargetAt(listener, fmt.Sprintf("t-long-%d", i), soakLongService, []byte("the whole answer"))
 		s.t.Cleanup(target.Close)
 		target.SetBehaviour(cassiastage.Behaviour{Early: true, Truncate: cassiastage.FramedByClose, TruncateEach: soakBrokenEach})
+		s.longAddresses = append(s.longAddresses, target.Address())
 		s.store.Put("servers/"+target.Name, target.Entry([]string{"zone-a", "zone-b"}[i%2], "ready", 1))
 	}
 }
