Keep the connection to a VM that replies that it sends no attempts

Cause: a VM that is isolated answers other VMs' attempts with pathUnfit. Each of these VMs then stops using it as an aggregator, which is right, and closed the connection to it as if it had not replied. The requests that ran for the isolated VM on that connection ended as lost, and it passed nothing more to their VMs for 2 s; with all seven gone it refused.

Only connections of VMs that do not reply are closed now, by an effect of the core. TestConnectionToAnAggregatorThatRepliesStaysOpen failed before.

--- a/core/cassiagateway/aggregator.go
+++ b/core/cassiagateway/aggregator.go
@@ -125,10 +125,14 @@
 	return true
 }
 
-// backOffAggregator stops the use of a link's aggregator for a backoff period and emits a ViewChanged for the log.
+// backOffAggregator stops the use of a link's aggregator for a backoff period and emits a ViewChanged for the log. The connection of one
+// that replied that it does not send for this VM stays open, since queries that the VMs serve for each other run on it.
 func (g *Gateway) backOffAggregator(now time.Time, key linkKey, cause Outcome) {
 	if g.aggregators.backOff(now, key.aggregator) {
 		g.emit(ViewChanged{Event: EventAggregatorBackedOff, VM: key.aggregator, Zone: key.zone, Cause: cause})
+		if cause != OutcomeTargetUnknown {
+			g.emit(DropAggregator{VM: key.aggregator})
+		}
 	}
 }
 
--- a/core/cassiagateway/effect.go
+++ b/core/cassiagateway/effect.go
@@ -67,6 +67,9 @@
 	HealthTimeout time.Duration
 }
 
+// DropAggregator closes the connection to an aggregator that did not reply. It may lead to an earlier process of the VM.
+type DropAggregator struct{ VM cassiaid.VMName }
+
 // Refresh asks for the list of targets to be read again, since a target's process is newer than the list.
 type Refresh struct{}
 
@@ -166,6 +169,7 @@
 func (CancelForward) isEffect()     {}
 func (Cancel) isEffect()            {}
 func (Probe) isEffect()             {}
+func (DropAggregator) isEffect()    {}
 func (Refresh) isEffect()           {}
 func (ViewChanged) isEffect()       {}
 func (ExtraRequest) isEffect()      {}
--- a/core/cassiagateway/isolation_test.go
+++ b/core/cassiagateway/isolation_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
 	"cassiasaddle/core/cassiaavailability"
 	"cassiasaddle/core/cassiacatalog"
@@ -183,6 +184,26 @@
 	c.Check(sim.forwards(), qt.Equals, 0)
 }
 
+// TestConnectionToAnAggregatorThatRepliesStaysOpen guards against a VM that closes the connection on which it serves the queries of an isolated
+// one, since that one replied that it sends no attempts. Such a query would end as if its VM were lost.
+func TestConnectionToAnAggregatorThatRepliesStaysOpen(t *testing.T) {
+	for _, test := range []struct {
+		outcome Outcome
+		dropped int
+	}{{OutcomeTargetUnknown, 0}, {OutcomeAggregatorLost, 1}} {
+		c := qt.New(t)
+		clock := clockwork.NewFakeClock()
+		g, route := remoteShards(clock, 2)
+		sent := effectsOf[Send](g.Update(Arrived{Query: 1, Route: route, Deadline: clock.Now().Add(time.Second)}))
+		c.Assert(sent, qt.HasLen, 2)
+		effects := g.Update(AttemptEnded{Attempt: sent[0].Attempt, Outcome: test.outcome})
+		backedOff := effectsOf[ViewChanged](effects)
+		c.Assert(backedOff, qt.HasLen, 1)
+		c.Check(backedOff[0].Event, qt.Equals, EventAggregatorBackedOff)
+		c.Check(effectsOf[DropAggregator](effects), qt.HasLen, test.dropped)
+	}
+}
+
 // TestQueryIsNotPassedOnTwice guards against loops of VMs that pass the same query on.
 func TestQueryIsNotPassedOnTwice(t *testing.T) {
 	c := qt.New(t)
--- a/io/cassiagate/gate.go
+++ b/io/cassiagate/gate.go
@@ -374,7 +374,8 @@
 			}
 		case cassiagateway.ViewChanged:
 			g.report.viewChanged(e)
-			if e.Event == cassiagateway.EventAggregatorBackedOff && g.aggregatorClient != nil {
+		case cassiagateway.DropAggregator:
+			if g.aggregatorClient != nil {
 				g.aggregatorClient.Drop(e.VM)
 			}
 		case cassiagateway.ExtraRequest:
