Pass on queries that a VM can't serve since it opens no connections

A VM whose new connections to targets are refused, while open ones still bring answers, does not count as isolated. Such a query now leads to a check of the links, at most one a second, and is passed on to another VM if all probes of the last check failed. If targets have failed, probes reach others, and the query is refused at once as before. Passed on queries earn no retries here, since they do at the other VM.

TestVMThatOpensNoConnectionPassesOnWhatItCannotServe failed before.

--- a/core/cassiagateway/isolation.go
+++ b/core/cassiagateway/isolation.go
@@ -28,6 +28,8 @@
 	pending   map[cassiaid.TargetName]bool
 	// unreached is the number of probes of the check that failed.
 	unreached int
+	// opensNothing is true if all probes of the last check failed, even if open connections still bring answers.
+	opensNothing bool
 }
 
 // nextCheckAt returns when the next check is due while the VM is isolated, or the zero time.
@@ -97,6 +99,7 @@
 			return
 		}
 		clear(i.pending)
+		i.opensNothing = false
 		g.targetHeard(now)
 		g.endIsolation(now)
 		return
@@ -109,11 +112,25 @@
 	}
 	delete(i.pending, m.Target)
 	i.unreached++
-	if len(i.pending) == 0 && !i.isolated && !i.heardAt.After(i.checkedAt) {
+	if len(i.pending) > 0 {
+		return
+	}
+	i.opensNothing = true
+	if !i.isolated && !i.heardAt.After(i.checkedAt) {
 		g.beginIsolation(now)
 	}
 }
 
+// forwardUnreachable passes a query whose targets this VM does not reach to another VM, if the links of this VM are at fault. It returns
+// whether it did. A check tells them from targets that have failed.
+func (g *Gateway) forwardUnreachable(now time.Time, q *query) bool {
+	i := &g.isolation
+	if !i.isolated && len(i.pending) == 0 && (i.checkedAt.IsZero() || now.Sub(i.checkedAt) >= minIsolationChecks) {
+		g.checkIsolation(now)
+	}
+	return i.opensNothing && g.forward(now, q, RefusalUnreachable)
+}
+
 // beginIsolation has other VMs serve the queries that no target may have run.
 func (g *Gateway) beginIsolation(now time.Time) {
 	g.isolation.isolated = true
--- a/core/cassiagateway/isolation_test.go
+++ b/core/cassiagateway/isolation_test.go
@@ -184,6 +184,41 @@
 	c.Check(sim.forwards(), qt.Equals, 0)
 }
 
+// TestVMThatOpensNoConnectionPassesOnWhatItCannotServe guards against a VM that refuses its callers, since it reaches the targets of too few
+// shards, while its open connections to others still bring answers, so that it is not isolated.
+func TestVMThatOpensNoConnectionPassesOnWhatItCannotServe(t *testing.T) {
+	for _, reached := range []bool{false, true} {
+		c := qt.New(t)
+		sim, search, booking := newCutSimulation(3)
+		g := sim.vms[0].gateway
+		for shard := range 5 {
+			for replica := range 2 {
+				target := g.targets[targetName(shard, replica)]
+				target.ejections, target.ejectedUntil = 1, sim.now.Add(time.Minute)
+				g.watch(target)
+			}
+		}
+		arrived := func(id QueryID, route *cassiacatalog.Route) []Effect {
+			return g.Update(Arrived{Query: id, Route: route, Deadline: sim.now.Add(time.Second)})
+		}
+		effects := arrived(1, search.route)
+		c.Check(effectsOf[Forward](effects), qt.HasLen, 0, qt.Commentf("before the links are known to be at fault"))
+		probes := effectsOf[Probe](effects)
+		c.Assert(probes, qt.HasLen, isolationSample)
+		sim.now = sim.now.Add(time.Millisecond)
+		g.targetHeard(sim.now)
+		for _, probe := range probes {
+			g.Update(ProbeEnded{Target: probe.Target, Reached: reached})
+		}
+		c.Check(g.Isolated(), qt.IsFalse)
+		for id, route := range []*cassiacatalog.Route{search.route, booking.route} {
+			effects = arrived(QueryID(2+id), route)
+			c.Check(len(effectsOf[Forward](effects)) == 1, qt.Equals, !reached)
+			c.Check(len(effectsOf[Finish](effects)) == 0 || reached, qt.IsTrue)
+		}
+	}
+}
+
 // TestConnectionToAnAggregatorThatRepliesStaysOpen guards against a VM that closes the connection on which it serves the queries of an isolated
 // one, since that one replied that it sends no attempts. Such a query would end as if its VM were lost.
 func TestConnectionToAnAggregatorThatRepliesStaysOpen(t *testing.T) {
--- a/core/cassiagateway/serve.go
+++ b/core/cassiagateway/serve.go
@@ -57,11 +57,17 @@
 // serveLocally sends a query to targets if it can be served.
 func (g *Gateway) serveLocally(now time.Time, q *query) {
 	for _, s := range q.shards {
-		s.service.retryBudget.Earn(now, g.allowance(now, s.service), 1)
 		// Shards that wait already come first.
 		g.serveWaiting(now, s.service)
 	}
-	if reason, ok := g.admit(now, q); !ok {
+	reason, admitted := g.admit(now, q)
+	if reason == RefusalUnreachable && g.forwardUnreachable(now, q) {
+		return
+	}
+	for _, s := range q.shards {
+		s.service.retryBudget.Earn(now, g.allowance(now, s.service), 1)
+	}
+	if !admitted {
 		g.refuse(now, q, reason)
 		return
 	}
