--- a/core/cassiagateway/isolation.go
+++ b/core/cassiagateway/isolation.go
@@ -42,8 +42,12 @@
 
 // mayCheck reports whether a check may begin because something that was sent at a time had no answer.
 func (i *isolation) mayCheck(now, sentAt time.Time) bool {
-	return !i.isolated && len(i.pending) == 0 && !i.heardAt.After(sentAt) &&
-		(i.checkedAt.IsZero() || now.Sub(i.checkedAt) >= minIsolationChecks)
+	return !i.heardAt.After(sentAt) && i.checkDue(now)
+}
+
+// checkDue reports whether this VM is not isolated as far as it knows, and the last check has ended and is not too recent.
+func (i *isolation) checkDue(now time.Time) bool {
+	return !i.isolated && len(i.pending) == 0 && (i.checkedAt.IsZero() || now.Sub(i.checkedAt) >= minIsolationChecks)
 }
 
 // Isolated reports whether this VM reaches no target, so that other VMs should not have it send for them.
@@ -125,7 +129,7 @@
 // whether it did. A check tells them from targets that have failed.
 func (g *Gateway) forwardUnreachable(now time.Time, q *query) bool {
 	i := &g.isolation
-	if !i.isolated && len(i.pending) == 0 && (i.checkedAt.IsZero() || now.Sub(i.checkedAt) >= minIsolationChecks) {
+	if i.checkDue(now) {
 		g.checkIsolation(now)
 	}
 	return i.opensNothing && g.forward(now, q, RefusalUnreachable)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -372,8 +372,7 @@
 	s.startLimitedCallers(stop)
 	s.startStatingCallers(stop)
 	var injectors errgroup.Group
-	// Versions before these disturbances were added have known faults under them.
-	if !slices.Contains(soakFailed, s.seed) && s.earlierProgram == "" {
+	if s.playsLater() {
 		s.startHalfClosingCaller(stop)
 		random := rand.New(rand.NewPCG(s.seed, soakSilentStream))
 		injectors.Go(func() error { s.injectFaults(random, soakSilentFaults, soakMaxSilentPause); return nil })
@@ -403,6 +402,11 @@
 	}
 }
 
+// playsLater reports whether the run has the disturbances that were added after soakFailed. Earlier versions have known faults under them.
+func (s *soak) playsLater() bool {
+	return s.earlierProgram == "" && !slices.Contains(soakFailed, s.seed)
+}
+
 // heal ends all faults and starts the VMs that are down.
 func (s *soak) heal() {
 	s.c.Assert(s.faults.Wait(), qt.IsNil)
--- a/test/soaklong_test.go
+++ b/test/soaklong_test.go
@@ -51,10 +51,8 @@
 	}},
 }
 
-// playsLong reports whether the run has long requests and long replies of the store. Earlier versions have known faults under them.
-func (s *soak) playsLong() bool {
-	return s.earlierProgram == "" && !slices.Contains(soakFailed, s.seed) && !slices.Contains(soakBeforeLong, s.seed)
-}
+// playsLong reports whether the run has long requests and long replies of the store.
+func (s *soak) playsLong() bool { return s.playsLater() && !slices.Contains(soakBeforeLong, s.seed) }
 
 // addLongService adds the targets of the long service. Relays on the way to them would take in whole requests.
 func (s *soak) addLongService() {
