--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -41,6 +41,7 @@
 	storeAddress string
 	storeServer  *http.Server
 	vms          []*vm
+	backends     []*backend
 	ids          atomic.Int64
 
 	mutex  sync.Mutex
@@ -89,10 +90,13 @@
 		v.end()
 	}
 	d.storeServer.Close()
-	d.record.Close()
-	if os.Getenv("KEEP") == "" {
-		os.RemoveAll(d.tmp)
+	for _, b := range d.backends {
+		for id, n := range b.Runs() {
+			d.log("%s of %s ran %s, %d times", b.Name, b.Service, id, n)
+		}
 	}
+	d.record.Close()
+	os.RemoveAll(d.tmp)
 }
 
 // every calls f now and at each interval until the end, or until it returns false.
@@ -292,6 +296,7 @@
 func (d *deployment) startBackend(name, service string, b cassiastage.Behaviour) *backend {
 	t := &backend{Target: cassiastage.NewTarget(name, service, []byte("answer of "+name)), d: d, born: time.Now().UnixMilli(), state: "ready"}
 	t.SetBehaviour(b)
+	d.backends = append(d.backends, t)
 	d.stops = append(d.stops, t.Close)
 	d.every(heartbeat, func() bool { t.beat(); return true })
 	return t
--- a/review/_standin2/slow.go
+++ b/review/_standin2/slow.go
@@ -95,6 +95,7 @@
 	}
 	fmt.Fprintf(conn, "GET /document/1 HTTP/1.1\r\nHost: %s\r\nX-Cassiasaddle-Request-Id: %s\r\nX-Cassiasaddle-Deadline-Ms: %d\r\n\r\n", host, id,
 		readerLimit.Milliseconds())
+	d.log("sent %s GET /document/1 to %s", id, v.name)
 	var source io.Reader = conn
 	if slow {
 		source = slowly{conn}
